--- /dev/null
+++ b/ctl/main.c
@@ -0,0 +1,8 @@
+#include <stdio.h>
+
+int
+main (void)
+{
+  puts ("sassafrasctl");
+  return 0;
+}
--- /dev/null
+++ b/src/gen/peer_proto.x
@@ -0,0 +1,162 @@
+/* Messages between the daemons.  Every string and array is bounded here; the codec refuses more. */
+
+const PEER_NAME_BYTES = 64;
+const PEER_ENTRY_BYTES = 1048576;
+const PEER_MAX_ENTRIES = 1024;
+const PEER_CHUNK_BYTES = 65536;
+const PEER_COMMAND_BYTES = 1048576;
+const PEER_MAX_MEMBERS = 64;
+const PEER_MAX_RUNNERS = 1024;
+const PEER_MAX_CELLS = 64;
+const PEER_MESSAGE_BYTES = 1200;
+
+typedef string peer_name<PEER_NAME_BYTES>;
+
+/* First call on every connection.  A stranger, another deployment or an earlier incarnation of a
+   VM is refused.  */
+struct peer_hello
+{
+  peer_name deployment;
+  peer_name vm;
+  peer_name data_centre;
+  unsigned hyper node;        /* member id of this VM; changes when its disk is replaced */
+  unsigned hyper incarnation; /* grows with every start of the process */
+};
+
+enum raft_message_type
+{
+  RAFT_PRE_VOTE_REQUEST = 1,
+  RAFT_PRE_VOTE_REPLY = 2,
+  RAFT_VOTE_REQUEST = 3,
+  RAFT_VOTE_REPLY = 4,
+  RAFT_APPEND_REQUEST = 5,
+  RAFT_APPEND_REPLY = 6,
+  RAFT_SNAPSHOT_CHUNK = 7,
+  RAFT_SNAPSHOT_REPLY = 8,
+  RAFT_TIMEOUT_NOW = 9
+};
+
+enum raft_entry_kind
+{
+  RAFT_ENTRY_COMMAND = 1, /* applied to the state machine */
+  RAFT_ENTRY_NOOP = 2,    /* first entry of a leader's term */
+  RAFT_ENTRY_MEMBERS = 3  /* data is an encoded raft_members */
+};
+
+struct raft_member
+{
+  unsigned hyper node;
+  bool voter; /* a learner when false */
+};
+
+struct raft_members
+{
+  raft_member members<PEER_MAX_MEMBERS>;
+};
+
+struct raft_entry
+{
+  unsigned hyper index;
+  unsigned hyper term;
+  raft_entry_kind kind;
+  opaque data<PEER_ENTRY_BYTES>;
+};
+
+struct raft_message
+{
+  unsigned hyper group;     /* 0 is the registry, 1 and up are cells */
+  raft_message_type type;
+  unsigned hyper from;
+  unsigned hyper to;
+  unsigned hyper term;
+  unsigned hyper log_index; /* previous entry (append), last entry (vote), match or hint (replies) */
+  unsigned hyper log_term;
+  unsigned hyper commit;
+  bool granted;             /* replies: vote granted, append accepted, chunk stored */
+  unsigned hyper round;     /* read-index and check-quorum round, echoed in replies */
+  raft_entry entries<PEER_MAX_ENTRIES>;
+  unsigned hyper chunk_offset;
+  unsigned hyper chunk_total;
+  raft_members chunk_members;
+  opaque chunk<PEER_CHUNK_BYTES>;
+};
+
+/* A command for the leader of a group, forwarded by the VM that received it.  */
+struct propose_args
+{
+  unsigned hyper group;
+  opaque command<PEER_COMMAND_BYTES>;
+};
+
+struct propose_reply
+{
+  unsigned int status;      /* enum status_kind */
+  string message<PEER_MESSAGE_BYTES>;
+  unsigned hyper leader;    /* node the sender believes leads, 0 when unknown */
+  opaque result<PEER_COMMAND_BYTES>;
+};
+
+/* What one cell can still take, carried with its permit request.  */
+struct cell_capacity
+{
+  peer_name data_centre;
+  unsigned hyper free_millicores;
+  unsigned hyper free_memory_mb;
+  unsigned hyper free_accelerators;
+  unsigned int pending_tasks;
+};
+
+struct permit_request
+{
+  peer_name data_centre;
+  unsigned hyper asked;     /* opaque to the granter; echoed */
+  cell_capacity capacity;
+};
+
+struct permit_grant
+{
+  bool granted;
+  unsigned hyper asked;
+  unsigned int life_ms;     /* counted by the receiver from when it asked */
+  unsigned hyper cell_epoch;
+  cell_capacity cells<PEER_MAX_CELLS>;
+};
+
+struct runner_entry
+{
+  peer_name id;
+  peer_name service;
+  peer_name data_centre;
+  peer_name address;        /* ip:port */
+  unsigned hyper incarnation;
+  unsigned int slots;
+  unsigned int connections;
+  unsigned int in_flight;
+  bool departing;
+};
+
+/* All runners that announced to the sender.  An unchanged version with no runners renews them all. */
+struct runner_digest
+{
+  unsigned hyper table_version;
+  bool full;                /* runners is the whole table at this version */
+  unsigned hyper base_version;
+  runner_entry runners<PEER_MAX_RUNNERS>;
+};
+
+struct runner_digest_reply
+{
+  unsigned hyper table_version;   /* what the receiver now holds; a mismatch asks for the full table */
+};
+
+program SASSAFRAS_PEER
+{
+  version SASSAFRAS_PEER_V1
+  {
+    peer_hello PEER_HELLO (peer_hello) = 1;
+    void PEER_RAFT (raft_message) = 2;
+    propose_reply PEER_PROPOSE (propose_args) = 3;
+    permit_grant PEER_PERMIT (permit_request) = 4;
+    runner_digest_reply PEER_RUNNERS (runner_digest) = 5;
+  } = 1;
+} = 0x2fa55a01;
--- /dev/null
+++ b/src/http_client.c
@@ -0,0 +1,273 @@
+#include "http_client.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#define CONNECT_TIMEOUT_MS 1000L
+
+struct easy_run
+{
+  http_easy_done *done;
+  void *arg;
+  CURL *easy;
+  LIST_ENTRY (easy_run) link;
+};
+
+struct http_client
+{
+  struct ev_loop *loop;
+  CURLM *multi;
+  ev_timer timer;
+  LIST_HEAD (easy_run_list, easy_run) runs;
+  bool closing;
+};
+
+/* One exchange of http_client_send.  */
+struct exchange
+{
+  struct http_call call;
+  struct curl_slist *headers;
+  struct http_answer answer;
+};
+
+struct socket_watch
+{
+  ev_io io;
+  struct http_client *client;
+};
+
+static void
+report_finished (struct http_client *client)
+{
+  CURLMsg *message;
+  int left;
+  while ((message = curl_multi_info_read (client->multi, &left)))
+    {
+      struct easy_run *run;
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      CURL *easy = message->easy_handle;
+      CURLcode result = message->data.result;
+      curl_easy_getinfo (easy, CURLINFO_PRIVATE, &run);
+      http_easy_done *done = run->done;
+      void *arg = run->arg;
+      curl_multi_remove_handle (client->multi, easy);
+      LIST_REMOVE (run, link);
+      free (run);
+      done (arg, easy, result);
+    }
+}
+
+static void
+on_socket (struct ev_loop *loop, ev_io *w, int events)
+{
+  struct socket_watch *watch = w->data;
+  struct http_client *client = watch->client;
+  int running;
+  int action
+      = (events & EV_READ ? CURL_CSELECT_IN : 0) | (events & EV_WRITE ? CURL_CSELECT_OUT : 0);
+  (void)loop;
+  curl_multi_socket_action (client->multi, w->fd, action, &running);
+  report_finished (client);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *w, int events)
+{
+  struct http_client *client = w->data;
+  int running;
+  (void)loop;
+  (void)events;
+  curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  report_finished (client);
+}
+
+static int
+watch_socket (CURL *easy, curl_socket_t fd, int what, void *arg, void *socket_arg)
+{
+  struct http_client *client = arg;
+  struct socket_watch *watch = socket_arg;
+  (void)easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      if (watch)
+        ev_io_stop (client->loop, &watch->io);
+      free (watch);
+      curl_multi_assign (client->multi, fd, NULL);
+      return 0;
+    }
+  if (!watch)
+    {
+      watch = xcalloc (1, sizeof *watch);
+      watch->client = client;
+      ev_io_init (&watch->io, on_socket, fd, EV_READ);
+      watch->io.data = watch;
+      curl_multi_assign (client->multi, fd, watch);
+    }
+  ev_io_stop (client->loop, &watch->io);
+  ev_io_set (&watch->io, fd,
+             (what & CURL_POLL_IN ? EV_READ : 0) | (what & CURL_POLL_OUT ? EV_WRITE : 0));
+  ev_io_start (client->loop, &watch->io);
+  return 0;
+}
+
+static int
+watch_timer (CURLM *multi, long timeout_ms, void *arg)
+{
+  struct http_client *client = arg;
+  (void)multi;
+  ev_timer_stop (client->loop, &client->timer);
+  if (timeout_ms < 0)
+    return 0;
+  ev_timer_set (&client->timer, (double)timeout_ms / 1000.0, 0.0);
+  ev_timer_start (client->loop, &client->timer);
+  return 0;
+}
+
+struct http_client *
+http_client_open (struct ev_loop *loop, long max_connections_per_host)
+{
+  struct http_client *client = xcalloc (1, sizeof *client);
+  client->loop = loop;
+  client->multi = curl_multi_init ();
+  LIST_INIT (&client->runs);
+  ev_timer_init (&client->timer, on_timer, 0.0, 0.0);
+  client->timer.data = client;
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, watch_timer);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
+  if (max_connections_per_host > 0)
+    curl_multi_setopt (client->multi, CURLMOPT_MAX_HOST_CONNECTIONS, max_connections_per_host);
+  return client;
+}
+
+void
+http_easy_defaults (CURL *easy, long timeout_ms)
+{
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+}
+
+void
+http_client_add (struct http_client *client, CURL *easy, http_easy_done *done, void *arg)
+{
+  struct easy_run *run = xcalloc (1, sizeof *run);
+  run->done = done;
+  run->arg = arg;
+  run->easy = easy;
+  LIST_INSERT_HEAD (&client->runs, run, link);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, run);
+  curl_multi_add_handle (client->multi, easy);
+}
+
+void
+http_client_remove (struct http_client *client, CURL *easy)
+{
+  struct easy_run *run;
+  curl_easy_getinfo (easy, CURLINFO_PRIVATE, &run);
+  curl_multi_remove_handle (client->multi, easy);
+  LIST_REMOVE (run, link);
+  free (run);
+}
+
+static size_t
+collect_body (char *data, size_t size, size_t count, void *arg)
+{
+  struct exchange *x = arg;
+  buffer_append (&x->answer.body, data, size * count);
+  return size * count;
+}
+
+static void
+free_exchange (struct exchange *x, CURL *easy)
+{
+  curl_slist_free_all (x->headers);
+  buffer_close (&x->answer.body);
+  curl_easy_cleanup (easy);
+  free (x);
+}
+
+static void
+fill_answer (struct exchange *x, CURL *easy, CURLcode result)
+{
+  long code = 0;
+  long request_bytes = 0;
+  char *location = NULL;
+  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &code);
+  curl_easy_getinfo (easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  curl_easy_getinfo (easy, CURLINFO_REDIRECT_URL, &location);
+  x->answer.code = (int)code;
+  x->answer.sent = request_bytes > 0;
+  x->answer.location = location;
+  if (result == CURLE_OPERATION_TIMEDOUT)
+    status_set (&x->answer.status, STATUS_TIMEOUT, "no answer in %ld ms", x->call.timeout_ms);
+  else if (result == CURLE_PARTIAL_FILE || result == CURLE_RECV_ERROR)
+    status_set (&x->answer.status, STATUS_BACKEND_TRUNCATED, "%s", curl_easy_strerror (result));
+  else if (result != CURLE_OK)
+    status_set (&x->answer.status, STATUS_BACKEND_FAILED, "%s", curl_easy_strerror (result));
+}
+
+static void
+on_exchange_done (void *arg, CURL *easy, CURLcode result)
+{
+  struct exchange *x = arg;
+  fill_answer (x, easy, result);
+  x->call.done (x->call.done_arg, &x->answer);
+  free_exchange (x, easy);
+}
+
+void
+http_client_send (struct http_client *client, const struct http_call *call)
+{
+  struct exchange *x = xcalloc (1, sizeof *x);
+  CURL *easy = curl_easy_init ();
+  x->call = *call;
+  for (const char *const *h = call->headers; h && *h; h++)
+    x->headers = curl_slist_append (x->headers, *h);
+  x->headers = curl_slist_append (x->headers, "Expect:");
+  http_easy_defaults (easy, call->timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_URL, call->url);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, call->method);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, x->headers);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, collect_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, x);
+  if (call->body)
+    {
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE, (long)call->body_len);
+      curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, call->body);
+    }
+  http_client_add (client, easy, on_exchange_done, x);
+}
+
+static void
+drop_run (struct http_client *client, struct easy_run *run)
+{
+  CURL *easy = run->easy;
+  bool collected = run->done == on_exchange_done;
+  void *arg = run->arg;
+  curl_multi_remove_handle (client->multi, easy);
+  LIST_REMOVE (run, link);
+  free (run);
+  if (collected)
+    free_exchange (arg, easy);
+}
+
+void
+http_client_close (struct http_client *client)
+{
+  struct easy_run *run;
+  if (!client)
+    return;
+  while ((run = LIST_FIRST (&client->runs)))
+    drop_run (client, run);
+  curl_multi_cleanup (client->multi);
+  ev_timer_stop (client->loop, &client->timer);
+  free (client);
+}
--- /dev/null
+++ b/src/http_server.c
@@ -0,0 +1,359 @@
+#include "http_server.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+
+#define CONNECTION_TIMEOUT_S 60
+#define CONNECTION_MEMORY_BYTES 32768
+#define RETRY_AFTER_S "1"
+
+struct http_loop
+{
+  struct ev_loop *loop;
+  struct MHD_Daemon *daemon;
+  ev_io io;
+  ev_timer timer;
+  ev_prepare prepare;
+  bool kicked;
+};
+
+struct http_server
+{
+  struct http_server_config config;
+  struct MHD_Daemon *daemon;
+  struct http_loop *http_loop;
+  unsigned open_requests;
+  bool closing;
+};
+
+static void
+run_daemon (struct http_loop *hl)
+{
+  hl->kicked = false;
+  MHD_run (hl->daemon);
+}
+
+static void
+on_io (struct ev_loop *loop, ev_io *w, int events)
+{
+  (void)loop;
+  (void)events;
+  run_daemon (w->data);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void)loop;
+  (void)events;
+  run_daemon (w->data);
+}
+
+/* Before the loop blocks: runs the daemon when an answer is waiting, then arms its timeout.  */
+static void
+on_prepare (struct ev_loop *loop, ev_prepare *w, int events)
+{
+  struct http_loop *hl = w->data;
+  MHD_UNSIGNED_LONG_LONG timeout_ms;
+  (void)events;
+  if (hl->kicked)
+    run_daemon (hl);
+  ev_timer_stop (loop, &hl->timer);
+  if (MHD_get_timeout (hl->daemon, &timeout_ms) != MHD_YES)
+    return;
+  ev_timer_set (&hl->timer, (double)timeout_ms / 1000.0, 0.0);
+  ev_timer_start (loop, &hl->timer);
+}
+
+struct http_loop *
+http_loop_open (struct ev_loop *loop, struct MHD_Daemon *daemon)
+{
+  const union MHD_DaemonInfo *info = MHD_get_daemon_info (daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  if (!info)
+    return NULL;
+  struct http_loop *hl = xcalloc (1, sizeof *hl);
+  hl->loop = loop;
+  hl->daemon = daemon;
+  ev_io_init (&hl->io, on_io, info->epoll_fd, EV_READ);
+  ev_timer_init (&hl->timer, on_timer, 0.0, 0.0);
+  ev_prepare_init (&hl->prepare, on_prepare);
+  hl->io.data = hl;
+  hl->timer.data = hl;
+  hl->prepare.data = hl;
+  ev_io_start (loop, &hl->io);
+  ev_prepare_start (loop, &hl->prepare);
+  return hl;
+}
+
+void
+http_loop_kick (struct http_loop *hl)
+{
+  hl->kicked = true;
+}
+
+void
+http_loop_close (struct http_loop *hl)
+{
+  ev_io_stop (hl->loop, &hl->io);
+  ev_timer_stop (hl->loop, &hl->timer);
+  ev_prepare_stop (hl->loop, &hl->prepare);
+  free (hl);
+}
+
+static struct http_request *
+new_request (struct http_server *server, struct MHD_Connection *connection, const char *path,
+             const char *method)
+{
+  struct http_request *req = xcalloc (1, sizeof *req);
+  req->server = server;
+  req->connection = connection;
+  req->path = path;
+  req->method = method;
+  server->open_requests++;
+  return req;
+}
+
+static void
+append_body (struct http_request *req, const char *data, size_t len)
+{
+  if (req->body.len + len > req->server->config.max_body)
+    req->too_large = true;
+  if (!req->too_large)
+    buffer_append (&req->body, data, len);
+}
+
+static void
+run_handler (struct http_request *req)
+{
+  struct status st;
+  req->handled = true;
+  if (req->too_large)
+    {
+      status_set (&st, STATUS_TOO_LARGE, "body is over %zu bytes", req->server->config.max_body);
+      http_reply_status (req, &st);
+      return;
+    }
+  req->server->config.handler (req->server->config.handler_arg, req);
+}
+
+static enum MHD_Result
+on_access (void *arg, struct MHD_Connection *connection, const char *url, const char *method,
+           const char *protocol, const char *data, size_t *size, void **user)
+{
+  struct http_server *server = arg;
+  struct http_request *req = *user;
+  (void)protocol;
+  if (!req)
+    {
+      *user = new_request (server, connection, url, method);
+      return MHD_YES;
+    }
+  if (*size > 0)
+    {
+      append_body (req, data, *size);
+      *size = 0;
+      return MHD_YES;
+    }
+  if (!req->handled)
+    run_handler (req);
+  if (req->response)
+    return MHD_queue_response (connection, (unsigned)req->response_code, req->response);
+  if (!req->suspended)
+    {
+      req->suspended = true;
+      MHD_suspend_connection (connection);
+    }
+  return MHD_YES;
+}
+
+static void
+on_completed (void *arg, struct MHD_Connection *connection, void **user,
+              enum MHD_RequestTerminationCode code)
+{
+  struct http_server *server = arg;
+  struct http_request *req = *user;
+  (void)connection;
+  (void)code;
+  if (!req)
+    return;
+  server->open_requests--;
+  if (req->response)
+    MHD_destroy_response (req->response);
+  buffer_close (&req->body);
+  free (req);
+  *user = NULL;
+}
+
+int
+http_parse_address (const char *text, struct sockaddr_in *out, struct status *st)
+{
+  char host[INET_ADDRSTRLEN];
+  const char *colon = strrchr (text, ':');
+  char *end;
+  memset (out, 0, sizeof *out);
+  out->sin_family = AF_INET;
+  if (!colon || (size_t)(colon - text) >= sizeof host)
+    return status_set (st, STATUS_INVALID_SETTING, "address '%s' is not ip:port", text);
+  memcpy (host, text, (size_t)(colon - text));
+  host[colon - text] = '\0';
+  long port = strtol (colon + 1, &end, 10);
+  if (inet_pton (AF_INET, host, &out->sin_addr) != 1 || *end || end == colon + 1 || port < 0
+      || port > 65535)
+    return status_set (st, STATUS_INVALID_SETTING, "address '%s' is not ip:port", text);
+  out->sin_port = htons ((uint16_t)port);
+  return 0;
+}
+
+struct http_server *
+http_server_open (struct ev_loop *loop, const struct http_server_config *config, struct status *st)
+{
+  struct sockaddr_in address;
+  if (http_parse_address (config->address, &address, st) < 0)
+    return NULL;
+  struct http_server *server = xcalloc (1, sizeof *server);
+  server->config = *config;
+  server->daemon = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, server,
+      MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+      server, MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)CONNECTION_TIMEOUT_S,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+  if (!server->daemon)
+    {
+      status_set (st, STATUS_INTERNAL, "cannot listen on %s", config->address);
+      free (server);
+      return NULL;
+    }
+  server->http_loop = http_loop_open (loop, server->daemon);
+  return server;
+}
+
+void
+http_server_quiesce (struct http_server *server)
+{
+  MHD_quiesce_daemon (server->daemon);
+}
+
+unsigned
+http_server_open_requests (const struct http_server *server)
+{
+  return server->open_requests;
+}
+
+void
+http_server_close (struct http_server *server)
+{
+  if (!server)
+    return;
+  server->closing = true;
+  http_loop_close (server->http_loop);
+  MHD_stop_daemon (server->daemon);
+  free (server);
+}
+
+int
+http_server_port (const struct http_server *server)
+{
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_BIND_PORT);
+  return info ? info->port : 0;
+}
+
+const char *
+http_header (struct http_request *req, const char *name)
+{
+  return MHD_lookup_connection_value (req->connection, MHD_HEADER_KIND, name);
+}
+
+const char *
+http_query (struct http_request *req, const char *name)
+{
+  return MHD_lookup_connection_value (req->connection, MHD_GET_ARGUMENT_KIND, name);
+}
+
+json_t *
+http_body_json (struct http_request *req, struct status *st)
+{
+  json_error_t error;
+  json_t *body = json_loadb (req->body.data ? req->body.data : "", req->body.len,
+                             JSON_REJECT_DUPLICATES, &error);
+  if (!body)
+    status_set (st, STATUS_BAD_REQUEST, "malformed JSON at line %d column %d: %s", error.line,
+                error.column, error.text);
+  return body;
+}
+
+void
+http_add_header (struct MHD_Response *r, const char *name, const char *value)
+{
+  MHD_add_response_header (r, name, value);
+}
+
+static void
+answer (struct http_request *req, int code, struct MHD_Response *response)
+{
+  req->response = response;
+  req->response_code = code;
+  if (!req->suspended || req->server->closing)
+    return;
+  req->suspended = false;
+  MHD_resume_connection (req->connection);
+  http_loop_kick (req->server->http_loop);
+}
+
+void
+http_reply (struct http_request *req, int code, const char *type, const void *data, size_t len)
+{
+  struct MHD_Response *r
+      = MHD_create_response_from_buffer (len, (void *)data, MHD_RESPMEM_MUST_COPY);
+  http_add_header (r, "Content-Type", type);
+  answer (req, code, r);
+}
+
+void
+http_reply_json (struct http_request *req, int code, json_t *body)
+{
+  char *text = json_dumps (body, JSON_COMPACT);
+  json_decref (body);
+  if (!text)
+    text = xstrdup ("{\"error\":\"internal\"}");
+  http_reply (req, code, "application/json", text, strlen (text));
+  free (text);
+}
+
+json_t *
+http_status_json (const struct status *st)
+{
+  const struct status_answer *a = status_answer (st->kind);
+  return json_pack ("{s:s, s:s+, s:s}", "error", a->name, "message", st->message, "", "ran",
+                    status_ran_name (a->ran));
+}
+
+void
+http_reply_status (struct http_request *req, const struct status *st)
+{
+  const struct status_answer *a = status_answer (st->kind);
+  json_t *body = http_status_json (st);
+  char *text = body ? json_dumps (body, JSON_COMPACT) : NULL;
+  json_decref (body);
+  if (!text)
+    text = xstrdup ("{\"error\":\"internal\"}");
+  struct MHD_Response *r
+      = MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_MUST_FREE);
+  http_add_header (r, "Content-Type", "application/json");
+  if (a->may_retry)
+    http_add_header (r, "Retry-After", RETRY_AFTER_S);
+  answer (req, a->http_code, r);
+}
+
+void
+http_reply_redirect (struct http_request *req, const char *location)
+{
+  struct MHD_Response *r = MHD_create_response_from_buffer (0, "", MHD_RESPMEM_PERSISTENT);
+  http_add_header (r, "Location", location);
+  answer (req, MHD_HTTP_TEMPORARY_REDIRECT, r);
+}
--- /dev/null
+++ b/src/http_server.h
@@ -0,0 +1,79 @@
+/* http_server: libmicrohttpd on the libev loop, for JSON endpoints with small bodies.
+
+   The handler runs once the whole body has arrived, and may answer at once or later; until then the
+   connection is suspended.  A request lives until its answer is sent; the handler must answer every
+   request exactly once.  The proxy, which streams, drives its own MHD daemon through
+   http_loop_open.  */
+
+#ifndef SASSAFRAS_HTTP_SERVER_H
+#define SASSAFRAS_HTTP_SERVER_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include <ev.h>
+#include <jansson.h>
+#include <microhttpd.h>
+
+#include "buffer.h"
+#include "status.h"
+
+struct http_loop;   /* one MHD daemon attached to a libev loop */
+struct http_server; /* one listening address with one handler */
+
+struct http_request
+{
+  struct http_server *server;
+  struct MHD_Connection *connection;
+  const char *method;            /* "GET", ... */
+  const char *path;              /* decoded path without the query */
+  struct buffer body;            /* whole body */
+  bool too_large;                /* the body passed the limit and was dropped */
+  bool handled;                  /* the handler has run */
+  bool suspended;                /* waiting for an answer */
+  struct MHD_Response *response; /* set by the answer */
+  int response_code;
+  void *user; /* the handler's own data */
+};
+
+typedef void http_handler (void *arg, struct http_request *req);
+
+struct http_server_config
+{
+  const char *address; /* "ip:port"; port 0 takes a free one */
+  size_t max_body;     /* bytes; a longer body is refused as too-large */
+  http_handler *handler;
+  void *handler_arg;
+};
+
+struct http_loop *http_loop_open (struct ev_loop *loop,
+                                  struct MHD_Daemon *daemon); /* Watches DAEMON on LOOP. */
+void http_loop_kick (struct http_loop *hl);  /* Runs the daemon before the loop next blocks. */
+void http_loop_close (struct http_loop *hl); /* Stops watching; does not stop the daemon. */
+
+struct http_server *http_server_open (struct ev_loop *loop, const struct http_server_config *config,
+                                      struct status *st); /* NULL and ST on failure. */
+void http_server_close (struct http_server *server);      /* Ends every connection and frees. */
+void http_server_quiesce (struct http_server *server); /* Stops accepting; open requests go on. */
+unsigned
+http_server_open_requests (const struct http_server *server); /* Requests without an answer. */
+int http_server_port (const struct http_server *server);      /* Port in use. */
+
+const char *http_header (struct http_request *req, const char *name); /* Header value or NULL. */
+const char *http_query (struct http_request *req, const char *name);  /* Query value or NULL. */
+json_t *http_body_json (struct http_request *req,
+                        struct status *st); /* Parsed body; NULL and ST when malformed. */
+void http_add_header (struct MHD_Response *r, const char *name,
+                      const char *value); /* Adds one header. */
+void http_reply (struct http_request *req, int code, const char *type, const void *data,
+                 size_t len); /* Answers with bytes. */
+void http_reply_json (struct http_request *req, int code,
+                      json_t *body); /* Answers; takes over BODY. */
+void http_reply_status (struct http_request *req,
+                        const struct status *st); /* Answers by the table of kinds. */
+void http_reply_redirect (struct http_request *req, const char *location); /* Answers 307. */
+json_t *http_status_json (const struct status *st); /* {"error","message","ran"}. */
+int http_parse_address (const char *text, struct sockaddr_in *out,
+                        struct status *st); /* Parses "ip:port". */
+
+#endif
--- /dev/null
+++ b/standins/runner.c
@@ -0,0 +1,8 @@
+#include <stdio.h>
+
+int
+main (void)
+{
+  puts ("runner");
+  return 0;
+}
