--- a/src/gen/peer_proto.h
+++ b/src/gen/peer_proto.h
@@ -31,6 +31,7 @@
 	peer_name data_centre;
 	u_quad_t node;
 	u_quad_t incarnation;
+	bool_t initialized;
 };
 typedef struct peer_hello peer_hello;
 
--- a/src/gen/peer_proto.x
+++ b/src/gen/peer_proto.x
@@ -21,6 +21,7 @@
   peer_name data_centre;
   unsigned hyper node;        /* member id of this VM; changes when its disk is replaced */
   unsigned hyper incarnation; /* grows with every start of the process */
+  bool initialized;           /* the sender holds state of its groups; false on an empty disk */
 };
 
 enum raft_message_type
--- a/src/gen/peer_proto_xdr.c
+++ b/src/gen/peer_proto_xdr.c
@@ -30,6 +30,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->initialized))
+		 return FALSE;
 	return TRUE;
 }
 
