--- a/src/gen/peer_proto.h
+++ b/src/gen/peer_proto.h
@@ -58,6 +58,7 @@
 struct raft_member {
 	u_quad_t node;
 	bool_t voter;
+	u_quad_t store;
 };
 typedef struct raft_member raft_member;
 
@@ -91,6 +92,7 @@
 	u_quad_t commit;
 	bool_t granted;
 	u_quad_t round;
+	u_quad_t store;
 	struct {
 		u_int entries_len;
 		raft_entry *entries_val;
--- a/src/gen/peer_proto.x
+++ b/src/gen/peer_proto.x
@@ -47,7 +47,8 @@
 struct raft_member
 {
   unsigned hyper node;
-  bool voter; /* a learner when false */
+  bool voter;           /* a learner when false */
+  unsigned hyper store; /* id of the store that may vote for this member */
 };
 
 struct raft_members
@@ -75,6 +76,7 @@
   unsigned hyper commit;
   bool granted;             /* replies: vote granted, append accepted, chunk stored */
   unsigned hyper round;     /* read-index and check-quorum round, echoed in replies */
+  unsigned hyper store;     /* vote requests: store the candidate expects; replies: the sender's */
   raft_entry entries<PEER_MAX_ENTRIES>;
   unsigned hyper chunk_offset;
   unsigned hyper chunk_total;
--- a/src/gen/peer_proto_xdr.c
+++ b/src/gen/peer_proto_xdr.c
@@ -64,6 +64,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->voter))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->store))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -119,6 +121,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->round))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->store))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, PEER_MAX_ENTRIES,
 		sizeof (raft_entry), (xdrproc_t) xdr_raft_entry))
 		 return FALSE;
--- /dev/null
+++ b/src/group.h
@@ -0,0 +1,104 @@
+/* group: one replicated state machine, made of a raft, its store and a struct machine.
+
+   NOTES
+   A group does no network I/O and reads no clock.  The daemon gives it messages and the time, calls
+   group_flush once per iteration of its loop, and sends what the `send` callback hands out.
+   Proposals and messages of one iteration share one disk write.  Callbacks must not call
+   group_close; `send` must not call back into the group at all.  The message passed to `send` is
+   valid only during the call.
+
+   A disk write that fails ends the group's part in the protocol: it steps down, sends nothing,
+   answers STATUS_DISK_FAILED and reports it in the stats.
+
+   First start: with an empty store and `initialized` false, `members` becomes the first member
+   list and this node may vote if it is in it.  With an empty store and `initialized` true the node
+   holds no members and waits until a leader sends it the log; it votes only after a leader has
+   promoted this very store (see raft.h).  A store with content ignores both.  */
+
+#ifndef SASSAFRAS_GROUP_H
+#define SASSAFRAS_GROUP_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "journal.h"
+#include "machine.h"
+#include "raft.h"
+#include "rng.h"
+#include "status.h"
+
+#define GROUP_MAX_PENDING_BYTES (8u << 20) /* commands accepted but not committed */
+#define GROUP_DEFAULT_LOG_BYTES (4u << 20) /* log size that triggers a snapshot */
+
+struct group;
+
+/* The outcome of a proposal, called exactly once.  RESULT is valid during the call.  */
+typedef void (*group_done) (void *arg, const struct status *st, const void *result, size_t len);
+
+struct group_events
+{
+  void (*send) (void *arg, const raft_message *m);     /* transmit to m->to; may be dropped */
+  void (*leader_changed) (void *arg, struct group *g); /* role, term or known leader changed */
+  void *arg;
+};
+
+struct group_config
+{
+  uint64_t id;                 /* 0 is the registry, 1 and up are cells */
+  uint64_t node;               /* id of this node, not 0; a replaced disk should get a new one */
+  const char *name;            /* for log lines */
+  bool initialized;            /* the group existed before: an empty store may not vote */
+  const raft_members *members; /* first members, used only when the group is new */
+  struct store *store;         /* closed by group_close */
+  struct machine *machine;     /* not owned */
+  struct rng *rng;             /* seed it from the kernel's entropy: it also draws store ids */
+  struct raft_timing timing;   /* all zero selects raft_default_timing */
+  uint64_t snapshot_log_bytes; /* 0 selects GROUP_DEFAULT_LOG_BYTES */
+  struct group_events events;
+};
+
+struct group_stats
+{
+  enum raft_role role;
+  uint64_t term;
+  uint64_t leader;
+  uint64_t commit;
+  uint64_t applied;
+  uint64_t last;
+  uint64_t snapshot_index;
+  uint64_t snapshot_bytes;
+  uint64_t log_bytes; /* entries in memory */
+  uint64_t syncs;     /* fsync calls so far */
+  uint64_t proposals; /* accepted so far */
+  uint64_t pending;   /* proposals without an outcome */
+  bool disk_failed;
+  size_t peers_len;
+  struct raft_peer_view peers[PEER_MAX_MEMBERS];
+};
+
+struct group *group_open (const struct group_config *config, int64_t now_ms,
+                          struct status *st); /* Loads the store; NULL on failure. */
+void group_close (struct group *g);           /* Pending proposals end with OUTCOME_UNKNOWN. */
+void group_propose (struct group *g, const void *command, size_t len, group_done done,
+                    void *arg);                              /* DONE may be called at once. */
+void group_receive (struct group *g, const raft_message *m); /* A message from a peer. */
+void group_tick (struct group *g, int64_t now_ms); /* Sets the time; every 10 to 100 ms. */
+void group_flush (struct group *g);                /* Writes, sends and applies. */
+bool group_needs_flush (const struct group *g);    /* Don't block in the loop before a flush. */
+bool group_is_leader (const struct group *g);
+uint64_t group_leader_node (const struct group *g); /* 0 when unknown */
+uint64_t group_term (const struct group *g);
+uint64_t group_commit_index (const struct group *g);
+uint64_t group_applied_index (const struct group *g);
+const raft_members *group_members (const struct group *g); /* Latest members in the log. */
+int group_transfer (struct group *g, uint64_t to,
+                    struct status *st); /* Planned stop: hand over to TO, or the best if 0. */
+void group_change_members (struct group *g, const raft_members *target, group_done done,
+                           void *arg); /* Moves to TARGET step by step; repeat if it is lost. */
+void group_confirm_leader (struct group *g, group_done done,
+                           void *arg); /* OK once a quorum confirms; then read the machine. */
+void group_peer_connected (struct group *g, uint64_t node); /* A connection to NODE came up. */
+void group_stats (const struct group *g, struct group_stats *out);
+
+#endif
--- /dev/null
+++ b/src/raft.h
@@ -0,0 +1,156 @@
+/* raft: the consensus protocol of one group as a pure step function.
+
+   NOTES
+   Inputs are messages, ticks, proposals and completed disk writes; every input takes the time as
+   now_ms.  Outputs are collected by raft_output: messages, a batch to make durable and a commit
+   index.  The caller sends out.now at once, makes the batch durable, calls raft_written and only
+   then sends out.after.  Pointers in an output are valid until the next call on the same raft.
+
+   Rules: pre-vote and check-quorum (a node that hears a leader grants no vote), one durable vote
+   per term, commit only of entries of the leader's own term, one membership change at a time and
+   only after the leader has committed an entry of its term, a learner is promoted after it has
+   caught up.
+
+   Store ids tie a vote to a disk.  A store created at bootstrap has id 0; a store created later
+   has a random id, which the leader learns from the member's replies and records when it promotes
+   the member.  A vote request carries the id that the candidate's member list names, and a node
+   grants only a request that names its own store.  So a node that comes back with an empty disk
+   under an identity that had voted never votes.  Ids with RAFT_STORE_VOLATILE set belong to
+   stores in memory; their nodes stay learners.
+
+   Source: Ongaro, "Consensus: bridging theory and practice", chapters 3, 4, 6 and 9.  */
+
+#ifndef SASSAFRAS_RAFT_H
+#define SASSAFRAS_RAFT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "buffer.h"
+#include "peer_proto.h"
+#include "rng.h"
+#include "status.h"
+
+#define RAFT_STORE_VOLATILE (UINT64_C (1) << 63) /* bit of a store id: not durable, never votes */
+
+enum raft_role
+{
+  RAFT_FOLLOWER,
+  RAFT_PRE_CANDIDATE,
+  RAFT_CANDIDATE,
+  RAFT_LEADER,
+};
+
+/* Periods in milliseconds; raft_default_timing suits one-way delays up to 30 ms.  */
+struct raft_timing
+{
+  int64_t heartbeat_ms;         /* leader to voters, and to peers with something outstanding */
+  int64_t learner_heartbeat_ms; /* leader to learners that are up to date */
+  int64_t election_min_ms;      /* silence before an election starts, lower bound */
+  int64_t election_max_ms;      /* upper bound */
+  int64_t retry_min_ms;         /* pause after a failed election, lower bound */
+  int64_t retry_max_ms;         /* upper bound */
+  int64_t quorum_ms;            /* a leader without answers of a quorum for this long steps down */
+  int64_t commit_notice_ms;     /* delay of a commit index that no entry carries */
+};
+
+/* What must survive a restart beside the log.  */
+struct raft_hard_state
+{
+  uint64_t term;
+  uint64_t vote;  /* node voted for in TERM, 0 for none */
+  uint64_t store; /* id of this store, see NOTES */
+};
+
+/* Position and members of a snapshot.  Index 0 describes the start of a group.  */
+struct raft_snapshot
+{
+  uint64_t index;
+  uint64_t term;
+  uint64_t bytes;       /* size of the state, for the transfer */
+  raft_members members; /* members as of INDEX */
+};
+
+struct raft_config
+{
+  uint64_t group;
+  uint64_t node;             /* id of this node, not 0 */
+  struct raft_timing timing; /* all zero selects raft_default_timing */
+  struct rng *rng;           /* randomness of election timeouts */
+};
+
+/* One batch of results; see NOTES for the order in which to act on them.  */
+struct raft_output
+{
+  const raft_message *now; /* messages to send before the write */
+  size_t now_len;
+  bool write;                  /* hard state or entries need a durable write */
+  struct raft_hard_state hard; /* hard state to write */
+  const raft_entry *entries;   /* entries to write; replace any stored from entries[0].index */
+  size_t entries_len;
+  const struct raft_snapshot *install; /* received snapshot to store and load, or NULL */
+  const void *install_data;            /* its state */
+  const raft_message *after;           /* messages to send after the write */
+  size_t after_len;
+};
+
+/* State of one peer as its leader sees it.  */
+struct raft_peer_view
+{
+  uint64_t node;
+  bool voter;
+  bool active;      /* answered within timing.quorum_ms */
+  bool snapshot;    /* a snapshot transfer is under way */
+  bool wrong_store; /* a voter whose disk was replaced: it cannot vote */
+  uint64_t match;   /* last entry known to be stored there */
+};
+
+struct raft;
+
+struct raft_timing raft_default_timing (void); /* Timing for 30 ms one-way delay. */
+struct raft *raft_create (const struct raft_config *config, const struct raft_hard_state *hard,
+                          const struct raft_snapshot *snapshot, const raft_entry *entries,
+                          size_t entries_len, int64_t now_ms); /* Copies its arguments. */
+void raft_destroy (struct raft *r);
+void raft_tick (struct raft *r, int64_t now_ms); /* Runs timers; call every 10 to 100 ms. */
+void raft_receive (struct raft *r, const raft_message *m, int64_t now_ms); /* Handles a message. */
+uint64_t raft_propose (struct raft *r, const void *data, size_t len,
+                       struct status *st); /* Appends a command; its index, 0 when refused. */
+void raft_output (struct raft *r, struct raft_output *out, int64_t now_ms); /* Collects results. */
+void raft_written (struct raft *r, int64_t now_ms); /* The last output's batch is durable. */
+bool raft_has_output (const struct raft *r);        /* True when raft_output has something new. */
+void raft_compact (struct raft *r, const struct raft_snapshot *snapshot,
+                   uint64_t keep_from); /* Drops entries below KEEP_FROM (at most index + 1). */
+int raft_transfer (struct raft *r, uint64_t to, int64_t now_ms,
+                   struct status *st); /* Hands leadership to TO, or to the best voter if 0. */
+int raft_set_target (struct raft *r, const raft_members *target,
+                     struct status *st);         /* Changes members step by step towards TARGET. */
+bool raft_target_reached (const struct raft *r); /* No change is pending or uncommitted. */
+uint64_t raft_read_round (struct raft *r);       /* Starts a round to confirm leadership. */
+bool raft_round_confirmed (const struct raft *r, uint64_t round); /* A quorum answered it. */
+void raft_peer_connected (struct raft *r, uint64_t node);         /* Sends to NODE at once. */
+void raft_step_down (struct raft *r, int64_t now_ms); /* Gives up leadership or candidacy. */
+
+enum raft_role raft_role (const struct raft *r);
+uint64_t raft_term (const struct raft *r);
+uint64_t raft_leader (const struct raft *r); /* 0 when unknown */
+uint64_t raft_commit (const struct raft *r);
+uint64_t raft_first_index (const struct raft *r); /* oldest entry held */
+uint64_t raft_last_index (const struct raft *r);
+uint64_t raft_durable_index (const struct raft *r);
+uint64_t raft_log_bytes (const struct raft *r); /* bytes of the entries held */
+const raft_entry *raft_entry_at (const struct raft *r, uint64_t index); /* NULL when not held */
+const raft_members *raft_members_now (const struct raft *r);            /* latest in the log */
+void raft_members_at (const struct raft *r, uint64_t index,
+                      raft_members *out); /* As of INDEX, at least the snapshot's; copied. */
+struct raft_hard_state raft_hard_state (const struct raft *r);
+size_t raft_peers (const struct raft *r, struct raft_peer_view *out, size_t max,
+                   int64_t now_ms);                /* Leader's view of its peers. */
+bool raft_sending_snapshot (const struct raft *r); /* Some peer is being sent a snapshot. */
+
+void raft_members_copy (raft_members *to, const raft_members *from);         /* Deep copy. */
+void raft_members_free (raft_members *m);                                    /* Frees the list. */
+const raft_member *raft_members_find (const raft_members *m, uint64_t node); /* NULL if absent. */
+
+#endif
