--- a/src/group.h
+++ b/src/group.h
@@ -55,6 +55,8 @@
   struct rng *rng;             /* seed it from the kernel's entropy: it also draws store ids */
   struct raft_timing timing;   /* all zero selects raft_default_timing */
   uint64_t snapshot_log_bytes; /* 0 selects GROUP_DEFAULT_LOG_BYTES */
+  uint32_t append_bytes;       /* target size of one append message; 0 selects 64 KiB */
+  uint32_t chunk_bytes;        /* size of a snapshot chunk; 0 selects 64 KiB, the limit */
   struct group_events events;
 };
 
@@ -91,7 +93,8 @@
 uint64_t group_term (const struct group *g);
 uint64_t group_commit_index (const struct group *g);
 uint64_t group_applied_index (const struct group *g);
-const raft_members *group_members (const struct group *g); /* Latest members in the log. */
+uint64_t group_entry_term (const struct group *g, uint64_t index); /* 0 when not held */
+const raft_members *group_members (const struct group *g);         /* Latest members in the log. */
 int group_transfer (struct group *g, uint64_t to,
                     struct status *st); /* Planned stop: hand over to TO, or the best if 0. */
 void group_change_members (struct group *g, const raft_members *target, group_done done,
--- /dev/null
+++ b/src/group_apply.c
@@ -0,0 +1,152 @@
+/* Applying committed entries, snapshots and sending.  */
+
+#include "group_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "counters.h"
+#include "log.h"
+
+#define KEEP_FRACTION 4    /* the log kept behind a snapshot is at most this part of its limit */
+#define KEEP_ENTRIES 4096u /* and at most this many entries, for peers slightly behind */
+#define DEFER_FACTOR 4     /* a transfer defers the next snapshot until the log is this long */
+
+static struct counter commits
+    = { .name = "sassafras_log_commits_total", .help = "Commands applied by groups." };
+
+static void
+finish_proposal (struct group *g, uint64_t index)
+{
+  struct group_waiter *w = STAILQ_FIRST (&g->proposed);
+  struct status ok;
+  if (!w || w->position != index)
+    return;
+  STAILQ_REMOVE_HEAD (&g->proposed, link);
+  g->pending--;
+  status_clear (&ok);
+  w->done (w->arg, &ok, g->result.data, g->result.len);
+  free (w);
+}
+
+void
+group_apply (struct group *g)
+{
+  struct machine *machine = g->config.machine;
+  while (g->applied < raft_commit (g->raft))
+    {
+      const raft_entry *e = raft_entry_at (g->raft, g->applied + 1);
+      if (!e)
+        return;
+      g->applied++;
+      if (e->kind != RAFT_ENTRY_COMMAND)
+        continue;
+      g->result.len = 0;
+      machine->ops->apply (machine, e->index, e->data.data_val, e->data.data_len, &g->result);
+      counter_add (&commits, 1);
+      finish_proposal (g, g->applied);
+    }
+}
+
+int
+group_install (struct group *g, const struct raft_output *out, struct status *st)
+{
+  struct machine *machine = g->config.machine;
+  size_t bytes = (size_t)out->install->bytes;
+  if (g->store->ops->save_snapshot (g->store, out->install, out->install_data, bytes, &out->hard,
+                                    out->entries, out->entries_len, st))
+    return -1;
+  if (machine->ops->load (machine, out->install_data, bytes, st))
+    return -1;
+  g->applied = out->install->index;
+  g->snapshot_index = out->install->index;
+  g->snapshot_bytes = out->install->bytes;
+  return 0;
+}
+
+/* Oldest entry to keep behind a snapshot at INDEX.  */
+static uint64_t
+keep_from (const struct group *g, uint64_t index)
+{
+  uint64_t budget = g->config.snapshot_log_bytes / KEEP_FRACTION;
+  uint64_t from = index + 1;
+  uint64_t bytes = 0;
+  while (from > raft_first_index (g->raft) && index + 1 - from < KEEP_ENTRIES)
+    {
+      const raft_entry *e = raft_entry_at (g->raft, from - 1);
+      bytes += e->data.data_len + 64u;
+      if (bytes > budget)
+        break;
+      from--;
+    }
+  return from;
+}
+
+static void
+take_snapshot (struct group *g)
+{
+  struct raft_snapshot snapshot = { .index = g->applied };
+  struct buffer data;
+  struct status st;
+  buffer_init (&data);
+  g->config.machine->ops->save (g->config.machine, &data);
+  snapshot.term = raft_entry_at (g->raft, g->applied)->term;
+  snapshot.bytes = data.len;
+  raft_members_at (g->raft, g->applied, &snapshot.members);
+  uint64_t from = keep_from (g, g->applied);
+  const raft_entry *keep = raft_entry_at (g->raft, from);
+  size_t len = keep ? (size_t)(raft_last_index (g->raft) + 1 - from) : 0;
+  struct raft_hard_state hard = raft_hard_state (g->raft);
+  int rc = g->store->ops->save_snapshot (g->store, &snapshot, data.data, data.len, &hard, keep, len,
+                                         &st);
+  if (rc == 0)
+    {
+      raft_compact (g->raft, &snapshot, from);
+      g->snapshot_index = snapshot.index;
+      g->snapshot_bytes = snapshot.bytes;
+    }
+  raft_members_free (&snapshot.members);
+  buffer_close (&data);
+  if (rc)
+    group_fail (g, &st);
+}
+
+void
+group_maybe_snapshot (struct group *g)
+{
+  uint64_t limit = g->config.snapshot_log_bytes;
+  if (limit < g->snapshot_bytes)
+    limit = g->snapshot_bytes;
+  if (raft_sending_snapshot (g->raft))
+    limit *= DEFER_FACTOR;
+  uint64_t size = raft_log_bytes (g->raft);
+  if (size < g->store->log_bytes)
+    size = g->store->log_bytes;
+  if (size > limit && g->applied > g->snapshot_index && !raft_has_unwritten (g->raft))
+    take_snapshot (g);
+}
+
+/* Adds the bytes of the snapshot to a chunk message and sends it.  */
+static void
+send_chunk (struct group *g, const raft_message *m)
+{
+  raft_message filled = *m;
+  struct status st;
+  filled.chunk.chunk_val = xmalloc (m->chunk.chunk_len);
+  if (g->store->ops->read_snapshot (g->store, m->chunk_offset, filled.chunk.chunk_val,
+                                    m->chunk.chunk_len, &st))
+    log_line (LOG_WARN, "group %s: %s", g->config.name, st.message);
+  else
+    g->config.events.send (g->config.events.arg, &filled);
+  free (filled.chunk.chunk_val);
+}
+
+void
+group_send (struct group *g, const raft_message *messages, size_t len)
+{
+  for (size_t i = 0; i < len; i++)
+    if (messages[i].type == RAFT_SNAPSHOT_CHUNK)
+      send_chunk (g, &messages[i]);
+    else
+      g->config.events.send (g->config.events.arg, &messages[i]);
+}
--- a/src/raft.h
+++ b/src/raft.h
@@ -78,6 +78,8 @@
   uint64_t node;             /* id of this node, not 0 */
   struct raft_timing timing; /* all zero selects raft_default_timing */
   struct rng *rng;           /* randomness of election timeouts */
+  uint32_t append_bytes;     /* target size of one append message; 0 selects 64 KiB */
+  uint32_t chunk_bytes;      /* size of a snapshot chunk; 0 selects 64 KiB, the limit */
 };
 
 /* One batch of results; see NOTES for the order in which to act on them.  */
@@ -119,6 +121,7 @@
                        struct status *st); /* Appends a command; its index, 0 when refused. */
 void raft_output (struct raft *r, struct raft_output *out, int64_t now_ms); /* Collects results. */
 void raft_written (struct raft *r, int64_t now_ms); /* The last output's batch is durable. */
+bool raft_has_unwritten (const struct raft *r);     /* Hard state or entries wait for a write. */
 bool raft_has_output (const struct raft *r);        /* True when raft_output has something new. */
 void raft_compact (struct raft *r, const struct raft_snapshot *snapshot,
                    uint64_t keep_from); /* Drops entries below KEEP_FROM (at most index + 1). */
@@ -139,7 +142,8 @@
 uint64_t raft_first_index (const struct raft *r); /* oldest entry held */
 uint64_t raft_last_index (const struct raft *r);
 uint64_t raft_durable_index (const struct raft *r);
-uint64_t raft_log_bytes (const struct raft *r); /* bytes of the entries held */
+uint64_t raft_log_bytes (const struct raft *r);         /* bytes of the entries held */
+uint64_t raft_uncommitted_bytes (const struct raft *r); /* bytes after the commit index */
 const raft_entry *raft_entry_at (const struct raft *r, uint64_t index); /* NULL when not held */
 const raft_members *raft_members_now (const struct raft *r);            /* latest in the log */
 void raft_members_at (const struct raft *r, uint64_t index,
--- /dev/null
+++ b/src/raft_election.c
@@ -0,0 +1,165 @@
+/* Elections: pre-vote, votes and timeouts.  */
+
+#include "raft_internal.h"
+
+void
+raft_reset_election (struct raft *r, int64_t now_ms)
+{
+  r->election_ms
+      = now_ms + rng_between (r->rng, r->timing.election_min_ms, r->timing.election_max_ms);
+}
+
+static void
+pause_after_failure (struct raft *r, int64_t now_ms)
+{
+  r->failed_elections++;
+  if (r->failed_elections > RAFT_QUICK_RETRIES)
+    raft_reset_election (r, now_ms);
+  else
+    r->election_ms = now_ms + rng_between (r->rng, r->timing.retry_min_ms, r->timing.retry_max_ms);
+}
+
+bool
+raft_hears_leader (const struct raft *r, int64_t now_ms)
+{
+  if (r->role == RAFT_LEADER)
+    return true;
+  return r->leader != 0 && now_ms - r->leader_ms < r->timing.election_min_ms;
+}
+
+bool
+raft_may_vote (const struct raft *r)
+{
+  if (r->hard.store & RAFT_STORE_VOLATILE)
+    return false;
+  const raft_member *self = raft_members_find (&r->members, r->node);
+  return self && self->voter && self->store == r->hard.store;
+}
+
+static void
+ask_votes (struct raft *r, raft_message_type type, uint64_t term, bool forced)
+{
+  uint64_t last = raft_log_last (&r->log);
+  uint64_t last_term;
+  raft_log_term (&r->log, last, &last_term);
+  for (size_t i = 0; i < r->peers_len; i++)
+    {
+      struct raft_peer *p = &r->peers[i];
+      p->granted = false;
+      if (!p->voter)
+        continue;
+      raft_message *m = raft_queue (r, type, p->node);
+      m->term = term;
+      m->log_index = last;
+      m->log_term = last_term;
+      m->granted = forced;
+      m->store = p->member_store;
+    }
+}
+
+void
+raft_campaign (struct raft *r, bool forced, int64_t now_ms)
+{
+  r->role = RAFT_CANDIDATE;
+  r->leader = 0;
+  r->hard.term++;
+  r->hard.vote = r->node;
+  r->hard_dirty = true;
+  r->self_granted = false;
+  pause_after_failure (r, now_ms);
+  /* One write and two trips of 30 ms must fit before the next attempt.  */
+  r->election_ms += r->timing.retry_min_ms;
+  ask_votes (r, RAFT_VOTE_REQUEST, r->hard.term, forced);
+}
+
+static void
+campaign_first (struct raft *r, int64_t now_ms)
+{
+  if (raft_voters (r) == 1)
+    {
+      raft_campaign (r, false, now_ms);
+      return;
+    }
+  r->role = RAFT_PRE_CANDIDATE;
+  r->leader = 0;
+  pause_after_failure (r, now_ms);
+  ask_votes (r, RAFT_PRE_VOTE_REQUEST, r->hard.term + 1, false);
+}
+
+void
+raft_election_tick (struct raft *r, int64_t now_ms)
+{
+  if (now_ms < r->election_ms)
+    return;
+  if (!raft_may_vote (r))
+    {
+      raft_reset_election (r, now_ms);
+      return;
+    }
+  campaign_first (r, now_ms);
+}
+
+void
+raft_count_votes (struct raft *r, int64_t now_ms)
+{
+  size_t granted = (r->role == RAFT_PRE_CANDIDATE || r->self_granted) ? 1 : 0;
+  for (size_t i = 0; i < r->peers_len; i++)
+    if (r->peers[i].voter && r->peers[i].granted)
+      granted++;
+  if (granted <= raft_voters (r) / 2)
+    return;
+  if (r->role == RAFT_PRE_CANDIDATE)
+    raft_campaign (r, false, now_ms);
+  else if (r->self_granted)
+    raft_become_leader (r, now_ms);
+}
+
+static bool
+log_is_current (const struct raft *r, const raft_message *m)
+{
+  uint64_t last = raft_log_last (&r->log);
+  uint64_t term;
+  raft_log_term (&r->log, last, &term);
+  if (m->log_term != term)
+    return m->log_term > term;
+  return m->log_index >= last;
+}
+
+void
+raft_on_vote_request (struct raft *r, const raft_message *m, int64_t now_ms)
+{
+  bool pre = m->type == RAFT_PRE_VOTE_REQUEST;
+  bool own_store = m->store == r->hard.store && !(r->hard.store & RAFT_STORE_VOLATILE);
+  bool grant = own_store && log_is_current (r, m);
+  if (pre && (raft_hears_leader (r, now_ms) || m->term <= r->hard.term))
+    grant = false;
+  if (!pre && r->hard.vote != 0 && r->hard.vote != m->from)
+    grant = false;
+  raft_message *reply = raft_queue (r, pre ? RAFT_PRE_VOTE_REPLY : RAFT_VOTE_REPLY, m->from);
+  reply->granted = grant;
+  if (pre && grant)
+    reply->term = m->term;
+  if (pre || !grant)
+    return;
+  if (r->hard.vote == 0)
+    {
+      r->hard.vote = m->from;
+      r->hard_dirty = true;
+    }
+  raft_reset_election (r, now_ms);
+}
+
+void
+raft_on_vote_reply (struct raft *r, const raft_message *m, int64_t now_ms)
+{
+  bool pre = m->type == RAFT_PRE_VOTE_REPLY;
+  if (pre && (r->role != RAFT_PRE_CANDIDATE || m->term != r->hard.term + 1))
+    return;
+  if (!pre && r->role != RAFT_CANDIDATE)
+    return;
+  struct raft_peer *p = raft_find_peer (r, m->from);
+  if (!p || !p->voter || !m->granted)
+    return;
+  p->granted = true;
+  raft_count_votes (r, now_ms);
+}
--- /dev/null
+++ b/tests/log_sim.c
@@ -0,0 +1,636 @@
+#include "log_sim.h"
+
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define US_PER_MS 1000
+#define RPC_HEADER_BYTES 44 /* record mark and ONC RPC call header around each message */
+
+enum outcome
+{
+  OUTCOME_NONE,
+  OUTCOME_OK,
+  OUTCOME_REFUSED,
+  OUTCOME_MAYBE,
+};
+
+struct sim_call
+{
+  struct sim *sim;
+  uint64_t command;
+  uint64_t node;
+  uint64_t floor; /* read: everything acknowledged when it began */
+};
+
+int64_t
+sim_now_ms (const struct sim *s)
+{
+  return s->now_us / US_PER_MS;
+}
+
+void
+sim_trace (struct sim *s, const char *format, ...)
+{
+  va_list args;
+  if (!s->trace)
+    return;
+  fprintf (s->trace, "%8.3f ", (double)s->now_us / 1000.0);
+  va_start (args, format);
+  vfprintf (s->trace, format, args);
+  va_end (args);
+  fputc ('\n', s->trace);
+}
+
+void
+sim_fail (struct sim *s, const char *format, ...)
+{
+  va_list args;
+  if (s->failed)
+    return;
+  s->failed = true;
+  va_start (args, format);
+  vsnprintf (s->failure, sizeof s->failure, format, args);
+  va_end (args);
+  sim_trace (s, "VIOLATION %s", s->failure);
+}
+
+static unsigned long long
+ull (uint64_t v)
+{
+  return v;
+}
+
+/* Grows the per-index tables.  */
+static void
+need_index (struct sim *s, uint64_t index)
+{
+  if (index < s->known)
+    return;
+  uint64_t size = (index + 1) * 2;
+  s->entry_terms = xrealloc (s->entry_terms, size * sizeof *s->entry_terms);
+  s->chains = xrealloc (s->chains, size * sizeof *s->chains);
+  memset (s->entry_terms + s->known, 0, (size - s->known) * sizeof *s->entry_terms);
+  memset (s->chains + s->known, 0, (size - s->known) * sizeof *s->chains);
+  s->known = size;
+}
+
+static void
+need_term (struct sim *s, uint64_t term)
+{
+  if (term < s->terms)
+    return;
+  uint64_t size = (term + 1) * 2;
+  s->leaders = xrealloc (s->leaders, size * sizeof *s->leaders);
+  s->votes = xrealloc (s->votes, size * SIM_MAX_NODES * sizeof *s->votes);
+  memset (s->leaders + s->terms, 0, (size - s->terms) * sizeof *s->leaders);
+  memset (s->votes + s->terms * SIM_MAX_NODES, 0,
+          (size - s->terms) * SIM_MAX_NODES * sizeof *s->votes);
+  s->terms = size;
+}
+
+static void
+need_command (struct sim *s, uint64_t command)
+{
+  if (command < s->commands_capacity)
+    return;
+  uint64_t size = (command + 1) * 2;
+  s->outcomes = xrealloc (s->outcomes, size);
+  s->applied = xrealloc (s->applied, size);
+  memset (s->outcomes + s->commands_capacity, 0, size - s->commands_capacity);
+  memset (s->applied + s->commands_capacity, 0, size - s->commands_capacity);
+  s->commands_capacity = size;
+}
+
+/* ---- the state machine: a hash chain over all commands ---- */
+
+static void
+machine_apply (struct machine *machine, uint64_t index, const void *command, size_t len,
+               struct buffer *result)
+{
+  struct sim_machine *m = (struct sim_machine *)machine;
+  struct sim *s = m->sim;
+  uint64_t number = 0;
+  memcpy (&number, command, len < sizeof number ? len : sizeof number);
+  if (index <= m->index)
+    sim_fail (s, "node %llu applied index %llu twice", ull (m->node), ull (index));
+  m->index = index;
+  m->count++;
+  m->chain = (m->chain ^ number ^ (index << 32)) * 0x9e3779b97f4a7c15ULL;
+  m->chain ^= m->chain >> 29;
+  need_index (s, index);
+  if (s->chains[index] == 0)
+    s->chains[index] = m->chain;
+  else if (s->chains[index] != m->chain)
+    sim_fail (s, "state of node %llu differs at index %llu", ull (m->node), ull (index));
+  need_command (s, number);
+  s->applied[number] = 1;
+  buffer_append (result, &m->chain, sizeof m->chain);
+}
+
+static void
+machine_save (struct machine *machine, struct buffer *out)
+{
+  struct sim_machine *m = (struct sim_machine *)machine;
+  uint64_t state[3] = { m->index, m->count, m->chain };
+  buffer_append (out, state, sizeof state);
+  for (uint32_t i = 0; i < m->sim->config.state_bytes; i += 8)
+    buffer_append (out, &m->chain, 8);
+}
+
+static int
+machine_load (struct machine *machine, const void *data, size_t len, struct status *st)
+{
+  struct sim_machine *m = (struct sim_machine *)machine;
+  uint64_t state[3];
+  if (len < sizeof state)
+    return status_set (st, STATUS_INTERNAL, "short snapshot");
+  memcpy (state, data, sizeof state);
+  m->index = state[0];
+  m->count = state[1];
+  m->chain = state[2];
+  m->sim->snapshots_installed++;
+  if (m->index < m->sim->known && m->sim->chains[m->index] != m->chain)
+    sim_fail (m->sim, "snapshot of node %llu differs at index %llu", ull (m->node), ull (m->index));
+  return 0;
+}
+
+static const struct machine_ops machine_ops = { machine_apply, machine_save, machine_load };
+
+/* ---- the network ---- */
+
+static bool
+earlier (const struct sim_message *a, const struct sim_message *b)
+{
+  return a->at_us != b->at_us ? a->at_us < b->at_us : a->order < b->order;
+}
+
+static void
+push_message (struct sim *s, struct sim_message m)
+{
+  if (s->queue_len == s->queue_capacity)
+    {
+      s->queue_capacity = s->queue_capacity ? s->queue_capacity * 2 : 64;
+      s->queue = xrealloc (s->queue, s->queue_capacity * sizeof *s->queue);
+    }
+  m.order = s->order++;
+  size_t at = s->queue_len++;
+  while (at > 0 && earlier (&m, &s->queue[(at - 1) / 2]))
+    {
+      s->queue[at] = s->queue[(at - 1) / 2];
+      at = (at - 1) / 2;
+    }
+  s->queue[at] = m;
+}
+
+static struct sim_message
+pop_message (struct sim *s)
+{
+  struct sim_message top = s->queue[0];
+  struct sim_message last = s->queue[--s->queue_len];
+  size_t at = 0;
+  for (;;)
+    {
+      size_t child = 2 * at + 1;
+      if (child >= s->queue_len)
+        break;
+      if (child + 1 < s->queue_len && earlier (&s->queue[child + 1], &s->queue[child]))
+        child++;
+      if (!earlier (&s->queue[child], &last))
+        break;
+      s->queue[at] = s->queue[child];
+      at = child;
+    }
+  if (s->queue_len > 0)
+    s->queue[at] = last;
+  return top;
+}
+
+/* A vote leaves its node: at most one candidate per term.  */
+static void
+check_vote (struct sim *s, uint64_t node, uint64_t term, uint64_t candidate)
+{
+  need_term (s, term);
+  uint64_t *vote = &s->votes[term * SIM_MAX_NODES + node - 1];
+  if (*vote != 0 && *vote != candidate)
+    sim_fail (s, "node %llu voted for %llu and %llu in term %llu", ull (node), ull (*vote),
+              ull (candidate), ull (term));
+  *vote = candidate;
+  struct sim_node *n = sim_node (s, node);
+  if (n->wiped)
+    sim_fail (s, "node %llu voted after it lost its disk", ull (node));
+}
+
+static void
+transmit (struct sim *s, const raft_message *m, char *data, uint32_t len)
+{
+  size_t from = m->from - 1;
+  size_t to = m->to - 1;
+  int64_t delay = s->delay_us[from][to] + rng_between (&s->rng, s->delay_min_us, s->delay_max_us);
+  int64_t start = s->now_us;
+  if (s->link_bytes_per_s)
+    {
+      if (s->link_free_us[from][to] > start)
+        start = s->link_free_us[from][to];
+      start += (int64_t)((uint64_t)len * 1000000 / s->link_bytes_per_s);
+      s->link_free_us[from][to] = start;
+    }
+  struct sim_message message = { .at_us = start + delay, .to = m->to, .data = data, .len = len };
+  if (m->type == RAFT_APPEND_REQUEST && start + delay - s->now_us > s->longest_heartbeat_us)
+    s->longest_heartbeat_us = start + delay - s->now_us;
+  push_message (s, message);
+}
+
+static void
+sim_send (void *arg, const raft_message *m)
+{
+  struct sim_node *n = arg;
+  struct sim *s = n->machine.sim;
+  XDR xdr;
+  if (m->type == RAFT_VOTE_REQUEST)
+    check_vote (s, m->from, m->term, m->from);
+  if (m->type == RAFT_VOTE_REPLY && m->granted)
+    check_vote (s, m->from, m->term, m->to);
+  u_int size = (u_int)xdr_sizeof ((xdrproc_t)xdr_raft_message, (void *)m);
+  s->sent_bytes[m->from - 1] += size + RPC_HEADER_BYTES;
+  bool lost = s->cut[m->from - 1][m->to - 1] || rng_chance (&s->rng, s->loss);
+  sim_trace (s, "%llu->%llu type %d term %llu log %llu/%llu commit %llu n %u granted %d%s",
+             ull (m->from), ull (m->to), (int)m->type, ull (m->term), ull (m->log_index),
+             ull (m->log_term), ull (m->commit), m->entries.entries_len, (int)m->granted,
+             lost ? " LOST" : "");
+  if (lost)
+    return;
+  int copies = rng_chance (&s->rng, s->duplicate) ? 2 : 1;
+  for (int i = 0; i < copies; i++)
+    {
+      char *data = xmalloc (size);
+      xdrmem_create (&xdr, data, size, XDR_ENCODE);
+      if (!xdr_raft_message (&xdr, (raft_message *)m))
+        sim_fail (s, "message cannot be encoded");
+      xdr_destroy (&xdr);
+      transmit (s, m, data, size);
+    }
+}
+
+/* ---- checks ---- */
+
+static void
+check_leader (struct sim *s, struct sim_node *n)
+{
+  uint64_t term = group_term (n->group);
+  need_term (s, term);
+  if (s->leaders[term] == n->id)
+    return;
+  if (s->leaders[term] != 0)
+    sim_fail (s, "nodes %llu and %llu lead term %llu", ull (s->leaders[term]), ull (n->id),
+              ull (term));
+  s->leaders[term] = n->id;
+  s->elections++;
+  sim_trace (s, "node %llu leads term %llu", ull (n->id), ull (term));
+  struct group_stats stats;
+  group_stats (n->group, &stats);
+  if (stats.last < s->committed)
+    sim_fail (s, "leader %llu of term %llu lacks committed entries: last %llu, committed %llu",
+              ull (n->id), ull (term), ull (stats.last), ull (s->committed));
+  for (uint64_t i = s->committed; i > 0 && i + 32 > s->committed; i--)
+    {
+      uint64_t held = group_entry_term (n->group, i);
+      if (held != 0 && s->entry_terms[i] != 0 && held != s->entry_terms[i])
+        sim_fail (s,
+                  "leader %llu of term %llu holds term %llu at committed index %llu of term %llu",
+                  ull (n->id), ull (term), ull (held), ull (i), ull (s->entry_terms[i]));
+    }
+}
+
+static void
+check_commit (struct sim *s, struct sim_node *n)
+{
+  uint64_t commit = group_commit_index (n->group);
+  if (commit <= n->checked)
+    return;
+  need_index (s, commit);
+  for (uint64_t i = n->checked + 1; i <= commit; i++)
+    {
+      uint64_t term = group_entry_term (n->group, i);
+      if (term == 0)
+        continue;
+      if (s->entry_terms[i] == 0)
+        s->entry_terms[i] = term;
+      else if (s->entry_terms[i] != term)
+        sim_fail (s, "node %llu commits index %llu of term %llu, committed before in term %llu",
+                  ull (n->id), ull (i), ull (term), ull (s->entry_terms[i]));
+    }
+  n->checked = commit;
+  if (commit > s->committed)
+    s->committed = commit;
+}
+
+static void
+sim_check (struct sim *s, struct sim_node *n)
+{
+  if (!n->group)
+    return;
+  if (n->disk && memory_disk_crashed (n->disk))
+    {
+      sim_trace (s, "node %llu crashes in a disk write", ull (n->id));
+      sim_crash (s, n, rng_between (&s->rng, 1, 1500));
+      return;
+    }
+  if (group_is_leader (n->group))
+    check_leader (s, n);
+  check_commit (s, n);
+}
+
+/* ---- nodes ---- */
+
+struct sim_node *
+sim_node (struct sim *s, uint64_t id)
+{
+  return &s->nodes[id - 1];
+}
+
+struct sim_node *
+sim_leader (struct sim *s)
+{
+  struct sim_node *best = NULL;
+  for (int i = 0; i < s->nodes_len; i++)
+    {
+      struct sim_node *n = &s->nodes[i];
+      if (n->group && group_is_leader (n->group)
+          && (!best || group_term (n->group) > group_term (best->group)))
+        best = n;
+    }
+  return best;
+}
+
+static int64_t
+local_ms (const struct sim *s, const struct sim_node *n)
+{
+  return n->offset_ms + (int64_t)((double)s->now_us / US_PER_MS * n->rate);
+}
+
+void
+sim_start (struct sim *s, struct sim_node *n)
+{
+  struct status st;
+  struct store *store;
+  status_clear (&st);
+  n->machine = (struct sim_machine){ .machine = { &machine_ops }, .sim = s, .node = n->id };
+  store = n->diskless ? memory_store_open () : journal_open (memory_disk_io (n->disk), "sim", &st);
+  struct group_config config = { .id = 1,
+                                 .node = n->id,
+                                 .name = "sim",
+                                 .initialized = n->initialized,
+                                 .members = n->initialized ? NULL : &s->bootstrap,
+                                 .store = store,
+                                 .machine = &n->machine.machine,
+                                 .rng = &s->rng,
+                                 .timing = s->config.timing,
+                                 .snapshot_log_bytes = s->config.snapshot_log_bytes,
+                                 .append_bytes = s->config.append_bytes,
+                                 .chunk_bytes = s->config.chunk_bytes,
+                                 .events = { .send = sim_send, .arg = n } };
+  n->group = group_open (&config, local_ms (s, n), &st);
+  n->checked = 0;
+  if (!n->group && n->disk && memory_disk_crashed (n->disk))
+    {
+      memory_disk_restart (n->disk);
+      n->up_at_ms = sim_now_ms (s) + 100;
+      return;
+    }
+  if (!n->group)
+    {
+      sim_fail (s, "node %llu cannot start: %s", ull (n->id), st.message);
+      return;
+    }
+  if (!n->wiped)
+    n->initialized = true;
+  sim_trace (s, "node %llu starts, term %llu, last %llu", ull (n->id), ull (group_term (n->group)),
+             ull (group_applied_index (n->group)));
+}
+
+struct sim_node *
+sim_add_node (struct sim *s, bool diskless)
+{
+  struct sim_node *n = &s->nodes[s->nodes_len++];
+  n->id = (uint64_t)s->nodes_len;
+  n->used = true;
+  n->diskless = diskless;
+  n->rate = 1.0;
+  n->up_at_ms = -1;
+  n->initialized = true;
+  if (!diskless)
+    n->disk = memory_disk_create (&s->rng);
+  return n;
+}
+
+void
+sim_crash (struct sim *s, struct sim_node *n, int64_t down_ms)
+{
+  if (!n->group)
+    return;
+  sim_trace (s, "node %llu crashes", ull (n->id));
+  group_close (n->group);
+  n->group = NULL;
+  if (n->disk)
+    memory_disk_crash (n->disk);
+  n->up_at_ms = down_ms < 0 ? -1 : sim_now_ms (s) + down_ms;
+}
+
+void
+sim_wipe (struct sim *s, struct sim_node *n, int64_t down_ms)
+{
+  sim_crash (s, n, down_ms);
+  memory_disk_free (n->disk);
+  n->disk = memory_disk_create (&s->rng);
+  n->wiped = true;
+  n->initialized = true;
+  sim_trace (s, "node %llu lost its disk", ull (n->id));
+}
+
+void
+sim_init (struct sim *s, const struct sim_config *config)
+{
+  memset (s, 0, sizeof *s);
+  s->config = *config;
+  if (s->config.step_ms == 0)
+    s->config.step_ms = 10;
+  rng_init (&s->rng, config->seed);
+  int total = config->voters + config->learners;
+  s->bootstrap.members.members_val
+      = xcalloc ((size_t)total, sizeof *s->bootstrap.members.members_val);
+  s->bootstrap.members.members_len = (u_int)total;
+  for (int i = 0; i < total; i++)
+    {
+      struct sim_node *n = sim_add_node (s, i >= config->voters);
+      n->initialized = false;
+      s->bootstrap.members.members_val[i]
+          = (raft_member){ .node = n->id, .voter = i < config->voters };
+    }
+}
+
+void
+sim_close (struct sim *s)
+{
+  for (int i = 0; i < s->nodes_len; i++)
+    {
+      group_close (s->nodes[i].group);
+      memory_disk_free (s->nodes[i].disk);
+    }
+  for (size_t i = 0; i < s->queue_len; i++)
+    free (s->queue[i].data);
+  free (s->queue);
+  raft_members_free (&s->bootstrap);
+  free (s->entry_terms);
+  free (s->chains);
+  free (s->leaders);
+  free (s->votes);
+  free (s->outcomes);
+  free (s->applied);
+}
+
+/* ---- time ---- */
+
+static void
+input_done (struct sim *s, struct sim_node *n, bool flush)
+{
+  if (flush && n->group)
+    group_flush (n->group);
+  sim_check (s, n);
+}
+
+static void
+deliver (struct sim *s, struct sim_message *queued)
+{
+  struct sim_node *n = sim_node (s, queued->to);
+  raft_message m;
+  XDR xdr;
+  if (!n->group)
+    return;
+  s->received_bytes[n->id - 1] += queued->len + RPC_HEADER_BYTES;
+  memset (&m, 0, sizeof m);
+  xdrmem_create (&xdr, queued->data, queued->len, XDR_DECODE);
+  if (!xdr_raft_message (&xdr, &m))
+    sim_fail (s, "message cannot be decoded");
+  xdr_destroy (&xdr);
+  group_tick (n->group, local_ms (s, n));
+  group_receive (n->group, &m);
+  xdr_free ((xdrproc_t)xdr_raft_message, (char *)&m);
+  input_done (s, n, rng_chance (&s->rng, 0.7));
+}
+
+void
+sim_step (struct sim *s)
+{
+  int64_t until = s->now_us + s->config.step_ms * US_PER_MS;
+  while (s->queue_len > 0 && s->queue[0].at_us <= until && !s->failed)
+    {
+      struct sim_message m = pop_message (s);
+      if (m.at_us > s->now_us)
+        s->now_us = m.at_us;
+      deliver (s, &m);
+      free (m.data);
+    }
+  s->now_us = until;
+  for (int i = 0; i < s->nodes_len && !s->failed; i++)
+    {
+      struct sim_node *n = &s->nodes[i];
+      if (!n->group && n->used && n->up_at_ms >= 0 && sim_now_ms (s) >= n->up_at_ms)
+        sim_start (s, n);
+      if (!n->group)
+        continue;
+      group_tick (n->group, local_ms (s, n));
+      input_done (s, n, true);
+    }
+}
+
+void
+sim_run_ms (struct sim *s, int64_t ms)
+{
+  int64_t until = s->now_us + ms * US_PER_MS;
+  while (s->now_us < until && !s->failed)
+    sim_step (s);
+}
+
+/* ---- clients ---- */
+
+static void
+proposal_done (void *arg, const struct status *st, const void *result, size_t len)
+{
+  struct sim_call *call = arg;
+  struct sim *s = call->sim;
+  uint64_t n = call->command;
+  if (s->outcomes[n] != OUTCOME_NONE)
+    sim_fail (s, "command %llu got two outcomes", ull (n));
+  if (st->kind == STATUS_OK)
+    {
+      struct sim_machine *m = &sim_node (s, call->node)->machine;
+      s->outcomes[n] = OUTCOME_OK;
+      s->ok++;
+      if (!s->applied[n])
+        sim_fail (s, "command %llu acknowledged but not applied", ull (n));
+      if (len != sizeof m->chain || memcmp (result, &m->chain, len) != 0)
+        sim_fail (s, "command %llu got another command's result", ull (n));
+      if (m->index > s->acknowledged)
+        s->acknowledged = m->index;
+    }
+  else
+    s->outcomes[n] = st->kind == STATUS_OUTCOME_UNKNOWN ? OUTCOME_MAYBE : OUTCOME_REFUSED;
+  free (call);
+}
+
+void
+sim_propose (struct sim *s, struct sim_node *n, size_t bytes)
+{
+  char command[4096];
+  if (!n || !n->group)
+    return;
+  uint64_t number = ++s->next_command;
+  need_command (s, number);
+  struct sim_call *call = xcalloc (1, sizeof *call);
+  *call = (struct sim_call){ .sim = s, .command = number, .node = n->id };
+  if (bytes < sizeof number)
+    bytes = sizeof number;
+  memset (command, 0, bytes);
+  memcpy (command, &number, sizeof number);
+  group_propose (n->group, command, bytes, proposal_done, call);
+}
+
+static void
+read_done (void *arg, const struct status *st, const void *result, size_t len)
+{
+  struct sim_call *call = arg;
+  struct sim *s = call->sim;
+  (void)result;
+  (void)len;
+  if (st->kind == STATUS_OK)
+    {
+      s->reads++;
+      if (sim_node (s, call->node)->machine.index < call->floor)
+        sim_fail (s, "a read on node %llu misses index %llu acknowledged before it",
+                  ull (call->node), ull (call->floor));
+    }
+  free (call);
+}
+
+void
+sim_read (struct sim *s, struct sim_node *n)
+{
+  if (!n || !n->group)
+    return;
+  struct sim_call *call = xcalloc (1, sizeof *call);
+  *call = (struct sim_call){ .sim = s, .node = n->id, .floor = s->acknowledged };
+  group_confirm_leader (n->group, read_done, call);
+}
+
+void
+sim_check_end (struct sim *s)
+{
+  for (uint64_t n = 1; n <= s->next_command; n++)
+    {
+      if (s->outcomes[n] == OUTCOME_REFUSED && s->applied[n])
+        sim_fail (s, "command %llu was refused but ran", ull (n));
+      if (s->outcomes[n] == OUTCOME_OK && !s->applied[n])
+        sim_fail (s, "command %llu was acknowledged but lost", ull (n));
+    }
+}
