--- a/tests/log_sim.c
+++ b/tests/log_sim.c
@@ -216,6 +216,8 @@
     sim_fail (s, "node %llu voted for %llu and %llu in term %llu", ull (node), ull (*vote),
               ull (candidate), ull (term));
   *vote = candidate;
+  if (node != candidate)
+    s->new_voter = node;
   struct sim_node *n = sim_node (s, node);
   if (n->wiped)
     sim_fail (s, "node %llu voted after it lost its disk", ull (node));
@@ -235,7 +237,8 @@
       start += (int64_t)((uint64_t)len * 1000000 / s->link_bytes_per_s);
       s->link_free_us[from][to] = start;
     }
-  struct sim_message message = { .at_us = start + delay, .to = m->to, .data = data, .len = len };
+  struct sim_message message
+      = { .at_us = start + delay, .from = m->from, .to = m->to, .data = data, .len = len };
   if (m->type == RAFT_APPEND_REQUEST && start + delay - s->now_us > s->longest_heartbeat_us)
     s->longest_heartbeat_us = start + delay - s->now_us;
   push_message (s, message);
@@ -286,6 +289,7 @@
               ull (term));
   s->leaders[term] = n->id;
   s->elections++;
+  s->new_leader = n->id;
   sim_trace (s, "node %llu leads term %llu", ull (n->id), ull (term));
   struct group_stats stats;
   group_stats (n->group, &stats);
@@ -437,6 +441,15 @@
   n->up_at_ms = down_ms < 0 ? -1 : sim_now_ms (s) + down_ms;
 }
 
+void
+sim_drop_from (struct sim *s, uint64_t node)
+{
+  /* The heap stays intact: a lost message keeps its place and is skipped on delivery.  */
+  for (size_t i = 0; i < s->queue_len; i++)
+    if (s->queue[i].from == node)
+      s->queue[i].to = 0;
+}
+
 void
 sim_wipe (struct sim *s, struct sim_node *n, int64_t down_ms)
 {
@@ -502,9 +515,11 @@
 static void
 deliver (struct sim *s, struct sim_message *queued)
 {
-  struct sim_node *n = sim_node (s, queued->to);
   raft_message m;
   XDR xdr;
+  if (queued->to == 0)
+    return;
+  struct sim_node *n = sim_node (s, queued->to);
   if (!n->group)
     return;
   s->received_bytes[n->id - 1] += queued->len + RPC_HEADER_BYTES;
--- a/tests/log_sim.h
+++ b/tests/log_sim.h
@@ -47,6 +47,7 @@
 {
   int64_t at_us;
   uint64_t order;
+  uint64_t from;
   uint64_t to;
   char *data;
   uint32_t len;
@@ -107,6 +108,8 @@
   uint64_t reads;
   uint64_t snapshots_installed;
   uint64_t elections;
+  uint64_t new_leader; /* node that became leader since the caller cleared this */
+  uint64_t new_voter;  /* node that granted a vote since then */
 
   bool failed;
   char failure[256];
@@ -122,8 +125,9 @@
 struct sim_node *sim_add_node (struct sim *s, bool diskless); /* A new node with an empty disk. */
 void sim_start (struct sim *s, struct sim_node *n);
 void sim_crash (struct sim *s, struct sim_node *n, int64_t down_ms); /* Power loss. */
-void sim_wipe (struct sim *s, struct sim_node *n, int64_t down_ms);  /* Loses its disk too. */
-void sim_propose (struct sim *s, struct sim_node *n, size_t bytes);  /* A numbered command. */
+void sim_drop_from (struct sim *s, uint64_t node); /* Loses what NODE has in flight. */
+void sim_wipe (struct sim *s, struct sim_node *n, int64_t down_ms); /* Loses its disk too. */
+void sim_propose (struct sim *s, struct sim_node *n, size_t bytes); /* A numbered command. */
 void sim_read (struct sim *s, struct sim_node *n); /* Confirms leadership, checks freshness. */
 void sim_check_end (struct sim *s); /* Outcomes against the log, after the last step. */
 void sim_fail (struct sim *s, const char *format, ...) __attribute__ ((format (printf, 2, 3)));
