--- a/src/journal.c
+++ b/src/journal.c
@@ -322,6 +322,8 @@
 struct store *
 journal_open (struct journal_io *io, const char *name, struct status *st)
 {
+  if (!io)
+    return NULL;
   if (io->ops->lock (io))
     {
       status_set (st, STATUS_DISK_FAILED, "journal %s: %s", name,
--- a/src/journal.h
+++ b/src/journal.h
@@ -90,10 +90,11 @@
 
 struct journal_io *journal_folder_io (const char *folder,
                                       struct status *st); /* Creates FOLDER when missing. */
-struct store *journal_open (struct journal_io *io, const char *name,
-                            struct status *st);    /* Takes IO; NAME appears in messages. */
-struct store *memory_store_open (void);            /* A volatile store, for learners. */
-void store_close (struct store *s);                /* Closes files and frees S. */
+struct store *
+journal_open (struct journal_io *io, const char *name,
+              struct status *st);       /* Takes IO, NULL fails; NAME appears in messages. */
+struct store *memory_store_open (void); /* A volatile store, for learners. */
+void store_close (struct store *s);     /* Closes files and frees S. */
 void store_state_free (struct store_state *state); /* Frees what load returned. */
 
 #endif
--- a/tests/log_faults.c
+++ b/tests/log_faults.c
@@ -66,7 +66,8 @@
   s->delay_max_us = 6000 + rng_between (&sc->rng, 0, 20000);
   if (rng_chance (&sc->rng, 0.5))
     {
-      sc->leader_fault = 0.8;
+      sc->leader_fault = 0.95;
+      s->config.append_bytes = 100;
       return;
     }
   sc->voter_fault = 0.5;
@@ -349,7 +350,7 @@
       sc->sim.cut[i][n->id - 1] = true;
     }
   sim_trace (s, "new leader %d isolated", (int)n->id);
-  sc->heal_at_ms = sim_now_ms (s) + rng_between (&sc->rng, 50, 400);
+  sc->heal_at_ms = sim_now_ms (s) + rng_between (&sc->rng, 20, 250);
 }
 
 static void
@@ -365,7 +366,7 @@
   if (s->new_leader != 0 && rng_chance (&sc->rng, sc->leader_fault))
     {
       sc->failing_leader = s->new_leader;
-      sc->failing_at_ms = now + (rng_chance (&sc->rng, 0.5) ? 0 : rng_between (&sc->rng, 5, 80));
+      sc->failing_at_ms = now + (rng_chance (&sc->rng, 0.5) ? 0 : rng_between (&sc->rng, 5, 60));
     }
   if (s->new_voter != 0 && rng_chance (&sc->rng, sc->voter_fault))
     sim_crash (s, sim_node (s, s->new_voter), 1);
