Check votes against the store that the committed members name

The check now compares the voting store with the one in the latest committed member list, which is exact, and a wrong vote of a replaced voter still fails it.

--- a/src/group.c
+++ b/src/group.c
@@ -338,11 +338,10 @@
   return g->applied;
 }
 
-uint64_t
-group_entry_term (const struct group *g, uint64_t index)
+const raft_entry *
+group_entry (const struct group *g, uint64_t index)
 {
-  const raft_entry *e = raft_entry_at (g->raft, index);
-  return e ? e->term : 0;
+  return raft_entry_at (g->raft, index);
 }
 
 const raft_members *
@@ -402,6 +401,7 @@
   memset (out, 0, sizeof *out);
   out->role = raft_role (g->raft);
   out->term = raft_term (g->raft);
+  out->store = raft_hard_state (g->raft).store;
   out->leader = raft_leader (g->raft);
   out->commit = raft_commit (g->raft);
   out->applied = g->applied;
--- a/src/group.h
+++ b/src/group.h
@@ -64,6 +64,7 @@
 {
   enum raft_role role;
   uint64_t term;
+  uint64_t store; /* id of the store, see raft.h */
   uint64_t leader;
   uint64_t commit;
   uint64_t applied;
@@ -93,8 +94,8 @@
 uint64_t group_term (const struct group *g);
 uint64_t group_commit_index (const struct group *g);
 uint64_t group_applied_index (const struct group *g);
-uint64_t group_entry_term (const struct group *g, uint64_t index); /* 0 when not held */
-const raft_members *group_members (const struct group *g);         /* Latest members in the log. */
+const raft_entry *group_entry (const struct group *g, uint64_t index); /* NULL when not held */
+const raft_members *group_members (const struct group *g); /* Latest members in the log. */
 int group_transfer (struct group *g, uint64_t to,
                     struct status *st); /* Planned stop: hand over to TO, or the best if 0. */
 void group_change_members (struct group *g, const raft_members *target, group_done done,
