Restart a rejected pipeline once, not once per rejection

Change: appends carry a stream number, echoed in replies; a rejection of an older stream is ignored, only an answer to the current stream ends the probe, and the window grows again from one message. The fault test ends reordering together with the other faults: with 20 ms of reordering left on, a pipeline of 100-byte messages needed more than the 6 s it has to converge. A heartbeat grows by 4 bytes.

--- a/src/gen/peer_proto.h
+++ b/src/gen/peer_proto.h
@@ -92,6 +92,7 @@
 	u_quad_t commit;
 	bool_t granted;
 	u_quad_t round;
+	u_int stream;
 	u_quad_t store;
 	struct {
 		u_int entries_len;
--- a/src/gen/peer_proto.x
+++ b/src/gen/peer_proto.x
@@ -76,6 +76,7 @@
   unsigned hyper commit;
   bool granted;             /* replies: vote granted, append accepted, chunk stored */
   unsigned hyper round;     /* read-index and check-quorum round, echoed in replies */
+  unsigned int stream;      /* appends: grows with each rejection acted on; echoed in replies */
   unsigned hyper store;     /* vote requests: store the candidate expects; replies: the sender's */
   raft_entry entries<PEER_MAX_ENTRIES>;
   unsigned hyper chunk_offset;
--- a/src/gen/peer_proto_xdr.c
+++ b/src/gen/peer_proto_xdr.c
@@ -121,6 +121,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->round))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->stream))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->store))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, PEER_MAX_ENTRIES,
--- a/src/raft_follower.c
+++ b/src/raft_follower.c
@@ -42,6 +42,8 @@
     reply->log_index = match;
   if (m->round > reply->round)
     reply->round = m->round;
+  if (m->stream > reply->stream)
+    reply->stream = m->stream;
 }
 
 /* Refuses an append whose previous entry does not match, with a hint where the logs may meet.  */
@@ -60,6 +62,7 @@
   reply->log_term = term;
   reply->commit = m->log_index;
   reply->round = m->round;
+  reply->stream = m->stream;
 }
 
 /* Stores the message's entries from INDEX on; what is already there is left alone.  */
--- a/src/raft_internal.h
+++ b/src/raft_internal.h
@@ -6,8 +6,9 @@
 #include "raft.h"
 #include "raft_log.h"
 
-#define RAFT_APPEND_BYTES 65536u  /* default target size of one append message */
-#define RAFT_WINDOW_BYTES 262144u /* unacknowledged per peer: 30 Mbit/s over a 60 ms round trip */
+#define RAFT_APPEND_BYTES 65536u /* default target size of one append message */
+#define RAFT_WINDOW_BYTES                                                                          \
+  262144u /* most that is unacknowledged per peer: 30 Mbit/s over a 60 ms round trip */
 #define RAFT_CATCH_UP_ENTRIES 64u /* a learner this close behind may be promoted */
 #define RAFT_QUICK_RETRIES 12     /* failed elections after which the pauses become long */
 
@@ -33,6 +34,8 @@
   uint64_t round_acked;
   uint64_t snapshot_index; /* snapshot under transfer */
   uint64_t snapshot_offset;
+  uint32_t window;  /* bytes that may be unacknowledged; grows with each acknowledgement */
+  uint32_t stream;  /* of the appends being sent, see on_reject */
   bool outstanding; /* a probe or a chunk has not been answered */
   bool send_now;    /* send an append even when it is empty */
   int64_t sent_ms;
--- a/src/raft_leader.c
+++ b/src/raft_leader.c
@@ -141,23 +141,31 @@
   if (m->log_index > raft_log_last (&r->log))
     return;
   if (m->log_index > p->match)
-    p->match = m->log_index;
+    {
+      p->match = m->log_index;
+      p->window = p->window < RAFT_WINDOW_BYTES / 2 ? p->window * 2 : RAFT_WINDOW_BYTES;
+    }
   if (p->next <= p->match)
     p->next = p->match + 1;
-  if (p->state == PEER_PROBE || p->match + 1 >= r->log.first)
+  bool probed = p->state == PEER_PROBE && m->stream == p->stream;
+  if (probed || (p->state == PEER_SNAPSHOT && p->match + 1 >= r->log.first))
     {
       p->state = PEER_REPLICATE;
+      p->window = r->append_bytes;
       p->outstanding = false;
     }
   raft_advance_commit (r);
   check_transfer (r, p);
 }
 
+/* When one append of a pipeline is lost, all behind it are rejected.  The first rejection restarts
+   the pipeline under a new stream number; the others carry the old number and are ignored, or each
+   would send the whole window again.  For the same reason only an answer to the new stream ends the
+   probe.  */
 static void
 on_reject (struct raft *r, struct raft_peer *p, const raft_message *m)
 {
-  bool stale = m->commit <= p->match || m->commit >= p->next
-               || (p->state == PEER_PROBE && m->commit + 1 != p->next);
+  bool stale = m->stream != p->stream || m->commit <= p->match || m->commit >= p->next;
   if (stale || p->state == PEER_SNAPSHOT)
     return;
   uint64_t hint = m->log_index;
@@ -166,6 +174,7 @@
     hint--;
   p->next = hint > p->match ? hint + 1 : p->match + 1;
   p->state = PEER_PROBE;
+  p->stream++;
   p->outstanding = false;
   p->send_now = true;
 }
@@ -253,7 +262,7 @@
   if (p->state == PEER_PROBE)
     return !p->outstanding;
   uint64_t unacknowledged = raft_log_end (&r->log, p->next - 1) - raft_log_end (&r->log, p->match);
-  return unacknowledged < RAFT_WINDOW_BYTES;
+  return unacknowledged < p->window;
 }
 
 static void
@@ -264,6 +273,7 @@
   raft_log_term (&r->log, p->next - 1, &m->log_term);
   m->commit = r->commit;
   m->round = r->round;
+  m->stream = p->stream;
   m->entries.entries_len = len;
   if (len > 0)
     m->entries.entries_val = (raft_entry *)raft_log_at (&r->log, p->next);
--- a/tests/log_faults.c
+++ b/tests/log_faults.c
@@ -463,6 +463,7 @@
   heal (sc);
   s->loss = 0;
   s->duplicate = 0;
+  s->delay_max_us = s->delay_min_us; /* reordering is a fault: connections keep the order */
   for (int i = 0; i < s->nodes_len; i++)
     {
       struct sim_node *n = &s->nodes[i];
