--- a/src/gen/peer_proto.h
+++ b/src/gen/peer_proto.h
@@ -186,6 +186,9 @@
 #define SASSAFRAS_PEER_V1 1
 
 #if defined(__STDC__) || defined(__cplusplus)
+#define PEER_NULL 0
+extern  void * peer_null_1(void *, CLIENT *);
+extern  void * peer_null_1_svc(void *, struct svc_req *);
 #define PEER_HELLO 1
 extern  peer_hello * peer_hello_1(peer_hello *, CLIENT *);
 extern  peer_hello * peer_hello_1_svc(peer_hello *, struct svc_req *);
@@ -204,6 +207,9 @@
 extern int sassafras_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
+#define PEER_NULL 0
+extern  void * peer_null_1();
+extern  void * peer_null_1_svc();
 #define PEER_HELLO 1
 extern  peer_hello * peer_hello_1();
 extern  peer_hello * peer_hello_1_svc();
--- a/src/gen/peer_proto.x
+++ b/src/gen/peer_proto.x
@@ -154,8 +154,9 @@
 {
   version SASSAFRAS_PEER_V1
   {
+    void PEER_NULL (void) = 0;      /* keepalive */
     peer_hello PEER_HELLO (peer_hello) = 1;
-    void PEER_RAFT (raft_message) = 2;
+    void PEER_RAFT (raft_message) = 2; /* one-way: never answered */
     propose_reply PEER_PROPOSE (propose_args) = 3;
     permit_grant PEER_PERMIT (permit_request) = 4;
     runner_digest_reply PEER_RUNNERS (runner_digest) = 5;
