--- /dev/null
+++ b/src/peer_net_link.c
@@ -0,0 +1,293 @@
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http_server.h"
+#include "log.h"
+#include "peer_net_internal.h"
+
+#define BACKOFF_MIN_MS 100
+#define BACKOFF_MAX_MS 2000
+#define UNSENT_LOW_WATER_BYTES (128 * 1024) /* more stays in our queue, where it can be dropped */
+
+void
+link_back_off (struct peer_net *net, struct peer *p)
+{
+  int64_t now = clock_now_ms (net->clock);
+  if (p->backoff_ms < BACKOFF_MIN_MS)
+    p->backoff_ms = BACKOFF_MIN_MS;
+  p->dial_ms = now + rng_between (&net->rng, p->backoff_ms / 2, p->backoff_ms);
+  p->backoff_ms = p->backoff_ms * 2 < BACKOFF_MAX_MS ? p->backoff_ms * 2 : BACKOFF_MAX_MS;
+}
+
+static void
+set_options (int fd)
+{
+  int on = 1;
+  int low_water = UNSENT_LOW_WATER_BYTES;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &low_water, sizeof low_water);
+}
+
+static void
+dial (struct peer_net *net, struct peer *p)
+{
+  struct sockaddr_in address;
+  int fd = -1;
+  if (http_parse_address (p->address, &address, NULL) == 0)
+    fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    {
+      link_back_off (net, p);
+      return;
+    }
+  set_options (fd);
+  if (connect (fd, (struct sockaddr *)&address, sizeof address) < 0 && errno != EINPROGRESS)
+    {
+      close (fd);
+      link_back_off (net, p);
+      return;
+    }
+  p->out = conn_open (net, fd, p, CONN_CONNECTING);
+}
+
+void
+link_dial_due (struct peer_net *net, struct peer *p, int64_t now_ms)
+{
+  if (!p->out && p->dial_ms <= now_ms)
+    dial (net, p);
+}
+
+static peer_hello
+own_hello (struct peer_net *net)
+{
+  peer_hello hello = {
+    .deployment = net->deployment,
+    .vm = net->vm,
+    .data_centre = net->data_centre,
+    .node = net->config.node,
+    .incarnation = net->config.incarnation,
+    .initialized = net->config.initialized,
+  };
+  return hello;
+}
+
+void
+link_connected (struct conn *c)
+{
+  int error = 0;
+  socklen_t size = sizeof error;
+  struct peer_net *net = c->net;
+  size_t len;
+  if (getsockopt (c->io.fd, SOL_SOCKET, SO_ERROR, &error, &size) < 0 || error != 0)
+    {
+      conn_close (c, "connect failed");
+      return;
+    }
+  peer_hello hello = own_hello (net);
+  c->state = CONN_HELLO;
+  c->received_ms = clock_now_ms (net->clock);
+  c->hello_xid = net->next_xid++;
+  conn_watch (c, EV_READ);
+  char *bytes
+      = peer_encode_call (c->hello_xid, PEER_HELLO, &hello, PEER_MAX_RECORD_BYTES, &len, NULL);
+  conn_queue (c, RECORD_CONTROL, bytes, len, NULL);
+}
+
+void
+link_keepalive (struct conn *c, int64_t now_ms)
+{
+  size_t len;
+  if (!c->outbound || c->state != CONN_READY)
+    return;
+  if (now_ms - c->received_ms < PEER_KEEPALIVE_MS || now_ms - c->keepalive_ms < PEER_KEEPALIVE_MS)
+    return;
+  c->keepalive_ms = now_ms;
+  char *bytes
+      = peer_encode_call (c->net->next_xid++, PEER_NULL, NULL, PEER_MAX_RECORD_BYTES, &len, NULL);
+  conn_queue (c, RECORD_CONTROL, bytes, len, NULL);
+}
+
+/* PEER_DENIALS when HELLO may be accepted; *OUT is the peer it names, if any.  */
+static enum peer_denial
+check_hello (struct peer_net *net, const peer_hello *hello, struct peer **out)
+{
+  *out = NULL;
+  if (strcmp (hello->deployment, net->deployment) != 0)
+    return PEER_DENIED_DEPLOYMENT;
+  struct peer *p = peer_find_name (net, hello->vm);
+  *out = p;
+  if (!p || hello->node == 0 || hello->node == net->config.node)
+    return PEER_DENIED_STRANGER;
+  struct peer *owner = peer_find_node (net, hello->node);
+  if (owner && owner != p)
+    return PEER_DENIED_STRANGER;
+  if (hello->incarnation < p->incarnation)
+    return PEER_DENIED_INCARNATION;
+  return PEER_DENIALS;
+}
+
+static void
+count_refusal (struct peer_net *net, struct peer *p, const char *name, const char *what,
+               enum peer_denial denial)
+{
+  net->refused++;
+  counter_add (&peer_refused_hellos, 1);
+  if (p)
+    p->stats.refused_hellos++;
+  bool logged = p ? p->refusal_logged : strcmp (net->last_refusal, name) == 0;
+  if (p)
+    p->refusal_logged = true;
+  else
+    strncpy (net->last_refusal, name, sizeof net->last_refusal - 1);
+  if (!logged)
+    log_line (LOG_WARN, "%s %s: %s", what, name, peer_denial_name (denial));
+}
+
+/* Takes over what HELLO says about P.  True when it shows a new life of P.  */
+static bool
+learn_identity (struct peer *p, const peer_hello *hello)
+{
+  bool changed = hello->incarnation != p->incarnation || hello->node != p->node
+                 || hello->initialized != p->initialized;
+  if (strcmp (p->data_centre, hello->data_centre) != 0)
+    {
+      free (p->data_centre);
+      p->data_centre = xstrdup (hello->data_centre);
+    }
+  p->node = hello->node;
+  p->incarnation = hello->incarnation;
+  p->initialized = hello->initialized;
+  p->refusal_logged = false;
+  return changed;
+}
+
+static void
+report_hello (struct peer_net *net, struct peer *p)
+{
+  struct peer_info info;
+  if (!net->config.handlers.hello)
+    return;
+  /* A loss that came before this hello must also be reported before it.  */
+  peer_deliver (net);
+  peer_fill_info (p, &info);
+  net->config.handlers.hello (net->config.handler_arg, &info);
+}
+
+/* The process behind our outbound connection has restarted; its calls can't be answered.  */
+static void
+drop_stale_outbound (struct peer *p)
+{
+  struct conn *out = p->out;
+  if (!out || out->state != CONN_READY || out->incarnation >= p->incarnation)
+    return;
+  conn_close (out, "the peer has restarted");
+  p->backoff_ms = 0;
+  p->dial_ms = 0;
+}
+
+static void
+accept_hello (struct conn *c, struct peer *p, const peer_hello *hello, uint32_t xid)
+{
+  struct peer_net *net = c->net;
+  size_t len;
+  bool changed = learn_identity (p, hello);
+  if (p->in)
+    conn_close (p->in, "replaced by a new connection");
+  p->in = c;
+  c->peer = p;
+  c->state = CONN_READY;
+  c->incarnation = hello->incarnation;
+  net->greeting--;
+  drop_stale_outbound (p);
+  peer_hello own = own_hello (net);
+  char *bytes = peer_encode_result (xid, PEER_HELLO, &own, PEER_MAX_RECORD_BYTES, &len, NULL);
+  conn_queue (c, RECORD_CONTROL, bytes, len, NULL);
+  if (changed)
+    report_hello (net, p);
+}
+
+static void
+refuse_inbound (struct conn *c, uint32_t xid, enum peer_denial denial)
+{
+  size_t len;
+  char *bytes = peer_encode_failure (xid, PEER_DENIED, denial, &len);
+  c->net->greeting--;
+  c->state = CONN_DRAINING;
+  conn_queue (c, RECORD_CONTROL, bytes, len, NULL);
+}
+
+int
+link_receive_hello (struct conn *c, const struct peer_header *h, const char *body, size_t len)
+{
+  union peer_body args;
+  struct peer *p;
+  if (!h->is_call)
+    return -1;
+  if (h->outcome != PEER_SUCCESS || h->proc != PEER_HELLO)
+    {
+      count_refusal (c->net, NULL, "", "refused a call from an unknown sender",
+                     PEER_DENIED_NO_HELLO);
+      refuse_inbound (c, h->xid, PEER_DENIED_NO_HELLO);
+      return 0;
+    }
+  if (peer_decode_args (PEER_HELLO, body, len, &args) < 0)
+    return -1;
+  enum peer_denial denial = check_hello (c->net, &args.hello, &p);
+  if (denial == PEER_DENIALS)
+    accept_hello (c, p, &args.hello, h->xid);
+  else
+    {
+      count_refusal (c->net, p, args.hello.vm, "refused the hello of", denial);
+      refuse_inbound (c, h->xid, denial);
+    }
+  peer_free_args (PEER_HELLO, &args);
+  return 0;
+}
+
+static void
+outbound_ready (struct conn *c, const peer_hello *hello)
+{
+  struct peer *p = c->peer;
+  learn_identity (p, hello);
+  c->state = CONN_READY;
+  c->incarnation = hello->incarnation;
+  p->backoff_ms = 0;
+  p->stats.connects++;
+  log_line (LOG_INFO, "connected to peer %s, node %llu", p->name, (unsigned long long)p->node);
+  report_hello (c->net, p);
+}
+
+int
+link_receive_hello_reply (struct conn *c, const struct peer_header *h, const char *body, size_t len)
+{
+  union peer_body result;
+  struct peer *p;
+  if (h->is_call || h->xid != c->hello_xid)
+    return -1;
+  if (h->outcome == PEER_DENIED)
+    {
+      count_refusal (c->net, c->peer, c->peer->name, "our hello was refused by", h->denial);
+      conn_close (c, "hello refused");
+      return 0;
+    }
+  if (h->outcome != PEER_SUCCESS || peer_decode_result (PEER_HELLO, body, len, &result) < 0)
+    return -1;
+  enum peer_denial denial = check_hello (c->net, &result.hello, &p);
+  if (denial == PEER_DENIALS && p != c->peer)
+    denial = PEER_DENIED_STRANGER;
+  if (denial == PEER_DENIALS)
+    outbound_ready (c, &result.hello);
+  else
+    {
+      count_refusal (c->net, c->peer, c->peer->name, "refused the answer to our hello from",
+                     denial);
+      conn_close (c, "hello refused");
+    }
+  peer_free_result (PEER_HELLO, &result);
+  return 0;
+}
