Test the transport between the daemons

Guards against strangers and earlier incarnations, slow and silent peers, calls that report twice, and garbage before and after the hello. The late-answer test showed that answers were held up by Nagle's algorithm on accepted sockets; TCP_NODELAY is now set on both ends.

--- a/src/peer_codec.h
+++ b/src/peer_codec.h
@@ -3,7 +3,8 @@
    A record is a 4-byte mark (length and last-fragment bit) followed by an RPC call or reply with
    its XDR body, as RFC 5531 sections 9 and 11 describe.  Received records may come in fragments;
    records we send have one.  Decoding accepts nothing that is longer than its bound, has bytes left
-   over, or holds an enum value that peer_proto.x does not name.  */
+   over, or holds an enum value that peer_proto.x does not name.  Strings to be encoded must not be
+   NULL.  */
 
 #ifndef SASSAFRAS_PEER_CODEC_H
 #define SASSAFRAS_PEER_CODEC_H
--- a/src/peer_net.h
+++ b/src/peer_net.h
@@ -23,7 +23,8 @@
    PEER_SILENCE_MS is closed; when idle, a null call goes out every PEER_KEEPALIVE_MS.
 
    Handlers and callbacks run on the loop.  They may call any function of this header except
-   peer_net_close.  Arguments are valid only until the handler returns.  */
+   peer_net_close.  Arguments are valid only until the handler returns.  Strings in messages to be
+   sent must not be NULL, except the message of a propose_reply.  */
 
 #ifndef SASSAFRAS_PEER_NET_H
 #define SASSAFRAS_PEER_NET_H
--- a/src/peer_net_conn.c
+++ b/src/peer_net_conn.c
@@ -1,4 +1,6 @@
 #include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
@@ -8,8 +10,9 @@
 #include "peer_net_internal.h"
 
 #define WRITE_VECTORS 32
-#define HELLO_MAX_BYTES 1024         /* largest record of a sender that is not known yet */
-#define KEEP_INPUT_BYTES (64 * 1024) /* larger input buffers are freed once empty */
+#define UNSENT_LOW_WATER_BYTES (128 * 1024) /* more stays in our queue, where it can be dropped */
+#define HELLO_MAX_BYTES 1024                /* largest record of a sender that is not known yet */
+#define KEEP_INPUT_BYTES (64 * 1024)        /* larger input buffers are freed once empty */
 
 static void on_io (struct ev_loop *loop, ev_io *w, int events);
 
@@ -24,6 +27,17 @@
   c->events = events;
 }
 
+/* Both ends need TCP_NODELAY: without it an answer waits for the delayed ACK of the one before,
+   which is 40 ms or more.  */
+static void
+set_options (int fd)
+{
+  int on = 1;
+  int low_water = UNSENT_LOW_WATER_BYTES;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &low_water, sizeof low_water);
+}
+
 struct conn *
 conn_open (struct peer_net *net, int fd, struct peer *peer, enum conn_state state)
 {
@@ -33,6 +47,7 @@
   c->outbound = peer != NULL;
   c->state = state;
   c->received_ms = clock_now_ms (net->clock);
+  set_options (fd);
   TAILQ_INIT (&c->out);
   TAILQ_INIT (&c->calls);
   LIST_INIT (&c->replies);
--- a/src/peer_net_link.c
+++ b/src/peer_net_link.c
@@ -1,6 +1,5 @@
 #include <errno.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -12,7 +11,6 @@
 
 #define BACKOFF_MIN_MS 100
 #define BACKOFF_MAX_MS 2000
-#define UNSENT_LOW_WATER_BYTES (128 * 1024) /* more stays in our queue, where it can be dropped */
 
 void
 link_back_off (struct peer_net *net, struct peer *p)
@@ -24,15 +22,6 @@
   p->backoff_ms = p->backoff_ms * 2 < BACKOFF_MAX_MS ? p->backoff_ms * 2 : BACKOFF_MAX_MS;
 }
 
-static void
-set_options (int fd)
-{
-  int on = 1;
-  int low_water = UNSENT_LOW_WATER_BYTES;
-  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  setsockopt (fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &low_water, sizeof low_water);
-}
-
 static void
 dial (struct peer_net *net, struct peer *p)
 {
@@ -45,7 +34,6 @@
       link_back_off (net, p);
       return;
     }
-  set_options (fd);
   if (connect (fd, (struct sockaddr *)&address, sizeof address) < 0 && errno != EINPROGRESS)
     {
       close (fd);
@@ -162,7 +150,6 @@
   p->node = hello->node;
   p->incarnation = hello->incarnation;
   p->initialized = hello->initialized;
-  p->refusal_logged = false;
   return changed;
 }
 
@@ -257,6 +244,7 @@
   c->state = CONN_READY;
   c->incarnation = hello->incarnation;
   p->backoff_ms = 0;
+  p->refusal_logged = false;
   p->stats.connects++;
   log_line (LOG_INFO, "connected to peer %s, node %llu", p->name, (unsigned long long)p->node);
   report_hello (c->net, p);
--- /dev/null
+++ b/tests/test_peer_net.c
@@ -0,0 +1,629 @@
+/* Guards against a transport that lets a stranger or an earlier life of a VM in, lets one slow or
+   silent peer hold up another, loses or repeats the result of a call, or dies of garbage.
+   Sockets on loopback are real; time is the manual clock, advanced in steps.  */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "buffer.h"
+#include "peer_codec.h"
+#include "peer_net.h"
+#include "rng.h"
+
+#define STEP_MS 100
+#define MAX_STEPS 400
+#define SEED 77
+#define CALL_TIMEOUT_MS 1500
+
+static struct ev_loop *loop;
+static struct manual_clock clk;
+static struct end *open_ends[4]; /* ticked by step */
+
+struct end
+{
+  struct peer_net *net;
+  int hellos;
+  int losses;
+  int raft;
+  uint64_t last_term;
+  int proposals;
+  struct peer_info last_hello;
+  bool hold; /* keep the reply handle instead of answering */
+  struct peer_reply *held;
+};
+
+struct outcome
+{
+  int calls;
+  enum status_kind kind;
+  uint64_t leader;
+};
+
+static void
+on_raft (void *arg, const struct peer_info *from, const raft_message *m)
+{
+  struct end *e = arg;
+  assert_int_equal (from->node, m->from);
+  e->raft++;
+  assert_true (m->term > e->last_term);
+  e->last_term = m->term;
+}
+
+static void
+on_propose (void *arg, const struct peer_info *from, const propose_args *args,
+            struct peer_reply *reply)
+{
+  struct end *e = arg;
+  propose_reply result = { .leader = args->group + 1 };
+  (void)from;
+  e->proposals++;
+  if (e->hold)
+    e->held = reply;
+  else
+    peer_reply_propose (reply, &result);
+}
+
+static void
+on_hello (void *arg, const struct peer_info *peer)
+{
+  struct end *e = arg;
+  e->hellos++;
+  e->last_hello = *peer;
+}
+
+static void
+on_lost (void *arg, const struct peer_info *peer)
+{
+  struct end *e = arg;
+  (void)peer;
+  e->losses++;
+}
+
+static void
+on_proposed (void *arg, const struct status *st, const propose_reply *reply)
+{
+  struct outcome *o = arg;
+  o->calls++;
+  o->kind = st->kind;
+  o->leader = reply ? reply->leader : 0;
+  assert_int_equal (st->kind == STATUS_OK, reply != NULL);
+}
+
+static void
+open_end (struct end *e, const char *deployment, const char *vm, uint64_t node,
+          uint64_t incarnation)
+{
+  struct status st = { 0 };
+  struct peer_net_config config = {
+    .deployment = deployment,
+    .vm = vm,
+    .data_centre = "dc-1",
+    .node = node,
+    .incarnation = incarnation,
+    .initialized = true,
+    .listen_address = "127.0.0.1:0",
+    .clock = &clk.clock,
+    .seed = SEED + node,
+    .handlers = { .raft = on_raft, .propose = on_propose, .hello = on_hello, .lost = on_lost },
+    .handler_arg = e,
+  };
+  memset (e, 0, sizeof *e);
+  e->net = peer_net_open (loop, &config, &st);
+  assert_non_null (e->net);
+  for (int i = 0; i < 4; i++)
+    if (!open_ends[i])
+      {
+        open_ends[i] = e;
+        return;
+      }
+  fail ();
+}
+
+static void
+close_end (struct end *e)
+{
+  for (int i = 0; i < 4; i++)
+    if (open_ends[i] == e)
+      open_ends[i] = NULL;
+  peer_net_close (e->net);
+}
+
+static void
+set_peer_port (struct end *e, const char *vm, uint64_t node, int port)
+{
+  char address[32];
+  struct peer_config peer = { .name = vm, .node = node, .address = address };
+  snprintf (address, sizeof address, "127.0.0.1:%d", port);
+  assert_int_equal (peer_net_set_peer (e->net, &peer, NULL), 0);
+}
+
+static void
+pump (int rounds)
+{
+  for (int i = 0; i < rounds; i++)
+    {
+      ev_run (loop, EVRUN_NOWAIT);
+      usleep (200);
+    }
+}
+
+static void
+step (int64_t ms)
+{
+  for (; ms > 0; ms -= STEP_MS)
+    {
+      manual_clock_advance (&clk, STEP_MS);
+      for (int i = 0; i < 4; i++)
+        if (open_ends[i])
+          peer_net_tick (open_ends[i]->net);
+      pump (4);
+    }
+}
+
+static bool
+connected (struct end *e, uint64_t node)
+{
+  struct peer_info info;
+  return peer_net_peer (e->net, node, &info) && info.connected;
+}
+
+static struct peer_info
+info_of (struct end *e, uint64_t node)
+{
+  struct peer_info info = { 0 };
+  assert_true (peer_net_peer (e->net, node, &info));
+  return info;
+}
+
+static void
+await_connected (struct end *e, uint64_t node)
+{
+  for (int i = 0; i < MAX_STEPS && !connected (e, node); i++)
+    step (STEP_MS);
+  assert_true (connected (e, node));
+}
+
+static void
+open_pair (struct end *a, struct end *b)
+{
+  open_end (a, "huron", "vm-a", 1, 100);
+  open_end (b, "huron", "vm-b", 2, 100);
+  set_peer_port (a, "vm-b", 0, peer_net_port (b->net));
+  set_peer_port (b, "vm-a", 1, peer_net_port (a->net));
+  await_connected (a, 2);
+  await_connected (b, 1);
+}
+
+static void
+send_raft (struct end *e, uint64_t from, uint64_t to, uint64_t term, size_t chunk)
+{
+  raft_message m = { .type = RAFT_APPEND_REQUEST, .from = from, .to = to, .term = term };
+  m.chunk.chunk_len = (u_int)chunk;
+  m.chunk.chunk_val = xcalloc (1, chunk);
+  peer_send_raft (e->net, &m);
+  free (m.chunk.chunk_val);
+}
+
+static void
+propose (struct end *e, uint64_t node, struct outcome *o)
+{
+  propose_args args = { .group = 6 };
+  memset (o, 0, sizeof *o);
+  peer_call_propose (e->net, node, &args, CALL_TIMEOUT_MS, on_proposed, o);
+  assert_int_equal (o->calls, 0);
+}
+
+/* A TCP endpoint without any protocol.  */
+static int
+raw_connect (int port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons ((uint16_t)port);
+  assert_int_equal (connect (fd, (struct sockaddr *)&address, sizeof address), 0);
+  return fd;
+}
+
+static int
+raw_listen (int *port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t size = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  assert_int_equal (bind (fd, (struct sockaddr *)&address, sizeof address), 0);
+  assert_int_equal (listen (fd, 16), 0);
+  getsockname (fd, (struct sockaddr *)&address, &size);
+  *port = ntohs (address.sin_port);
+  return fd;
+}
+
+static void
+test_messages_and_identity (void **state)
+{
+  struct end a;
+  struct end b;
+  struct outcome o;
+  (void)state;
+  open_pair (&a, &b);
+  assert_string_equal (a.last_hello.name, "vm-b");
+  assert_int_equal (a.last_hello.node, 2); /* learned: the config said 0 */
+  assert_int_equal (a.last_hello.incarnation, 100);
+  assert_true (a.last_hello.initialized);
+  for (uint64_t term = 1; term <= 50; term++)
+    send_raft (&a, 1, 2, term, 10);
+  propose (&a, 2, &o);
+  step (STEP_MS);
+  assert_int_equal (b.raft, 50);
+  assert_true (o.calls == 1 && o.kind == STATUS_OK && o.leader == 7);
+  send_raft (&a, 9, 2, 99, 10); /* not the sender's own node */
+  propose (&a, 5, &o);
+  step (STEP_MS);
+  assert_int_equal (b.raft, 50);
+  assert_true (o.calls == 1 && o.kind == STATUS_NOT_FOUND);
+  close_end (&a);
+  close_end (&b);
+}
+
+static void
+test_late_answer_and_timeout (void **state)
+{
+  struct end a;
+  struct end b;
+  struct outcome o;
+  propose_reply result = { .leader = 3 };
+  (void)state;
+  open_pair (&a, &b);
+  b.hold = true;
+  propose (&a, 2, &o);
+  step (CALL_TIMEOUT_MS / 2);
+  peer_reply_propose (b.held, &result);
+  step (STEP_MS);
+  assert_true (o.calls == 1 && o.leader == 3);
+  propose (&a, 2, &o);
+  step (CALL_TIMEOUT_MS + 2 * STEP_MS);
+  assert_true (o.calls == 1 && o.kind == STATUS_OUTCOME_UNKNOWN);
+  peer_reply_propose (b.held, &result); /* too late: must not report twice */
+  step (STEP_MS);
+  assert_int_equal (o.calls, 1);
+  propose (&a, 2, &o);
+  step (STEP_MS);
+  peer_reply_refuse (b.held);
+  step (STEP_MS);
+  assert_true (o.calls == 1 && o.kind == STATUS_OVERLOADED);
+  close_end (&a);
+  close_end (&b);
+}
+
+/* The peer dies with a call in hand: one failure, "unknown"; the next call fails as "not run".  */
+static void
+test_peer_dies_during_call (void **state)
+{
+  struct end a;
+  struct end b;
+  struct outcome o;
+  struct outcome next;
+  (void)state;
+  open_pair (&a, &b);
+  b.hold = true;
+  propose (&a, 2, &o);
+  step (STEP_MS);
+  assert_int_equal (b.proposals, 1);
+  close_end (&b);
+  step (STEP_MS);
+  assert_true (o.calls == 1 && o.kind == STATUS_OUTCOME_UNKNOWN);
+  assert_int_equal (a.losses, 1);
+  propose (&a, 2, &next);
+  step (CALL_TIMEOUT_MS * 2);
+  assert_true (next.calls == 1 && next.kind == STATUS_NO_QUORUM);
+  assert_int_equal (o.calls, 1);
+  peer_reply_refuse (b.held); /* the handle outlives its connection */
+  close_end (&a);
+}
+
+/* A restarted VM is let in under its new incarnation; its earlier life is then refused.  */
+static void
+test_restart_with_new_incarnation (void **state)
+{
+  struct end a;
+  struct end b;
+  struct end old;
+  (void)state;
+  open_pair (&a, &b);
+  close_end (&b);
+  step (STEP_MS);
+  open_end (&b, "huron", "vm-b", 22, 200); /* replaced disk: new node */
+  set_peer_port (&a, "vm-b", 0, peer_net_port (b.net));
+  set_peer_port (&b, "vm-a", 1, peer_net_port (a.net));
+  await_connected (&a, 22);
+  await_connected (&b, 1);
+  assert_int_equal (a.last_hello.incarnation, 200);
+  open_end (&old, "huron", "vm-b", 2, 100);
+  set_peer_port (&old, "vm-a", 1, peer_net_port (a.net));
+  step (5000);
+  assert_false (connected (&old, 1));
+  assert_true (peer_net_refused (a.net) > 0);
+  assert_true (info_of (&a, 22).stats.refused_hellos > 0);
+  assert_true (connected (&a, 22) && connected (&b, 1));
+  close_end (&old);
+  close_end (&a);
+  close_end (&b);
+}
+
+static void
+refused_case (const char *deployment, const char *vm, uint64_t node)
+{
+  struct end a;
+  struct end b;
+  open_end (&a, "huron", "vm-a", 1, 100);
+  open_end (&b, deployment, vm, node, 100);
+  set_peer_port (&a, "vm-c", 3, 9);
+  set_peer_port (&a, "vm-b", 2, peer_net_port (b.net));
+  set_peer_port (&b, "vm-a", 1, peer_net_port (a.net));
+  step (3000);
+  assert_false (connected (&a, 2));
+  assert_false (connected (&b, 1));
+  assert_true (peer_net_refused (a.net) > 0 && peer_net_refused (b.net) > 0);
+  assert_int_equal (a.hellos, 0);
+  close_end (&a);
+  close_end (&b);
+}
+
+static void
+test_refused_hellos (void **state)
+{
+  (void)state;
+  refused_case ("kigali", "vm-b", 2); /* another deployment */
+  refused_case ("huron", "vm-x", 2);  /* a stranger at a known address */
+  refused_case ("huron", "vm-b", 3);  /* the node of another VM */
+  refused_case ("huron", "vm-b", 1);  /* our own node */
+}
+
+static void
+test_call_before_hello (void **state)
+{
+  struct end a;
+  struct peer_header h;
+  char answer[256];
+  size_t len;
+  propose_args args = { .group = 1 };
+  (void)state;
+  open_end (&a, "huron", "vm-a", 1, 100);
+  int fd = raw_connect (peer_net_port (a.net));
+  char *bytes = peer_encode_call (5, PEER_PROPOSE, &args, PEER_MAX_RECORD_BYTES, &len, NULL);
+  assert_int_equal (write (fd, bytes, len), len);
+  free (bytes);
+  step (STEP_MS);
+  ssize_t n = recv (fd, answer, sizeof answer, MSG_DONTWAIT);
+  assert_true (n > PEER_MARK_BYTES);
+  assert_int_equal (peer_decode_header (answer + PEER_MARK_BYTES, (size_t)n - PEER_MARK_BYTES, &h),
+                    0);
+  assert_int_equal (h.outcome, PEER_DENIED);
+  assert_int_equal (h.denial, PEER_DENIED_NO_HELLO);
+  assert_int_equal (recv (fd, answer, sizeof answer, MSG_DONTWAIT), 0);
+  assert_int_equal (a.proposals, 0);
+  close (fd);
+  close_end (&a);
+}
+
+/* Answers the hello of A's connection as vm-s would; returns its socket.  */
+static int
+accept_as_slow_peer (int listen_fd)
+{
+  char in[512];
+  size_t len;
+  struct peer_header h;
+  char deployment[] = "huron";
+  char vm[] = "vm-s";
+  char data_centre[] = "dc-1";
+  peer_hello hello = { deployment, vm, data_centre, 4, 50, TRUE };
+  step (3 * STEP_MS);
+  int fd = accept (listen_fd, NULL, NULL);
+  assert_true (fd >= 0);
+  ssize_t n = recv (fd, in, sizeof in, MSG_DONTWAIT);
+  assert_int_equal (peer_decode_header (in + PEER_MARK_BYTES, (size_t)n - PEER_MARK_BYTES, &h), 0);
+  char *bytes = peer_encode_result (h.xid, PEER_HELLO, &hello, PEER_MAX_RECORD_BYTES, &len, NULL);
+  assert_int_equal (write (fd, bytes, len), len);
+  free (bytes);
+  step (STEP_MS);
+  return fd;
+}
+
+/* One peer stops reading: its queue stays bounded, raft drops the oldest, calls fail at once, the
+   other peer notices nothing, and the connection is closed after the silence limit.  */
+static void
+test_slow_peer (void **state)
+{
+  struct end a;
+  struct end b;
+  struct outcome o;
+  struct outcome stuck;
+  propose_args args = { .group = 6 };
+  int port;
+  (void)state;
+  open_pair (&a, &b);
+  int listen_fd = raw_listen (&port);
+  set_peer_port (&a, "vm-s", 4, port);
+  int fd = accept_as_slow_peer (listen_fd);
+  assert_true (connected (&a, 4));
+  for (uint64_t term = 1; term <= 400; term++)
+    {
+      send_raft (&a, 1, 4, term, PEER_CHUNK_BYTES);
+      send_raft (&a, 1, 2, term, 10);
+      pump (1);
+    }
+  assert_true (info_of (&a, 4).stats.dropped_raft > 0);
+  memset (&stuck, 0, sizeof stuck);
+  for (int i = 0; i <= PEER_MAX_OPEN_CALLS; i++)
+    peer_call_propose (a.net, 4, &args, CALL_TIMEOUT_MS, on_proposed, &stuck);
+  pump (2);
+  assert_true (stuck.calls >= 1 && stuck.kind == STATUS_OVERLOADED);
+  propose (&a, 2, &o);
+  step (STEP_MS);
+  assert_true (o.calls == 1 && o.kind == STATUS_OK);
+  assert_int_equal (b.raft, 400);
+  step (PEER_SILENCE_MS + 2 * STEP_MS);
+  assert_int_equal (info_of (&a, 4).stats.silent_closes, 1);
+  assert_int_equal (info_of (&a, 4).connected, false);
+  assert_true (connected (&a, 2));
+  assert_true (stuck.calls == PEER_MAX_OPEN_CALLS + 1 && stuck.kind == STATUS_NO_QUORUM);
+  close (fd);
+  close (listen_fd);
+  close_end (&a);
+  close_end (&b);
+}
+
+/* Idle connections stay open, and their traffic stays below half of the 4 KB/s that a VM may spend
+   on control, for 7 peers and with 40 bytes of IP and TCP headers for each message and its ack.  */
+static void
+test_idle_traffic (void **state)
+{
+  const int seconds = 20;
+  const uint64_t headers = 2 * 52;
+  struct end a;
+  struct end b;
+  (void)state;
+  open_pair (&a, &b);
+  struct peer_stats before = info_of (&a, 2).stats;
+  step (seconds * 1000);
+  struct peer_stats after = info_of (&a, 2).stats;
+  uint64_t bytes = after.sent_bytes - before.sent_bytes;
+  uint64_t messages = after.sent_messages - before.sent_messages;
+  uint64_t per_second = 7 * (bytes + messages * headers) / (uint64_t)seconds;
+  print_message ("idle: %llu bytes/s for 7 peers, headers included\n",
+                 (unsigned long long)per_second);
+  assert_true (per_second < 2048);
+  assert_int_equal (a.losses + b.losses, 0);
+  assert_int_equal (after.connects, 1);
+  close_end (&a);
+  close_end (&b);
+}
+
+/* Says hello to A as vm-c would, then sends a call with random arguments.  */
+static void
+send_bad_call (struct end *a, struct rng *rng)
+{
+  char deployment[] = "huron";
+  char vm[] = "vm-c";
+  char data_centre[] = "dc-1";
+  peer_hello hello = { deployment, vm, data_centre, 3, 50, TRUE };
+  char command[300];
+  propose_args args = { .command = { sizeof command, command } };
+  size_t len;
+  int fd = raw_connect (peer_net_port (a->net));
+  char *bytes = peer_encode_call (1, PEER_HELLO, &hello, PEER_MAX_RECORD_BYTES, &len, NULL);
+  assert_int_equal (write (fd, bytes, len), len);
+  free (bytes);
+  for (size_t i = 0; i < sizeof command; i++)
+    command[i] = rng_chance (rng, 0.5) ? 0 : (char)rng_below (rng, 256);
+  bytes = peer_encode_call (2, PEER_PROPOSE, &args, PEER_MAX_RECORD_BYTES, &len, NULL);
+  bytes[27] = (char)rng_below (rng, 8); /* last byte of the procedure number */
+  bytes[44 + rng_below (rng, 12)] ^= (char)(1U << rng_below (rng, 8));
+  assert_true (send (fd, bytes, len, MSG_NOSIGNAL) > 0);
+  free (bytes);
+  pump (2);
+  close (fd);
+}
+
+/* Garbage on raw connections, before and after a valid hello, must not disturb a real peer.  */
+static void
+test_garbage (void **state)
+{
+  struct end a;
+  struct end b;
+  struct outcome o;
+  struct rng rng;
+  char junk[600];
+  (void)state;
+  open_pair (&a, &b);
+  rng_init (&rng, SEED);
+  for (int i = 0; i < 200; i++)
+    {
+      int fd = raw_connect (peer_net_port (a.net));
+      size_t len = 1 + rng_below (&rng, sizeof junk);
+      for (size_t j = 0; j < len; j++)
+        junk[j] = rng_chance (&rng, 0.4) ? 0 : (char)rng_below (&rng, 256);
+      assert_true (send (fd, junk, len, MSG_NOSIGNAL) > 0);
+      pump (1);
+      close (fd);
+    }
+  set_peer_port (&a, "vm-c", 3, 9);
+  for (int i = 0; i < 100; i++)
+    send_bad_call (&a, &rng);
+  assert_true (info_of (&a, 3).stats.received_messages >= 100);
+  propose (&a, 2, &o);
+  propose (&b, 1, &o);
+  step (STEP_MS);
+  assert_true (o.calls >= 1 && o.kind == STATUS_OK);
+  assert_int_equal (a.losses + b.losses, 0);
+  close_end (&a);
+  close_end (&b);
+}
+
+/* Connections that never say hello are limited and closed, and a real peer still gets in.  */
+static void
+test_idle_strangers (void **state)
+{
+  struct end a;
+  struct end b;
+  int fds[100];
+  (void)state;
+  open_end (&a, "huron", "vm-a", 1, 100);
+  for (int i = 0; i < 100; i++)
+    fds[i] = raw_connect (peer_net_port (a.net));
+  step (PEER_SILENCE_MS + 3 * STEP_MS);
+  open_end (&b, "huron", "vm-b", 2, 100);
+  set_peer_port (&a, "vm-b", 2, peer_net_port (b.net));
+  set_peer_port (&b, "vm-a", 1, peer_net_port (a.net));
+  await_connected (&b, 1);
+  for (int i = 0; i < 100; i++)
+    close (fds[i]);
+  close_end (&a);
+  close_end (&b);
+}
+
+static int
+set_up (void **state)
+{
+  (void)state;
+  manual_clock_init (&clk, 1000);
+  memset (open_ends, 0, sizeof open_ends);
+  loop = ev_loop_new (EVFLAG_AUTO);
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  (void)state;
+  ev_loop_destroy (loop);
+  return 0;
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (test_messages_and_identity, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_late_answer_and_timeout, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_peer_dies_during_call, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_restart_with_new_incarnation, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_refused_hellos, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_call_before_hello, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_slow_peer, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_idle_traffic, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_garbage, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_idle_strangers, set_up, tear_down),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
