--- /dev/null
+++ b/src/members.h
@@ -0,0 +1,38 @@
+/* members: the members file (JSON), and members as JSON in the operators' API.
+
+   { "members": [ { "vm": "huron-a-1", "data_centre": "huron-a", "region": "huron",
+                    "peer": "10.0.1.1:7403", "backend": "10.0.1.1:7401",
+                    "operators": "10.0.1.1:7402", "registry_voter": true, "cells": ["huron-a"],
+                    "node": 1 } ] }
+
+   "cells" names the data centres in whose cell the VM votes (default: none), "node" is the member
+   id (default: the position in the file, from 1).  Every fault of a file is reported at once.  */
+
+#ifndef SASSAFRAS_MEMBERS_H
+#define SASSAFRAS_MEMBERS_H
+
+#include <stddef.h>
+
+#include <jansson.h>
+
+#include "registry_proto.h"
+#include "plans.h"
+
+struct member_list
+{
+  registry_member *items;
+  size_t count;
+};
+
+int members_parse (const struct plans_source *source, struct member_list *out,
+                   struct plans_errors *errors); /* -1 and ERRORS when the file is refused. */
+void members_close (struct member_list *list);   /* Frees the list. */
+const registry_member *members_find (const struct member_list *list,
+                                     const char *vm); /* Member by VM name, or NULL. */
+json_t *member_json (const registry_member *m);       /* New object, as in the file. */
+int member_from_json (const json_t *json, registry_member *out,
+                      struct plans_errors *errors); /* One member; release with member_free. */
+void member_copy (registry_member *out, const registry_member *from); /* Deep copy. */
+void member_free (registry_member *m);                                /* Frees the fields. */
+
+#endif
--- /dev/null
+++ b/src/plans.h
@@ -0,0 +1,125 @@
+/* plans: the two lists operators edit, as JSON files for version control.
+
+   plans.json says what each plan may use, customers.json which plan each customer holds.  An edit
+   is checked as a whole and every fault is reported at once, with file, line, JSON path and reason.
+   The result is one immutable, reference-counted struct plans; whoever needs it longer than the
+   current call takes a reference, so a request keeps the version it began with.
+
+   Units: processors in millicores, memory in MB (1024 * 1024 bytes), rates per second or hour.
+   Zero means "none", never "unlimited".  */
+
+#ifndef SASSAFRAS_PLANS_H
+#define SASSAFRAS_PLANS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "buffer.h"
+#include "status.h"
+
+#define PLANS_NAME_BYTES 64      /* names of plans, customers and worker shapes, with the NUL */
+#define PLANS_LIST_BYTES 1000000 /* both files together */
+#define PLANS_MAX_PLANS 1000
+#define PLANS_MAX_CUSTOMERS 20000
+#define PLANS_MAX_SHAPES 64
+#define PLANS_MAX_ERRORS 1000 /* further faults of one edit are counted, not listed */
+#define PLANS_MAX_WEIGHT 1000
+
+/* Amounts of one task or one worker.  */
+struct plan_size
+{
+  int64_t millicores;
+  int64_t memory_mb;
+  int64_t accelerators;
+};
+
+struct plan
+{
+  char id[PLANS_NAME_BYTES];
+  int64_t weight;                /* share of batch capacity, 1 to PLANS_MAX_WEIGHT */
+  int64_t urgent_concurrency;    /* urgent requests and tasks at the same time */
+  int64_t requests_per_s;        /* requests accepted per second */
+  int64_t batch_millicores;      /* processors of all running batch tasks together */
+  int64_t memory_mb;             /* memory of all running batch tasks together */
+  int64_t accelerators;          /* accelerators of all running tasks together */
+  int64_t evictions_per_hour;    /* evictions its batch tasks may suffer in one hour */
+  struct plan_size largest_task; /* largest single task; zeros when the list names none */
+  bool has_largest_task;
+};
+
+struct customer
+{
+  char id[PLANS_NAME_BYTES];
+  const struct plan *plan;
+};
+
+struct plans; /* one immutable version of both lists */
+
+/* One fault of an edit.  */
+struct plans_error
+{
+  const char *file; /* name given to plans_parse */
+  int line;         /* 1 and up; 0 when unknown */
+  char path[160];   /* JSON path, for example $.plans[2].weight */
+  char reason[STATUS_MESSAGE_BYTES];
+};
+
+struct plans_errors
+{
+  struct plans_error *items;
+  size_t count;   /* faults listed */
+  size_t dropped; /* faults beyond PLANS_MAX_ERRORS */
+};
+
+/* One of the two files.  */
+struct plans_source
+{
+  const char *name; /* for messages */
+  const char *text;
+  size_t len;
+};
+
+enum plans_change_kind
+{
+  PLANS_PLAN_ADDED,
+  PLANS_PLAN_REMOVED,
+  PLANS_PLAN_CHANGED,
+  PLANS_CUSTOMER_ADDED,
+  PLANS_CUSTOMER_REMOVED,
+  PLANS_CUSTOMER_CHANGED,
+};
+
+/* One difference between two versions; strings are valid only inside the callback.  */
+struct plans_change
+{
+  enum plans_change_kind kind;
+  const char *id;    /* of the plan or customer */
+  const char *field; /* CHANGED only */
+  const char *before;
+  const char *after;
+};
+
+typedef void plans_change_fn (void *arg, const struct plans_change *change);
+
+struct plans *plans_parse (const struct plans_source *plans, const struct plans_source *customers,
+                           struct plans_errors *errors); /* One reference, or NULL and ERRORS. */
+struct plans *plans_empty (void);                        /* No plan and no customer. */
+const struct plans *plans_ref (const struct plans *p);   /* Takes a reference. */
+void plans_unref (const struct plans *p);                /* Drops one; NULL is allowed. */
+const struct plan *plans_for_customer (const struct plans *p,
+                                       const char *customer);          /* NULL when unknown. */
+const struct plan *plans_find (const struct plans *p, const char *id); /* Plan by id, or NULL. */
+size_t plans_count (const struct plans *p);                            /* Number of plans. */
+const struct plan *plans_at (const struct plans *p, size_t i); /* Plan I in the file's order. */
+size_t plans_customer_count (const struct plans *p);           /* Number of customers. */
+const struct customer *plans_customer_at (const struct plans *p, size_t i); /* Customer I. */
+bool plans_task_fits (const struct plan *plan, const struct plan_size *task, bool urgent,
+                      struct status *st); /* False and UNSATISFIABLE when never allowed. */
+size_t plans_diff (const struct plans *before, const struct plans *after, plans_change_fn *fn,
+                   void *arg); /* Calls FN for each difference; returns their number. */
+void plans_errors_close (struct plans_errors *errors); /* Frees the list. */
+void plans_errors_write (const struct plans_errors *errors,
+                         struct buffer *out); /* One line per fault: file:line: path: reason. */
+
+#endif
--- /dev/null
+++ b/src/registry.h
@@ -0,0 +1,77 @@
+/* registry: state machine of the registry group.
+
+   Holds the two lists with their version, the data centres (in or out, epoch of the cell), the
+   members, and the last 4,096 answers by request id.  Commands, results and the snapshot are XDR
+   (registry_proto.x).  apply never rejects a list by its content: that check runs before the
+   command is proposed, because its rules may differ between program versions while an upgrade is
+   under way.
+
+   Versions grow by one with each accepted change and never go back: an index that was already
+   applied and a snapshot older than the state are ignored.  Times are Unix ms of the leader, for
+   reports only; no decision depends on them.  */
+
+#ifndef SASSAFRAS_REGISTRY_H
+#define SASSAFRAS_REGISTRY_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "buffer.h"
+#include "registry_proto.h"
+#include "machine.h"
+#include "plans.h"
+#include "status.h"
+
+#define REGISTRY_GROUP 0 /* group number of the registry log */
+
+struct registry; /* embeds struct machine as its first member */
+
+/* What a command changed; passed to the observer after apply and load.  */
+enum registry_change
+{
+  REGISTRY_CHANGED_LISTS = 1 << 0,
+  REGISTRY_CHANGED_DATA_CENTRES = 1 << 1,
+  REGISTRY_CHANGED_MEMBERS = 1 << 2,
+};
+
+typedef void registry_observer (void *arg, struct registry *r, unsigned changes);
+
+/* The lists as they were accepted.  */
+struct registry_lists
+{
+  uint64_t version;  /* 0 before the first edit */
+  int64_t since_ms;  /* Unix time of acceptance */
+  const char *plans; /* text; "" before the first edit */
+  const char *customers;
+  bool usable; /* this program could parse them */
+};
+
+struct registry *registry_new (void);                  /* An empty registry. */
+void registry_free (struct registry *r);               /* Frees it; NULL is allowed. */
+struct machine *registry_machine (struct registry *r); /* For the replicated log. */
+void registry_observe (struct registry *r, registry_observer *fn, void *arg); /* One observer. */
+
+uint64_t registry_applied (const struct registry *r); /* Index of the last command applied. */
+const struct plans *registry_plans (const struct registry *r);   /* In force here; no reference. */
+struct registry_lists registry_lists (const struct registry *r); /* Valid until the next apply. */
+const registry_data_centre *registry_find_data_centre (const struct registry *r,
+                                                       const char *name); /* Or NULL. */
+size_t registry_data_centres (const struct registry *r,
+                              const registry_data_centre **out); /* Array; valid until apply. */
+const registry_member *registry_find_member (const struct registry *r,
+                                             const char *vm);                        /* Or NULL. */
+const registry_member *registry_find_node (const struct registry *r, uint64_t node); /* Or NULL. */
+size_t registry_members (const struct registry *r,
+                         const registry_member **out); /* Array; valid until apply. */
+bool registry_is_in (const struct registry *r, const char *data_centre); /* Known and not out. */
+
+int registry_encode (const registry_command *command, struct buffer *out,
+                     struct status *st); /* Appends the encoding; -1 when out of bounds. */
+int registry_stamp (void *command, size_t len,
+                    int64_t time_ms); /* The leader sets the time of an encoded command. */
+int registry_decode_result (const void *data, size_t len, registry_result *out,
+                            struct status *st);      /* Release with registry_result_free. */
+void registry_result_free (registry_result *result); /* Frees what decoding allocated. */
+
+#endif
