--- /dev/null
+++ b/src/json_check.h
@@ -0,0 +1,91 @@
+/* json_check: checks JSON files that people edit, and reports every fault at once.
+
+   A check walks a document with a path of keys and array positions.  Each fault carries the file,
+   the line of the value, its JSON path and the reason.  jansson reports positions for syntax errors
+   only; for other faults the line is found by walking the text along the path.  */
+
+#ifndef SASSAFRAS_JSON_CHECK_H
+#define SASSAFRAS_JSON_CHECK_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <jansson.h>
+
+#include "buffer.h"
+#include "status.h"
+
+#define JSON_MAX_FAULTS 200 /* further faults are counted, not listed; each costs a walk */
+#define JSON_PATH_BYTES 160
+#define JSON_PATH_DEPTH 8
+
+/* One document.  */
+struct json_source
+{
+  const char *name; /* for messages */
+  const char *text;
+  size_t len;
+};
+
+struct json_fault
+{
+  char file[256];
+  int line;                   /* 1 and up; 0 when unknown */
+  char path[JSON_PATH_BYTES]; /* for example $.plans[2].weight */
+  char reason[STATUS_MESSAGE_BYTES];
+};
+
+struct json_faults
+{
+  struct json_fault *items;
+  size_t count;   /* faults listed */
+  size_t dropped; /* faults beyond JSON_MAX_FAULTS */
+};
+
+/* One step of a path: a key, or a position in an array when the key is NULL.  */
+struct json_step
+{
+  const char *key;
+  size_t index;
+};
+
+/* A check under way.  */
+struct json_check
+{
+  const struct json_source *source;
+  struct json_faults *faults;
+  struct json_step steps[JSON_PATH_DEPTH];
+  size_t depth;
+};
+
+json_t *json_check_load (struct json_check *c, const struct json_source *source,
+                         struct json_faults *faults); /* Starts; NULL after a syntax error. */
+void json_check_key (struct json_check *c, const char *key); /* Steps into a member. */
+void json_check_index (struct json_check *c, size_t index);  /* Steps into an array element. */
+void json_check_leave (struct json_check *c);                /* One step back. */
+void json_check_fault (struct json_check *c, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3))); /* Reports a fault at the current path. */
+void json_check_fault_at (struct json_check *c, const char *key, const char *format, ...)
+    __attribute__ ((format (printf, 3, 4))); /* Reports a fault of member KEY. */
+bool json_check_object (struct json_check *c, const json_t *value,
+                        const char *const *allowed); /* An object with these fields only. */
+json_t *json_check_array (struct json_check *c, const json_t *object, const char *key,
+                          bool required, size_t limit); /* Array member, or NULL. */
+bool json_check_int (struct json_check *c, const json_t *object, const char *key, int64_t lo,
+                     int64_t hi, int64_t *out); /* Required whole number in [LO, HI]. */
+bool json_check_bool (struct json_check *c, const json_t *object, const char *key, bool missing,
+                      bool *out); /* Optional; MISSING when absent. */
+bool json_check_name (struct json_check *c, const json_t *object, const char *key, char *out,
+                      size_t size); /* Required name of letters, digits, '.', '_' and '-'. */
+const char *json_check_string (struct json_check *c, const json_t *object, const char *key,
+                               size_t limit); /* Required string under LIMIT bytes, or NULL. */
+bool json_name_valid (const char *name);      /* 1 to 63 letters, digits, '.', '_', '-'. */
+int json_locate (const char *text, size_t len, const struct json_step *steps,
+                 size_t depth);                      /* Line of a value in valid JSON. */
+void json_faults_close (struct json_faults *faults); /* Frees the list. */
+void json_faults_write (const struct json_faults *faults,
+                        struct buffer *out); /* One line per fault: file:line: path: reason. */
+json_t *json_faults_json (const struct json_faults *faults); /* Array of objects. */
+
+#endif
--- a/src/members.h
+++ b/src/members.h
@@ -13,10 +13,8 @@
 
 #include <stddef.h>
 
-#include <jansson.h>
-
+#include "json_check.h"
 #include "registry_proto.h"
-#include "plans.h"
 
 struct member_list
 {
@@ -24,14 +22,14 @@
   size_t count;
 };
 
-int members_parse (const struct plans_source *source, struct member_list *out,
-                   struct plans_errors *errors); /* -1 and ERRORS when the file is refused. */
-void members_close (struct member_list *list);   /* Frees the list. */
+int members_parse (const struct json_source *source, struct member_list *out,
+                   struct json_faults *faults); /* -1 and FAULTS when the file is refused. */
+void members_close (struct member_list *list);  /* Frees the list. */
 const registry_member *members_find (const struct member_list *list,
                                      const char *vm); /* Member by VM name, or NULL. */
 json_t *member_json (const registry_member *m);       /* New object, as in the file. */
 int member_from_json (const json_t *json, registry_member *out,
-                      struct plans_errors *errors); /* One member; release with member_free. */
+                      struct json_faults *faults); /* One member; release with member_free. */
 void member_copy (registry_member *out, const registry_member *from); /* Deep copy. */
 void member_free (registry_member *m);                                /* Frees the fields. */
 
--- a/src/operator_api.h
+++ b/src/operator_api.h
@@ -1,6 +1,6 @@
 /* operator_api: HTTP endpoints for lists, data centres, members and this VM's state.
 
-   GET/PUT /v1/lists, POST /v1/lists/check, GET /v1/data-centres,
+   GET/PUT /v1/lists, GET /v1/data-centres[/<name>],
    POST /v1/data-centres/<name>/out|return, POST /v1/data-centres/<name>/close-epoch,
    GET/POST /v1/members, POST /v1/members/<vm>/replace|remove, POST /v1/drain, GET /v1/state,
    GET /metrics.  Fields and errors: docs/api.md.
@@ -52,6 +52,8 @@
   const char *token;                            /* NULL or "": none needed */
   void (*add_state) (void *arg, json_t *state); /* adds other modules' state; may be NULL */
   void *add_state_arg;
+  registry_observer *on_change; /* passed on after each change; may be NULL */
+  void *on_change_arg;
 };
 
 struct operator_api;
--- a/src/permit.h
+++ b/src/permit.h
@@ -16,6 +16,7 @@
 #define SASSAFRAS_PERMIT_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "registry_proto.h"
@@ -53,11 +54,14 @@
                              int64_t began_ms); /* A quorum answered the round begun then. */
 struct permit permit_granter_ask (struct permit_granter *g, const registry_data_centre *dc,
                                   uint64_t node, int64_t now_ms); /* DC may be NULL: refused. */
-void permit_granter_stopped (struct permit_granter *g, const char *data_centre, uint64_t node,
-                             int64_t now_ms); /* NODE gave up its permits: it starts nothing. */
 struct permit_in_force permit_granter_in_force (const struct permit_granter *g,
                                                 const registry_data_centre *dc, int64_t now_ms);
 
+bool permit_granter_report (const struct permit_granter *g, const registry_data_centre *list,
+                            size_t count, int64_t now_ms,
+                            registry_in_force *out); /* An out command to be recorded as in force;
+                                                        OUT borrows the name from LIST. */
+
 /* The holder: the leader of a cell.  */
 struct permit_holder
 {
--- a/src/plans.h
+++ b/src/plans.h
@@ -15,7 +15,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "buffer.h"
+#include "json_check.h"
 #include "status.h"
 
 #define PLANS_NAME_BYTES 64      /* names of plans, customers and worker shapes, with the NUL */
@@ -23,7 +23,6 @@
 #define PLANS_MAX_PLANS 1000
 #define PLANS_MAX_CUSTOMERS 20000
 #define PLANS_MAX_SHAPES 64
-#define PLANS_MAX_ERRORS 1000 /* further faults of one edit are counted, not listed */
 #define PLANS_MAX_WEIGHT 1000
 
 /* Amounts of one task or one worker.  */
@@ -54,31 +53,14 @@
   const struct plan *plan;
 };
 
-struct plans; /* one immutable version of both lists */
-
-/* One fault of an edit.  */
-struct plans_error
-{
-  const char *file; /* name given to plans_parse */
-  int line;         /* 1 and up; 0 when unknown */
-  char path[160];   /* JSON path, for example $.plans[2].weight */
-  char reason[STATUS_MESSAGE_BYTES];
-};
-
-struct plans_errors
+/* Largest task that one kind of worker can run.  */
+struct worker_shape
 {
-  struct plans_error *items;
-  size_t count;   /* faults listed */
-  size_t dropped; /* faults beyond PLANS_MAX_ERRORS */
+  char name[PLANS_NAME_BYTES];
+  struct plan_size size;
 };
 
-/* One of the two files.  */
-struct plans_source
-{
-  const char *name; /* for messages */
-  const char *text;
-  size_t len;
-};
+struct plans; /* one immutable version of both lists */
 
 enum plans_change_kind
 {
@@ -88,13 +70,16 @@
   PLANS_CUSTOMER_ADDED,
   PLANS_CUSTOMER_REMOVED,
   PLANS_CUSTOMER_CHANGED,
+  PLANS_SHAPE_ADDED,
+  PLANS_SHAPE_REMOVED,
+  PLANS_SHAPE_CHANGED,
 };
 
 /* One difference between two versions; strings are valid only inside the callback.  */
 struct plans_change
 {
   enum plans_change_kind kind;
-  const char *id;    /* of the plan or customer */
+  const char *id;    /* of the plan, customer or worker shape */
   const char *field; /* CHANGED only */
   const char *before;
   const char *after;
@@ -102,24 +87,24 @@
 
 typedef void plans_change_fn (void *arg, const struct plans_change *change);
 
-struct plans *plans_parse (const struct plans_source *plans, const struct plans_source *customers,
-                           struct plans_errors *errors); /* One reference, or NULL and ERRORS. */
-struct plans *plans_empty (void);                        /* No plan and no customer. */
-const struct plans *plans_ref (const struct plans *p);   /* Takes a reference. */
-void plans_unref (const struct plans *p);                /* Drops one; NULL is allowed. */
+struct plans *plans_parse (const struct json_source *plans, const struct json_source *customers,
+                           struct json_faults *faults); /* One reference, or NULL and FAULTS. */
+struct plans *plans_empty (void);                       /* No plan and no customer. */
+const struct plans *plans_ref (const struct plans *p);  /* Takes a reference. */
+void plans_unref (const struct plans *p);               /* Drops one; NULL is allowed. */
 const struct plan *plans_for_customer (const struct plans *p,
                                        const char *customer);          /* NULL when unknown. */
 const struct plan *plans_find (const struct plans *p, const char *id); /* Plan by id, or NULL. */
 size_t plans_count (const struct plans *p);                            /* Number of plans. */
 const struct plan *plans_at (const struct plans *p, size_t i); /* Plan I in the file's order. */
-size_t plans_customer_count (const struct plans *p);           /* Number of customers. */
+size_t plans_shape_count (const struct plans *p);              /* Number of worker shapes. */
+const struct worker_shape *plans_shape_at (const struct plans *p, size_t i); /* Shape I. */
+size_t plans_customer_count (const struct plans *p); /* Number of customers. */
 const struct customer *plans_customer_at (const struct plans *p, size_t i); /* Customer I. */
-bool plans_task_fits (const struct plan *plan, const struct plan_size *task, bool urgent,
+bool plans_task_fits (const struct plans *p, const struct plan *plan, const struct plan_size *task,
+                      bool urgent,
                       struct status *st); /* False and UNSATISFIABLE when never allowed. */
 size_t plans_diff (const struct plans *before, const struct plans *after, plans_change_fn *fn,
                    void *arg); /* Calls FN for each difference; returns their number. */
-void plans_errors_close (struct plans_errors *errors); /* Frees the list. */
-void plans_errors_write (const struct plans_errors *errors,
-                         struct buffer *out); /* One line per fault: file:line: path: reason. */
 
 #endif
--- a/src/settings.h
+++ b/src/settings.h
@@ -2,7 +2,8 @@
 
    Each flag --NAME is also read from the environment variable SASSAFRAS_NAME (upper case, hyphens
    as underscores); the flag takes precedence.  Every setting out of its range is reported, with its
-   name, the value and the allowed range; nothing is corrected silently.  */
+   name, the value and the allowed range; nothing is corrected silently.  Listen addresses that are
+   not set are those of this VM in the members file.  */
 
 #ifndef SASSAFRAS_SETTINGS_H
 #define SASSAFRAS_SETTINGS_H
@@ -14,6 +15,7 @@
 #include "members.h"
 #include "status.h"
 
+#define SASSAFRAS_VERSION "0.1.0"
 #define SETTINGS_NAME_BYTES 64
 #define SETTINGS_ADDRESS_BYTES 64
 #define SETTINGS_PATH_BYTES 4096
