--- /dev/null
+++ b/tests/test_permit.c
@@ -0,0 +1,305 @@
+/* Guards against a start permit that outlives the 3 s after an out command, and against an out
+   command reported as in force while some cell leader still holds a permit: with delayed and lost
+   messages, two registry leaders at once, and cell leaders that change.  */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <string.h>
+
+#include "permit.h"
+#include "rng.h"
+
+#define GRANTERS 2
+#define HOLDERS 2
+#define MAX_FLIGHT 64
+#define STEPS 4000
+#define SEEDS 300
+
+static registry_data_centre
+data_centre (void)
+{
+  registry_data_centre dc = { .name = "a", .state_version = 1, .epoch = 1 };
+  return dc;
+}
+
+static void
+take_out (registry_data_centre *dc, bool out)
+{
+  dc->out = out;
+  dc->state_version++;
+  dc->in_force = REGISTRY_NOT_IN_FORCE;
+}
+
+static void
+test_grant_needs_leadership_and_confirmation (void **state)
+{
+  struct permit_granter *g = permit_granter_new ();
+  registry_data_centre dc = data_centre ();
+  (void)state;
+  assert_false (permit_granter_ask (g, &dc, 1, 0).granted);
+  permit_granter_lead (g, 100);
+  assert_false (permit_granter_ask (g, &dc, 1, 100).granted);
+  permit_granter_confirm (g, 150);
+  assert_int_equal (permit_granter_ask (g, &dc, 1, 200).life_ms, PERMIT_LIFE_MS - 50);
+  assert_false (permit_granter_ask (g, &dc, 1, 150 + PERMIT_LIFE_MS).granted);
+  assert_false (permit_granter_ask (g, NULL, 1, 200).granted);
+  permit_granter_step_down (g);
+  assert_false (permit_granter_ask (g, &dc, 1, 200).granted);
+  permit_granter_lead (g, 300);
+  assert_false (permit_granter_ask (g, &dc, 1, 300).granted);
+  permit_granter_free (g);
+}
+
+static void
+test_new_leader_waits_for_earlier_permits (void **state)
+{
+  struct permit_granter *g = permit_granter_new ();
+  registry_data_centre dc = data_centre ();
+  (void)state;
+  permit_granter_lead (g, 1000);
+  permit_granter_confirm (g, 1000);
+  take_out (&dc, true);
+  dc.stopped_version = dc.state_version;
+  dc.stopped_node = 1;
+  assert_false (permit_granter_in_force (g, &dc, 1000 + PERMIT_LIFE_MS - 1).in_force);
+  assert_int_equal (permit_granter_in_force (g, &dc, 2000).wait_ms, PERMIT_LIFE_MS - 1000);
+  assert_true (permit_granter_in_force (g, &dc, 1000 + PERMIT_LIFE_MS).in_force);
+  permit_granter_free (g);
+}
+
+static void
+test_acknowledgement_counts_for_its_node_and_version (void **state)
+{
+  struct permit_granter *g = permit_granter_new ();
+  registry_data_centre dc = data_centre ();
+  registry_in_force report;
+  const int64_t now = 10000;
+  (void)state;
+  permit_granter_lead (g, 0);
+  permit_granter_confirm (g, now);
+  assert_true (permit_granter_ask (g, &dc, 1, now).granted);
+  take_out (&dc, true);
+  assert_false (permit_granter_report (g, &dc, 1, now + 1, &report));
+  dc.stopped_version = dc.state_version;
+  dc.stopped_node = 2;
+  assert_false (permit_granter_in_force (g, &dc, now + 1).in_force);
+  dc.stopped_node = 1;
+  assert_true (permit_granter_report (g, &dc, 1, now + 1, &report));
+  assert_int_equal (report.reason, REGISTRY_ACKNOWLEDGED);
+  assert_int_equal (report.out_version, dc.state_version);
+  dc.state_version += 2;
+  assert_false (permit_granter_in_force (g, &dc, now + 1).in_force);
+  struct permit_in_force later = permit_granter_in_force (g, &dc, now + PERMIT_LIFE_MS);
+  assert_int_equal (later.reason, REGISTRY_PERMIT_EXPIRED);
+  permit_granter_free (g);
+}
+
+static void
+test_holder_counts_from_when_it_asked (void **state)
+{
+  struct permit_holder h;
+  struct permit p = { true, PERMIT_LIFE_MS, 1 };
+  struct permit none = { 0 };
+  (void)state;
+  permit_holder_init (&h);
+  assert_true (permit_holder_due (&h, 0));
+  int64_t asked = permit_holder_ask (&h, 0);
+  assert_false (permit_holder_due (&h, PERMIT_ASK_MS - 1));
+  permit_holder_answer (&h, asked, &p, 2500);
+  assert_int_equal (permit_holder_left_ms (&h, 2500), PERMIT_LIFE_MS - 2500 - PERMIT_DRIFT_MS);
+  assert_int_equal (permit_holder_left_ms (&h, PERMIT_LIFE_MS), 0);
+  asked = permit_holder_ask (&h, 2600);
+  permit_holder_answer (&h, asked, &none, 2650);
+  assert_true (permit_holder_left_ms (&h, 2700) > 0);
+  assert_true (permit_holder_due (&h, 2650 + PERMIT_RETRY_MS));
+  asked = permit_holder_ask (&h, 2960);
+  permit_holder_stop (&h, 2970);
+  permit_holder_answer (&h, asked, &p, 2980);
+  assert_int_equal (permit_holder_left_ms (&h, 2980), 0);
+  permit_holder_answer (&h, 999999, &p, 3000);
+  assert_int_equal (permit_holder_left_ms (&h, 3000), 0);
+}
+
+static void
+test_holder_ignores_an_older_epoch (void **state)
+{
+  struct permit_holder h;
+  struct permit first = { true, PERMIT_LIFE_MS, 1 };
+  struct permit second = { true, 1000, 2 };
+  (void)state;
+  permit_holder_init (&h);
+  int64_t a = permit_holder_ask (&h, 0);
+  int64_t b = permit_holder_ask (&h, 10);
+  permit_holder_answer (&h, b, &second, 20);
+  permit_holder_answer (&h, a, &first, 30);
+  assert_int_equal (h.epoch, 2);
+  assert_int_equal (permit_holder_left_ms (&h, 10 + 1000), 0);
+}
+
+/* A message on its way: a request to a granter, or its answer to a holder.  */
+struct message
+{
+  bool used;
+  bool answer;
+  int granter;
+  int holder;
+  int64_t asked;
+  int64_t arrives;
+  struct permit permit;
+};
+
+/* Two VMs that may lead the registry and two that may lead the cell.  Only the true leader learns
+   of new commands and is confirmed by a quorum; the other may still believe that it leads.  */
+struct world
+{
+  struct rng rng;
+  struct permit_granter *granters[GRANTERS];
+  registry_data_centre view[GRANTERS];
+  struct permit_holder holders[HOLDERS];
+  struct message flight[MAX_FLIGHT];
+  int leader;
+  int64_t now;
+  int64_t out_since; /* INT64_MAX while in */
+};
+
+static void
+post (struct world *w, struct message m)
+{
+  m.used = true;
+  m.arrives = w->now + (int64_t)rng_below (&w->rng, rng_chance (&w->rng, 0.1) ? 4000 : 60);
+  for (int i = 0; i < MAX_FLIGHT; i++)
+    if (!w->flight[i].used)
+      {
+        w->flight[i] = m;
+        return;
+      }
+}
+
+static void
+deliver (struct world *w)
+{
+  for (int i = 0; i < MAX_FLIGHT; i++)
+    {
+      struct message m = w->flight[i];
+      if (!m.used || m.arrives > w->now)
+        continue;
+      w->flight[i].used = false;
+      if (m.answer)
+        permit_holder_answer (&w->holders[m.holder], m.asked, &m.permit, w->now);
+      else
+        {
+          m.answer = true;
+          m.permit = permit_granter_ask (w->granters[m.granter], &w->view[m.granter],
+                                         (uint64_t)m.holder + 1, w->now);
+          post (w, m);
+        }
+    }
+}
+
+/* A quorum elects the other VM; the old leader does not learn of it at once.  */
+static void
+elect_other (struct world *w)
+{
+  int next = 1 - w->leader;
+  w->view[next] = w->view[w->leader];
+  permit_granter_lead (w->granters[next], w->now);
+  w->leader = next;
+}
+
+static void
+random_event (struct world *w)
+{
+  registry_data_centre *dc = &w->view[w->leader];
+  int holder = (int)rng_below (&w->rng, HOLDERS);
+  double p = rng_unit (&w->rng);
+  if (p < 0.004)
+    elect_other (w);
+  else if (p < 0.006)
+    permit_granter_step_down (w->granters[1 - w->leader]);
+  else if (p < 0.010)
+    {
+      take_out (dc, !dc->out);
+      w->out_since = dc->out ? w->now : INT64_MAX;
+    }
+  else if (p < 0.015 && dc->out)
+    {
+      permit_holder_stop (&w->holders[holder], w->now);
+      dc->stopped_version = dc->state_version;
+      dc->stopped_node = (uint64_t)holder + 1;
+    }
+  if (rng_chance (&w->rng, 0.5))
+    permit_granter_confirm (w->granters[w->leader], w->now);
+  for (int i = 0; i < HOLDERS; i++)
+    if (permit_holder_due (&w->holders[i], w->now))
+      {
+        struct message m = { .granter = (int)rng_below (&w->rng, GRANTERS), .holder = i };
+        m.asked = permit_holder_ask (&w->holders[i], w->now);
+        post (w, m);
+      }
+}
+
+static void
+check (struct world *w, int *seen)
+{
+  const registry_data_centre *dc = &w->view[w->leader];
+  bool in_force = permit_granter_in_force (w->granters[w->leader], dc, w->now).in_force;
+  for (int i = 0; i < HOLDERS; i++)
+    {
+      bool held = permit_holder_left_ms (&w->holders[i], w->now) > 0;
+      seen[0] += held ? 1 : 0;
+      seen[1] += in_force ? 1 : 0;
+      assert_false (held && in_force);
+      assert_false (held && w->out_since <= w->now - PERMIT_LIFE_MS);
+    }
+}
+
+static void
+run_world (uint64_t seed, int *seen)
+{
+  struct world w = { .out_since = INT64_MAX };
+  rng_init (&w.rng, seed);
+  for (int i = 0; i < GRANTERS; i++)
+    {
+      w.granters[i] = permit_granter_new ();
+      w.view[i] = data_centre ();
+      permit_holder_init (&w.holders[i]);
+    }
+  permit_granter_lead (w.granters[0], 0);
+  for (int i = 0; i < STEPS; i++)
+    {
+      w.now += (int64_t)rng_below (&w.rng, 30);
+      random_event (&w);
+      deliver (&w);
+      check (&w, seen);
+    }
+  for (int i = 0; i < GRANTERS; i++)
+    permit_granter_free (w.granters[i]);
+}
+
+static void
+test_no_permit_after_in_force (void **state)
+{
+  int seen[2] = { 0, 0 };
+  (void)state;
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    run_world (seed, seen);
+  assert_true (seen[0] > SEEDS * STEPS / 10);
+  assert_true (seen[1] > SEEDS * STEPS / 10);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_grant_needs_leadership_and_confirmation),
+    cmocka_unit_test (test_new_leader_waits_for_earlier_permits),
+    cmocka_unit_test (test_acknowledgement_counts_for_its_node_and_version),
+    cmocka_unit_test (test_holder_counts_from_when_it_asked),
+    cmocka_unit_test (test_holder_ignores_an_older_epoch),
+    cmocka_unit_test (test_no_permit_after_in_force),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
