--- /dev/null
+++ b/src/cell_map.h
@@ -0,0 +1,37 @@
+/* cell_map: chained hash table of intrusive nodes.
+
+   An element embeds a struct cell_node and the caller compares keys itself: walk the nodes of a
+   hash with cell_map_first and cell_map_next.  The table doubles when it is full and never
+   shrinks.  */
+
+#ifndef SASSAFRAS_CELL_MAP_H
+#define SASSAFRAS_CELL_MAP_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+struct cell_node
+{
+  uint64_t hash;
+  struct cell_node *next;
+};
+
+struct cell_map
+{
+  struct cell_node **buckets;
+  size_t size; /* power of two */
+  size_t count;
+};
+
+#define CELL_CONTAINER(ptr, type, member) ((type *)((char *)(ptr)-offsetof (type, member)))
+
+void cell_map_init (struct cell_map *m);  /* An empty table. */
+void cell_map_close (struct cell_map *m); /* Frees the buckets, not the elements. */
+void cell_map_add (struct cell_map *m, struct cell_node *n, uint64_t hash); /* Links N. */
+void cell_map_remove (struct cell_map *m, struct cell_node *n);             /* Unlinks N. */
+struct cell_node *cell_map_first (const struct cell_map *m, uint64_t hash); /* First with HASH. */
+struct cell_node *cell_map_next (const struct cell_node *n); /* Next with the same hash. */
+uint64_t cell_hash_id (uint64_t id);                         /* Hash of a number. */
+uint64_t cell_hash_names (const char *a, const char *b);     /* Hash of a pair of names. */
+
+#endif
