--- a/src/cell.h
+++ b/src/cell.h
@@ -39,7 +39,7 @@
 #define CELL_MAX_INTENTS 200000
 #define CELL_MAX_FINISHED 65536
 #define CELL_MAX_TASKS 400000
-#define CELL_MAX_INTENT_BYTES (256LL * 1024 * 1024) /* recorded answers in all */
+#define CELL_MAX_INTENT_BYTES (64LL * 1024 * 1024) /* recorded answers in all */
 
 /* A standby copy starts only after every lease under the closed epoch has run out: the last permit
    (3 s), the time a cut-off cell still renews tasks that have a standby copy (20 s), the worker
@@ -68,7 +68,7 @@
   uint32_t failures;
   uint32_t evictions;
   char failed_on[CELL_FAILED_WORKERS][CELL_NAME_BYTES + 1]; /* distinct workers, oldest first */
-  uint64_t other_cell;  /* receiver of an offer, or owner of a standby copy */
+  uint64_t other_cell;  /* receiver of an offer, holder or owner of a standby copy */
   uint64_t other_epoch; /* epoch of the owner's cell */
   uint64_t replaces;    /* task of another cell that this replica replaces, 0 when none */
   void *soft;           /* the observer's own record */
@@ -87,6 +87,7 @@
   int64_t deadline_ms; /* log time, 0 when there is none */
   int64_t finished_ms; /* 0 while a task is not finished */
   bool cancelled;
+  bool in_finished;    /* which list holds it */
   uint32_t open_tasks; /* tasks that are not finished */
   char *reason;        /* why it failed, NULL otherwise */
   struct cell_task_list tasks;
--- a/src/cell_map.c
+++ b/src/cell_map.c
@@ -11,7 +11,7 @@
 void
 cell_map_init (struct cell_map *m)
 {
-  m->buckets = xcalloc (FIRST_SIZE, sizeof *m->buckets);
+  m->buckets = xcalloc (FIRST_SIZE, sizeof (void *));
   m->size = FIRST_SIZE;
   m->count = 0;
 }
@@ -27,7 +27,7 @@
 grow (struct cell_map *m)
 {
   size_t size = m->size * 2;
-  struct cell_node **buckets = xcalloc (size, sizeof *buckets);
+  struct cell_node **buckets = xcalloc (size, sizeof (void *));
   for (size_t i = 0; i < m->size; i++)
     {
       struct cell_node *n = m->buckets[i];
--- a/src/gen/cell_proto.h
+++ b/src/gen/cell_proto.h
@@ -117,6 +117,7 @@
 	CELL_EPOCH_CLOSED = 18,
 	CELL_INTENT_BEGIN = 19,
 	CELL_INTENT_FINISH = 20,
+	CELL_STANDBY_SENT = 21,
 };
 typedef enum cell_command_kind cell_command_kind;
 
@@ -319,8 +320,10 @@
 	u_quad_t id;
 	cell_job_spec spec;
 	quad_t submitted_ms;
+	quad_t deadline_ms;
 	quad_t finished_ms;
 	bool_t cancelled;
+	bool_t failed;
 	char *reason;
 	struct {
 		u_int tasks_len;
--- a/src/gen/cell_proto.x
+++ b/src/gen/cell_proto.x
@@ -105,7 +105,8 @@
   CELL_STANDBY_DROP = 17,     /* second cell: the owner finished or cancelled the job */
   CELL_EPOCH_CLOSED = 18,     /* owner: the registry closed this cell's epoch */
   CELL_INTENT_BEGIN = 19,
-  CELL_INTENT_FINISH = 20
+  CELL_INTENT_FINISH = 20,
+  CELL_STANDBY_SENT = 21      /* owner: committed before a standby copy is sent */
 };
 
 struct cell_cancel
@@ -224,6 +225,7 @@
 case CELL_FAIL_JOB:
   cell_fail_job fail_job;
 case CELL_HANDOFF_OFFER:
+case CELL_STANDBY_SENT:
   cell_offer offer;
 case CELL_HANDOFF_ACCEPT:
 case CELL_HANDOFF_REFUSE:
@@ -309,8 +311,10 @@
   unsigned hyper id;
   cell_job_spec spec;
   hyper submitted_ms;
+  hyper deadline_ms;
   hyper finished_ms;
   bool cancelled;
+  bool failed;                 /* reason holds the cause */
   string reason<CELL_REASON_BYTES>;
   cell_task_image tasks<>;
 };
--- a/src/gen/cell_proto_xdr.c
+++ b/src/gen/cell_proto_xdr.c
@@ -355,6 +355,7 @@
 			 return FALSE;
 		break;
 	case CELL_HANDOFF_OFFER:
+	case CELL_STANDBY_SENT:
 		 if (!xdr_cell_offer (xdrs, &objp->cell_command_u.offer))
 			 return FALSE;
 		break;
@@ -515,10 +516,14 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->submitted_ms))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->deadline_ms))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->finished_ms))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->cancelled))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->failed))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->reason, CELL_REASON_BYTES))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, ~0,
