Add the scheduler with placement, order, interference, eviction and worker health

The soft state follows the log through the cell's observer; commands to a worker are derived from comparing the log with the worker's complete list, so lost and repeated messages repair themselves. Capacity is held from the proposal of a placement until the log shows the end of the run.

--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -25,6 +25,21 @@
    are repaired by comparing it with the log.  Polls carry a sequence number per incarnation; an
    older poll than the last one is refused with STATUS_STALE_INCARNATION.
 
+   What a worker does: it starts a task only within valid_ms of the poll, only at a higher epoch
+   than any it has seen for that task, and never while another epoch of the task runs; a start it
+   refuses is listed as REFUSED.  A STOP for a task and epoch it does not run is listed as STOPPED,
+   so that a late start of that epoch is refused.  Announcing itself again with a new incarnation
+   does not free the capacity of tasks of the earlier one: that takes lease + margin, because a
+   process of the earlier incarnation may still run.
+
+   A lowered plan acts in this order: the customer's waiting tasks stay queued; its batch tasks are
+   throttled to the new share of processors; after SCHEDULER_PLAN_GRACE_MS, and at once for memory
+   and accelerators, batch tasks are evicted within the eviction budget.  Urgent tasks keep
+   running.
+
+   Data centre out: batch tasks checkpoint, stop and are offered to cells with room; urgent replicas
+   run on until a replacement runs elsewhere.
+
    Errors: STATUS_STALE_INCARNATION, STATUS_NOT_FOUND (poll of a worker that has not announced
    itself; it announces itself again), STATUS_NOT_LEADER, STATUS_BAD_REQUEST, STATUS_UNSATISFIABLE,
    STATUS_LIMIT_EXCEEDED.  */
@@ -44,6 +59,7 @@
 #define SCHEDULER_LEASE_MARGIN_MS 2000
 #define SCHEDULER_HEARTBEAT_MS 3000
 #define SCHEDULER_TICK_MS 100
+#define SCHEDULER_PLAN_GRACE_MS 60000
 #define SCHEDULER_MAX_WORKER_TASKS 1024
 #define SCHEDULER_MAX_WORKERS 32768
 
@@ -162,11 +178,26 @@
 struct scheduler_peer_cell
 {
   uint64_t cell;
+  bool standby; /* holds this cell's standby copies; the only one that may take covered tasks */
   uint64_t free_millicores;
   uint64_t free_memory_mb;
   uint64_t free_accelerators;
 };
 
+enum scheduler_move_kind
+{
+  SCHEDULER_MOVE_HANDOFF = 1, /* send CELL_HANDOFF_ACCEPT, then propose DONE or ABORT here */
+  SCHEDULER_MOVE_REPLACE = 2, /* send CELL_REPLICA_ADD; when the replica runs propose REPLACED */
+};
+
+/* A task that the caller takes to another cell; repeated until the log shows the end.  */
+struct scheduler_move
+{
+  enum scheduler_move_kind kind;
+  uint64_t task;
+  uint64_t to_cell;
+};
+
 struct scheduler_stats
 {
   uint64_t starts;
@@ -220,6 +251,7 @@
                       struct status *st); /* Answers the worker's last poll; takes its commands. */
 int scheduler_admit (struct scheduler *s, const cell_job_spec *spec,
                      struct status *st); /* Check before CELL_SUBMIT is proposed. */
+bool scheduler_next_move (struct scheduler *s, struct scheduler_move *out); /* False: none now. */
 void scheduler_stats (const struct scheduler *s, struct scheduler_stats *out);
 void scheduler_check (const struct scheduler *s); /* Aborts when a rule is broken. */
 void scheduler_dump (const struct scheduler *s, struct buffer *out); /* State for operators. */
--- /dev/null
+++ b/src/scheduler_guard.c
@@ -0,0 +1,360 @@
+/* Guards: harm to urgent tasks, oversize tasks, lowered plans, data centre out.  */
+#include <math.h>
+#include <string.h>
+
+#include "scheduler_internal.h"
+
+/* Hysteresis: act above 1.15 in two samples, lift below 1.06 in four.  The aim is 1.2.  */
+#define SLOW_MILLI 1150
+#define CALM_MILLI 1060
+#define VERY_SLOW_MILLI 1500
+#define SLOW_SAMPLES 2
+#define CALM_SAMPLES 4
+#define SETTLE_MS 1000 /* between an action and the first sample that can show its effect */
+#define OVERSIZE 1.15
+#define OVER_SAMPLES 2
+#define EVICT_SAMPLES 6
+#define MIN_LIMIT 100
+#define MIN_CHECKPOINT_MS 60000
+#define MAX_CHECKPOINT_MS 600000
+#define CHECKPOINT_COST 20 /* checkpoints take at most a twentieth of the time */
+#define PREEMPT_GRACE_MS 500
+#define NEAR_DEADLINE_MS 60000
+#define DRAIN_MS 500
+
+void
+sched_limit (struct scheduler *s, struct sched_task *st, enum sched_limit why, uint32_t millicores)
+{
+  struct sched_worker *w = st->worker;
+  if (why == SCHED_LIMIT_NONE)
+    millicores = 0;
+  else if (millicores < MIN_LIMIT)
+    millicores = MIN_LIMIT;
+  if (st->limit_millicores == millicores)
+    return;
+  if (millicores)
+    s->stats.throttles++;
+  st->limit = why;
+  st->limit_millicores = millicores;
+  sched_mix_remove (w, st);
+  sched_mix_add (w, st);
+  sched_mark_ready (s, w);
+}
+
+bool
+sched_may_evict (const struct scheduler *s, const struct sched_task *st, uint32_t planned)
+{
+  uint32_t budget = st->customer->quota.evictions_per_hour;
+  if (budget == UINT32_MAX || !st->customer->known || sched_policy (s, SCHEDULER_EVICT_NEWEST))
+    return true;
+  return eviction_spent (&st->customer->budget, s->now_ms) + planned < budget;
+}
+
+void
+sched_candidate (struct scheduler *s, const struct sched_worker *w, struct sched_task *st,
+                 struct eviction_candidate *out)
+{
+  const struct cell_task *t = st->t;
+  uint32_t checkpoint_ms = t->job->spec.checkpoint_ms;
+  memset (out, 0, sizeof *out);
+  out->size = st->hold;
+  out->owner = st;
+  out->evictions = t->evictions;
+  out->started_ms = st->run_from_ms;
+  int64_t since = st->checkpoint_ms > st->run_from_ms ? st->checkpoint_ms : st->run_from_ms;
+  bool quick = checkpoint_ms > 0 && checkpoint_ms <= PREEMPT_GRACE_MS;
+  if (since > 0 && !quick)
+    out->lost_core_ms = (double)(s->now_ms - since) * (double)st->hold.millicores / 1000.0;
+  out->harm = sched_harm_of (s, w, st);
+  int64_t now = cell_log_time (s->cell, s->now_ms);
+  out->near_deadline
+      = t->job->deadline_ms > 0
+        && now + (int64_t)sched_remaining_ms (st) + NEAR_DEADLINE_MS > t->job->deadline_ms;
+}
+
+/* The running batch task that adds most to the slowdown.  */
+static struct sched_task *
+worst_neighbour (struct scheduler *s, const struct sched_worker *w)
+{
+  struct sched_task *worst = NULL;
+  double worst_harm = 0;
+  struct sched_task *st;
+  TAILQ_FOREACH (st, &w->tasks, link)
+  {
+    if (sched_is_urgent (st) || st->t->state != CELL_RUNNING || st->want_stop != CELL_STOP_NONE)
+      continue;
+    double harm = sched_harm_of (s, w, st);
+    if (harm > worst_harm)
+      {
+        worst = st;
+        worst_harm = harm;
+      }
+  }
+  return worst;
+}
+
+static void
+escalate (struct scheduler *s, struct sched_worker *w, uint32_t slowdown)
+{
+  struct sched_task *st = worst_neighbour (s, w);
+  if (!st)
+    return;
+  w->action_at_ms = s->now_ms;
+  w->slow_samples = 0;
+  uint32_t hold = (uint32_t)st->hold.millicores;
+  if (st->limit != SCHED_LIMIT_HARM)
+    sched_limit (s, st, SCHED_LIMIT_HARM, slowdown > VERY_SLOW_MILLI ? hold / 4 : hold / 2);
+  else if (sched_may_evict (s, st, 0))
+    sched_stop (s, st, CELL_STOP_HARM);
+  else
+    sched_limit (s, st, SCHED_LIMIT_HARM, hold / 8);
+}
+
+/* Lifts one throttle, if the estimate says that the urgent tasks can bear it.  */
+static void
+relax (struct scheduler *s, struct sched_worker *w)
+{
+  struct sched_task *st;
+  TAILQ_FOREACH (st, &w->tasks, link)
+  if (st->limit == SCHED_LIMIT_HARM)
+    break;
+  if (!st)
+    return;
+  w->action_at_ms = s->now_ms;
+  w->calm_samples = 0;
+  sched_mix_remove (w, st);
+  bool bearable = sched_harm_batch (s, w, st) < PLACEMENT_REFUSED;
+  sched_mix_add (w, st);
+  if (bearable)
+    sched_limit (s, st, SCHED_LIMIT_NONE, 0);
+}
+
+static uint32_t
+worst_slowdown (const struct sched_worker *w)
+{
+  uint32_t worst = 0;
+  const struct sched_task *st;
+  TAILQ_FOREACH (st, &w->tasks, link)
+  if (st->cls->urgent && st->listed_poll == w->sequence && st->slowdown_milli > worst)
+    worst = st->slowdown_milli;
+  return worst;
+}
+
+/* One action per lag: only samples taken after the last action count.  */
+static void
+guard_harm (struct scheduler *s, struct sched_worker *w, int64_t at_ms)
+{
+  uint32_t worst = worst_slowdown (w);
+  if (worst == 0 || at_ms < w->action_at_ms + SETTLE_MS)
+    return;
+  w->slow_samples = worst > SLOW_MILLI ? w->slow_samples + 1 : 0;
+  w->calm_samples = worst < CALM_MILLI ? w->calm_samples + 1 : 0;
+  if (w->slow_samples >= SLOW_SAMPLES)
+    escalate (s, w, worst);
+  else if (w->calm_samples >= CALM_SAMPLES)
+    relax (s, w);
+}
+
+static void
+guard_size (struct scheduler *s, struct sched_task *st)
+{
+  bool processors = st->used_millicores > OVERSIZE * (double)st->hold.millicores;
+  bool memory = st->used_memory_mb > OVERSIZE * (double)st->hold.memory_mb;
+  if (!processors && !memory)
+    {
+      st->over_samples = 0;
+      return;
+    }
+  st->over_samples++;
+  if (st->over_samples >= OVER_SAMPLES && processors && st->limit == SCHED_LIMIT_NONE)
+    sched_limit (s, st, SCHED_LIMIT_SIZE, (uint32_t)st->hold.millicores);
+  if (sched_is_urgent (st) || !sched_may_evict (s, st, 0))
+    return;
+  if (st->over_samples >= (memory ? OVER_SAMPLES : EVICT_SAMPLES))
+    sched_stop (s, st, CELL_STOP_OVERSIZE);
+}
+
+static void
+ask_checkpoint (struct scheduler *s, struct sched_task *st)
+{
+  uint32_t cost = st->t->job->spec.checkpoint_ms;
+  if (cost == 0 || sched_is_urgent (st) || st->t->state != CELL_RUNNING || st->run_from_ms == 0)
+    return;
+  int64_t interval = (int64_t)cost * CHECKPOINT_COST;
+  if (interval < MIN_CHECKPOINT_MS)
+    interval = MIN_CHECKPOINT_MS;
+  if (interval > MAX_CHECKPOINT_MS)
+    interval = MAX_CHECKPOINT_MS;
+  if (s->now_ms - st->checkpoint_ms < interval)
+    return;
+  st->checkpoint_due = true;
+  st->checkpoint_ms = s->now_ms;
+}
+
+void
+sched_guard_poll (struct scheduler *s, struct sched_worker *w, const struct worker_poll *p)
+{
+  struct sched_task *st;
+  TAILQ_FOREACH (st, &w->tasks, link)
+  if (st->listed_poll == w->sequence && st->listed == CELL_REPORT_RUNNING)
+    {
+      ask_checkpoint (s, st);
+      if (!sched_policy (s, SCHEDULER_NO_LEARNING))
+        guard_size (s, st);
+    }
+  if (!sched_policy (s, SCHEDULER_NO_LEARNING))
+    guard_harm (s, w, s->now_ms - p->measured_ago_ms);
+}
+
+/* Lowered plans.  */
+
+static uint64_t
+excess (uint64_t used, uint64_t max)
+{
+  return max != 0 && used > max ? used - max : 0;
+}
+
+static bool
+above_plan (const struct sched_customer *c, const struct order_amount *used)
+{
+  const struct scheduler_quota *q = &c->quota;
+  if (!c->known)
+    return used->millicores > 0;
+  return excess (used->millicores, q->max_millicores) || excess (used->memory_mb, q->max_memory_mb)
+         || excess (used->accelerators, q->max_accelerators);
+}
+
+/* Throttles the batch tasks of C to RATIO, or lifts that when RATIO is 1.  Returns the batch task
+   that is cheapest to evict and takes what is stopping already off USED.  */
+static struct sched_task *
+press (struct scheduler *s, const struct sched_customer *c, double ratio, struct order_amount *used)
+{
+  struct sched_task *cheapest = NULL;
+  double least = INFINITY;
+  for (size_t i = 0; i < s->worker_count; i++)
+    {
+      struct sched_task *st;
+      TAILQ_FOREACH (st, &s->workers[i]->tasks, link)
+      {
+        if (st->customer != c || sched_is_urgent (st) || st->held_epoch == 0)
+          continue;
+        if (st->t->state == CELL_STOPPING || st->want_stop != CELL_STOP_NONE)
+          {
+            used->millicores -= st->hold.millicores;
+            used->memory_mb -= st->hold.memory_mb;
+            used->accelerators -= st->hold.accelerators;
+            continue;
+          }
+        if (ratio < 1 && (st->limit == SCHED_LIMIT_NONE || st->limit == SCHED_LIMIT_PLAN))
+          sched_limit (s, st, SCHED_LIMIT_PLAN, (uint32_t)(ratio * (double)st->hold.millicores));
+        else if (ratio >= 1 && st->limit == SCHED_LIMIT_PLAN)
+          sched_limit (s, st, SCHED_LIMIT_NONE, 0);
+        struct eviction_candidate e;
+        sched_candidate (s, s->workers[i], st, &e);
+        if (eviction_cost (&e) < least)
+          {
+            least = eviction_cost (&e);
+            cheapest = st;
+          }
+      }
+    }
+  return cheapest;
+}
+
+static void
+guard_plan (struct scheduler *s, struct sched_customer *c)
+{
+  bool is_above = above_plan (c, &c->used);
+  struct order_amount used = c->used;
+  if (!is_above && c->over_since_ms == 0)
+    return;
+  if (!is_above)
+    {
+      c->over_since_ms = 0;
+      press (s, c, 1, &used);
+      return;
+    }
+  if (c->over_since_ms == 0)
+    c->over_since_ms = s->now_ms;
+  const struct scheduler_quota *q = &c->quota;
+  double ratio = 1;
+  if (excess (used.millicores, q->max_millicores))
+    ratio = (double)q->max_millicores / (double)used.millicores;
+  struct sched_task *st = press (s, c, c->known ? ratio : 0.1, &used);
+  bool at_once = !c->known || excess (used.memory_mb, q->max_memory_mb)
+                 || excess (used.accelerators, q->max_accelerators);
+  if (!at_once && s->now_ms - c->over_since_ms < SCHEDULER_PLAN_GRACE_MS)
+    return;
+  if (st && above_plan (c, &used) && sched_may_evict (s, st, 0))
+    sched_stop (s, st, CELL_STOP_PLAN);
+}
+
+void
+sched_guard_plans (struct scheduler *s)
+{
+  struct sched_customer *c;
+  LIST_FOREACH (c, &s->customers, link)
+  guard_plan (s, c);
+}
+
+/* Data centre out.  */
+
+static struct scheduler_peer_cell *
+peer_for (struct scheduler *s, const struct cell_task *t)
+{
+  const cell_size *size = &t->job->spec.size;
+  bool batch = t->job->spec.kind == CELL_BATCH;
+  bool covered = t->job->spec.repeat_elsewhere && batch;
+  for (size_t i = 0; i < s->peer_count; i++)
+    {
+      struct scheduler_peer_cell *p = &s->peers[i];
+      if (covered && !p->standby)
+        continue;
+      if (batch && t->other_cell != 0 && t->other_cell != p->cell)
+        continue;
+      if (p->free_millicores < size->millicores || p->free_memory_mb < size->memory_mb
+          || p->free_accelerators < size->accelerators)
+        continue;
+      p->free_millicores -= size->millicores;
+      p->free_memory_mb -= size->memory_mb;
+      p->free_accelerators -= size->accelerators;
+      return p;
+    }
+  return NULL;
+}
+
+static void
+drain_task (struct scheduler *s, struct cell_task *t)
+{
+  struct sched_task *st = t->soft;
+  if (!st || sched_is_urgent (st))
+    return;
+  if (cell_task_on_worker (t))
+    {
+      sched_stop (s, st, CELL_STOP_DRAIN);
+      return;
+    }
+  if (t->state != CELL_PENDING || st->in_flight)
+    return;
+  const struct scheduler_peer_cell *p = peer_for (s, t);
+  if (!p)
+    return;
+  cell_command cmd;
+  memset (&cmd, 0, sizeof cmd);
+  cmd.kind = CELL_HANDOFF_OFFER;
+  cmd.cell_command_u.offer = (cell_offer){ t->id, t->epoch, p->cell };
+  sched_propose (s, &cmd, st);
+}
+
+void
+sched_guard_drain (struct scheduler *s)
+{
+  if (s->now_ms - s->drain_ms < DRAIN_MS)
+    return;
+  s->drain_ms = s->now_ms;
+  struct cell_job *j;
+  struct cell_task *t;
+  TAILQ_FOREACH (j, &s->cell->job_list, link)
+  STAILQ_FOREACH (t, &j->tasks, link)
+  drain_task (s, t);
+}
--- /dev/null
+++ b/src/scheduler_internal.h
@@ -0,0 +1,319 @@
+/* scheduler_internal: records of the leader's soft state, shared by the files of the scheduler.  */
+
+#ifndef SASSAFRAS_SCHEDULER_INTERNAL_H
+#define SASSAFRAS_SCHEDULER_INTERNAL_H
+
+#include "eviction.h"
+#include "interference.h"
+#include "order.h"
+#include "placement.h"
+#include "scheduler.h"
+#include "worker_health.h"
+
+#define SCHED_MAX_RACKS 4096
+#define SCHED_MIX 24            /* batch classes and services kept per worker */
+#define SCHED_RECENT 16         /* ended batch runs kept per worker, for lagging samples */
+#define SCHED_QUEUED UINT64_MAX /* in_flight of a command that is not encoded yet */
+
+struct sched_worker;
+
+enum sched_limit
+{
+  SCHED_LIMIT_NONE,
+  SCHED_LIMIT_SIZE, /* uses more than it holds */
+  SCHED_LIMIT_PLAN, /* a lowered plan */
+  SCHED_LIMIT_HARM, /* slows an urgent task */
+};
+
+struct sched_customer
+{
+  struct cell_node node; /* by name */
+  LIST_ENTRY (sched_customer) link;
+  char name[CELL_NAME_BYTES + 1];
+  struct scheduler_quota quota;
+  bool known;               /* the plans name it */
+  struct order_amount used; /* held on workers */
+  struct order_heap urgent;
+  struct order_heap batch;
+  struct eviction_budget budget;
+  bool blocked;          /* nothing more of it fits in this round */
+  int64_t over_since_ms; /* above its plan since, 0 when it is not */
+};
+
+/* What is learned about a service or batch class of one customer.  */
+struct sched_class
+{
+  struct cell_node node; /* by customer and name */
+  LIST_ENTRY (sched_class) link;
+  char key[2 * CELL_NAME_BYTES + 8];
+  bool urgent;
+  int id; /* in the interference model */
+  struct order_run_time run;
+  struct class_health health;
+  double processor_ratio; /* used over declared processors */
+  double memory_ratio;
+  double use; /* used over held processors */
+};
+
+struct sched_task
+{
+  struct cell_task *t;
+  struct sched_customer *customer;
+  struct sched_class *cls;
+  struct order_item item;
+  bool delayed;       /* item is in the heap of delayed tasks */
+  uint64_t in_flight; /* proposal with its last command, 0 when there is none */
+  uint64_t serial;    /* of that command */
+  uint32_t seen_failures;
+
+  struct sched_worker *worker; /* holds capacity there */
+  TAILQ_ENTRY (sched_task) link;
+  struct order_amount hold;
+  uint64_t held_epoch; /* 0 until the placement is applied */
+
+  uint64_t listed_epoch; /* from the worker's polls; 0 when never listed */
+  uint64_t listed_poll;  /* sequence of that poll */
+  enum cell_report_kind listed;
+  uint64_t progress_ms;
+  char *checkpoint;
+  char *reason;
+  uint32_t used_millicores;
+  uint32_t used_memory_mb;
+  uint32_t slowdown_milli;
+
+  int64_t run_from_ms; /* first listing as running; 0 when unknown */
+  uint64_t start_progress_ms;
+  bool proven; /* an urgent task that ran long enough to count as a success */
+  int64_t start_sent_ms;
+  int64_t stop_sent_ms;
+  int64_t checkpoint_ms; /* last checkpoint seen or asked for */
+  bool checkpoint_due;
+  uint32_t limit_millicores; /* throttle, 0 when there is none */
+  uint32_t limit_sent;
+  uint32_t limit_repeats;
+  enum sched_limit limit; /* why it is throttled */
+  double mix_use;         /* what it adds to the worker's mix */
+  uint32_t over_samples;
+  enum cell_stop_reason want_stop;
+
+  struct sched_worker *room; /* where it waits for room */
+  TAILQ_ENTRY (sched_task) room_link;
+  struct order_amount room_amount;
+  int64_t room_until_ms;
+};
+
+TAILQ_HEAD (sched_task_list, sched_task);
+
+/* An entry of a poll that does not match the log.  */
+struct sched_ghost
+{
+  uint64_t task;
+  uint64_t epoch;
+  bool running;
+  bool stop; /* older than the log's epoch: order a stop */
+};
+
+struct sched_share
+{
+  int id;
+  uint32_t count;
+  double millicores; /* expected use */
+};
+
+struct sched_recent
+{
+  int class_id;
+  double millicores;
+  int64_t from_ms;
+  int64_t to_ms;
+};
+
+struct sched_worker
+{
+  struct cell_node node; /* by id */
+  size_t row;
+  char id[CELL_NAME_BYTES + 1];
+  uint16_t rack;
+  uint64_t incarnation;
+  bool announced;
+  bool alive;
+  uint64_t sequence;
+  int64_t handled_ms; /* when the last poll was handled */
+  bool poll_open;
+  int64_t lease_until_ms;   /* the latest end of a lease granted to it */
+  int64_t earlier_until_ms; /* same, for its earlier incarnations */
+  int64_t gone_since_ms;    /* when it was declared lost */
+  struct order_amount total;
+  struct order_amount held;
+  struct order_amount ghost;
+  struct order_amount reserved;
+  struct sched_task_list tasks;
+  uint32_t urgent_count;
+  struct sched_ghost *ghosts;
+  size_t ghost_count;
+  size_t ghost_capacity;
+  bool ready;
+  TAILQ_ENTRY (sched_worker) ready_link;
+  int64_t retry_at_ms; /* commands are due again; 0 when none */
+  struct worker_health health;
+  uint64_t probe_task;
+  struct sched_share classes[SCHED_MIX];
+  size_t class_count;
+  struct sched_share services[SCHED_MIX];
+  size_t service_count;
+  struct sched_recent recent[SCHED_RECENT];
+  size_t recent_next;
+  double used_millicores;
+  int64_t action_at_ms; /* last throttle or move because of harm */
+  int64_t learned_ms;   /* time of the newest sample learned from */
+  uint32_t slow_samples;
+  uint32_t calm_samples;
+};
+
+TAILQ_HEAD (sched_ready_list, sched_worker);
+
+struct sched_proposal
+{
+  TAILQ_ENTRY (sched_proposal) link;
+  uint64_t id;
+  uint64_t *tasks;
+  size_t count;
+};
+
+TAILQ_HEAD (sched_proposal_list, sched_proposal);
+
+/* A command that waits to be encoded, and the task whose in_flight it clears.  */
+struct sched_command
+{
+  cell_command command;
+  uint64_t task;
+  uint64_t serial;
+};
+
+struct scheduler
+{
+  struct scheduler_config config;
+  struct cell *cell;
+  struct rng rng;
+  int64_t now_ms;
+  bool leading;
+  int64_t confirmed_until_ms;
+  int64_t permit_until_ms;
+  bool permit_lapsed; /* it was seen to have run out */
+  bool out;           /* the data centre is out */
+  struct scheduler_peer_cell *peers;
+  size_t peer_count;
+  struct order_amount total;   /* of the workers that are alive */
+  struct order_amount largest; /* the worker with the most processors */
+
+  struct cell_map worker_map;
+  struct sched_worker **workers; /* parallel to rows */
+  struct placement_row *rows;
+  size_t worker_count;
+  size_t worker_capacity;
+  struct sched_ready_list ready;
+  char (*racks)[CELL_NAME_BYTES + 1];
+  size_t rack_count;
+  uint32_t *rack_counts; /* scratch, per rack */
+  size_t quarantined;
+
+  struct cell_map customer_map;
+  LIST_HEAD (, sched_customer) customers;
+  struct cell_map class_map;
+  LIST_HEAD (, sched_class) classes;
+  struct interference *model;
+  struct order_heap delayed;      /* back-off, key is not_before_ms */
+  struct sched_task_list waiting; /* tasks that wait for room, oldest first */
+  uint32_t room_count;
+  bool round_needed;
+  int64_t round_ms;
+  int64_t scan_ms;
+  int64_t decay_ms;
+
+  struct sched_command *outbox;
+  size_t outbox_count;
+  size_t outbox_capacity;
+  size_t outbox_done;
+  uint64_t next_proposal;
+  uint64_t next_serial;
+  struct sched_proposal_list proposals;
+  struct worker_command *commands; /* of the last answer */
+  size_t command_count;
+  size_t command_capacity;
+  struct order_item **aside; /* scratch: tasks that did not fit in this round */
+  size_t aside_capacity;
+  struct cell_job *move_job; /* where scheduler_next_move goes on */
+  int64_t move_ms;
+  uint64_t move_task;
+  int64_t drain_ms;
+  struct scheduler_stats stats;
+};
+
+/* scheduler.c */
+bool sched_policy (const struct scheduler *s, unsigned bit);
+bool sched_permit (const struct scheduler *s); /* Starts are allowed now. */
+struct sched_customer *sched_customer (struct scheduler *s, const char *name); /* Finds or makes. */
+struct sched_class *sched_class (struct scheduler *s, const cell_job_spec *spec);
+void sched_propose (struct scheduler *s, cell_command *cmd,
+                    struct sched_task *st);                     /* Takes the strings of CMD. */
+void sched_fault (const char *rule) __attribute__ ((noreturn)); /* Ends the process. */
+
+/* scheduler_task.c */
+void sched_sync (struct scheduler *s, struct cell_task *t); /* Follows a change in the log. */
+void sched_drop (struct scheduler *s, struct cell_task *t); /* Forgets the soft record. */
+void sched_enqueue (struct scheduler *s, struct sched_task *st);
+void sched_hold (struct scheduler *s, struct sched_task *st, struct sched_worker *w);
+void sched_release (struct scheduler *s, struct sched_task *st);
+void sched_reserve (struct scheduler *s, struct sched_task *st, struct sched_worker *w,
+                    int64_t until_ms); /* Keeps room on W for ST. */
+void sched_unreserve (struct scheduler *s, struct sched_task *st);
+void sched_reconcile (struct scheduler *s,
+                      struct sched_task *st); /* Proposes what the worker's list shows. */
+void sched_settle (struct scheduler *s, struct sched_task *st); /* Its command was decided. */
+void sched_stop (struct scheduler *s, struct sched_task *st,
+                 enum cell_stop_reason reason); /* Proposes a stop. */
+struct order_amount sched_need (const struct scheduler *s, const struct sched_task *st);
+bool sched_is_urgent (const struct sched_task *st);
+uint64_t sched_remaining_ms (const struct sched_task *st); /* Expected run time that is left. */
+
+/* scheduler_worker.c */
+struct sched_worker *sched_find_worker (const struct scheduler *s, const char *id);
+struct sched_worker *sched_add_worker (struct scheduler *s, const char *id);
+void sched_free_workers (struct scheduler *s);
+void sched_update_row (struct scheduler *s, struct sched_worker *w);
+void sched_mark_ready (struct scheduler *s, struct sched_worker *w);
+void sched_scan_workers (struct scheduler *s); /* Leases, retries and probes. */
+bool sched_fits (const struct sched_worker *w, const struct order_amount *need,
+                 const struct order_amount *own); /* OWN is its reservation there. */
+
+/* scheduler_place.c */
+void sched_place_round (struct scheduler *s);
+
+/* scheduler_learn.c */
+void sched_learn_poll (struct scheduler *s, struct sched_worker *w, const struct worker_poll *p);
+void sched_learn_done (struct scheduler *s, struct sched_task *st);
+void sched_learn_failed (struct scheduler *s, struct sched_task *st);
+void sched_learn_ended (struct scheduler *s, struct sched_task *st); /* Its run is over. */
+void sched_mix_add (struct sched_worker *w, const struct sched_task *st);
+void sched_mix_remove (struct sched_worker *w, const struct sched_task *st);
+double sched_expected_use (const struct sched_task *st); /* Millicores it will use. */
+double sched_harm_batch (struct scheduler *s, const struct sched_worker *w,
+                         const struct sched_task *st);
+double sched_harm_urgent (struct scheduler *s, const struct sched_worker *w,
+                          const struct sched_task *st);
+double sched_harm_of (struct scheduler *s, const struct sched_worker *w,
+                      const struct sched_task *st); /* Slowdown a running batch task adds. */
+
+/* scheduler_guard.c */
+void sched_guard_poll (struct scheduler *s, struct sched_worker *w,
+                       const struct worker_poll *p); /* Harm and oversize. */
+void sched_limit (struct scheduler *s, struct sched_task *st, enum sched_limit why,
+                  uint32_t millicores); /* Throttles; SCHED_LIMIT_NONE lifts. */
+bool sched_may_evict (const struct scheduler *s, const struct sched_task *st,
+                      uint32_t planned); /* Budget left beyond PLANNED more. */
+void sched_candidate (struct scheduler *s, const struct sched_worker *w, struct sched_task *st,
+                      struct eviction_candidate *out);
+void sched_guard_plans (struct scheduler *s); /* Lowered plans. */
+void sched_guard_drain (struct scheduler *s); /* Data centre out. */
+
+#endif
--- /dev/null
+++ b/src/scheduler_report.c
@@ -0,0 +1,242 @@
+/* Admission, moves to other cells, statistics, the check of the rules and the state dump.  */
+#include <string.h>
+
+#include "scheduler_internal.h"
+
+#define MOVE_MS 2000 /* an unfinished move is repeated this often */
+
+static bool
+fits_empty (const struct sched_worker *w, const cell_size *size)
+{
+  return w->announced && w->total.millicores >= size->millicores
+         && w->total.memory_mb >= size->memory_mb && w->total.accelerators >= size->accelerators;
+}
+
+static int
+admit_size (const struct scheduler *s, const cell_job_spec *spec, struct status *st)
+{
+  bool announced = false;
+  for (size_t i = 0; i < s->worker_count; i++)
+    {
+      if (fits_empty (s->workers[i], &spec->size))
+        return 0;
+      announced = announced || s->workers[i]->announced;
+    }
+  if (!announced)
+    return 0;
+  return status_set (st, STATUS_UNSATISFIABLE,
+                     "no worker has %u millicores, %u MB and %u accelerators for one task",
+                     spec->size.millicores, spec->size.memory_mb, spec->size.accelerators);
+}
+
+static int
+admit_racks (const struct scheduler *s, const cell_job_spec *spec, struct status *st)
+{
+  if (spec->max_per_rack == 0 || s->rack_count == 0
+      || (uint64_t)spec->max_per_rack * s->rack_count >= spec->replicas)
+    return 0;
+  return status_set (st, STATUS_UNSATISFIABLE,
+                     "%u tasks with at most %u per rack need more than %zu racks", spec->replicas,
+                     spec->max_per_rack, s->rack_count);
+}
+
+static bool
+exceeds (uint64_t size, uint64_t max)
+{
+  return max != 0 && size > max;
+}
+
+int
+scheduler_admit (struct scheduler *s, const cell_job_spec *spec, struct status *st)
+{
+  struct scheduler_quota q = { .weight = 1 };
+  if (s->config.quota && !s->config.quota (s->config.quota_ctx, spec->customer, &q))
+    return status_set (st, STATUS_UNKNOWN_CUSTOMER, "customer %s is not in the list",
+                       spec->customer);
+  if (exceeds (spec->size.millicores, q.max_millicores)
+      || exceeds (spec->size.memory_mb, q.max_memory_mb)
+      || exceeds (spec->size.accelerators, q.max_accelerators))
+    return status_set (st, STATUS_UNSATISFIABLE, "one task exceeds the plan of customer %s",
+                       spec->customer);
+  if (admit_size (s, spec, st) != 0)
+    return -1;
+  return admit_racks (s, spec, st);
+}
+
+static struct scheduler_peer_cell *
+peer_with_room (struct scheduler *s, const cell_size *size)
+{
+  for (size_t i = 0; i < s->peer_count; i++)
+    {
+      struct scheduler_peer_cell *p = &s->peers[i];
+      if (p->free_millicores < size->millicores || p->free_memory_mb < size->memory_mb
+          || p->free_accelerators < size->accelerators)
+        continue;
+      p->free_millicores -= size->millicores;
+      p->free_memory_mb -= size->memory_mb;
+      p->free_accelerators -= size->accelerators;
+      return p;
+    }
+  return NULL;
+}
+
+static bool
+move_of (struct scheduler *s, const struct cell_task *t, struct scheduler_move *out)
+{
+  out->task = t->id;
+  if (t->state == CELL_OFFERED)
+    {
+      out->kind = SCHEDULER_MOVE_HANDOFF;
+      out->to_cell = t->other_cell;
+      return true;
+    }
+  bool live = t->state == CELL_PENDING || t->state == CELL_PLACED || t->state == CELL_RUNNING;
+  if (!s->out || !live || t->job->spec.kind != CELL_URGENT)
+    return false;
+  const struct scheduler_peer_cell *p = peer_with_room (s, &t->job->spec.size);
+  if (!p)
+    return false;
+  out->kind = SCHEDULER_MOVE_REPLACE;
+  out->to_cell = p->cell;
+  return true;
+}
+
+/* Goes through all jobs once per MOVE_MS; the place is kept between calls as job and task.  */
+bool
+scheduler_next_move (struct scheduler *s, struct scheduler_move *out)
+{
+  if (!s->leading)
+    return false;
+  if (!s->move_job)
+    {
+      if (s->now_ms - s->move_ms < MOVE_MS)
+        return false;
+      s->move_ms = s->now_ms;
+      s->move_job = TAILQ_FIRST (&s->cell->job_list);
+      s->move_task = 0;
+    }
+  while (s->move_job)
+    {
+      const struct cell_task *t;
+      STAILQ_FOREACH (t, &s->move_job->tasks, link)
+      {
+        if (t->id <= s->move_task || !move_of (s, t, out))
+          continue;
+        s->move_task = t->id;
+        return true;
+      }
+      /* A job that finished meanwhile is in the other list; the next pass starts over.  */
+      s->move_job = s->move_job->in_finished ? NULL : TAILQ_NEXT (s->move_job, link);
+      s->move_task = 0;
+    }
+  return false;
+}
+
+void
+scheduler_stats (const struct scheduler *s, struct scheduler_stats *out)
+{
+  *out = s->stats;
+  out->quarantined = (uint32_t)s->quarantined;
+  const struct sched_customer *c;
+  LIST_FOREACH (c, &s->customers, link)
+  out->pending += (uint32_t)(c->urgent.count + c->batch.count);
+  out->pending += (uint32_t)s->delayed.count + s->room_count;
+  for (size_t i = 0; i < s->worker_count; i++)
+    {
+      const struct sched_worker *w = s->workers[i];
+      if (!w->alive)
+        continue;
+      out->workers++;
+      out->total_millicores += w->total.millicores;
+      out->total_memory_mb += w->total.memory_mb;
+      out->total_accelerators += w->total.accelerators;
+      out->free_millicores += s->rows[i].free_millicores;
+      out->free_memory_mb += s->rows[i].free_memory_mb;
+      out->free_accelerators += s->rows[i].free_accelerators;
+    }
+}
+
+static void
+check_worker (const struct scheduler *s, const struct sched_worker *w)
+{
+  struct order_amount held = { 0, 0, 0 };
+  const struct sched_task *st;
+  TAILQ_FOREACH (st, &w->tasks, link)
+  {
+    if (st->worker != w || st->t->soft != st)
+      sched_fault ("a task is listed on a worker that does not hold it");
+    if (st->held_epoch != 0 && strcmp (st->t->worker, w->id) != 0)
+      sched_fault ("a task holds capacity on another worker than the log says");
+    if (st->held_epoch != 0 && st->held_epoch != st->t->epoch)
+      sched_fault ("a task holds capacity under an old epoch");
+    held.millicores += st->hold.millicores;
+    held.memory_mb += st->hold.memory_mb;
+    held.accelerators += st->hold.accelerators;
+  }
+  if (held.millicores != w->held.millicores || held.memory_mb != w->held.memory_mb
+      || held.accelerators != w->held.accelerators)
+    sched_fault ("the sum of what tasks hold differs from the worker's books");
+  if (!w->announced)
+    return;
+  if (held.millicores > w->total.millicores || held.memory_mb > w->total.memory_mb
+      || held.accelerators > w->total.accelerators)
+    sched_fault ("a worker is committed beyond its size");
+  if (s->workers[w->row] != w)
+    sched_fault ("a worker's row is wrong");
+}
+
+static void
+check_task (const struct cell_task *t)
+{
+  const struct sched_task *st = t->soft;
+  bool open = t->state == CELL_PENDING || cell_task_on_worker (t);
+  if (open != (st != NULL))
+    sched_fault ("an open task has no record, or a closed one has");
+  if (!st)
+    return;
+  if (cell_task_on_worker (t) && (!st->worker || st->held_epoch != t->epoch))
+    sched_fault ("a placed task holds no capacity");
+  int places = (st->item.place != 0) + (st->worker != NULL) + (st->room != NULL);
+  if (places > 1 || (places == 0 && st->in_flight == 0))
+    sched_fault ("a task is in two places, or in none");
+}
+
+void
+scheduler_check (const struct scheduler *s)
+{
+  if (!s->leading)
+    return;
+  for (size_t i = 0; i < s->worker_count; i++)
+    check_worker (s, s->workers[i]);
+  const struct cell_job *j;
+  const struct cell_task *t;
+  TAILQ_FOREACH (j, &s->cell->job_list, link)
+  STAILQ_FOREACH (t, &j->tasks, link)
+  check_task (t);
+}
+
+static void
+dump_worker (const struct scheduler *s, const struct sched_worker *w, struct buffer *out)
+{
+  buffer_printf (out, "worker %s incarnation %llu %s%s free %u millicores %u MB, tasks:", w->id,
+                 (unsigned long long)w->incarnation, w->alive ? "alive" : "lost",
+                 w->health.quarantined ? " quarantined" : "", s->rows[w->row].free_millicores,
+                 s->rows[w->row].free_memory_mb);
+  const struct sched_task *st;
+  TAILQ_FOREACH (st, &w->tasks, link)
+  buffer_printf (out, " %llx/%llx:%s", (unsigned long long)st->t->id,
+                 (unsigned long long)st->t->epoch, cell_state_name (st->t->state));
+  buffer_printf (out, "\n");
+}
+
+void
+scheduler_dump (const struct scheduler *s, struct buffer *out)
+{
+  struct scheduler_stats st;
+  scheduler_stats (s, &st);
+  buffer_printf (out, "scheduler %s, permit %lld ms left, %u workers, %u pending\n",
+                 s->leading ? "leads" : "follows", (long long)(s->permit_until_ms - s->now_ms),
+                 st.workers, st.pending);
+  for (size_t i = 0; i < s->worker_count; i++)
+    dump_worker (s, s->workers[i], out);
+}
--- /dev/null
+++ b/src/scheduler_task.c
@@ -0,0 +1,371 @@
+/* Soft records of tasks: what they hold, where they queue, and which command the log needs next. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "scheduler_internal.h"
+
+#define MAX_SIZE_RATIO 4.0
+/* A class whose runs mostly succeed is tried again at once after its first failure.  */
+#define TRUSTED_RATE 0.8
+#define TRUSTED_BACKOFF_MS 100
+
+static char no_text[] = "";
+
+bool
+sched_is_urgent (const struct sched_task *st)
+{
+  return st->t->job->spec.kind == CELL_URGENT;
+}
+
+uint64_t
+sched_remaining_ms (const struct sched_task *st)
+{
+  uint64_t run = order_expect (&st->cls->run, st->t->job->spec.run_ms);
+  return run > st->t->progress_ms ? run - st->t->progress_ms : 0;
+}
+
+static uint64_t
+scaled (uint64_t declared, double ratio, uint64_t largest)
+{
+  uint64_t want = (uint64_t)((double)declared * (ratio < MAX_SIZE_RATIO ? ratio : MAX_SIZE_RATIO));
+  if (want > largest)
+    want = largest;
+  return want > declared ? want : declared;
+}
+
+/* Declared size, raised to what the class was seen to use.  */
+struct order_amount
+sched_need (const struct scheduler *s, const struct sched_task *st)
+{
+  const cell_size *size = &st->t->job->spec.size;
+  struct order_amount need = { size->millicores, size->memory_mb, size->accelerators };
+  if (sched_policy (s, SCHEDULER_NO_LEARNING) || sched_is_urgent (st))
+    return need;
+  need.millicores = scaled (need.millicores, st->cls->processor_ratio, s->largest.millicores);
+  need.memory_mb = scaled (need.memory_mb, st->cls->memory_ratio, s->largest.memory_mb);
+  return need;
+}
+
+static void
+add (struct order_amount *to, const struct order_amount *a)
+{
+  to->millicores += a->millicores;
+  to->memory_mb += a->memory_mb;
+  to->accelerators += a->accelerators;
+}
+
+static void
+subtract (struct order_amount *from, const struct order_amount *a)
+{
+  if (from->millicores < a->millicores || from->memory_mb < a->memory_mb
+      || from->accelerators < a->accelerators)
+    sched_fault ("more is released than is held");
+  from->millicores -= a->millicores;
+  from->memory_mb -= a->memory_mb;
+  from->accelerators -= a->accelerators;
+}
+
+static void
+take (struct scheduler *s, struct sched_task *st, struct sched_worker *w, struct order_amount need)
+{
+  st->worker = w;
+  st->hold = need;
+  add (&w->held, &need);
+  add (&st->customer->used, &need);
+  TAILQ_INSERT_TAIL (&w->tasks, st, link);
+  if (sched_is_urgent (st))
+    w->urgent_count++;
+  sched_mix_add (w, st);
+  sched_update_row (s, w);
+}
+
+void
+sched_hold (struct scheduler *s, struct sched_task *st, struct sched_worker *w)
+{
+  struct order_amount need = sched_need (s, st);
+  if (st->worker || !sched_fits (w, &need, NULL))
+    sched_fault ("a worker would be committed beyond its size");
+  take (s, st, w, need);
+}
+
+/* A placement of an earlier leader: it fits the worker by that leader's books.  */
+static void
+adopt (struct scheduler *s, struct sched_task *st)
+{
+  const cell_size *size = &st->t->job->spec.size;
+  struct order_amount need = { size->millicores, size->memory_mb, size->accelerators };
+  struct sched_worker *w = sched_find_worker (s, st->t->worker);
+  if (!w)
+    {
+      w = sched_add_worker (s, st->t->worker);
+      w->lease_until_ms = s->now_ms + SCHEDULER_LEASE_MS;
+    }
+  take (s, st, w, need);
+  st->held_epoch = st->t->epoch;
+}
+
+static void
+forget_run (struct sched_task *st)
+{
+  st->held_epoch = 0;
+  st->listed_epoch = 0;
+  st->listed_poll = 0;
+  st->run_from_ms = 0;
+  st->proven = false;
+  st->start_sent_ms = 0;
+  st->stop_sent_ms = 0;
+  st->checkpoint_ms = 0;
+  st->checkpoint_due = false;
+  st->limit_millicores = 0;
+  st->limit_sent = 0;
+  st->limit_repeats = 0;
+  st->limit = SCHED_LIMIT_NONE;
+  st->over_samples = 0;
+  st->want_stop = CELL_STOP_NONE;
+  st->used_millicores = 0;
+  st->used_memory_mb = 0;
+  st->slowdown_milli = 0;
+  st->progress_ms = 0;
+  free (st->checkpoint);
+  free (st->reason);
+  st->checkpoint = NULL;
+  st->reason = NULL;
+}
+
+void
+sched_release (struct scheduler *s, struct sched_task *st)
+{
+  struct sched_worker *w = st->worker;
+  if (!w)
+    return;
+  sched_learn_ended (s, st);
+  sched_mix_remove (w, st);
+  TAILQ_REMOVE (&w->tasks, st, link);
+  if (sched_is_urgent (st))
+    w->urgent_count--;
+  subtract (&w->held, &st->hold);
+  subtract (&st->customer->used, &st->hold);
+  memset (&st->hold, 0, sizeof st->hold);
+  st->worker = NULL;
+  forget_run (st);
+  sched_update_row (s, w);
+  s->round_needed = true;
+}
+
+void
+sched_reserve (struct scheduler *s, struct sched_task *st, struct sched_worker *w, int64_t until_ms)
+{
+  st->room = w;
+  st->room_amount = sched_need (s, st);
+  st->room_until_ms = until_ms;
+  add (&w->reserved, &st->room_amount);
+  TAILQ_INSERT_TAIL (&s->waiting, st, room_link);
+  s->room_count++;
+  sched_update_row (s, w);
+}
+
+void
+sched_unreserve (struct scheduler *s, struct sched_task *st)
+{
+  struct sched_worker *w = st->room;
+  if (!w)
+    return;
+  subtract (&w->reserved, &st->room_amount);
+  TAILQ_REMOVE (&s->waiting, st, room_link);
+  st->room = NULL;
+  s->room_count--;
+  sched_update_row (s, w);
+}
+
+static void
+unqueue (struct scheduler *s, struct sched_task *st)
+{
+  if (st->item.place == 0)
+    return;
+  if (st->delayed)
+    order_remove (&s->delayed, &st->item);
+  else
+    order_remove (sched_is_urgent (st) ? &st->customer->urgent : &st->customer->batch, &st->item);
+  st->delayed = false;
+}
+
+void
+sched_enqueue (struct scheduler *s, struct sched_task *st)
+{
+  struct cell_task *t = st->t;
+  if (st->item.place || st->worker || st->room || st->in_flight || t->state != CELL_PENDING)
+    return;
+  int64_t now = cell_log_time (s->cell, s->now_ms);
+  st->item.tie = t->id;
+  if (t->not_before_ms > now)
+    {
+      st->delayed = true;
+      st->item.key = t->not_before_ms;
+      order_push (&s->delayed, &st->item);
+      return;
+    }
+  st->delayed = false;
+  if (sched_is_urgent (st) || sched_policy (s, SCHEDULER_FIFO))
+    st->item.key = t->job->submitted_ms;
+  else
+    st->item.key
+        = order_key (now, t->job->submitted_ms, t->job->deadline_ms, sched_remaining_ms (st));
+  order_push (sched_is_urgent (st) ? &st->customer->urgent : &st->customer->batch, &st->item);
+  s->round_needed = true;
+}
+
+void
+sched_drop (struct scheduler *s, struct cell_task *t)
+{
+  struct sched_task *st = t->soft;
+  if (!st)
+    return;
+  unqueue (s, st);
+  sched_unreserve (s, st);
+  sched_release (s, st);
+  t->soft = NULL;
+  free (st->checkpoint);
+  free (st->reason);
+  free (st);
+}
+
+static struct sched_task *
+make (struct scheduler *s, struct cell_task *t)
+{
+  struct sched_task *st = xcalloc (1, sizeof *st);
+  st->t = t;
+  st->customer = sched_customer (s, t->job->spec.customer);
+  st->cls = sched_class (s, &t->job->spec);
+  st->item.owner = st;
+  st->seen_failures = t->failures;
+  t->soft = st;
+  return st;
+}
+
+static void
+follow_on_worker (struct scheduler *s, struct sched_task *st)
+{
+  struct cell_task *t = st->t;
+  unqueue (s, st);
+  sched_unreserve (s, st);
+  if (st->worker && st->held_epoch == 0)
+    st->held_epoch = t->epoch;
+  else if (st->worker && st->held_epoch != t->epoch)
+    sched_release (s, st);
+  if (!st->worker)
+    adopt (s, st);
+  if (t->state != CELL_RUNNING)
+    sched_mark_ready (s, st->worker);
+}
+
+void
+sched_sync (struct scheduler *s, struct cell_task *t)
+{
+  struct sched_task *st = t->soft;
+  bool open = t->state == CELL_PENDING || cell_task_on_worker (t);
+  if (!open)
+    {
+      if (st && t->state == CELL_DONE)
+        sched_learn_done (s, st);
+      sched_drop (s, t);
+      return;
+    }
+  if (!st)
+    st = make (s, t);
+  if (t->failures > st->seen_failures)
+    {
+      sched_learn_failed (s, st);
+      st->seen_failures = t->failures;
+    }
+  if (cell_task_on_worker (t))
+    {
+      follow_on_worker (s, st);
+      return;
+    }
+  if (st->held_epoch != 0)
+    sched_release (s, st);
+  sched_enqueue (s, st);
+}
+
+void
+sched_settle (struct scheduler *s, struct sched_task *st)
+{
+  if (cell_task_on_worker (st->t))
+    {
+      sched_reconcile (s, st);
+      return;
+    }
+  sched_release (s, st);
+  sched_enqueue (s, st);
+}
+
+static uint32_t
+failure_backoff (const struct sched_task *st)
+{
+  if (st->t->failures == 0 && class_health_rate (&st->cls->health) > TRUSTED_RATE)
+    return TRUSTED_BACKOFF_MS;
+  return worker_health_crash_backoff (st->t->failures, sched_is_urgent (st));
+}
+
+static void
+propose_report (struct scheduler *s, struct sched_task *st, cell_report_kind kind)
+{
+  cell_command cmd;
+  cell_report *r = &cmd.cell_command_u.report;
+  memset (&cmd, 0, sizeof cmd);
+  cmd.kind = CELL_REPORT;
+  r->task = st->t->id;
+  r->epoch = st->t->epoch;
+  r->kind = kind;
+  r->progress_ms = st->progress_ms;
+  r->checkpoint = xstrdup (st->checkpoint ? st->checkpoint : no_text);
+  r->reason = xstrdup (st->reason ? st->reason : no_text);
+  if (kind == CELL_REPORT_FAILED)
+    r->backoff_ms = failure_backoff (st);
+  if (kind == CELL_REPORT_REFUSED)
+    s->stats.refused_starts++;
+  sched_propose (s, &cmd, st);
+}
+
+static void
+propose_stop (struct scheduler *s, struct sched_task *st)
+{
+  cell_command cmd;
+  memset (&cmd, 0, sizeof cmd);
+  cmd.kind = CELL_STOP;
+  cmd.cell_command_u.stop = (cell_stop){ st->t->id, st->t->epoch, st->want_stop };
+  sched_propose (s, &cmd, st);
+}
+
+void
+sched_reconcile (struct scheduler *s, struct sched_task *st)
+{
+  const struct cell_task *t = st->t;
+  if (!s->leading || st->in_flight || !cell_task_on_worker (t))
+    return;
+  bool listed = st->listed_epoch == t->epoch;
+  if (listed && st->listed >= CELL_REPORT_DONE)
+    propose_report (s, st, st->listed);
+  else if (st->want_stop != CELL_STOP_NONE && t->state != CELL_STOPPING)
+    propose_stop (s, st);
+  else if (listed && t->state == CELL_PLACED)
+    propose_report (s, st, CELL_REPORT_RUNNING);
+  else if (listed && st->checkpoint && st->progress_ms > t->progress_ms)
+    propose_report (s, st, CELL_REPORT_CHECKPOINT);
+}
+
+void
+sched_stop (struct scheduler *s, struct sched_task *st, enum cell_stop_reason reason)
+{
+  if (st->want_stop != CELL_STOP_NONE || st->t->state == CELL_STOPPING)
+    return;
+  st->want_stop = reason;
+  if (reason >= CELL_STOP_PREEMPT && reason <= CELL_STOP_PLAN)
+    {
+      s->stats.evictions++;
+      eviction_spend (&st->customer->budget, s->now_ms);
+    }
+  if (reason == CELL_STOP_HARM)
+    s->stats.moves++;
+  sched_reconcile (s, st);
+}
