Add the interfaces of the request path

The digest gains an echo of the receiver's clock, so that a delayed digest cannot extend a runner's lifetime, and the usage of customers for limits over all entries.

--- a/src/gen/peer_proto.h
+++ b/src/gen/peer_proto.h
@@ -21,6 +21,7 @@
 #define PEER_MAX_MEMBERS 64
 #define PEER_MAX_RUNNERS 1024
 #define PEER_MAX_CELLS 64
+#define PEER_MAX_CUSTOMERS 256
 #define PEER_MESSAGE_BYTES 1200
 
 typedef char *peer_name;
@@ -166,19 +167,33 @@
 };
 typedef struct runner_entry runner_entry;
 
+struct customer_usage {
+	peer_name customer;
+	u_int in_flight;
+	u_int rate;
+	bool_t wants_more;
+};
+typedef struct customer_usage customer_usage;
+
 struct runner_digest {
 	u_quad_t table_version;
 	bool_t full;
 	u_quad_t base_version;
+	u_quad_t echo;
 	struct {
 		u_int runners_len;
 		runner_entry *runners_val;
 	} runners;
+	struct {
+		u_int usage_len;
+		customer_usage *usage_val;
+	} usage;
 };
 typedef struct runner_digest runner_digest;
 
 struct runner_digest_reply {
 	u_quad_t table_version;
+	u_quad_t asked;
 };
 typedef struct runner_digest_reply runner_digest_reply;
 
@@ -239,6 +254,7 @@
 extern  bool_t xdr_permit_request (XDR *, permit_request*);
 extern  bool_t xdr_permit_grant (XDR *, permit_grant*);
 extern  bool_t xdr_runner_entry (XDR *, runner_entry*);
+extern  bool_t xdr_customer_usage (XDR *, customer_usage*);
 extern  bool_t xdr_runner_digest (XDR *, runner_digest*);
 extern  bool_t xdr_runner_digest_reply (XDR *, runner_digest_reply*);
 
@@ -257,6 +273,7 @@
 extern bool_t xdr_permit_request ();
 extern bool_t xdr_permit_grant ();
 extern bool_t xdr_runner_entry ();
+extern bool_t xdr_customer_usage ();
 extern bool_t xdr_runner_digest ();
 extern bool_t xdr_runner_digest_reply ();
 
--- a/src/gen/peer_proto.x
+++ b/src/gen/peer_proto.x
@@ -8,6 +8,7 @@
 const PEER_MAX_MEMBERS = 64;
 const PEER_MAX_RUNNERS = 1024;
 const PEER_MAX_CELLS = 64;
+const PEER_MAX_CUSTOMERS = 256;
 const PEER_MESSAGE_BYTES = 1200;
 
 typedef string peer_name<PEER_NAME_BYTES>;
@@ -136,18 +137,30 @@
   bool departing;
 };
 
+/* One customer's requests at the sender, for limits that hold over all entries.  */
+struct customer_usage
+{
+  peer_name customer;
+  unsigned int in_flight;
+  unsigned int rate;        /* requests per second */
+  bool wants_more;          /* requests were refused or its part is nearly used up */
+};
+
 /* All runners that announced to the sender.  An unchanged version with no runners renews them all. */
 struct runner_digest
 {
   unsigned hyper table_version;
   bool full;                /* runners is the whole table at this version */
   unsigned hyper base_version;
+  unsigned hyper echo;      /* asked of the receiver's last reply, 0 for none; lifetimes count from it */
   runner_entry runners<PEER_MAX_RUNNERS>;
+  customer_usage usage<PEER_MAX_CUSTOMERS>;
 };
 
 struct runner_digest_reply
 {
   unsigned hyper table_version;   /* what the receiver now holds; a mismatch asks for the full table */
+  unsigned hyper asked;           /* the receiver's clock, echoed by the next digest */
 };
 
 program SASSAFRAS_PEER
--- a/src/gen/peer_proto_xdr.c
+++ b/src/gen/peer_proto_xdr.c
@@ -297,6 +297,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_customer_usage (XDR *xdrs, customer_usage *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_name (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->in_flight))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rate))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->wants_more))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_runner_digest (XDR *xdrs, runner_digest *objp)
 {
@@ -308,9 +324,14 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->base_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->echo))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->runners.runners_val, (u_int *) &objp->runners.runners_len, PEER_MAX_RUNNERS,
 		sizeof (runner_entry), (xdrproc_t) xdr_runner_entry))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->usage.usage_val, (u_int *) &objp->usage.usage_len, PEER_MAX_CUSTOMERS,
+		sizeof (customer_usage), (xdrproc_t) xdr_customer_usage))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -321,5 +342,7 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->table_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->asked))
+		 return FALSE;
 	return TRUE;
 }
--- /dev/null
+++ b/src/proxy.h
@@ -0,0 +1,80 @@
+/* proxy: callers' requests, from their connection to a runner and back.
+
+   ANY /v1/call/<service>/<path...> with Sassafras-Customer, Sassafras-Class: urgent|batch,
+   Sassafras-Unrepeatable: 1, Idempotency-Key and Sassafras-Deadline-Ms.  The deadline covers the
+   time to the first byte of the answer; after that a stream may pause for PROXY_STALL_MS.
+
+   Answers.  A caller gets the whole answer of one try, or a JSON error with "ran", or a connection
+   that closes before the end of the answer.  "ran" is "no" only when no byte was sent to a runner
+   or the runner answered 503 with Sassafras-Not-Run: 1.  An answer without Content-Length or
+   chunked framing is refused, since its end cannot be told from a failure.  HTTP/1.0 callers are
+   refused for the same reason.
+
+   Runners may report their load with Sassafras-In-Flight in each answer.
+
+   Memory per request: PROXY_BODY_BYTES each way and PROXY_HEADER_BYTES of headers.
+
+   Errors: see status.h.  Source: design page sections 1.2, 6, 7.  */
+
+#ifndef SASSAFRAS_PROXY_H
+#define SASSAFRAS_PROXY_H
+
+#include <stdint.h>
+
+#include <ev.h>
+
+#include "clock.h"
+#include "intent_store.h"
+#include "limit.h"
+#include "router.h"
+#include "runner_table.h"
+#include "status.h"
+
+#define PROXY_BODY_BYTES 65536
+#define PROXY_HEADER_BYTES 32768
+#define PROXY_STALL_MS 30000
+#define PROXY_URGENT_DEADLINE_MS 10000
+#define PROXY_BATCH_DEADLINE_MS 60000
+#define PROXY_MAX_DEADLINE_MS 600000
+
+struct proxy_config
+{
+  const char *address;   /* "ip:port" for callers; port 0 takes a free one */
+  unsigned max_queued;   /* requests waiting per service; 0 takes a default */
+  unsigned max_requests; /* open requests of all kinds; 0 takes a default */
+  struct clock *clock;
+  struct runner_table *table;
+  struct router *router;
+  struct limit *limit;
+  struct intent_store *intents; /* NULL: requests with a key are refused as unavailable */
+  uint64_t seed;
+  double retry_tokens; /* retries allowed before any request earned one; 0 in production */
+};
+
+struct proxy_stats
+{
+  uint64_t requests;
+  uint64_t tries;
+  uint64_t retries;
+  uint64_t hedges;
+  uint64_t refused; /* answered early without a try */
+  uint64_t broken;  /* connections closed before the end of the answer */
+  unsigned open;    /* requests without a complete answer */
+  unsigned queued;
+  unsigned connections; /* of callers */
+};
+
+typedef void proxy_drained_fn (void *arg);
+
+struct proxy;
+
+struct proxy *proxy_open (struct ev_loop *loop, const struct proxy_config *config,
+                          struct status *st); /* Listens; NULL and ST on failure. */
+void proxy_close (struct proxy *p);           /* Ends every request and frees. */
+int proxy_port (const struct proxy *p);       /* Port in use. */
+void proxy_wake (struct proxy *p);            /* Runners or limits changed: look at the queue. */
+void proxy_drain (struct proxy *p, proxy_drained_fn *done,
+                  void *arg); /* No new connections; DONE when all requests have finished. */
+void proxy_stats (const struct proxy *p, struct proxy_stats *out); /* Figures so far. */
+
+#endif
--- /dev/null
+++ b/src/retry.h
@@ -0,0 +1,78 @@
+/* retry: which tries may be repeated, how many, when, and how long a try may take.
+
+   The budget gives RETRY_BUDGET_RATIO tokens per request and takes one per retry or hedge, so the
+   tries are at most 1.1 times the requests, whatever fails.  Timeouts and hedge delays come from
+   the latencies of recent answers of the same service.
+
+   Pure.  Source: design page section 7.  */
+
+#ifndef SASSAFRAS_RETRY_H
+#define SASSAFRAS_RETRY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "rng.h"
+
+#define RETRY_BUDGET_RATIO 0.1
+#define RETRY_BUDGET_MAX 100.0 /* tokens kept at most: what 1000 requests earn */
+#define RETRY_MAX_TRIES 3
+#define RETRY_BACKOFF_BASE_MS 10
+#define RETRY_BACKOFF_MAX_MS 250
+#define RETRY_TIMEOUT_MIN_MS 100
+#define RETRY_TIMEOUT_MAX_MS 30000
+#define RETRY_HEDGE_MIN_MS 5
+#define RETRY_MIN_SAMPLES 50 /* latencies needed before a quantile is used */
+#define RETRY_BUCKETS 96
+
+/* Why a try ended without an answer for the caller.  */
+enum retry_cause
+{
+  RETRY_NOT_SENT, /* no byte reached a runner */
+  RETRY_NOT_RUN,  /* the runner said that the request did not run */
+  RETRY_FAILED,   /* bytes were sent; the request may have run */
+};
+
+/* What is known of one request.  */
+struct retry_request
+{
+  bool idempotent;   /* GET, HEAD, OPTIONS, PUT or DELETE, and not unrepeatable */
+  bool replayable;   /* its whole body so far is still held */
+  bool answer_begun; /* the caller has seen part of an answer */
+  unsigned tries;    /* tries started so far */
+  int64_t deadline_ms;
+};
+
+struct retry_budget
+{
+  double tokens;
+  uint64_t requests;
+  uint64_t retries;
+  bool unlimited; /* baseline for benchmarks: naive retry */
+};
+
+/* Latencies of recent answers, in buckets 1.2 times apart, halved now and then.  */
+struct retry_latency
+{
+  double buckets[RETRY_BUCKETS];
+  double count;
+  int64_t decayed_ms;
+};
+
+void retry_budget_init (struct retry_budget *b);    /* Starts empty. */
+void retry_budget_request (struct retry_budget *b); /* A request arrived: earns its tokens. */
+bool retry_budget_take (struct retry_budget *b);    /* Takes one token if there is one. */
+bool retry_allowed (const struct retry_request *q, enum retry_cause cause,
+                    int64_t now_ms); /* Safe to try again, budget apart. */
+bool retry_hedge_allowed (const struct retry_request *q,
+                          bool urgent);            /* Safe and useful to send a second copy. */
+bool retry_method_idempotent (const char *method); /* By RFC 9110 section 9.2.2. */
+int64_t retry_backoff_ms (struct rng *rng, unsigned tries); /* Jittered wait before the next try. */
+void retry_latency_add (struct retry_latency *l, double ms,
+                        int64_t now_ms); /* One answer's time to its first byte. */
+double retry_latency_quantile (const struct retry_latency *l,
+                               double q);                     /* 0 with too few samples. */
+int64_t retry_try_timeout_ms (const struct retry_latency *l); /* For a try that may be repeated. */
+int64_t retry_hedge_delay_ms (const struct retry_latency *l); /* 0: do not hedge yet. */
+
+#endif
--- /dev/null
+++ b/src/runner_table.h
@@ -0,0 +1,137 @@
+/* runner_table: the runners this entry knows, as soft state.
+
+   A runner lives here while an announcement or a digest renews it.  Times are milliseconds of the
+   local monotonic clock, passed in as now_ms.
+
+   Lifetimes.  An announcement renews a runner at the entry that received it for RUNNER_LIFETIME_MS.
+   That entry lists the runner in its digests only while the announcement is at most
+   RUNNER_FRESH_MS old, and a receiver counts RUNNER_DIGEST_LIFETIME_MS from the receiver time that
+   the digest echoes.  The two add up to RUNNER_LIFETIME_MS, so a runner that told any one entry of
+   its departure gets nothing new after 2 s at any entry, whatever is cut off or delayed.
+
+   Digests.  One version number stands for all runners that announced to one entry.  An unchanged
+   version renews all of them; a delta carries what changed since base_version; a mismatch asks for
+   the full table.  An entry with slots 0 says that the sender no longer vouches for the runner; an
+   entry with departing set is a departure, which holds at every entry.
+
+   Incarnations.  A runner's incarnation grows with every start.  An earlier one never replaces a
+   later one, and a departed one never comes back; departures are remembered for
+   RUNNER_TOMBSTONE_MS.
+
+   Source: design page sections 3, 6 and 8.  */
+
+#ifndef SASSAFRAS_RUNNER_TABLE_H
+#define SASSAFRAS_RUNNER_TABLE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+#include "peer_proto.h"
+#include "status.h"
+
+#define RUNNER_NAME_BYTES (PEER_NAME_BYTES + 1)
+#define RUNNER_LIFETIME_MS 2000
+#define RUNNER_FRESH_MS 700
+#define RUNNER_DIGEST_LIFETIME_MS (RUNNER_LIFETIME_MS - RUNNER_FRESH_MS)
+#define RUNNER_DIGEST_INTERVAL_MS 500
+#define RUNNER_TOMBSTONE_MS 60000
+#define RUNNER_MAX_SLOTS 4096
+#define RUNNER_STALL_MS 1000 /* a gap between two ticks that shows that the process was paused */
+#define RUNNER_STALL_REFUSAL_MS                                                                    \
+  100 /* announcements that waited out the pause are refused so long */
+
+/* What a runner says about itself.  */
+struct runner_info
+{
+  char id[RUNNER_NAME_BYTES];
+  char service[RUNNER_NAME_BYTES];
+  char data_centre[RUNNER_NAME_BYTES];
+  char address[RUNNER_NAME_BYTES]; /* ip:port */
+  uint64_t incarnation;
+  uint32_t slots;       /* requests served at once */
+  uint32_t connections; /* connections it takes from all entries together */
+  uint32_t in_flight;   /* requests from all entries, as the runner last counted */
+};
+
+/* The router's view of one runner; reset when the incarnation changes.  */
+struct runner_load
+{
+  unsigned in_flight;       /* requests of this entry */
+  int64_t reported_ms;      /* when info.in_flight was learned */
+  unsigned local_at_report; /* in_flight of this entry at that time */
+  double limit;             /* adaptive limit on in_flight */
+  double latency_ms;        /* moving average, 0 before the first answer */
+  unsigned samples;         /* answers in the average, saturating */
+  unsigned failures_in_row; /* consecutive failures */
+  double failure_rate;      /* moving average of failures, 0 to 1 */
+  unsigned ejections;       /* times ejected since it last worked for a while */
+  int64_t ejected_until_ms; /* 0 when it is not ejected */
+  int64_t returned_ms;      /* when slow start began, 0 when it is over */
+  int64_t last_probe_ms;    /* last request sent although it is slow */
+  bool slow;                /* latency far above the median of its service */
+};
+
+struct runner_lease; /* one peer entry that vouches for one runner */
+
+struct runner
+{
+  struct runner_info info;
+  struct runner_load load;
+  bool departing;
+  int64_t departed_ms;       /* when the departure was learned */
+  int64_t announced_ms;      /* last direct announcement, 0 when there was none */
+  bool listed;               /* part of the digests of this entry */
+  uint64_t changed_version;  /* version of this entry's table that last changed it */
+  uint32_t digest_in_flight; /* in_flight as last put in a digest */
+  unsigned references;       /* requests that point here */
+  LIST_HEAD (, runner_lease) leases;
+  LIST_ENTRY (runner) bucket_link;
+  TAILQ_ENTRY (runner) link;
+};
+
+TAILQ_HEAD (runner_list, runner);
+
+struct runner_table;
+struct runner_peer; /* another entry: what it holds of ours and what we hold of its table */
+
+struct runner_table *runner_table_open (
+    uint64_t incarnation,
+    int64_t now_ms); /* Empty; INCARNATION of this entry, under 2^43, grows with every start. */
+void runner_table_close (struct runner_table *t); /* Frees everything. */
+
+int runner_table_announce (struct runner_table *t, const struct runner_info *info, int64_t now_ms,
+                           struct status *st); /* Renews a runner; -1 and STALE_INCARNATION. */
+int runner_table_depart (struct runner_table *t, const char *id, uint64_t incarnation,
+                         int64_t now_ms, struct status *st); /* Takes a runner out for good. */
+void runner_table_report (struct runner *r, uint32_t in_flight,
+                          int64_t now_ms); /* Load seen in an answer of the runner. */
+void runner_table_tick (struct runner_table *t,
+                        int64_t now_ms); /* Forgets the expired; call every 100 ms. */
+
+bool runner_live (const struct runner *r, int64_t now_ms); /* May get new requests. */
+struct runner *runner_table_find (const struct runner_table *t, const char *id); /* Or NULL. */
+const struct runner_list *runner_table_list (const struct runner_table *t);      /* All records. */
+uint64_t runner_table_generation (
+    const struct runner_table *t); /* Changes whenever a runner may have joined or left. */
+bool runner_table_learning (const struct runner_table *t,
+                            int64_t now_ms); /* Started so recently that runners may be unknown. */
+void runner_hold (struct runner *r);         /* Keeps the record while a request points to it. */
+void runner_release (struct runner *r);      /* Undoes runner_hold. */
+
+struct runner_peer *runner_table_peer (struct runner_table *t,
+                                       const char *entry); /* Finds or adds a peer entry. */
+void runner_peer_connected (struct runner_peer *p); /* New connection to it: send digests afresh. */
+bool runner_table_digest_due (const struct runner_table *t, const struct runner_peer *p,
+                              int64_t now_ms); /* Time to send P a digest. */
+void runner_table_make_digest (struct runner_table *t, struct runner_peer *p, int64_t now_ms,
+                               struct runner_digest *out); /* Free with runner_digest_free. */
+void runner_digest_free (struct runner_digest *d);         /* Frees what make_digest filled. */
+void runner_table_handle_digest (struct runner_table *t, struct runner_peer *p,
+                                 const struct runner_digest *d, int64_t now_ms,
+                                 struct runner_digest_reply *reply); /* A digest from P. */
+void runner_table_handle_reply (struct runner_table *t, struct runner_peer *p,
+                                const struct runner_digest_reply *reply); /* P's reply to ours. */
+void runner_table_digest_failed (struct runner_peer *p); /* The digest got no reply. */
+
+#endif
