--- /dev/null
+++ b/src/router.c
@@ -0,0 +1,513 @@
+#include "router.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "buffer.h"
+
+#define LATENCY_WEIGHT 0.2     /* of a new sample in the moving averages */
+#define FAILURE_RATE_LIMIT 0.5 /* ejection above this rate */
+#define FAILURE_SAMPLES 10     /* answers needed before the rate counts */
+#define LIMIT_DECREASE 0.7     /* on a failure or refusal */
+#define SLOW_FACTOR 4.0        /* times the median latency of its service and distance */
+#define SLOW_FLOOR_MS 5.0      /* smaller differences are never slow */
+#define SLOW_SAMPLES 5
+#define PROBE_INTERVAL_MS 1000 /* between requests to a slow runner */
+#define REPORT_TRUST_MS 1500   /* older load reports are replaced by an assumption */
+#define INDEX_REFRESH_MS 200   /* medians and shares are recomputed this often */
+#define FORGIVE_MS 30000       /* without failures, after which ejections start short again */
+
+/* The runners of one service, rebuilt when the table changes.  */
+struct router_service
+{
+  char name[RUNNER_NAME_BYTES];
+  struct runner **runners;
+  unsigned count;
+  unsigned capacity;
+  uint64_t generation;
+  int64_t built_ms;
+  double median_ms[ROUTER_FAR + 1]; /* latency, by distance; 0 when unknown */
+  struct router_service *next;
+};
+
+void
+router_init (struct router *r, const struct router_config *config, struct runner_table *table,
+             int64_t now_ms)
+{
+  memset (r, 0, sizeof *r);
+  r->config = *config;
+  if (r->config.entries < 1)
+    r->config.entries = 1;
+  r->table = table;
+  r->far_bytes = (double)config->far_bytes_per_s;
+  r->far_updated_ms = now_ms;
+  r->entries_before = r->config.entries;
+  r->rank_before = r->config.rank;
+  r->growth_ms = now_ms;
+  rng_init (&r->rng, config->seed);
+}
+
+void
+router_close (struct router *r)
+{
+  while (r->services)
+    {
+      struct router_service *s = r->services;
+      r->services = s->next;
+      free (s->runners);
+      free (s);
+    }
+}
+
+void
+router_set_entries (struct router *r, unsigned entries, unsigned rank, int64_t now_ms)
+{
+  if (entries < 1)
+    entries = 1;
+  if (entries == r->config.entries && rank == r->config.rank)
+    return;
+  if (now_ms >= r->growth_ms)
+    {
+      r->entries_before = r->config.entries;
+      r->rank_before = r->config.rank;
+    }
+  r->config.entries = entries;
+  r->config.rank = rank;
+  r->growth_ms = now_ms + ROUTER_SHARE_GROWTH_DELAY_MS;
+}
+
+enum router_distance
+router_distance (const struct router *r, const char *data_centre)
+{
+  if (strcmp (data_centre, r->config.data_centre) == 0)
+    return ROUTER_LOCAL;
+  for (unsigned i = 0; i < r->config.near_count; i++)
+    if (strcmp (data_centre, r->config.near[i]) == 0)
+      return ROUTER_NEAR;
+  return ROUTER_FAR;
+}
+
+/* The remainder goes to different entries for different runners, by a hash of the runner's id that
+   all entries compute alike, so that the shares of one runner add up to its connections.  */
+static unsigned
+share_of (const struct runner *runner, uint32_t total, unsigned entries, unsigned rank)
+{
+  unsigned hash = 0;
+  for (const char *p = runner->info.id; *p; p++)
+    hash = hash * 31 + (unsigned char)*p;
+  unsigned place = (rank + hash % entries) % entries;
+  return total / entries + (place < total % entries ? 1 : 0);
+}
+
+static unsigned
+share_in_force (const struct router *r, const struct runner *runner, uint32_t total, int64_t now_ms)
+{
+  unsigned share = share_of (runner, total, r->config.entries, r->config.rank);
+  if (now_ms >= r->growth_ms)
+    return share;
+  unsigned before = share_of (runner, total, r->entries_before, r->rank_before);
+  return before < share ? before : share;
+}
+
+unsigned
+router_share (const struct router *r, const struct runner *runner, int64_t now_ms)
+{
+  return share_in_force (r, runner, runner->info.connections, now_ms);
+}
+
+static int
+compare_doubles (const void *a, const void *b)
+{
+  double x = *(const double *)a;
+  double y = *(const double *)b;
+  return (x > y) - (x < y);
+}
+
+static double
+median_latency (const struct router *r, const struct router_service *s, enum router_distance d)
+{
+  double *values = xmalloc ((s->count + 1) * sizeof *values);
+  unsigned n = 0;
+  for (unsigned i = 0; i < s->count; i++)
+    {
+      const struct runner *runner = s->runners[i];
+      if (runner->load.samples >= SLOW_SAMPLES
+          && router_distance (r, runner->info.data_centre) == d)
+        values[n++] = runner->load.latency_ms;
+    }
+  qsort (values, n, sizeof *values, compare_doubles);
+  double median = n >= 3 ? values[(n - 1) / 2] : 0.0;
+  free (values);
+  return median;
+}
+
+static void
+mark_slow (const struct router *r, struct router_service *s)
+{
+  for (unsigned i = 0; i < s->count; i++)
+    {
+      struct runner_load *load = &s->runners[i]->load;
+      double median = s->median_ms[router_distance (r, s->runners[i]->info.data_centre)];
+      load->slow = median > 0.0 && load->samples >= SLOW_SAMPLES
+                   && load->latency_ms > SLOW_FACTOR * median
+                   && load->latency_ms - median > SLOW_FLOOR_MS;
+    }
+}
+
+static void
+build_service (const struct router *r, struct router_service *s, int64_t now_ms)
+{
+  struct runner *runner;
+  s->count = 0;
+  TAILQ_FOREACH (runner, runner_table_list (r->table), link)
+  {
+    if (strcmp (runner->info.service, s->name) != 0 || !runner_live (runner, now_ms))
+      continue;
+    if (s->count == s->capacity)
+      {
+        s->capacity = s->capacity ? 2 * s->capacity : 16;
+        s->runners = xrealloc (s->runners, s->capacity * sizeof (struct runner *));
+      }
+    s->runners[s->count++] = runner;
+  }
+  for (int d = ROUTER_LOCAL; d <= ROUTER_FAR; d++)
+    s->median_ms[d] = median_latency (r, s, (enum router_distance)d);
+  mark_slow (r, s);
+  s->generation = runner_table_generation (r->table);
+  s->built_ms = now_ms;
+}
+
+/* A service without live runners keeps no index, so that callers cannot grow the list by naming
+   services that do not exist.  */
+static struct router_service *
+find_service (struct router *r, const char *name, int64_t now_ms)
+{
+  struct router_service *s = r->services;
+  while (s && strcmp (s->name, name) != 0)
+    s = s->next;
+  if (!s)
+    {
+      if (router_live (r, name, now_ms) == 0)
+        return NULL;
+      s = xcalloc (1, sizeof *s);
+      memcpy (s->name, name, strlen (name) + 1);
+      s->next = r->services;
+      r->services = s;
+      build_service (r, s, now_ms);
+    }
+  else if (s->generation != runner_table_generation (r->table)
+           || now_ms - s->built_ms >= INDEX_REFRESH_MS)
+    build_service (r, s, now_ms);
+  return s;
+}
+
+unsigned
+router_live (const struct router *r, const char *service, int64_t now_ms)
+{
+  const struct runner *runner;
+  unsigned n = 0;
+  TAILQ_FOREACH (runner, runner_table_list (r->table), link)
+  if (strcmp (runner->info.service, service) == 0 && runner_live (runner, now_ms))
+    n++;
+  return n;
+}
+
+unsigned
+router_capacity (struct router *r, const char *service, int64_t now_ms)
+{
+  const struct router_service *s = find_service (r, service, now_ms);
+  unsigned slots = 0;
+  for (unsigned i = 0; s && i < s->count; i++)
+    slots += s->runners[i]->info.slots;
+  slots /= r->config.entries;
+  return slots > 0 ? slots : 1;
+}
+
+static bool
+ejected (const struct runner *runner, int64_t now_ms)
+{
+  return now_ms < runner->load.ejected_until_ms;
+}
+
+static unsigned
+count_ejected (const struct router_service *s, int64_t now_ms)
+{
+  unsigned n = 0;
+  for (unsigned i = 0; i < s->count; i++)
+    if (ejected (s->runners[i], now_ms))
+      n++;
+  return n;
+}
+
+static void
+eject (struct router *r, struct runner *runner, int64_t now_ms)
+{
+  const struct router_service *s = find_service (r, runner->info.service, now_ms);
+  struct runner_load *load = &runner->load;
+  unsigned n = s ? s->count : 0;
+  unsigned most = n * ROUTER_MAX_EJECTED_PERCENT / 100;
+  if (most == 0 && n >= 2)
+    most = 1;
+  load->limit = 1.0;
+  if (ejected (runner, now_ms) || !s || count_ejected (s, now_ms) >= most)
+    return;
+  if (now_ms - load->returned_ms > FORGIVE_MS)
+    load->ejections = 0;
+  int64_t length = (int64_t)ROUTER_EJECT_BASE_MS << (load->ejections < 5 ? load->ejections : 5);
+  if (length > ROUTER_EJECT_MAX_MS)
+    length = ROUTER_EJECT_MAX_MS;
+  load->ejections++;
+  load->ejected_until_ms = now_ms + length;
+  load->returned_ms = load->ejected_until_ms;
+  load->failures_in_row = 0;
+  load->failure_rate = 0.0;
+  load->samples = 0;
+}
+
+/* The adaptive limit, held down during slow start.  */
+static unsigned
+limit_now (struct router *r, const struct runner *runner, int64_t now_ms)
+{
+  unsigned share = router_share (r, runner, now_ms);
+  double limit = runner->load.limit > 0.0 ? runner->load.limit : (double)share;
+  int64_t since = now_ms - runner->load.returned_ms;
+  if (runner->load.returned_ms > 0 && since < ROUTER_SLOW_START_MS)
+    {
+      double ramp = 1.0 + (double)share * (double)since / ROUTER_SLOW_START_MS;
+      limit = ramp < limit ? ramp : limit;
+    }
+  if (limit < 1.0)
+    limit = 1.0;
+  return limit < (double)share ? (unsigned)limit : share;
+}
+
+/* Requests of all entries on RUNNER: ours exactly, the others' as last reported.  */
+static unsigned
+estimated_load (const struct router *r, const struct runner *runner, int64_t now_ms)
+{
+  const struct runner_load *load = &runner->load;
+  unsigned reported = runner->info.in_flight;
+  if (now_ms - load->reported_ms > REPORT_TRUST_MS)
+    return load->in_flight * r->config.entries;
+  unsigned others = reported > load->local_at_report ? reported - load->local_at_report : 0;
+  return load->in_flight + others;
+}
+
+static bool
+has_room (struct router *r, const struct runner *runner, int64_t now_ms)
+{
+  const struct runner_load *load = &runner->load;
+  if (ejected (runner, now_ms) || load->in_flight >= limit_now (r, runner, now_ms))
+    return false;
+  unsigned own = share_in_force (r, runner, runner->info.slots, now_ms);
+  return load->in_flight < own || estimated_load (r, runner, now_ms) < runner->info.slots;
+}
+
+static bool
+probe_due (const struct runner *runner, int64_t now_ms)
+{
+  return runner->load.in_flight == 0 && now_ms - runner->load.last_probe_ms >= PROBE_INTERVAL_MS;
+}
+
+/* Load relative to the slots, in thousandths.  Requests of this entry count first, because they are
+   known exactly and each entry has an equal part of the slots.  */
+static unsigned
+score (const struct router *r, const struct runner *runner, int64_t now_ms)
+{
+  unsigned own = runner->load.in_flight * r->config.entries;
+  unsigned all = estimated_load (r, runner, now_ms);
+  unsigned load = own > all ? own : all;
+  return load * 1000 / runner->info.slots;
+}
+
+struct choice
+{
+  struct runner *first;
+  struct runner *second;
+  unsigned seen;
+};
+
+/* Reservoir of two random candidates.  */
+static void
+offer (struct router *r, struct choice *c, struct runner *runner)
+{
+  c->seen++;
+  if (c->seen == 1)
+    c->first = runner;
+  else if (c->seen == 2)
+    c->second = runner;
+  else
+    {
+      uint64_t place = rng_below (&r->rng, c->seen);
+      if (place == 0)
+        c->first = runner;
+      else if (place == 1)
+        c->second = runner;
+    }
+}
+
+static struct runner *
+better (struct router *r, const struct choice *c, int64_t now_ms)
+{
+  if (!c->second)
+    return c->first;
+  unsigned a = score (r, c->first, now_ms);
+  unsigned b = score (r, c->second, now_ms);
+  if (a == b)
+    return rng_chance (&r->rng, 0.5) ? c->first : c->second;
+  return a < b ? c->first : c->second;
+}
+
+static void
+refill_far_budget (struct router *r, int64_t now_ms)
+{
+  double rate = (double)r->config.far_bytes_per_s;
+  r->far_bytes += rate * (double)(now_ms - r->far_updated_ms) / 1000.0;
+  if (r->far_bytes > rate)
+    r->far_bytes = rate;
+  r->far_updated_ms = now_ms;
+}
+
+static struct runner *
+pick_least_loaded (struct router *r, const struct router_service *s, const struct runner *avoid,
+                   int64_t now_ms)
+{
+  struct choice by_distance[ROUTER_FAR + 1];
+  struct runner *slow = NULL;
+  memset (by_distance, 0, sizeof by_distance);
+  for (unsigned i = 0; i < s->count; i++)
+    {
+      struct runner *runner = s->runners[i];
+      if (runner == avoid || !runner_live (runner, now_ms) || !has_room (r, runner, now_ms))
+        continue;
+      if (runner->load.slow && !probe_due (runner, now_ms))
+        {
+          slow = runner->load.in_flight == 0 ? runner : slow;
+          continue;
+        }
+      offer (r, &by_distance[router_distance (r, runner->info.data_centre)], runner);
+    }
+  refill_far_budget (r, now_ms);
+  for (int d = ROUTER_LOCAL; d <= ROUTER_FAR; d++)
+    if (by_distance[d].seen > 0 && (d != ROUTER_FAR || r->far_bytes > 0.0))
+      return better (r, &by_distance[d], now_ms);
+  return slow && (r->far_bytes > 0.0 || router_distance (r, slow->info.data_centre) != ROUTER_FAR)
+             ? slow
+             : NULL;
+}
+
+static struct runner *
+pick_baseline (struct router *r, const struct router_service *s, int64_t now_ms)
+{
+  for (unsigned i = 0; i < s->count; i++)
+    {
+      uint64_t place = r->config.policy == ROUTER_RANDOM ? rng_next (&r->rng) : r->turn++;
+      struct runner *runner = s->runners[place % s->count];
+      if (runner_live (runner, now_ms) && runner->load.in_flight < router_share (r, runner, now_ms))
+        return runner;
+    }
+  return NULL;
+}
+
+struct runner *
+router_pick (struct router *r, const char *service, const struct runner *avoid, int64_t now_ms)
+{
+  const struct router_service *s = find_service (r, service, now_ms);
+  if (!s || s->count == 0)
+    return NULL;
+  if (r->config.policy != ROUTER_LEAST_LOADED)
+    return pick_baseline (r, s, now_ms);
+  struct runner *runner = pick_least_loaded (r, s, avoid, now_ms);
+  if (!runner && avoid)
+    runner = pick_least_loaded (r, s, NULL, now_ms);
+  return runner;
+}
+
+static void
+charge_far (struct router *r, const struct runner *runner, size_t bytes)
+{
+  if (router_distance (r, runner->info.data_centre) == ROUTER_FAR)
+    r->far_bytes -= (double)bytes;
+}
+
+void
+router_start (struct router *r, struct runner *runner, size_t bytes, int64_t now_ms)
+{
+  runner_hold (runner);
+  runner->load.in_flight++;
+  if (runner->load.slow)
+    runner->load.last_probe_ms = now_ms;
+  charge_far (r, runner, bytes);
+}
+
+static void
+grow_limit (struct router *r, struct runner *runner, int64_t now_ms)
+{
+  double share = (double)router_share (r, runner, now_ms);
+  if (runner->load.limit <= 0.0)
+    return;
+  runner->load.limit += 1.0 / runner->load.limit;
+  if (runner->load.limit >= share)
+    runner->load.limit = 0.0;
+}
+
+static void
+shrink_limit (struct router *r, struct runner *runner, int64_t now_ms)
+{
+  struct runner_load *load = &runner->load;
+  double limit = load->limit > 0.0 ? load->limit : (double)router_share (r, runner, now_ms);
+  limit *= LIMIT_DECREASE;
+  load->limit = limit > 1.0 ? limit : 1.0;
+}
+
+static void
+count_failure (struct router *r, struct runner *runner, int64_t now_ms)
+{
+  struct runner_load *load = &runner->load;
+  load->failures_in_row++;
+  load->failure_rate += LATENCY_WEIGHT * (1.0 - load->failure_rate);
+  load->samples++;
+  shrink_limit (r, runner, now_ms);
+  if (load->failures_in_row >= ROUTER_EJECT_IN_ROW
+      || (load->samples >= FAILURE_SAMPLES && load->failure_rate > FAILURE_RATE_LIMIT))
+    eject (r, runner, now_ms);
+}
+
+static void
+count_success (struct router *r, struct runner *runner, double latency_ms, int64_t now_ms)
+{
+  struct runner_load *load = &runner->load;
+  load->failures_in_row = 0;
+  load->failure_rate -= LATENCY_WEIGHT * load->failure_rate;
+  if (load->latency_ms <= 0.0)
+    load->latency_ms = latency_ms;
+  load->latency_ms += LATENCY_WEIGHT * (latency_ms - load->latency_ms);
+  load->samples++;
+  grow_limit (r, runner, now_ms);
+}
+
+void
+router_finish (struct router *r, struct runner *runner, enum router_outcome outcome,
+               double latency_ms, size_t bytes, int64_t now_ms)
+{
+  runner->load.in_flight--;
+  charge_far (r, runner, bytes);
+  switch (outcome)
+    {
+    case ROUTER_OK:
+      count_success (r, runner, latency_ms, now_ms);
+      break;
+    case ROUTER_FAILED:
+      count_failure (r, runner, now_ms);
+      break;
+    case ROUTER_REFUSED:
+      shrink_limit (r, runner, now_ms);
+      break;
+    case ROUTER_UNREACHABLE:
+      eject (r, runner, now_ms);
+      break;
+    case ROUTER_ABANDONED:
+      break;
+    }
+  runner_release (runner);
+}
--- a/src/router.h
+++ b/src/router.h
@@ -67,6 +67,8 @@
   uint64_t seed;
 };
 
+struct router_service; /* index of the runners of one service */
+
 struct router
 {
   struct router_config config;
@@ -78,10 +80,12 @@
   unsigned entries_before; /* shares in force until growth_ms */
   unsigned rank_before;
   int64_t growth_ms;
+  struct router_service *services;
 };
 
 void router_init (struct router *r, const struct router_config *config, struct runner_table *table,
-                  int64_t now_ms); /* Routes to the runners of TABLE. */
+                  int64_t now_ms);    /* Routes to the runners of TABLE. */
+void router_close (struct router *r); /* Frees the indexes. */
 void router_set_entries (struct router *r, unsigned entries, unsigned rank,
                          int64_t now_ms); /* Shares shrink at once and grow 5 s later. */
 struct runner *router_pick (struct router *r, const char *service, const struct runner *avoid,
@@ -93,7 +97,7 @@
                     int64_t now_ms); /* It ended; LATENCY to the first byte, 0 if none. */
 unsigned router_share (const struct router *r, const struct runner *runner,
                        int64_t now_ms); /* Connections of RUNNER that this entry may use. */
-unsigned router_capacity (const struct router *r, const char *service,
+unsigned router_capacity (struct router *r, const char *service,
                           int64_t now_ms); /* Slots of this entry's part of SERVICE. */
 unsigned router_live (const struct router *r, const char *service,
                       int64_t now_ms); /* Live runners of SERVICE, ejected ones included. */
--- a/src/runner_table.h
+++ b/src/runner_table.h
@@ -36,6 +36,8 @@
 #define RUNNER_DIGEST_LIFETIME_MS (RUNNER_LIFETIME_MS - RUNNER_FRESH_MS)
 #define RUNNER_DIGEST_INTERVAL_MS 500
 #define RUNNER_TOMBSTONE_MS 60000
+#define RUNNER_MAX_LISTED                                                                          \
+  768 /* runners that may announce to one entry; leaves room for departures */
 #define RUNNER_MAX_SLOTS 4096
 #define RUNNER_STALL_MS 1000 /* a gap between two ticks that shows that the process was paused */
 #define RUNNER_STALL_REFUSAL_MS                                                                    \
