--- a/src/admission.h
+++ b/src/admission.h
@@ -59,13 +59,11 @@
 admission_pop_hopeless (struct admission *a,
                         int64_t now_ms); /* One that cannot meet its deadline, or NULL. */
 void admission_remove (struct admission *a, struct admission_item *item); /* The caller left. */
-void admission_push_back (struct admission *a, struct admission_item *item,
-                          int64_t now_ms); /* Popped but no runner had room: first again. */
 void admission_served (struct admission *a, struct admission_item *item, bool answered,
                        double service_ms, int64_t now_ms); /* A popped request ended. */
 unsigned admission_queued (const struct admission *a);     /* Requests waiting. */
 int64_t admission_wait_ms (const struct admission *a, bool urgent,
-                           int64_t now_ms);                 /* Expected wait of a newcomer. */
-int64_t admission_next_drop_ms (const struct admission *a); /* INT64_MAX when none is waiting. */
+                           int64_t now_ms);             /* Expected wait of a newcomer. */
+unsigned admission_serving (const struct admission *a); /* Popped and not ended. */
 
 #endif
