--- a/src/cell.c
+++ b/src/cell.c
@@ -232,7 +232,7 @@
              struct buffer *out)
 {
   cell_batch batch;
-  batch.now_ms = cell_log_time (c, now_ms);
+  batch.now_ms = c ? cell_log_time (c, now_ms) : 0;
   batch.commands.commands_len = (u_int)count;
   batch.commands.commands_val = commands;
   append_xdr (out, (xdrproc_t)xdr_cell_batch, &batch);
@@ -256,3 +256,31 @@
   xdr_free ((xdrproc_t)xdr_cell_results, (char *)r);
   memset (r, 0, sizeof *r);
 }
+
+void
+cell_stamp (const struct cell *c, int64_t now_ms, void *entry, size_t len)
+{
+  XDR xdr;
+  int64_t time_ms = cell_log_time (c, now_ms);
+  xdrmem_create (&xdr, entry, (u_int)len, XDR_ENCODE);
+  xdr_int64_t (&xdr, &time_ms);
+  xdr_destroy (&xdr);
+}
+
+int
+cell_decode_batch (const void *data, size_t len, cell_batch *out, struct status *st)
+{
+  XDR xdr;
+  memset (out, 0, sizeof *out);
+  xdrmem_create (&xdr, (char *)(uintptr_t)data, (u_int)len, XDR_DECODE);
+  if (xdr_cell_batch (&xdr, out))
+    return 0;
+  cell_free_batch (out);
+  return status_set (st, STATUS_BAD_REQUEST, "malformed command of a cell");
+}
+
+void
+cell_free_batch (cell_batch *b)
+{
+  xdr_free ((xdrproc_t)xdr_cell_batch, (char *)b);
+}
--- a/src/cell.h
+++ b/src/cell.h
@@ -47,6 +47,8 @@
 #define CELL_CUT_OFF_GRACE_MS 20000
 #define CELL_CLOSE_WAIT_MS (3000 + CELL_CUT_OFF_GRACE_MS + 10000 + 2000)
 
+#define CELL_ID_SHIFT 48 /* in ids of jobs and tasks the cell number sits above the count */
+
 struct cell_job;
 
 struct cell_task
@@ -103,6 +105,7 @@
   char *customer;
   char *key;
   uint64_t request_hash;
+  uint64_t attempt; /* of the begin that may run the request */
   int64_t begun_ms;
   bool finished;
   uint32_t outcome; /* enum status_ran */
@@ -172,7 +175,12 @@
 
 /* Encoding of entries.  */
 void cell_encode (const struct cell *c, int64_t now_ms, cell_command *commands, size_t count,
-                  struct buffer *out); /* Appends one log entry. */
+                  struct buffer *out); /* Appends one log entry; C is NULL before a stamp. */
+void cell_stamp (const struct cell *c, int64_t now_ms, void *entry,
+                 size_t len); /* The leader sets the log time of a decoded ENTRY. */
+int cell_decode_batch (const void *data, size_t len, cell_batch *out,
+                       struct status *st); /* Free with cell_free_batch. */
+void cell_free_batch (cell_batch *b);
 int cell_decode_results (const void *data, size_t len, cell_results *out,
                          struct status *st); /* Free with cell_free_results. */
 void cell_free_results (cell_results *r);
--- a/src/cell_intent.c
+++ b/src/cell_intent.c
@@ -67,14 +67,38 @@
   r->answer.answer_len = (u_int)i->answer_len;
 }
 
+/* The request surely did not run, so the key may be used again.  Behind all others in the list,
+   which is in order of begun_ms.  */
+static void
+reopen_intent (struct cell *c, struct cell_intent *i, uint64_t attempt)
+{
+  c->intent_bytes -= (int64_t)i->answer_len;
+  free (i->answer);
+  i->answer = NULL;
+  i->answer_len = 0;
+  i->finished = false;
+  i->attempt = attempt;
+  i->begun_ms = c->now_ms;
+  TAILQ_REMOVE (&c->intent_list, i, link);
+  TAILQ_INSERT_TAIL (&c->intent_list, i, link);
+}
+
 void
 cell_apply_intent_begin (struct cell *c, const cell_intent_begin *a, cell_result *r)
 {
-  const struct cell_intent *old = cell_find_intent (c, a->customer, a->key);
+  struct cell_intent *old
+      = (struct cell_intent *)(uintptr_t)cell_find_intent (c, a->customer, a->key);
   if (old && old->request_hash != a->request_hash)
     r->intent = CELL_INTENT_KEY_REUSED;
+  else if (old && old->finished && old->outcome == RAN_NO && old->attempt != a->attempt)
+    {
+      reopen_intent (c, old, a->attempt);
+      r->intent = CELL_INTENT_NEW;
+    }
   else if (old && old->finished)
     recorded_outcome (old, r);
+  else if (old && old->attempt == a->attempt)
+    r->intent = CELL_INTENT_NEW;
   else if (old)
     r->intent = CELL_INTENT_IN_PROGRESS;
   if (old)
@@ -91,6 +115,7 @@
   i->customer = xstrdup (a->customer);
   i->key = xstrdup (a->key);
   i->request_hash = a->request_hash;
+  i->attempt = a->attempt;
   i->begun_ms = c->now_ms;
   cell_add_intent (c, i);
   r->intent = CELL_INTENT_NEW;
@@ -106,6 +131,11 @@
       cell_refuse (r, STATUS_NOT_FOUND, "no such intent");
       return;
     }
+  if (i->attempt != a->attempt)
+    {
+      cell_refuse (r, STATUS_STALE_EPOCH, "another attempt may run this request");
+      return;
+    }
   if (i->finished)
     {
       recorded_outcome (i, r);
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -6,7 +6,6 @@
 #include "cell.h"
 
 #define CELL_EPOCH_SHIFT 40 /* the cell epoch sits above the count of placements */
-#define CELL_ID_SHIFT 48    /* the cell number sits above the count of ids */
 
 /* Jobs and tasks.  */
 struct cell_job *cell_new_job (struct cell *c, uint64_t id, cell_job_spec *spec,
--- /dev/null
+++ b/src/cell_service.c
@@ -0,0 +1,679 @@
+#include "cell_service.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include "cell_transfers.h"
+#include "counters.h"
+#include "home_cell.h"
+#include "log.h"
+#include "member_sync.h"
+
+#define CONFIRM_EVERY_MS 500  /* quorum rounds while this VM leads */
+#define CONFIRMED_FOR_MS 1000 /* no node elects another leader this soon after a round began */
+#define PERMIT_TIMEOUT_MS 1000
+#define CLOSE_RETRY_MS 500
+#define MAX_DRAIN_ROUNDS 64 /* proposals may end at once and cause others */
+
+/* A worker's poll that waits for commands.  */
+struct held_poll
+{
+  char worker[CELL_NAME_BYTES + 1];
+  int64_t until_ms;
+  cell_poll_fn *done;
+  void *arg;
+  struct cell_node node;        /* in polls, by worker */
+  TAILQ_ENTRY (held_poll) link; /* in order of until_ms */
+};
+
+/* A proposal of the scheduler in flight.  */
+struct open_proposal
+{
+  struct cell_service *service;
+  uint64_t id;
+};
+
+struct cell_service
+{
+  struct cell_service_config config;
+  struct cell cell;
+  struct group *group;
+  struct scheduler *scheduler;
+  struct cell_transfers *transfers;
+  struct permit_holder permit;
+  bool leading;  /* confirmed, own log applied */
+  bool stopping; /* planned stop has begun */
+  bool out;      /* the data centre is out, as last told to the scheduler */
+  bool round_open;
+  int64_t round_began_ms;
+  int64_t next_round_ms;
+  bool closing_epoch;
+  int64_t next_close_ms;
+  bool stopped_proposing;
+  uint64_t stopped_version; /* state version that was acknowledged */
+  bool transferring;
+  struct member_sync members;
+  struct cell_map polls;
+  TAILQ_HEAD (poll_list, held_poll) poll_order;
+};
+
+static struct counter starts_gauge = { .name = "sassafras_cell_starts_total",
+                                       .help = "Task starts sent to workers.",
+                                       .is_gauge = true };
+static struct counter evictions_gauge = { .name = "sassafras_cell_evictions_total",
+                                          .help = "Batch tasks evicted.",
+                                          .is_gauge = true };
+static struct counter workers_gauge = { .name = "sassafras_cell_workers",
+                                        .help = "Workers alive in the cell led here.",
+                                        .is_gauge = true };
+static struct counter pending_gauge = { .name = "sassafras_cell_pending_tasks",
+                                        .help = "Tasks that wait for a placement.",
+                                        .is_gauge = true };
+static struct counter permit_gauge = { .name = "sassafras_start_permit_left_ms",
+                                       .help = "Life left of the start permit held here.",
+                                       .is_gauge = true };
+
+static bool
+plan_quota (void *ctx, const char *customer, struct scheduler_quota *out)
+{
+  struct cell_service *s = ctx;
+  const struct plan *p = plans_for_customer (registry_plans (s->config.registry), customer);
+  if (!p)
+    return false;
+  out->weight = (double)p->weight;
+  out->max_millicores = (uint64_t)p->batch_millicores;
+  out->max_memory_mb = (uint64_t)p->memory_mb;
+  out->max_accelerators = (uint64_t)p->accelerators;
+  out->evictions_per_hour = (uint32_t)p->evictions_per_hour;
+  return true;
+}
+
+struct cell_service *
+cell_service_open (const struct cell_service_config *config)
+{
+  struct cell_service *s = xcalloc (1, sizeof *s);
+  s->config = *config;
+  cell_init (&s->cell, config->number);
+  const struct scheduler_config sc
+      = { .cell = &s->cell, .quota = plan_quota, .quota_ctx = s, .seed = config->seed };
+  s->scheduler = scheduler_new (&sc);
+  const struct cell_transfers_config tc = { .cell = &s->cell,
+                                            .proposer = config->proposer,
+                                            .registry = config->registry,
+                                            .clock = config->clock };
+  s->transfers = cell_transfers_open (&tc);
+  permit_holder_init (&s->permit);
+  cell_map_init (&s->polls);
+  TAILQ_INIT (&s->poll_order);
+  return s;
+}
+
+static void
+remove_poll (struct cell_service *s, struct held_poll *p)
+{
+  cell_map_remove (&s->polls, &p->node);
+  TAILQ_REMOVE (&s->poll_order, p, link);
+  free (p);
+}
+
+void
+cell_service_close (struct cell_service *s)
+{
+  struct held_poll *p;
+  if (!s)
+    return;
+  while ((p = TAILQ_FIRST (&s->poll_order)))
+    remove_poll (s, p);
+  cell_map_close (&s->polls);
+  cell_transfers_close (s->transfers);
+  scheduler_free (s->scheduler);
+  cell_close (&s->cell);
+  free (s);
+}
+
+struct machine *
+cell_service_machine (struct cell_service *s)
+{
+  return &s->cell.machine;
+}
+
+void
+cell_service_set_group (struct cell_service *s, struct group *g)
+{
+  s->group = g;
+  member_sync_init (&s->members, g, s->config.data_centre);
+}
+
+/* Refuses jobs that can never run before they are in the log.  */
+static int
+admit_jobs (struct cell_service *s, const cell_batch *batch, struct status *st)
+{
+  for (u_int i = 0; i < batch->commands.commands_len; i++)
+    {
+      const cell_command *c = &batch->commands.commands_val[i];
+      if (c->kind == CELL_SUBMIT
+          && scheduler_admit (s->scheduler, &c->cell_command_u.submit, st) < 0)
+        return -1;
+    }
+  return 0;
+}
+
+int
+cell_service_prepare (void *service, void *command, size_t len, struct status *st)
+{
+  struct cell_service *s = service;
+  cell_batch batch;
+  if (!s->leading)
+    return status_set (st, STATUS_NOT_LEADER, "the leader is not ready yet");
+  if (cell_decode_batch (command, len, &batch, st) < 0)
+    return -1;
+  int rc = admit_jobs (s, &batch, st);
+  cell_free_batch (&batch);
+  if (rc == 0)
+    cell_stamp (&s->cell, clock_now_ms (s->config.clock), command, len);
+  return rc;
+}
+
+static struct held_poll *
+find_poll (struct cell_service *s, const char *worker)
+{
+  for (struct cell_node *n = cell_map_first (&s->polls, cell_hash_names (worker, "")); n;
+       n = cell_map_next (n))
+    {
+      struct held_poll *p = CELL_CONTAINER (n, struct held_poll, node);
+      if (strcmp (p->worker, worker) == 0)
+        return p;
+    }
+  return NULL;
+}
+
+/* Answers one poll with what the scheduler has for its worker.  */
+static void
+answer_poll (struct cell_service *s, const char *worker, cell_poll_fn *done, void *arg)
+{
+  struct worker_answer answer = { 0 };
+  struct status st;
+  status_clear (&st);
+  if (scheduler_answer (s->scheduler, clock_now_ms (s->config.clock), worker, &answer, &st) < 0)
+    done (arg, &st, NULL);
+  else
+    done (arg, &st, &answer);
+}
+
+static void
+release_poll (struct cell_service *s, struct held_poll *p)
+{
+  char worker[sizeof p->worker];
+  cell_poll_fn *done = p->done;
+  void *arg = p->arg;
+  memcpy (worker, p->worker, sizeof worker);
+  remove_poll (s, p);
+  answer_poll (s, worker, done, arg);
+}
+
+static void
+refuse_all_polls (struct cell_service *s, enum status_kind kind, const char *message)
+{
+  struct held_poll *p;
+  struct status st;
+  status_set (&st, kind, "%s", message);
+  while ((p = TAILQ_FIRST (&s->poll_order)))
+    {
+      cell_poll_fn *done = p->done;
+      void *arg = p->arg;
+      remove_poll (s, p);
+      done (arg, &st, NULL);
+    }
+}
+
+static void
+on_proposal_done (void *arg, const struct status *st, const void *result, size_t len)
+{
+  struct open_proposal *p = arg;
+  struct cell_service *s = p->service;
+  (void)result;
+  (void)len;
+  /* An entry without a known outcome may still be applied: the scheduler waits for the log.  */
+  if (st->kind != STATUS_OUTCOME_UNKNOWN)
+    scheduler_proposal_done (s->scheduler, clock_now_ms (s->config.clock), p->id, status_ok (st));
+  free (p);
+}
+
+static bool
+propose_next (struct cell_service *s)
+{
+  struct scheduler_proposal next;
+  if (!scheduler_next_proposal (s->scheduler, clock_now_ms (s->config.clock), &next))
+    return false;
+  struct open_proposal *p = xcalloc (1, sizeof *p);
+  p->service = s;
+  p->id = next.id;
+  group_propose (s->group, next.entry.data, next.entry.len, on_proposal_done, p);
+  buffer_close (&next.entry);
+  return true;
+}
+
+static void
+answer_ready (struct cell_service *s)
+{
+  const char *worker;
+  while ((worker = scheduler_next_ready (s->scheduler)))
+    {
+      struct held_poll *p = find_poll (s, worker);
+      if (p)
+        release_poll (s, p);
+    }
+}
+
+static void
+drain_scheduler (struct cell_service *s)
+{
+  if (!s->leading)
+    return;
+  for (int i = 0; i < MAX_DRAIN_ROUNDS && propose_next (s); i++)
+    ;
+  answer_ready (s);
+}
+
+static void
+drain_moves (struct cell_service *s, int64_t now_ms)
+{
+  struct scheduler_move move;
+  while (scheduler_next_move (s->scheduler, &move))
+    cell_transfers_move (s->transfers, &move, now_ms);
+}
+
+static void
+lose_leadership (struct cell_service *s, int64_t now_ms)
+{
+  s->leading = false;
+  permit_holder_stop (&s->permit, now_ms);
+  scheduler_permit (s->scheduler, 0);
+  scheduler_lead (s->scheduler, now_ms, false);
+  cell_transfers_lead (s->transfers, false);
+  refuse_all_polls (s, STATUS_NOT_LEADER, "the cell has a new leader");
+}
+
+static void
+gain_leadership (struct cell_service *s, int64_t now_ms)
+{
+  s->leading = true;
+  s->transferring = false;
+  cell_set_leader_time (&s->cell, now_ms);
+  scheduler_lead (s->scheduler, now_ms, true);
+  cell_transfers_lead (s->transfers, true);
+  log_line (LOG_INFO, "cell %s: this VM leads in term %llu", s->config.data_centre,
+            (unsigned long long)group_term (s->group));
+}
+
+static void
+on_round_done (void *arg, const struct status *st, const void *result, size_t len)
+{
+  struct cell_service *s = arg;
+  (void)result;
+  (void)len;
+  s->round_open = false;
+  if (!status_ok (st) || s->stopping)
+    return;
+  if (!s->leading)
+    gain_leadership (s, clock_now_ms (s->config.clock));
+  if (!s->transferring)
+    scheduler_confirm (s->scheduler, s->round_began_ms + CONFIRMED_FOR_MS);
+}
+
+static void
+confirm_leadership (struct cell_service *s, int64_t now_ms)
+{
+  if (s->round_open || now_ms < s->next_round_ms)
+    return;
+  s->round_open = true;
+  s->round_began_ms = now_ms;
+  s->next_round_ms = now_ms + CONFIRM_EVERY_MS;
+  group_confirm_leader (s->group, on_round_done, s);
+}
+
+void
+cell_service_leader_changed (struct cell_service *s)
+{
+  if (s->leading && !group_is_leader (s->group))
+    lose_leadership (s, clock_now_ms (s->config.clock));
+}
+
+static void
+accept_grant (struct cell_service *s, const permit_grant *grant)
+{
+  int64_t now_ms = clock_now_ms (s->config.clock);
+  const struct permit p
+      = { .granted = grant->granted, .life_ms = grant->life_ms, .epoch = grant->cell_epoch };
+  permit_holder_answer (&s->permit, (int64_t)grant->asked, &p, now_ms);
+  cell_transfers_set_cells (s->transfers, grant->cells.cells_val, grant->cells.cells_len);
+}
+
+static void
+on_permit_answer (void *arg, const permit_grant *grant)
+{
+  accept_grant (arg, grant);
+}
+
+static void
+on_permit_reply (void *arg, const struct status *st, const permit_grant *grant)
+{
+  if (status_ok (st))
+    accept_grant (arg, grant);
+}
+
+static cell_capacity
+capacity_summary (const struct cell_service *s)
+{
+  struct scheduler_stats stats;
+  scheduler_stats (s->scheduler, &stats);
+  counter_set (&starts_gauge, (int64_t)stats.starts);
+  counter_set (&evictions_gauge, (int64_t)stats.evictions);
+  counter_set (&workers_gauge, stats.workers);
+  counter_set (&pending_gauge, stats.pending);
+  return (cell_capacity){ .data_centre = (char *)s->config.data_centre,
+                          .free_millicores = stats.free_millicores,
+                          .free_memory_mb = stats.free_memory_mb,
+                          .free_accelerators = stats.free_accelerators,
+                          .pending_tasks = stats.pending };
+}
+
+static void
+ask_permit (struct cell_service *s, int64_t now_ms)
+{
+  if (!permit_holder_due (&s->permit, now_ms))
+    return;
+  permit_request request = { .data_centre = (char *)s->config.data_centre,
+                             .asked = (uint64_t)permit_holder_ask (&s->permit, now_ms),
+                             .capacity = capacity_summary (s) };
+  uint64_t leader = group_leader_node (s->config.registry_group);
+  if (leader == s->config.node)
+    registry_service_permit (s->config.registry_service, s->config.node, &request, on_permit_answer,
+                             s);
+  else if (leader != 0)
+    peer_call_permit (s->config.net, leader, &request, PERMIT_TIMEOUT_MS, on_permit_reply, s);
+}
+
+/* The permit counts only for the cell epoch it was granted for.  */
+static void
+use_permit (struct cell_service *s, int64_t now_ms)
+{
+  int64_t left = permit_holder_left_ms (&s->permit, now_ms);
+  if (s->out || s->permit.epoch != s->cell.epoch)
+    left = 0;
+  counter_set (&permit_gauge, left);
+  scheduler_permit (s->scheduler, left > 0 ? now_ms + left : 0);
+}
+
+static void
+on_stopped_proposed (void *arg, const struct status *st, const void *result, size_t len)
+{
+  struct cell_service *s = arg;
+  (void)st;
+  (void)result;
+  (void)len;
+  s->stopped_proposing = false;
+}
+
+/* Tells the registry that this cell starts no more tasks since the data centre is out.  */
+static void
+acknowledge_out (struct cell_service *s, const registry_data_centre *dc)
+{
+  struct buffer encoded;
+  struct status st;
+  if (s->stopped_proposing || dc->stopped_version == dc->state_version)
+    return;
+  registry_command command = { .request_id = (char *)"" };
+  command.body.kind = REGISTRY_STOPPED;
+  command.body.registry_body_u.stopped.data_centre = dc->name;
+  command.body.registry_body_u.stopped.out_version = dc->state_version;
+  command.body.registry_body_u.stopped.node = s->config.node;
+  buffer_init (&encoded);
+  if (registry_encode (&command, &encoded, &st) == 0)
+    {
+      s->stopped_proposing = true;
+      s->config.proposer->ops->propose (s->config.proposer, REGISTRY_GROUP, encoded.data,
+                                        encoded.len, on_stopped_proposed, s);
+    }
+  buffer_close (&encoded);
+}
+
+static void
+on_close_proposed (void *arg, const struct status *st, const void *result, size_t len)
+{
+  struct cell_service *s = arg;
+  (void)st;
+  (void)result;
+  (void)len;
+  s->closing_epoch = false;
+}
+
+/* Learns that the registry closed this cell's epoch, for example while the data centre was dark. */
+static void
+follow_cell_epoch (struct cell_service *s, const registry_data_centre *dc, int64_t now_ms)
+{
+  struct buffer entry;
+  if (dc->epoch <= s->cell.epoch || s->closing_epoch || now_ms < s->next_close_ms)
+    return;
+  cell_command command = { .kind = CELL_EPOCH_CLOSED };
+  command.cell_command_u.epoch_closed.closed_epoch = dc->epoch - 1;
+  buffer_init (&entry);
+  cell_encode (&s->cell, now_ms, &command, 1, &entry);
+  s->closing_epoch = true;
+  s->next_close_ms = now_ms + CLOSE_RETRY_MS;
+  group_propose (s->group, entry.data, entry.len, on_close_proposed, s);
+  buffer_close (&entry);
+}
+
+static void
+follow_data_centre (struct cell_service *s, int64_t now_ms)
+{
+  const registry_data_centre *dc
+      = registry_find_data_centre (s->config.registry, s->config.data_centre);
+  if (!dc)
+    return;
+  if (dc->out && !s->out)
+    permit_holder_stop (&s->permit, now_ms);
+  s->out = dc->out;
+  scheduler_data_centre (s->scheduler, now_ms, dc->out);
+  if (dc->out)
+    acknowledge_out (s, dc);
+  follow_cell_epoch (s, dc, now_ms);
+}
+
+/* A cell is led best from its own data centre: a remote leader hands over to a local voter.  */
+static void
+prefer_local_leader (struct cell_service *s)
+{
+  const registry_member *self = registry_find_node (s->config.registry, s->config.node);
+  if (s->transferring || !self || strcmp (self->data_centre, s->config.data_centre) == 0)
+    return;
+  const raft_members *m = group_members (s->group);
+  for (u_int i = 0; i < m->members.members_len; i++)
+    {
+      uint64_t node = m->members.members_val[i].node;
+      const registry_member *other = registry_find_node (s->config.registry, node);
+      struct status st;
+      if (!m->members.members_val[i].voter || !other
+          || strcmp (other->data_centre, s->config.data_centre) != 0)
+        continue;
+      if (group_transfer (s->group, node, &st) == 0)
+        {
+          s->transferring = true;
+          return;
+        }
+    }
+}
+
+/* Voters are the VMs that the registry names for this cell; the data centre's other VMs learn.  */
+static void
+reconcile_members (struct cell_service *s, int64_t now_ms)
+{
+  const registry_member *all;
+  size_t n = registry_members (s->config.registry, &all);
+  raft_member list[PEER_MAX_MEMBERS];
+  size_t count = 0;
+  for (size_t i = 0; i < n && count < PEER_MAX_MEMBERS; i++)
+    {
+      bool voter = member_votes_in_cell (&all[i], s->config.data_centre);
+      if (voter || strcmp (all[i].data_centre, s->config.data_centre) == 0)
+        list[count++] = (raft_member){ .node = all[i].node, .voter = voter };
+    }
+  member_sync_tick (&s->members, list, count, now_ms);
+}
+
+static void
+release_due_polls (struct cell_service *s, int64_t now_ms)
+{
+  struct held_poll *p;
+  while ((p = TAILQ_FIRST (&s->poll_order)) && p->until_ms <= now_ms)
+    release_poll (s, p);
+}
+
+void
+cell_service_tick (struct cell_service *s, int64_t now_ms)
+{
+  if (!s->group || !group_is_leader (s->group) || s->stopping)
+    return;
+  confirm_leadership (s, now_ms);
+  if (!s->leading)
+    return;
+  follow_data_centre (s, now_ms);
+  if (!s->out)
+    ask_permit (s, now_ms);
+  use_permit (s, now_ms);
+  scheduler_peers (s->scheduler, cell_transfers_cells (s->transfers),
+                   cell_transfers_cell_count (s->transfers));
+  scheduler_tick (s->scheduler, now_ms);
+  drain_scheduler (s);
+  drain_moves (s, now_ms);
+  cell_transfers_tick (s->transfers, now_ms);
+  release_due_polls (s, now_ms);
+  reconcile_members (s, now_ms);
+  prefer_local_leader (s);
+}
+
+void
+cell_service_plans_changed (struct cell_service *s)
+{
+  scheduler_plans (s->scheduler, clock_now_ms (s->config.clock));
+}
+
+bool
+cell_service_leading (const struct cell_service *s)
+{
+  return s->leading;
+}
+
+bool
+cell_service_elected (const struct cell_service *s)
+{
+  return s->group && group_is_leader (s->group);
+}
+
+uint64_t
+cell_service_leader (const struct cell_service *s)
+{
+  return s->group ? group_leader_node (s->group) : 0;
+}
+
+const struct cell *
+cell_service_cell (const struct cell_service *s)
+{
+  return &s->cell;
+}
+
+uint64_t
+cell_service_number (const struct cell_service *s)
+{
+  return s->config.number;
+}
+
+const char *
+cell_service_data_centre (const struct cell_service *s)
+{
+  return s->config.data_centre;
+}
+
+int
+cell_service_announce (struct cell_service *s, const struct worker_announce *a, struct status *st)
+{
+  int64_t now_ms = clock_now_ms (s->config.clock);
+  if (scheduler_announce (s->scheduler, now_ms, a, st) < 0)
+    return -1;
+  scheduler_tick (s->scheduler, now_ms);
+  drain_scheduler (s);
+  return 0;
+}
+
+static void
+hold_poll (struct cell_service *s, const char *worker, cell_poll_fn *done, void *arg)
+{
+  struct held_poll *old = find_poll (s, worker);
+  if (old)
+    release_poll (s, old);
+  struct held_poll *p = xcalloc (1, sizeof *p);
+  snprintf (p->worker, sizeof p->worker, "%s", worker);
+  p->until_ms = clock_now_ms (s->config.clock) + CELL_POLL_HOLD_MS;
+  p->done = done;
+  p->arg = arg;
+  cell_map_add (&s->polls, &p->node, cell_hash_names (worker, ""));
+  TAILQ_INSERT_TAIL (&s->poll_order, p, link);
+}
+
+int
+cell_service_poll (struct cell_service *s, const struct worker_poll *p, bool wait,
+                   cell_poll_fn *done, void *arg, struct status *st)
+{
+  int64_t now_ms = clock_now_ms (s->config.clock);
+  if (scheduler_poll (s->scheduler, now_ms, p, st) < 0)
+    return -1;
+  if (wait)
+    hold_poll (s, p->id, done, arg);
+  scheduler_tick (s->scheduler, now_ms);
+  drain_scheduler (s);
+  if (!wait)
+    answer_poll (s, p->id, done, arg);
+  return 0;
+}
+
+void
+cell_service_abandon (struct cell_service *s, void *arg)
+{
+  struct held_poll *p;
+  TAILQ_FOREACH (p, &s->poll_order, link)
+  if (p->arg == arg)
+    {
+      remove_poll (s, p);
+      return;
+    }
+}
+
+void
+cell_service_stop (struct cell_service *s)
+{
+  s->stopping = true;
+  if (s->leading)
+    lose_leadership (s, clock_now_ms (s->config.clock));
+}
+
+json_t *
+cell_service_state (const struct cell_service *s)
+{
+  struct scheduler_stats stats;
+  struct buffer dump;
+  scheduler_stats (s->scheduler, &stats);
+  buffer_init (&dump);
+  scheduler_dump (s->scheduler, &dump);
+  json_t *details = json_loadb (dump.data ? dump.data : "", dump.len, 0, NULL);
+  buffer_close (&dump);
+  return json_pack ("{s:s, s:I, s:b, s:b, s:I, s:I, s:i, s:i, s:I, s:I, s:i, s:o*}", "data_centre",
+                    s->config.data_centre, "epoch", (json_int_t)s->cell.epoch, "leading",
+                    s->leading ? 1 : 0, "out", s->out ? 1 : 0, "permit_left_ms",
+                    (json_int_t)permit_holder_left_ms (&s->permit, clock_now_ms (s->config.clock)),
+                    "tasks", (json_int_t)s->cell.task_count, "workers", (int)stats.workers,
+                    "pending", (int)stats.pending, "starts", (json_int_t)stats.starts, "evictions",
+                    (json_int_t)stats.evictions, "intents", (int)s->cell.intent_count, "scheduler",
+                    details);
+}
--- a/src/cell_snapshot.c
+++ b/src/cell_snapshot.c
@@ -81,6 +81,7 @@
     out->customer = i->customer;
     out->key = i->key;
     out->request_hash = i->request_hash;
+    out->attempt = i->attempt;
     out->begun_ms = i->begun_ms;
     out->finished = i->finished;
     out->outcome = i->outcome;
@@ -194,6 +195,7 @@
   i->customer = xstrdup (in->customer);
   i->key = xstrdup (in->key);
   i->request_hash = in->request_hash;
+  i->attempt = in->attempt;
   i->begun_ms = in->begun_ms;
   i->finished = in->finished;
   i->outcome = in->outcome;
--- /dev/null
+++ b/src/cell_transfers.c
@@ -0,0 +1,481 @@
+#include "cell_transfers.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "counters.h"
+#include "log.h"
+
+#define SCAN_EVERY_MS 250
+#define RETRY_MS 1000     /* before a step without an outcome is repeated */
+#define MAX_OPEN_STEPS 64 /* steps in flight at once */
+#define SPARE_STEPS 1024  /* records kept beyond two for each task */
+
+enum step_kind
+{
+  STEP_OFFER = 1,        /* an OFFERED task is given to the receiver */
+  STEP_WITHDRAW = 2,     /* the receiver is asked never to take the task */
+  STEP_REPLACE = 3,      /* another cell is asked for a replacement replica */
+  STEP_REPLACED = 4,     /* the replacement runs: the old replica may stop */
+  STEP_MARK_STANDBY = 5, /* recorded here before a standby copy is sent */
+  STEP_PUT_STANDBY = 6,  /* the copy, or its newer checkpoint */
+  STEP_DROP_STANDBY = 7, /* the job has finished here */
+};
+
+/* What was last done for one task; soft state of the leader.  */
+struct step
+{
+  struct cell_node node; /* in steps, by kind and task */
+  struct cell_transfers *transfers;
+  enum step_kind kind;
+  uint64_t task;
+  uint64_t epoch;
+  uint64_t progress_ms;
+  uint64_t cell; /* the other cell */
+  bool open;     /* in flight */
+  bool done;     /* succeeded for this epoch and progress */
+  int64_t next_ms;
+};
+
+/* A data centre whose cell epoch was seen closed.  */
+struct closed_cell
+{
+  uint64_t cell;
+  uint64_t closed_epoch;
+  int64_t seen_ms;
+  bool open;
+  bool started;
+  int64_t next_ms;
+  struct cell_transfers *transfers;
+};
+
+struct cell_transfers
+{
+  struct cell_transfers_config config;
+  bool leader;
+  struct cell_map steps;
+  unsigned open_steps;
+  int64_t next_scan_ms;
+  struct scheduler_peer_cell cells[PEER_MAX_CELLS];
+  size_t cell_count;
+  struct closed_cell closed[PEER_MAX_CELLS];
+  size_t closed_count;
+};
+
+static struct counter moved
+    = { .name = "sassafras_tasks_moved_total", .help = "Tasks that another cell has taken over." };
+static struct counter standby_started = { .name = "sassafras_standby_started_total",
+                                          .help = "Standby copies started for a closed cell." };
+
+struct cell_transfers *
+cell_transfers_open (const struct cell_transfers_config *config)
+{
+  struct cell_transfers *t = xcalloc (1, sizeof *t);
+  t->config = *config;
+  cell_map_init (&t->steps);
+  return t;
+}
+
+/* Forgets all steps that are not in flight; those free themselves when they end.  */
+static void
+forget_steps (struct cell_transfers *t)
+{
+  for (size_t i = 0; i < t->steps.size; i++)
+    {
+      struct cell_node *next;
+      for (struct cell_node *n = t->steps.buckets[i]; n; n = next)
+        {
+          struct step *s = CELL_CONTAINER (n, struct step, node);
+          next = n->next;
+          if (s->open)
+            continue;
+          cell_map_remove (&t->steps, n);
+          free (s);
+        }
+    }
+}
+
+void
+cell_transfers_close (struct cell_transfers *t)
+{
+  if (!t)
+    return;
+  for (size_t i = 0; i < t->steps.size; i++)
+    {
+      struct cell_node *next;
+      for (struct cell_node *n = t->steps.buckets[i]; n; n = next)
+        {
+          next = n->next;
+          free (CELL_CONTAINER (n, struct step, node));
+        }
+    }
+  cell_map_close (&t->steps);
+  free (t);
+}
+
+void
+cell_transfers_lead (struct cell_transfers *t, bool leader)
+{
+  t->leader = leader;
+  t->closed_count = 0;
+  forget_steps (t);
+}
+
+static uint64_t
+cell_number (const struct cell_transfers *t, const char *data_centre)
+{
+  const registry_data_centre *all;
+  size_t n = registry_data_centres (t->config.registry, &all);
+  for (size_t i = 0; i < n; i++)
+    if (strcmp (all[i].name, data_centre) == 0)
+      return i + 1;
+  return 0;
+}
+
+static bool
+cell_is_in (const struct cell_transfers *t, uint64_t number)
+{
+  const registry_data_centre *all;
+  size_t n = registry_data_centres (t->config.registry, &all);
+  return number >= 1 && number <= n && !all[number - 1].out;
+}
+
+/* The one cell that holds this cell's standby copies; 0 when there is no other.  */
+static uint64_t
+standby_cell (const struct cell_transfers *t)
+{
+  const registry_data_centre *all;
+  uint64_t n = registry_data_centres (t->config.registry, &all);
+  return n > 1 ? t->config.cell->number % n + 1 : 0;
+}
+
+void
+cell_transfers_set_cells (struct cell_transfers *t, const cell_capacity *cells, size_t count)
+{
+  t->cell_count = 0;
+  for (size_t i = 0; i < count && i < PEER_MAX_CELLS; i++)
+    {
+      uint64_t number = cell_number (t, cells[i].data_centre);
+      if (number == 0 || number == t->config.cell->number || !cell_is_in (t, number))
+        continue;
+      t->cells[t->cell_count++]
+          = (struct scheduler_peer_cell){ .cell = number,
+                                          .standby = number == standby_cell (t),
+                                          .free_millicores = cells[i].free_millicores,
+                                          .free_memory_mb = cells[i].free_memory_mb,
+                                          .free_accelerators = cells[i].free_accelerators };
+    }
+}
+
+const struct scheduler_peer_cell *
+cell_transfers_cells (const struct cell_transfers *t)
+{
+  return t->cells;
+}
+
+size_t
+cell_transfers_cell_count (const struct cell_transfers *t)
+{
+  return t->cell_count;
+}
+
+static uint64_t
+step_hash (enum step_kind kind, uint64_t task)
+{
+  return cell_hash_id (task * 8 + kind);
+}
+
+static struct step *
+find_step (struct cell_transfers *t, enum step_kind kind, uint64_t task)
+{
+  uint64_t hash = step_hash (kind, task);
+  for (struct cell_node *n = cell_map_first (&t->steps, hash); n; n = cell_map_next (n))
+    {
+      struct step *s = CELL_CONTAINER (n, struct step, node);
+      if (s->kind == kind && s->task == task)
+        return s;
+    }
+  struct step *s = xcalloc (1, sizeof *s);
+  s->transfers = t;
+  s->kind = kind;
+  s->task = task;
+  cell_map_add (&t->steps, &s->node, hash);
+  return s;
+}
+
+/* True when a step may be sent now: not in flight, not done for this state, not sent just now.  */
+static bool
+step_due (struct cell_transfers *t, struct step *s, const struct cell_task *task, int64_t now_ms)
+{
+  if (s->epoch != task->epoch || s->progress_ms != task->progress_ms)
+    s->done = false;
+  if (s->open || s->done || now_ms < s->next_ms || t->open_steps >= MAX_OPEN_STEPS)
+    return false;
+  s->epoch = task->epoch;
+  s->progress_ms = task->progress_ms;
+  s->next_ms = now_ms + RETRY_MS;
+  return true;
+}
+
+static void
+propose_to (struct cell_transfers *t, uint64_t group, cell_command *command, propose_done *done,
+            void *arg)
+{
+  struct buffer entry;
+  buffer_init (&entry);
+  /* The leader of the group stamps its own time.  */
+  cell_encode (t->config.cell, clock_now_ms (t->config.clock), command, 1, &entry);
+  t->config.proposer->ops->propose (t->config.proposer, group, entry.data, entry.len, done, arg);
+  buffer_close (&entry);
+}
+
+static void
+ignore_outcome (void *arg, const struct status *st, const void *result, size_t len)
+{
+  (void)arg;
+  (void)st;
+  (void)result;
+  (void)len;
+}
+
+/* Ends an offer in this cell, after the receiver has committed its answer.  */
+static void
+end_offer (struct step *s, bool accepted)
+{
+  cell_command c = { .kind = accepted ? CELL_HANDOFF_DONE : CELL_HANDOFF_ABORT };
+  c.cell_command_u.handoff_end.task = s->task;
+  c.cell_command_u.handoff_end.epoch = s->epoch;
+  if (accepted)
+    counter_add (&moved, 1);
+  propose_to (s->transfers, s->transfers->config.cell->number, &c, ignore_outcome, NULL);
+}
+
+static void
+on_applied (struct step *s, const cell_result *r)
+{
+  bool ok = r->status == STATUS_OK;
+  switch (s->kind)
+    {
+    case STEP_OFFER:
+      if (ok)
+        end_offer (s, true);
+      else if (r->status == STATUS_OVERLOADED)
+        end_offer (s, false);
+      break;
+    case STEP_WITHDRAW:
+      if (ok)
+        end_offer (s, false);
+      else if (r->status == STATUS_VERSION_CONFLICT)
+        end_offer (s, true);
+      break;
+    default:
+      break;
+    }
+  s->done = ok || s->kind == STEP_REPLACED;
+}
+
+static void
+on_step_done (void *arg, const struct status *st, const void *result, size_t len)
+{
+  struct step *s = arg;
+  cell_results results;
+  s->open = false;
+  s->transfers->open_steps--;
+  if (!status_ok (st) || !s->transfers->leader
+      || cell_decode_results (result, len, &results, NULL) < 0)
+    return;
+  if (results.results.results_len == 1)
+    on_applied (s, &results.results.results_val[0]);
+  cell_free_results (&results);
+}
+
+static void
+send_step (struct step *s, uint64_t group, cell_command *command)
+{
+  s->cell = group;
+  s->open = true;
+  s->transfers->open_steps++;
+  propose_to (s->transfers, group, command, on_step_done, s);
+}
+
+static void
+send_transfer (struct step *s, uint64_t group, enum cell_command_kind kind,
+               const struct cell_task *task)
+{
+  cell_command c = { .kind = kind };
+  cell_make_transfer (s->transfers->config.cell, task, &c.cell_command_u.transfer);
+  send_step (s, group, &c);
+}
+
+/* Offers a task to its receiver, or withdraws the offer when the receiver's data centre is out.  */
+static void
+transfer_offered (struct cell_transfers *t, const struct cell_task *task, int64_t now_ms)
+{
+  bool in = cell_is_in (t, task->other_cell);
+  struct step *s = find_step (t, in ? STEP_OFFER : STEP_WITHDRAW, task->id);
+  if (step_due (t, s, task, now_ms))
+    send_transfer (s, task->other_cell, in ? CELL_HANDOFF_ACCEPT : CELL_HANDOFF_REFUSE, task);
+}
+
+void
+cell_transfers_move (struct cell_transfers *t, const struct scheduler_move *move, int64_t now_ms)
+{
+  const struct cell_task *task = cell_find_task (t->config.cell, move->task);
+  if (!task)
+    return;
+  if (move->kind == SCHEDULER_MOVE_HANDOFF)
+    {
+      transfer_offered (t, task, now_ms);
+      return;
+    }
+  struct step *s = find_step (t, STEP_REPLACE, task->id);
+  if (step_due (t, s, task, now_ms))
+    send_transfer (s, s->cell ? s->cell : move->to_cell, CELL_REPLICA_ADD, task);
+}
+
+static void
+report_replaced (struct cell_transfers *t, const struct cell_task *task, int64_t now_ms)
+{
+  struct step *s = find_step (t, STEP_REPLACED, task->id);
+  if (!step_due (t, s, task, now_ms))
+    return;
+  cell_command c = { .kind = CELL_REPLICA_REPLACED };
+  c.cell_command_u.handoff_end.task = task->replaces;
+  send_step (s, task->replaces >> CELL_ID_SHIFT, &c);
+}
+
+/* Keeps the standby copy of a task up to date.  The copy's cell is recorded here first, so that a
+   later leader of this cell knows that the task may be started there.  */
+static void
+keep_standby (struct cell_transfers *t, const struct cell_task *task, int64_t now_ms)
+{
+  struct step *s = find_step (t, task->other_cell ? STEP_PUT_STANDBY : STEP_MARK_STANDBY, task->id);
+  if (!step_due (t, s, task, now_ms))
+    return;
+  if (task->other_cell)
+    {
+      send_transfer (s, task->other_cell, CELL_STANDBY_PUT, task);
+      return;
+    }
+  uint64_t cell = standby_cell (t);
+  if (cell == 0)
+    return;
+  cell_command c = { .kind = CELL_STANDBY_SENT };
+  c.cell_command_u.offer.task = task->id;
+  c.cell_command_u.offer.epoch = task->epoch;
+  c.cell_command_u.offer.to_cell = cell;
+  send_step (s, t->config.cell->number, &c);
+}
+
+static void
+drop_standby (struct cell_transfers *t, const struct cell_job *job, int64_t now_ms)
+{
+  const struct cell_task *task;
+  STAILQ_FOREACH (task, &job->tasks, link)
+  {
+    if (task->other_cell == 0 || task->state == CELL_MOVED)
+      continue;
+    struct step *s = find_step (t, STEP_DROP_STANDBY, task->id);
+    if (!step_due (t, s, task, now_ms))
+      return;
+    cell_command c = { .kind = CELL_STANDBY_DROP };
+    c.cell_command_u.standby_drop.job = job->id;
+    send_step (s, task->other_cell, &c);
+    return;
+  }
+}
+
+static void
+scan_task (struct cell_transfers *t, const struct cell_task *task, int64_t now_ms)
+{
+  const cell_job_spec *spec = &task->job->spec;
+  if (task->state == CELL_RUNNING && task->replaces != 0)
+    report_replaced (t, task, now_ms);
+  else if (spec->kind == CELL_BATCH && spec->repeat_elsewhere && !cell_task_final (task)
+           && task->state != CELL_STANDBY)
+    keep_standby (t, task, now_ms);
+}
+
+static void
+scan_jobs (struct cell_transfers *t, int64_t now_ms)
+{
+  const struct cell_job *job;
+  const struct cell_task *task;
+  TAILQ_FOREACH (job, &t->config.cell->job_list, link)
+  STAILQ_FOREACH (task, &job->tasks, link)
+  scan_task (t, task, now_ms);
+  TAILQ_FOREACH (job, &t->config.cell->finished, link)
+  if (job->spec.repeat_elsewhere)
+    drop_standby (t, job, now_ms);
+}
+
+static void
+on_standby_started (void *arg, const struct status *st, const void *result, size_t len)
+{
+  struct closed_cell *c = arg;
+  cell_results results;
+  c->open = false;
+  if (!status_ok (st) || cell_decode_results (result, len, &results, NULL) < 0)
+    return;
+  if (results.results.results_len == 1 && results.results.results_val[0].status == STATUS_OK)
+    {
+      c->started = true;
+      counter_add (&standby_started, results.results.results_val[0].count);
+      log_line (LOG_INFO, "cell epoch %llu of cell %llu is closed: %u standby copies started",
+                (unsigned long long)c->closed_epoch, (unsigned long long)c->cell,
+                results.results.results_val[0].count);
+    }
+  cell_free_results (&results);
+}
+
+static struct closed_cell *
+find_closed (struct cell_transfers *t, uint64_t cell, uint64_t closed_epoch, int64_t now_ms)
+{
+  for (size_t i = 0; i < t->closed_count; i++)
+    if (t->closed[i].cell == cell)
+      {
+        if (t->closed[i].closed_epoch != closed_epoch && !t->closed[i].open)
+          t->closed[i] = (struct closed_cell){ cell, closed_epoch, now_ms, false, false, 0, t };
+        return &t->closed[i];
+      }
+  struct closed_cell *c = &t->closed[t->closed_count++];
+  *c = (struct closed_cell){ cell, closed_epoch, now_ms, false, false, 0, t };
+  return c;
+}
+
+/* Starts the copies of cells whose epoch the registry has closed, once the leases under it have
+   surely expired.  The time is counted from when this leader learned of the closing.  */
+static void
+start_closed (struct cell_transfers *t, int64_t now_ms)
+{
+  const registry_data_centre *all;
+  size_t n = registry_data_centres (t->config.registry, &all);
+  for (size_t i = 0; i < n && i < PEER_MAX_CELLS; i++)
+    {
+      if (all[i].epoch <= 1 || i + 1 == t->config.cell->number)
+        continue;
+      struct closed_cell *c = find_closed (t, i + 1, all[i].epoch - 1, now_ms);
+      int64_t ago = now_ms - c->seen_ms;
+      if (c->started || c->open || ago < CELL_CLOSE_WAIT_MS || now_ms < c->next_ms)
+        continue;
+      cell_command command = { .kind = CELL_STANDBY_START };
+      command.cell_command_u.standby_start.cell = c->cell;
+      command.cell_command_u.standby_start.closed_epoch = c->closed_epoch;
+      command.cell_command_u.standby_start.closed_ago_ms = (uint64_t)ago;
+      c->open = true;
+      c->next_ms = now_ms + RETRY_MS;
+      propose_to (t, t->config.cell->number, &command, on_standby_started, c);
+    }
+}
+
+void
+cell_transfers_tick (struct cell_transfers *t, int64_t now_ms)
+{
+  if (!t->leader || now_ms < t->next_scan_ms)
+    return;
+  t->next_scan_ms = now_ms + SCAN_EVERY_MS;
+  if (t->steps.count > 2 * (size_t)t->config.cell->task_count + SPARE_STEPS)
+    forget_steps (t);
+  scan_jobs (t, now_ms);
+  start_closed (t, now_ms);
+}
--- /dev/null
+++ b/src/daemon_internal.h
@@ -0,0 +1,105 @@
+/* daemon_internal: what the files of the daemon share.  */
+
+#ifndef SASSAFRAS_DAEMON_INTERNAL_H
+#define SASSAFRAS_DAEMON_INTERNAL_H
+
+#include <ev.h>
+
+#include "cell_service.h"
+#include "daemon.h"
+#include "group.h"
+#include "http_server.h"
+#include "intent_log.h"
+#include "job_api.h"
+#include "limit.h"
+#include "operator_api.h"
+#include "peer_net.h"
+#include "proposal_router.h"
+#include "proxy.h"
+#include "registry_service.h"
+#include "router.h"
+#include "runner_api.h"
+#include "runner_table.h"
+#include "worker_api.h"
+
+/* One replicated group on this VM.  */
+struct daemon_group
+{
+  struct daemon *daemon;
+  uint64_t id;
+  struct group *group;
+  struct cell_service *cell; /* NULL for the registry */
+};
+
+struct daemon
+{
+  const struct settings *settings;
+  struct ev_loop *loop;
+  struct clock *clock;
+  struct rng rng;
+  uint64_t node;
+  uint64_t incarnation;
+  const registry_member *self; /* in the members file */
+  bool disk;                   /* this VM keeps state */
+
+  struct peer_net *net;
+  struct registry *registry;
+  struct registry_service *registry_service;
+  struct proposal_router *proposals;
+  struct daemon_group groups[PROPOSAL_MAX_GROUPS];
+  size_t group_count;
+  bool groups_open;
+  struct cell_service *cells[PROPOSAL_MAX_GROUPS];
+  size_t cell_count;
+  bool initialized; /* as told to the peers */
+
+  struct runner_table *runners;
+  struct router router;
+  struct limit *limit;
+  struct intent_log intents;
+  struct proxy *proxy;
+  struct http_server *backend_server;
+  struct http_server *operator_server;
+  struct runner_api runner_api;
+  struct worker_api worker_api;
+  struct job_api job_api;
+  struct operator_api *operator_api;
+  uint64_t runners_generation;
+
+  ev_timer tick;
+  ev_timer drain_timer;
+  ev_prepare flush;
+  ev_idle busy; /* keeps the loop from blocking while a group needs a flush */
+  ev_signal on_term;
+  ev_signal on_int;
+  ev_signal on_dump;
+  bool stopping;
+  bool proxy_drained;
+  int64_t stop_deadline_ms;
+};
+
+/* daemon_groups.c */
+int daemon_open_peers (struct daemon *d, struct status *st); /* Transport and bootstrap. */
+int daemon_bootstrap (struct daemon *d, struct status *st);  /* Opens the groups once it may. */
+void daemon_flush_groups (struct daemon *d);                 /* Disk writes and messages. */
+void daemon_tick_groups (struct daemon *d, int64_t now_ms);  /* Timers of groups and services. */
+void daemon_close_groups (struct daemon *d);                 /* Groups, then their services. */
+void daemon_follow_members (struct daemon *d);               /* Addresses of the peers. */
+bool daemon_leads (const struct daemon *d);                  /* Any group. */
+void daemon_transfer_leadership (struct daemon *d);          /* All groups led here. */
+
+/* daemon_requests.c */
+int daemon_open_requests (struct daemon *d, struct status *st); /* Caller side. */
+void daemon_tick_requests (struct daemon *d, int64_t now_ms);   /* Runner table and digests. */
+void daemon_follow_entries (struct daemon *d);                  /* Number of entries changed. */
+void daemon_receive_runners (struct daemon *d, const struct peer_info *from,
+                             const runner_digest *digest, struct peer_reply *reply);
+void daemon_peer_connected (struct daemon *d, const struct peer_info *peer);
+void daemon_close_requests (struct daemon *d);
+
+/* daemon_http.c */
+int daemon_open_http (struct daemon *d, struct status *st); /* Backend and operator servers. */
+void daemon_close_http (struct daemon *d);
+json_t *daemon_state (struct daemon *d); /* The whole state, for operators. */
+
+#endif
--- a/src/gen/cell_proto.h
+++ b/src/gen/cell_proto.h
@@ -211,12 +211,14 @@
 	cell_name customer;
 	cell_name key;
 	u_quad_t request_hash;
+	u_quad_t attempt;
 };
 typedef struct cell_intent_begin cell_intent_begin;
 
 struct cell_intent_finish {
 	cell_name customer;
 	cell_name key;
+	u_quad_t attempt;
 	u_int outcome;
 	u_int code;
 	struct {
@@ -336,6 +338,7 @@
 	cell_name customer;
 	cell_name key;
 	u_quad_t request_hash;
+	u_quad_t attempt;
 	quad_t begun_ms;
 	bool_t finished;
 	u_int outcome;
--- a/src/gen/cell_proto.x
+++ b/src/gen/cell_proto.x
@@ -197,12 +197,14 @@
   cell_name customer;
   cell_name key;
   unsigned hyper request_hash;
+  unsigned hyper attempt;     /* random; a repeat of the same begin carries the same number */
 };
 
 struct cell_intent_finish
 {
   cell_name customer;
   cell_name key;
+  unsigned hyper attempt;     /* of the begin; any other finish is refused */
   unsigned int outcome;       /* enum status_ran */
   unsigned int code;          /* HTTP status of the answer */
   opaque answer<CELL_ANSWER_BYTES>;
@@ -324,6 +326,7 @@
   cell_name customer;
   cell_name key;
   unsigned hyper request_hash;
+  unsigned hyper attempt;
   hyper begun_ms;
   bool finished;
   unsigned int outcome;
--- a/src/gen/cell_proto_xdr.c
+++ b/src/gen/cell_proto_xdr.c
@@ -297,6 +297,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->request_hash))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->attempt))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -309,6 +311,8 @@
 		 return FALSE;
 	 if (!xdr_cell_name (xdrs, &objp->key))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->attempt))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->outcome))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->code))
@@ -545,6 +549,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->request_hash))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->attempt))
+			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->begun_ms))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
@@ -571,6 +577,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->request_hash))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->attempt))
+			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->begun_ms))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
@@ -598,6 +606,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->request_hash))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->attempt))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->begun_ms))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->finished))
--- a/src/gen/registry_proto.h
+++ b/src/gen/registry_proto.h
@@ -164,6 +164,7 @@
 	u_quad_t stopped_node;
 	registry_in_force_reason in_force;
 	quad_t in_force_ms;
+	bool_t home;
 };
 typedef struct registry_data_centre registry_data_centre;
 
--- a/src/gen/registry_proto.x
+++ b/src/gen/registry_proto.x
@@ -142,6 +142,7 @@
   unsigned hyper stopped_node;
   registry_in_force_reason in_force;
   hyper in_force_ms;
+  bool home;                   /* its cell may be the home of jobs and unrepeatable requests */
 };
 
 struct registry_answer
--- a/src/gen/registry_proto_xdr.c
+++ b/src/gen/registry_proto_xdr.c
@@ -296,6 +296,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->in_force_ms))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->home))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -27,6 +27,7 @@
   struct MHD_Daemon *daemon;
   struct http_loop *http_loop;
   unsigned open_requests;
+  LIST_HEAD (request_list, http_request) requests;
   bool closing;
 };
 
@@ -114,6 +115,7 @@
   req->path = path;
   req->method = method;
   server->open_requests++;
+  LIST_INSERT_HEAD (&server->requests, req, link);
   return req;
 }
 
@@ -181,6 +183,7 @@
   if (!req)
     return;
   server->open_requests--;
+  LIST_REMOVE (req, link);
   if (req->response)
     MHD_destroy_response (req->response);
   buffer_close (&req->body);
@@ -249,7 +252,12 @@
 {
   if (!server)
     return;
+  struct http_request *req;
   server->closing = true;
+  /* libmicrohttpd ends the process when it is stopped with suspended connections.  */
+  LIST_FOREACH (req, &server->requests, link)
+  if (req->suspended)
+    MHD_resume_connection (req->connection);
   http_loop_close (server->http_loop);
   MHD_stop_daemon (server->daemon);
   free (server);
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -10,6 +10,7 @@
 
 #include <stddef.h>
 #include <stdint.h>
+#include <sys/queue.h>
 
 #include <ev.h>
 #include <jansson.h>
@@ -34,6 +35,7 @@
   struct MHD_Response *response; /* set by the answer */
   int response_code;
   void *user; /* the handler's own data */
+  LIST_ENTRY (http_request) link;
 };
 
 typedef void http_handler (void *arg, struct http_request *req);
--- a/src/main.c
+++ b/src/main.c
@@ -1,8 +1,48 @@
+/* sassafrasd: the scheduler's daemon, one on every entry VM.  */
 #include <stdio.h>
 
+#include <curl/curl.h>
+
+#include "daemon.h"
+#include "log.h"
+#include "settings.h"
+
+static int
+run (const struct settings *settings)
+{
+  struct status st;
+  log_configure (&settings->log);
+  struct daemon *d = daemon_open (settings, &st);
+  if (!d)
+    {
+      log_line (LOG_ERROR, "cannot start: %s", st.message);
+      return status_answer (st.kind)->exit_code;
+    }
+  int code = daemon_run (d);
+  daemon_close (d);
+  return code;
+}
+
 int
-main (void)
+main (int argc, char **argv)
 {
-  puts ("sassafrasd");
-  return 0;
+  struct settings settings;
+  struct buffer out;
+  int code = 0;
+  buffer_init (&out);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  enum settings_action action = settings_read (&settings, argc, argv, &out);
+  if (action == SETTINGS_RUN)
+    code = run (&settings);
+  else if (action == SETTINGS_EXIT)
+    fputs (out.data ? out.data : "", stdout);
+  else
+    {
+      fputs (out.data ? out.data : "", stderr);
+      code = status_answer (STATUS_INVALID_SETTING)->exit_code;
+    }
+  settings_close (&settings);
+  buffer_close (&out);
+  curl_global_cleanup ();
+  return code;
 }
--- /dev/null
+++ b/src/member_sync.c
@@ -0,0 +1,77 @@
+#include "member_sync.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+
+#define CHECK_EVERY_MS 1000
+#define RETRY_MS 3000
+
+static int
+compare_members (const void *a, const void *b)
+{
+  const raft_member *x = a;
+  const raft_member *y = b;
+  return x->node < y->node ? -1 : x->node > y->node;
+}
+
+static bool
+same_members (const raft_members *in_log, const raft_member *target, size_t count)
+{
+  if (in_log->members.members_len != count)
+    return false;
+  for (size_t i = 0; i < count; i++)
+    {
+      const raft_member *m = raft_members_find (in_log, target[i].node);
+      if (!m || m->voter != target[i].voter)
+        return false;
+    }
+  return true;
+}
+
+static bool
+store_replaced (const struct group *g)
+{
+  struct group_stats stats;
+  group_stats (g, &stats);
+  for (size_t i = 0; i < stats.peers_len; i++)
+    if (stats.peers[i].wrong_store)
+      return true;
+  return false;
+}
+
+static void
+on_changed (void *arg, const struct status *st, const void *result, size_t len)
+{
+  struct member_sync *m = arg;
+  (void)result;
+  (void)len;
+  m->changing = false;
+  log_line (LOG_INFO, "group %s: change of members ended: %s", m->name,
+            status_ok (st) ? "done" : st->message);
+}
+
+void
+member_sync_init (struct member_sync *m, struct group *g, const char *name)
+{
+  memset (m, 0, sizeof *m);
+  m->group = g;
+  m->name = name;
+}
+
+void
+member_sync_tick (struct member_sync *m, raft_member *target, size_t count, int64_t now_ms)
+{
+  if (m->changing || count == 0 || now_ms < m->next_ms)
+    return;
+  m->next_ms = now_ms + CHECK_EVERY_MS;
+  qsort (target, count, sizeof *target, compare_members);
+  if (same_members (group_members (m->group), target, count) && !store_replaced (m->group))
+    return;
+  const raft_members list = { { (u_int)count, target } };
+  log_line (LOG_INFO, "group %s: changing members", m->name);
+  m->changing = true;
+  m->next_ms = now_ms + RETRY_MS;
+  group_change_members (m->group, &list, on_changed, m);
+}
--- /dev/null
+++ b/src/member_sync.h
@@ -0,0 +1,28 @@
+/* member_sync: brings the members of a group in line with a target list.
+
+   A change of members is asked for when the log's members differ from the target or when a voter
+   answers from another store than the one that may vote, which means that its disk was replaced.
+   One change at a time; a change that ends without success is asked for again.  */
+
+#ifndef SASSAFRAS_MEMBER_SYNC_H
+#define SASSAFRAS_MEMBER_SYNC_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "group.h"
+
+struct member_sync
+{
+  struct group *group;
+  const char *name; /* of the group, for log lines */
+  bool changing;
+  int64_t next_ms;
+};
+
+void member_sync_init (struct member_sync *m, struct group *g,
+                       const char *name); /* Nothing to close; G must outlive its changes. */
+void member_sync_tick (struct member_sync *m, raft_member *target, size_t count,
+                       int64_t now_ms); /* While leading; sorts TARGET. */
+
+#endif
--- a/src/registry_commands.c
+++ b/src/registry_commands.c
@@ -321,6 +321,14 @@
   r->state.next_node = 1;
 }
 
+/* Only the first data centres are homes: another one would move the home of recorded requests.  */
+static void
+mark_home_cells (struct registry *r)
+{
+  for (unsigned i = 0; i < r->state.data_centres.data_centres_len; i++)
+    r->state.data_centres.data_centres_val[i].home = true;
+}
+
 /* The first members, all or none, once.  They are added in the order of their node ids, whatever
    the order of the file.  Every VM may propose this; the first one wins.  */
 static unsigned
@@ -339,7 +347,10 @@
          && add_member (r, &c->members.members_val[i], time_ms, result) == 0)
     i++;
   if (i == c->members.members_len && voters (r) > 0)
-    return MEMBER_CHANGES;
+    {
+      mark_home_cells (r);
+      return MEMBER_CHANGES;
+    }
   if (result->status == STATUS_OK)
     registry_refuse (result, STATUS_BAD_REQUEST, "no member is a voter of the registry");
   clear_members (r);
--- /dev/null
+++ b/src/registry_service.h
@@ -0,0 +1,48 @@
+/* registry_service: the registry group of this VM at work.
+
+   Ties the registry's state machine to its group and, while this VM leads, proposes the first
+   members, grants start permits, records when an out command is in force, and brings the members
+   of the group in line with the members in the registry.
+
+   Permits: a request is answered after a quorum round that began after the request came in, so
+   that a leader that was replaced without noticing grants nothing.  */
+
+#ifndef SASSAFRAS_REGISTRY_SERVICE_H
+#define SASSAFRAS_REGISTRY_SERVICE_H
+
+#include <stdint.h>
+
+#include <jansson.h>
+
+#include "clock.h"
+#include "group.h"
+#include "members.h"
+#include "operator_api.h"
+#include "peer_proto.h"
+#include "registry.h"
+
+struct registry_service;
+
+struct registry_service_config
+{
+  struct registry *registry;
+  struct proposer *proposer;
+  struct clock *clock;
+  const struct member_list *members; /* proposed as the first members */
+};
+
+/* The answer to a permit request; GRANT is valid during the call.  */
+typedef void permit_answer_fn (void *arg, const permit_grant *grant);
+
+struct registry_service *
+registry_service_open (const struct registry_service_config *config); /* Without a group yet. */
+void registry_service_close (struct registry_service *s);             /* Frees it. */
+void registry_service_set_group (struct registry_service *s, struct group *g); /* Group in use. */
+void registry_service_leader_changed (struct registry_service *s); /* From the group's event. */
+void registry_service_tick (struct registry_service *s, int64_t now_ms); /* Every 10 to 100 ms. */
+void registry_service_permit (struct registry_service *s, uint64_t node,
+                              const permit_request *request, permit_answer_fn *answer,
+                              void *arg);                          /* Answers once, now or later. */
+json_t *registry_service_state (const struct registry_service *s); /* For the state dump. */
+
+#endif
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -32,10 +32,20 @@
   abort ();
 }
 
+struct scheduler_quota
+scheduler_open_quota (void)
+{
+  return (struct scheduler_quota){ .weight = 1,
+                                   .max_millicores = SCHEDULER_NO_LIMIT,
+                                   .max_memory_mb = SCHEDULER_NO_LIMIT,
+                                   .max_accelerators = SCHEDULER_NO_LIMIT,
+                                   .evictions_per_hour = UINT32_MAX };
+}
+
 static void
 load_quota (const struct scheduler *s, struct sched_customer *c)
 {
-  c->quota = (struct scheduler_quota){ .weight = 1, .evictions_per_hour = UINT32_MAX };
+  c->quota = scheduler_open_quota ();
   c->known = !s->config.quota || s->config.quota (s->config.quota_ctx, c->name, &c->quota);
 }
 
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -63,7 +63,9 @@
 #define SCHEDULER_MAX_WORKER_TASKS 1024
 #define SCHEDULER_MAX_WORKERS 32768
 
-/* What a customer's plan allows in this cell.  0 in a max_ member is no limit.  */
+#define SCHEDULER_NO_LIMIT UINT64_MAX /* in a max_ member of a quota */
+
+/* What a customer's plan allows in this cell; 0 allows nothing.  */
 struct scheduler_quota
 {
   double weight; /* share against other customers, > 0 */
@@ -218,6 +220,7 @@
 
 struct scheduler;
 
+struct scheduler_quota scheduler_open_quota (void); /* Weight 1 and no limits. */
 struct scheduler *scheduler_new (const struct scheduler_config *config); /* A follower. */
 void scheduler_free (struct scheduler *s);
 
--- a/src/scheduler_guard.c
+++ b/src/scheduler_guard.c
@@ -211,7 +211,7 @@
 static uint64_t
 excess (uint64_t used, uint64_t max)
 {
-  return max != 0 && used > max ? used - max : 0;
+  return used > max ? used - max : 0;
 }
 
 static bool
--- a/src/scheduler_place.c
+++ b/src/scheduler_place.c
@@ -126,7 +126,7 @@
 static bool
 over (uint64_t used, uint64_t need, uint64_t max)
 {
-  return max != 0 && used + need > max;
+  return need > 0 && used + need > max;
 }
 
 static bool
--- a/src/scheduler_report.c
+++ b/src/scheduler_report.c
@@ -43,13 +43,13 @@
 static bool
 exceeds (uint64_t size, uint64_t max)
 {
-  return max != 0 && size > max;
+  return size > max;
 }
 
 int
 scheduler_admit (struct scheduler *s, const cell_job_spec *spec, struct status *st)
 {
-  struct scheduler_quota q = { .weight = 1 };
+  struct scheduler_quota q = scheduler_open_quota ();
   if (s->config.quota && !s->config.quota (s->config.quota_ctx, spec->customer, &q))
     return status_set (st, STATUS_UNKNOWN_CUSTOMER, "customer %s is not in the list",
                        spec->customer);
--- /dev/null
+++ b/src/worker_api.h
@@ -0,0 +1,24 @@
+/* worker_api: POST /v1/workers/announce and POST /v1/workers/poll.
+
+   Only the leader of the cell answers; any other VM redirects to it with 307.  Fields and units are
+   described in docs/api.md.  A poll with "wait": 1 is held until there are commands.  */
+
+#ifndef SASSAFRAS_WORKER_API_H
+#define SASSAFRAS_WORKER_API_H
+
+#include <stdbool.h>
+
+#include "cell_service.h"
+#include "http_server.h"
+#include "registry.h"
+
+struct worker_api
+{
+  struct cell_service *cell; /* of this data centre; NULL until the groups are open */
+  const struct registry *registry;
+};
+
+bool worker_api_handle (struct worker_api *api,
+                        struct http_request *req); /* False: not one of these endpoints. */
+
+#endif
--- a/standins/worker.c
+++ b/standins/worker.c
@@ -1,7 +1,8 @@
 /* worker: a small stand-in for a worker, for tests, examples and the demo.
 
    It announces itself, polls for commands, runs tasks as timers and honours its lease: when no poll
-   sent within the last lease was answered, it stops every task.  Every start and end of a task is
+   sent within the last lease was answered, it stops every task.  Reports are repeated in every poll
+   until a forget command for that task and epoch arrives.  Every start and end of a task is
    written to the events file, one line "time_ms event task epoch", so that a test can check that no
    task ran in two places.  */
 
@@ -27,12 +28,11 @@
 #define POLL_TIMEOUT_MS 5000L
 #define RETRY_MS 200
 #define TICK_MS 20
-#define DEFAULT_LEASE_MS 10000
 
 enum task_state
 {
   TASK_RUNNING,
-  TASK_ENDED, /* the end is reported until the cell has acknowledged it */
+  TASK_ENDED, /* the end is reported until it may be forgotten */
 };
 
 struct task
@@ -47,8 +47,8 @@
   int throttle_percent; /* share of full speed */
   int millicores;
   int memory_mb;
-  int reported_rounds; /* answered polls that carried the final report */
-  bool checkpointed;   /* the next report carries a checkpoint */
+  int64_t checkpoint_ms; /* work that the last checkpoint keeps */
+  bool covered;          /* a standby copy exists: the shorter lease holds */
   LIST_ENTRY (task) link;
 };
 
@@ -74,8 +74,8 @@
   bool polling;   /* a long poll is open */
   bool reporting; /* an immediate report is open */
   bool report_due;
-  int64_t lease_ms;
   int64_t lease_until_ms;
+  int64_t covered_until_ms; /* same, for tasks with a standby copy */
   unsigned random_state;
   ev_timer tick;
   ev_timer retry;
@@ -136,7 +136,6 @@
   if (t->state == TASK_RUNNING)
     write_event (w, "end", t);
   t->state = TASK_ENDED;
-  t->reported_rounds = 0;
   snprintf (t->report, sizeof t->report, "%s", report);
   w->report_due = true;
 }
@@ -154,20 +153,14 @@
     }
 }
 
-/* A report is dropped after two answered polls carried it: the first answer may have been computed
-   before the report was applied.  */
+/* Ends the tasks whose standby copy may be started elsewhere soon.  */
 static void
-count_reported (struct worker *w)
+stop_covered (struct worker *w)
 {
-  struct task *next;
-  for (struct task *t = LIST_FIRST (&w->tasks); t; t = next)
-    {
-      next = LIST_NEXT (t, link);
-      if (t->state != TASK_ENDED || ++t->reported_rounds < 2)
-        continue;
-      LIST_REMOVE (t, link);
-      free (t);
-    }
+  struct task *t;
+  LIST_FOREACH (t, &w->tasks, link)
+  if (t->covered && t->state == TASK_RUNNING)
+    end_task (w, t, "stopped");
 }
 
 static json_int_t
@@ -192,17 +185,20 @@
       t = xcalloc (1, sizeof *t);
       LIST_INSERT_HEAD (&w->tasks, t, link);
     }
-  const char *checkpoint = json_string_value (json_object_get (command, "checkpoint"));
   t->id = id;
   t->epoch = epoch;
-  t->progress_ms = checkpoint ? strtoll (checkpoint, NULL, 10) : 0;
-  t->run_time_ms = get_int (command, "run_time_ms", -1);
-  if (t->run_time_ms > 0)
+  t->progress_ms = get_int (command, "progress_ms", 0);
+  t->checkpoint_ms = t->progress_ms;
+  t->covered = json_is_true (json_object_get (command, "covered"));
+  const char *kind = json_string_value (json_object_get (command, "kind"));
+  t->run_time_ms = get_int (command, "run_time_ms", 0);
+  if (kind && strcmp (kind, "urgent") == 0)
+    t->run_time_ms = -1;
+  else
     t->run_time_ms = (int64_t)((double)t->run_time_ms * w->time_factor);
   t->millicores = (int)get_int (command, "millicores", 0);
   t->memory_mb = (int)get_int (command, "memory_mb", 0);
   t->throttle_percent = 100;
-  t->checkpointed = false;
   t->state = TASK_ENDED;
   w->report_due = true;
   if (now_ms () > sent_ms + get_int (command, "valid_ms", 0))
@@ -221,6 +217,29 @@
   write_event (w, "start", t);
 }
 
+static void
+change_task (struct worker *w, struct task *t, const char *type, json_t *command)
+{
+  if (strcmp (type, "stop") == 0)
+    {
+      if (get_int (command, "grace_ms", 0) > 0)
+        t->checkpoint_ms = task_progress (t);
+      end_task (w, t, "stopped");
+    }
+  else if (strcmp (type, "checkpoint") == 0)
+    {
+      t->checkpoint_ms = task_progress (t);
+      w->report_due = true;
+    }
+  else if (strcmp (type, "throttle") == 0 && t->millicores > 0)
+    {
+      json_int_t limit = get_int (command, "limit_millicores", t->millicores);
+      t->progress_ms = task_progress (t);
+      t->started_ms = now_ms ();
+      t->throttle_percent = limit >= t->millicores ? 100 : (int)(limit * 100 / t->millicores);
+    }
+}
+
 static void
 run_command (struct worker *w, json_t *command, int64_t sent_ms)
 {
@@ -233,41 +252,29 @@
       start_task (w, command, sent_ms);
       return;
     }
-  if (!t || t->epoch != get_int (command, "epoch", 0) || t->state != TASK_RUNNING)
+  if (!t || t->epoch != get_int (command, "epoch", 0))
     return;
-  if (strcmp (type, "stop") == 0)
-    end_task (w, t, "stopped");
-  else if (strcmp (type, "checkpoint") == 0)
+  if (strcmp (type, "forget") == 0 && t->state == TASK_ENDED)
     {
-      t->checkpointed = true;
-      w->report_due = true;
-    }
-  else if (strcmp (type, "throttle") == 0)
-    {
-      t->progress_ms = task_progress (t);
-      t->started_ms = now_ms ();
-      t->throttle_percent = (int)get_int (command, "percent", 100);
+      LIST_REMOVE (t, link);
+      free (t);
     }
+  else if (t->state == TASK_RUNNING)
+    change_task (w, t, type, command);
 }
 
 static json_t *
-task_report (struct task *t)
-{
-  char progress[32];
-  json_t *report = json_pack (
-      "{s:I, s:I, s:s, s:i, s:i}", "task", t->id, "epoch", t->epoch, "state", t->report,
-      "usage_millicores", t->state == TASK_RUNNING ? t->millicores * t->throttle_percent / 100 : 0,
-      "usage_memory_mb", t->state == TASK_RUNNING ? t->memory_mb : 0);
-  bool stopped = strcmp (t->report, "stopped") == 0;
-  if (t->checkpointed || stopped)
-    {
-      snprintf (progress, sizeof progress, "%lld", (long long)task_progress (t));
-      json_object_set_new (report, "checkpoint", json_string (progress));
-      t->checkpointed = false;
-    }
-  if (strcmp (t->report, "failed") == 0)
-    json_object_set_new (report, "reason", json_string ("exit status 1"));
-  return report;
+task_report (const struct task *t)
+{
+  char checkpoint[32];
+  bool running = t->state == TASK_RUNNING;
+  snprintf (checkpoint, sizeof checkpoint, "%lld", (long long)t->checkpoint_ms);
+  return json_pack ("{s:I, s:I, s:s, s:i, s:i, s:I, s:s, s:s}", "task", t->id, "epoch", t->epoch,
+                    "state", t->report, "used_millicores",
+                    running ? t->millicores * t->throttle_percent / 100 : 0, "used_memory_mb",
+                    running ? t->memory_mb : 0, "progress_ms", (json_int_t)t->checkpoint_ms,
+                    "checkpoint", t->checkpoint_ms > 0 ? checkpoint : "", "reason",
+                    strcmp (t->report, "failed") == 0 ? "exit status 1" : "");
 }
 
 static json_t *
@@ -313,10 +320,12 @@
 static void
 renew_lease (struct worker *w, int64_t sent_ms, json_t *answer)
 {
-  w->lease_ms = get_int (answer, "lease_ms", w->lease_ms);
-  int64_t until = sent_ms + w->lease_ms;
+  int64_t until = sent_ms + get_int (answer, "lease_ms", 0);
+  int64_t covered_until = sent_ms + get_int (answer, "covered_lease_ms", 0);
   if (until > w->lease_until_ms)
     w->lease_until_ms = until;
+  if (covered_until > w->covered_until_ms)
+    w->covered_until_ms = covered_until;
 }
 
 static void
@@ -334,7 +343,6 @@
       size_t i;
       json_t *command;
       renew_lease (w, p->sent_ms, body);
-      count_reported (w);
       json_array_foreach (json_object_get (body, "commands"), i, command)
           run_command (w, command, p->sent_ms);
       json_decref (body);
@@ -394,9 +402,6 @@
   w->polling = false;
   if (answer->code == 200 && status_ok (&answer->status))
     {
-      json_t *body = json_loadb (answer->body.data, answer->body.len, 0, NULL);
-      renew_lease (w, p->sent_ms, body);
-      json_decref (body);
       w->announced = true;
       poll_cell (w, true);
     }
@@ -455,8 +460,11 @@
   struct task *t;
   (void)loop;
   (void)events;
-  if (now_ms () > w->lease_until_ms)
+  int64_t now = now_ms ();
+  if (now > w->lease_until_ms)
     drop_tasks (w, "lapse");
+  else if (now > w->covered_until_ms)
+    stop_covered (w);
   LIST_FOREACH (t, &w->tasks, link)
   if (t->state == TASK_RUNNING && t->run_time_ms >= 0 && task_progress (t) >= t->run_time_ms)
     end_task (w, t, "done");
@@ -526,11 +534,8 @@
   struct arg_end *end = arg_end (8);
   void *table[]
       = { id, rack, entries, millicores, memory, accelerators, fail, factor, events, end };
-  struct worker w = { .rack = "rack-1",
-                      .millicores = 16000,
-                      .memory_mb = 60000,
-                      .time_factor = 1.0,
-                      .lease_ms = DEFAULT_LEASE_MS };
+  struct worker w
+      = { .rack = "rack-1", .millicores = 16000, .memory_mb = 60000, .time_factor = 1.0 };
   if (arg_nullcheck (table) || arg_parse (argc, argv, table) > 0)
     {
       arg_print_errors (stderr, end, "worker_standin");
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -281,21 +281,24 @@
 }
 
 static cell_result
-intent_begin (struct cell *c, char *key, uint64_t hash)
+intent_begin (struct cell *c, char *key, uint64_t hash, uint64_t attempt)
 {
   static char customer[] = "kigali";
   cell_command cmd = { .kind = CELL_INTENT_BEGIN };
-  cmd.cell_command_u.intent_begin = (cell_intent_begin){ customer, key, hash };
+  cmd.cell_command_u.intent_begin = (cell_intent_begin){ customer, key, hash, attempt };
   return run (c, &cmd);
 }
 
 static cell_result
-intent_finish (struct cell *c, char *key, uint32_t code, char *answer)
+intent_finish (struct cell *c, char *key, uint64_t attempt, enum status_ran ran, uint32_t code,
+               char *answer)
 {
   static char customer[] = "kigali";
   cell_command cmd = { .kind = CELL_INTENT_FINISH };
   cell_intent_finish *f = &cmd.cell_command_u.intent_finish;
-  *f = (cell_intent_finish){ .customer = customer, .key = key, .outcome = RAN_YES, .code = code };
+  *f = (cell_intent_finish){ .customer = customer, .key = key, .attempt = attempt };
+  f->outcome = ran;
+  f->code = code;
   f->answer.answer_val = answer;
   f->answer.answer_len = (u_int)strlen (answer);
   return run (c, &cmd);
@@ -311,27 +314,48 @@
   char second[] = "pallet 8";
   cell_init (&c, 1);
   now_ms = 1000;
-  assert_int_equal (intent_finish (&c, key, 200, first).status, STATUS_NOT_FOUND);
-  assert_int_equal (intent_begin (&c, key, 5).intent, CELL_INTENT_NEW);
-  assert_int_equal (intent_begin (&c, key, 5).intent, CELL_INTENT_IN_PROGRESS);
-  assert_int_equal (intent_begin (&c, key, 6).intent, CELL_INTENT_KEY_REUSED);
-  intent_finish (&c, key, 200, first);
-  cell_result r = intent_finish (&c, key, 500, second);
+  assert_int_equal (intent_finish (&c, key, 1, RAN_YES, 200, first).status, STATUS_NOT_FOUND);
+  assert_int_equal (intent_begin (&c, key, 5, 1).intent, CELL_INTENT_NEW);
+  assert_int_equal (intent_begin (&c, key, 5, 2).intent, CELL_INTENT_IN_PROGRESS);
+  assert_int_equal (intent_begin (&c, key, 6, 3).intent, CELL_INTENT_KEY_REUSED);
+  intent_finish (&c, key, 1, RAN_YES, 200, first);
+  cell_result r = intent_finish (&c, key, 1, RAN_YES, 500, second);
   assert_true (r.repeated);
   assert_int_equal (r.code, 200);
-  r = intent_begin (&c, key, 5);
+  r = intent_begin (&c, key, 5, 4);
   assert_int_equal (r.intent, CELL_INTENT_DONE);
   assert_int_equal (r.answer.answer_len, strlen (first));
   assert_memory_equal (r.answer.answer_val, first, strlen (first));
   now_ms += CELL_INTENT_LIFE_MS;
-  assert_int_equal (intent_begin (&c, key, 5).intent, CELL_INTENT_DONE);
+  assert_int_equal (intent_begin (&c, key, 5, 4).intent, CELL_INTENT_DONE);
   now_ms += 1;
-  assert_int_equal (intent_begin (&c, key, 5).intent, CELL_INTENT_NEW);
+  assert_int_equal (intent_begin (&c, key, 5, 4).intent, CELL_INTENT_NEW);
   assert_int_equal (c.intent_count, 1);
   cell_close (&c);
   now_ms = 0;
 }
 
+/* Guards against a second run after a begin or finish that was sent twice or came late.  */
+static void
+test_intent_attempts_are_fenced (void **state)
+{
+  (void)state;
+  struct cell c;
+  char key[] = "k1";
+  char answer[] = "";
+  cell_init (&c, 1);
+  assert_int_equal (intent_begin (&c, key, 5, 1).intent, CELL_INTENT_NEW);
+  assert_int_equal (intent_begin (&c, key, 5, 1).intent, CELL_INTENT_NEW);
+  intent_finish (&c, key, 1, RAN_NO, 503, answer);
+  assert_int_equal (intent_begin (&c, key, 5, 2).intent, CELL_INTENT_NEW);
+  assert_int_equal (intent_begin (&c, key, 5, 3).intent, CELL_INTENT_IN_PROGRESS);
+  assert_int_equal (intent_finish (&c, key, 1, RAN_NO, 503, answer).status, STATUS_STALE_EPOCH);
+  assert_int_equal (intent_begin (&c, key, 5, 3).intent, CELL_INTENT_IN_PROGRESS);
+  intent_finish (&c, key, 2, RAN_UNKNOWN, 504, answer);
+  assert_int_equal (intent_begin (&c, key, 5, 4).intent, CELL_INTENT_DONE);
+  cell_close (&c);
+}
+
 static void
 test_snapshot_round_trip (void **state)
 {
@@ -403,6 +427,7 @@
     cmocka_unit_test (test_handoff_refused_and_returned),
     cmocka_unit_test (test_standby_starts_once),
     cmocka_unit_test (test_intents_are_final),
+    cmocka_unit_test (test_intent_attempts_are_fenced),
     cmocka_unit_test (test_snapshot_round_trip),
     cmocka_unit_test (test_damaged_entries_change_nothing),
   };
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -35,7 +35,7 @@
 open_cell (size_t count, uint32_t millicores)
 {
   struct scheduler_config config = { .cell = &cell, .quota = get_quota, .seed = 1 };
-  quota = (struct scheduler_quota){ .weight = 1, .evictions_per_hour = UINT32_MAX };
+  quota = scheduler_open_quota ();
   now_ms = 1000;
   permit = true;
   worker_count = count;
