--- a/bench/fake_worker.h
+++ b/bench/fake_worker.h
@@ -179,15 +179,15 @@
   bool other = false;
   for (size_t i = 0; i < w->count; i++)
     other = other || (w->tasks[i].task == c->c.task && fake_running (&w->tasks[i]));
-  if (fake_find (w, c->c.task, c->c.epoch) || fake_seen (w, c->c.task, c->c.epoch)
-      || w->count == FAKE_TASKS)
+  if (fake_find (w, c->c.task, c->c.epoch) || w->count == FAKE_TASKS)
     return;
+  bool seen = fake_seen (w, c->c.task, c->c.epoch);
   fake_note_seen (w, c->c.task, c->c.epoch);
   struct fake_task *f = &w->tasks[w->count++];
   *f = c->task;
   f->state = CELL_REPORT_RUNNING;
   f->started_ms = now_ms;
-  if (other || now_ms >= poll_sent_ms + c->c.valid_ms || now_ms >= w->lease_until_ms
+  if (seen || other || now_ms >= poll_sent_ms + c->c.valid_ms || now_ms >= w->lease_until_ms
       || (f->covered && now_ms >= w->covered_until_ms))
     f->state = CELL_REPORT_REFUSED;
   else
--- a/src/scheduler_answer.c
+++ b/src/scheduler_answer.c
@@ -27,16 +27,18 @@
   return c;
 }
 
+/* A leader that was replaced without noticing may lag behind the log.  It must not have a report
+   dropped that the log lacks, so it acts only on epochs that its own log has moved past, and on
+   tasks it does not know only while a quorum confirms it.  */
 static void
 answer_ghosts (struct scheduler *s, const struct sched_worker *w)
 {
+  bool confirmed = s->confirmed_until_ms >= s->now_ms;
   for (size_t i = 0; i < w->ghost_count; i++)
     {
       const struct sched_ghost *g = &w->ghosts[i];
-      if (g->stop)
-        add_command (s, WORKER_STOP, g->task, g->epoch);
-      else if (!g->running)
-        add_command (s, WORKER_FORGET, g->task, g->epoch);
+      if (g->past || (g->unknown && confirmed))
+        add_command (s, g->running ? WORKER_STOP : WORKER_FORGET, g->task, g->epoch);
     }
 }
 
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -110,7 +110,8 @@
   uint64_t task;
   uint64_t epoch;
   bool running;
-  bool stop; /* older than the log's epoch: order a stop */
+  bool past;    /* the log has moved past this epoch */
+  bool unknown; /* the log does not know the task */
 };
 
 struct sched_share
--- a/src/scheduler_worker.c
+++ b/src/scheduler_worker.c
@@ -190,7 +190,8 @@
   g->epoch = in->epoch;
   g->running = in->state < CELL_REPORT_DONE;
   /* An epoch above the log's belongs to a newer leader: hands off.  */
-  g->stop = g->running && (!t || in->epoch <= t->epoch);
+  g->past = t && in->epoch <= t->epoch;
+  g->unknown = !t;
   if (!g->running)
     return;
   uint64_t millicores = t ? t->job->spec.size.millicores : in->used_millicores;
@@ -323,7 +324,7 @@
 {
   const struct sched_task *st;
   for (size_t i = 0; i < w->ghost_count; i++)
-    if (w->ghosts[i].stop)
+    if (w->ghosts[i].running && w->ghosts[i].past)
       return true;
   TAILQ_FOREACH (st, &w->tasks, link)
   {
