--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -61,7 +61,6 @@
   struct sched_customer *customer;
   struct sched_class *cls;
   struct order_item item;
-  bool delayed;       /* item is in the heap of delayed tasks */
   uint64_t in_flight; /* proposal with its last command, 0 when there is none */
   uint64_t serial;    /* of that command */
   uint32_t seen_failures;
@@ -83,11 +82,9 @@
 
   int64_t run_from_ms; /* first listing as running; 0 when unknown */
   uint64_t start_progress_ms;
-  bool proven; /* an urgent task that ran long enough to count as a success */
   int64_t start_sent_ms;
   int64_t stop_sent_ms;
-  int64_t checkpoint_ms; /* last checkpoint seen or asked for */
-  bool checkpoint_due;
+  int64_t checkpoint_ms;     /* last checkpoint seen or asked for */
   uint32_t limit_millicores; /* throttle, 0 when there is none */
   uint32_t limit_sent;
   uint32_t limit_repeats;
@@ -100,6 +97,9 @@
   TAILQ_ENTRY (sched_task) room_link;
   struct order_amount room_amount;
   int64_t room_until_ms;
+  bool delayed; /* item is in the heap of delayed tasks */
+  bool proven;  /* an urgent task that ran long enough to count as a success */
+  bool checkpoint_due;
 };
 
 TAILQ_HEAD (sched_task_list, sched_task);
