--- a/src/admission.c
+++ b/src/admission.c
@@ -157,6 +157,17 @@
   return 0;
 }
 
+int
+admission_check (const struct admission *a, bool urgent, int64_t deadline_ms, int64_t now_ms,
+                 struct status *st)
+{
+  if (check_deadline (a, urgent, deadline_ms, now_ms, st) < 0)
+    return -1;
+  if (admission_queued (a) < a->config.max_queued || (urgent && a->queued[BATCH] > 0))
+    return 0;
+  return status_set (st, STATUS_OVERLOADED, "%u requests are waiting", admission_queued (a));
+}
+
 int
 admission_push (struct admission *a, struct admission_item *item, const char *customer, bool urgent,
                 int64_t deadline_ms, int64_t now_ms, struct admission_item **evicted,
@@ -277,6 +288,17 @@
   return NULL;
 }
 
+struct admission_item *
+admission_pop_any (struct admission *a)
+{
+  struct admission_item *item = TAILQ_FIRST (&a->ages[URGENT]);
+  if (!item)
+    item = TAILQ_FIRST (&a->ages[BATCH]);
+  if (item)
+    admission_remove (a, item);
+  return item;
+}
+
 void
 admission_remove (struct admission *a, struct admission_item *item)
 {
--- a/src/admission.h
+++ b/src/admission.h
@@ -49,6 +49,8 @@
 
 struct admission *admission_open (const struct admission_config *config); /* An empty queue. */
 void admission_close (struct admission *a); /* Frees; queued items are forgotten. */
+int admission_check (const struct admission *a, bool urgent, int64_t deadline_ms, int64_t now_ms,
+                     struct status *st); /* Whether a push would be refused now. */
 int admission_push (struct admission *a, struct admission_item *item, const char *customer,
                     bool urgent, int64_t deadline_ms, int64_t now_ms,
                     struct admission_item **evicted,
@@ -58,6 +60,8 @@
 struct admission_item *
 admission_pop_hopeless (struct admission *a,
                         int64_t now_ms); /* One that cannot meet its deadline, or NULL. */
+struct admission_item *
+admission_pop_any (struct admission *a); /* Any that waits, not to be served, or NULL. */
 void admission_remove (struct admission *a, struct admission_item *item); /* The caller left. */
 void admission_served (struct admission *a, struct admission_item *item, bool answered,
                        double service_ms, int64_t now_ms); /* A popped request ended. */
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -70,9 +70,9 @@
 
 struct proxy *proxy_open (struct ev_loop *loop, const struct proxy_config *config,
                           struct status *st); /* Listens; NULL and ST on failure. */
-void proxy_close (struct proxy *p);           /* Ends every request and frees. */
-int proxy_port (const struct proxy *p);       /* Port in use. */
-void proxy_wake (struct proxy *p);            /* Runners or limits changed: look at the queue. */
+void proxy_close (struct proxy *p); /* Ends every request; the store must not call back later. */
+int proxy_port (const struct proxy *p); /* Port in use. */
+void proxy_wake (struct proxy *p);      /* Runners or limits changed: look at the queue. */
 void proxy_drain (struct proxy *p, proxy_drained_fn *done,
                   void *arg); /* No new connections; DONE when all requests have finished. */
 void proxy_stats (const struct proxy *p, struct proxy_stats *out); /* Figures so far. */
--- a/src/router.c
+++ b/src/router.c
@@ -486,6 +486,17 @@
   grow_limit (r, runner, now_ms);
 }
 
+/* An abandoned try took at least this long: counts when that is slower than usual.  */
+static void
+count_waited (struct runner *runner, double waited_ms)
+{
+  struct runner_load *load = &runner->load;
+  if (waited_ms <= load->latency_ms)
+    return;
+  load->latency_ms += LATENCY_WEIGHT * (waited_ms - load->latency_ms);
+  load->samples++;
+}
+
 void
 router_finish (struct router *r, struct runner *runner, enum router_outcome outcome,
                double latency_ms, size_t bytes, int64_t now_ms)
@@ -507,6 +518,7 @@
       eject (r, runner, now_ms);
       break;
     case ROUTER_ABANDONED:
+      count_waited (runner, latency_ms);
       break;
     }
   runner_release (runner);
--- a/src/router.h
+++ b/src/router.h
@@ -52,7 +52,7 @@
   ROUTER_FAILED,      /* 5xx, broken answer or timeout */
   ROUTER_REFUSED,     /* the runner said that it did not run the request */
   ROUTER_UNREACHABLE, /* no connection */
-  ROUTER_ABANDONED,   /* we gave up the try; says nothing about the runner */
+  ROUTER_ABANDONED,   /* we gave up the try; counts only if it was already slow */
 };
 
 struct router_config
