--- a/src/daemon_groups.c
+++ b/src/daemon_groups.c
@@ -67,20 +67,11 @@
 on_hello (void *arg, const struct peer_info *peer)
 {
   struct daemon *d = arg;
-  log_line (LOG_INFO, "peer %s is connected (node %llu, %s)", peer->name,
-            (unsigned long long)peer->node, peer->initialized ? "has state" : "no state yet");
   for (size_t i = 0; i < d->group_count; i++)
     group_peer_connected (d->groups[i].group, peer->node);
   daemon_peer_connected (d, peer);
 }
 
-static void
-on_lost (void *arg, const struct peer_info *peer)
-{
-  (void)arg;
-  log_line (LOG_WARN, "connection to peer %s is lost", peer->name);
-}
-
 static bool
 has_stored_state (const struct daemon *d)
 {
@@ -119,8 +110,7 @@
                   .propose = on_propose,
                   .permit = on_permit,
                   .runners = on_runners,
-                  .hello = on_hello,
-                  .lost = on_lost },
+                  .hello = on_hello },
     .handler_arg = d,
   };
   d->net = peer_net_open (d->loop, &config, st);
@@ -139,12 +129,10 @@
 static void
 on_leader_changed (void *arg, struct group *group)
 {
+  (void)group;
   struct daemon_group *g = arg;
   if (!g->group)
     return;
-  log_line (LOG_INFO, "group %llu: term %llu, leader %llu%s", (unsigned long long)g->id,
-            (unsigned long long)group_term (group), (unsigned long long)group_leader_node (group),
-            group_is_leader (group) ? " (this VM)" : "");
   if (g->cell)
     cell_service_leader_changed (g->cell);
   else
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -374,9 +374,9 @@
       cell_result s = submit (&c, batch_spec (id));
       cell_result p = place (&c, s.task, 0);
       report (&c, s.task, p.epoch, i % 3 ? CELL_REPORT_FAILED : CELL_REPORT_DONE, no_text, 0);
-      intent_begin (&c, id, 1);
+      intent_begin (&c, id, 1, 1);
       if (i % 2)
-        intent_finish (&c, id, 200, id);
+        intent_finish (&c, id, 1, RAN_YES, 200, id);
     }
   buffer_init (&one);
   buffer_init (&two);
