--- a/tests/test_permit.c
+++ b/tests/test_permit.c
@@ -47,6 +47,8 @@
   assert_false (permit_granter_ask (g, &dc, 1, 150 + PERMIT_LIFE_MS).granted);
   assert_false (permit_granter_ask (g, NULL, 1, 200).granted);
   permit_granter_step_down (g);
+  permit_granter_confirm (g, 190);
+  assert_false (permit_granter_leading (g));
   assert_false (permit_granter_ask (g, &dc, 1, 200).granted);
   permit_granter_lead (g, 300);
   assert_false (permit_granter_ask (g, &dc, 1, 300).granted);
