Find the lines of list faults in one walk over the text

Cause: each reported fault walked the whole file again, so one bad edit held the event loop of the VM that checked it. Change: the walk resumes at the array element of the previous fault.

--- a/src/json_check.c
+++ b/src/json_check.c
@@ -116,7 +116,7 @@
   clean_text (fault->reason);
   write_path (c, fault->path, sizeof fault->path);
   clean_text (fault->path);
-  fault->line = json_locate (c->source->text, c->source->len, c->steps, c->depth);
+  fault->line = json_locate (c->source->text, c->source->len, c->steps, c->depth, &c->last);
 }
 
 void
--- a/src/json_check.h
+++ b/src/json_check.h
@@ -16,7 +16,7 @@
 #include "buffer.h"
 #include "status.h"
 
-#define JSON_MAX_FAULTS 200 /* further faults are counted, not listed; each costs a walk */
+#define JSON_MAX_FAULTS 200 /* further faults are counted, not listed; the rest helps nobody */
 #define JSON_PATH_BYTES 160
 #define JSON_PATH_DEPTH 8
 
@@ -50,6 +50,16 @@
   size_t index;
 };
 
+/* Where the last fault was found: element INDEX of the array that is member KEY of the root.  The
+   next one is usually behind it, so the text is walked once and not once per fault.  */
+struct json_place
+{
+  const char *key; /* NULL: none yet */
+  size_t index;
+  size_t at; /* bytes from the start */
+  int line;
+};
+
 /* A check under way.  */
 struct json_check
 {
@@ -57,6 +67,7 @@
   struct json_faults *faults;
   struct json_step steps[JSON_PATH_DEPTH];
   size_t depth;
+  struct json_place last;
 };
 
 json_t *json_check_load (struct json_check *c, const struct json_source *source,
@@ -81,8 +92,8 @@
 const char *json_check_string (struct json_check *c, const json_t *object, const char *key,
                                size_t limit); /* Required string under LIMIT bytes, or NULL. */
 bool json_name_valid (const char *name);      /* 1 to 63 letters, digits, '.', '_', '-'. */
-int json_locate (const char *text, size_t len, const struct json_step *steps,
-                 size_t depth);                      /* Line of a value in valid JSON. */
+int json_locate (const char *text, size_t len, const struct json_step *steps, size_t depth,
+                 struct json_place *last); /* Line of a value in valid JSON; LAST may be NULL. */
 void json_faults_close (struct json_faults *faults); /* Frees the list. */
 void json_faults_write (const struct json_faults *faults,
                         struct buffer *out); /* One line per fault: file:line: path: reason. */
--- a/src/json_locate.c
+++ b/src/json_locate.c
@@ -73,16 +73,11 @@
   return true;
 }
 
+/* Moves COUNT elements of an array forward.  */
 static bool
-find_index (struct cursor *c, size_t index)
+skip_elements (struct cursor *c, size_t count)
 {
-  if (peek (c) != '[')
-    return false;
-  c->at++;
-  skip_space (c);
-  if (peek (c) == ']')
-    return false;
-  for (size_t i = 0; i < index; i++)
+  for (size_t i = 0; i < count; i++)
     {
       skip_value (c);
       if (!next_element (c))
@@ -91,6 +86,16 @@
   return true;
 }
 
+static bool
+find_index (struct cursor *c, size_t index)
+{
+  if (peek (c) != '[')
+    return false;
+  c->at++;
+  skip_space (c);
+  return peek (c) != ']' && skip_elements (c, index);
+}
+
 /* Compares the raw text of a key; a key written with escapes does not match.  */
 static bool
 key_is (const struct cursor *c, size_t start, const char *key)
@@ -125,33 +130,74 @@
 }
 
 static int
-line_of (const char *text, size_t at)
+count_lines (const char *text, size_t from, size_t to)
 {
-  int line = 1;
-  const char *p = text;
-  const char *end = text + at;
-  while ((p = memchr (p, '\n', (size_t)(end - p))))
+  int lines = 0;
+  const char *p = text + from;
+  const char *end = text + to;
+  while (p < end && (p = memchr (p, '\n', (size_t)(end - p))))
     {
-      line++;
+      lines++;
       p++;
     }
-  return line;
+  return lines;
+}
+
+/* True when the path leads to the element of LAST or to one behind it.  */
+static bool
+starts_at (const struct json_place *last, const struct json_step *steps, size_t depth)
+{
+  return last && last->key && depth >= 2 && steps[0].key && !steps[1].key
+         && strcmp (steps[0].key, last->key) == 0 && steps[1].index >= last->index;
+}
+
+/* Goes from LAST to the element that the first two steps name.  */
+static bool
+resume (struct cursor *c, struct json_place *last, const struct json_step *steps)
+{
+  c->at = last->at;
+  return skip_elements (c, steps[1].index - last->index) && c->at < c->len;
+}
+
+static void
+remember (struct json_place *last, const struct json_step *steps, size_t at, int line)
+{
+  last->key = steps[0].key;
+  last->index = steps[1].index;
+  last->at = at;
+  last->line = line;
 }
 
 /* The line of the deepest part of the path that exists.  */
 int
-json_locate (const char *text, size_t len, const struct json_step *steps, size_t depth)
+json_locate (const char *text, size_t len, const struct json_step *steps, size_t depth,
+             struct json_place *last)
 {
   struct cursor c = { text, len, 0 };
-  size_t found;
-  skip_space (&c);
-  found = c.at;
-  for (size_t i = 0; i < depth; i++)
+  size_t from = 0;
+  size_t i = 0;
+  int line = 1;
+  if (starts_at (last, steps, depth) && resume (&c, last, steps))
+    {
+      line = last->line + count_lines (text, last->at, c.at);
+      from = c.at;
+      remember (last, steps, c.at, line);
+      i = 2;
+    }
+  else
+    {
+      c.at = 0;
+      skip_space (&c);
+    }
+  size_t found = c.at;
+  for (; i < depth; i++)
     {
       size_t key_at = c.at;
       if (steps[i].key ? !find_key (&c, steps[i].key, &key_at) : !find_index (&c, steps[i].index))
         break;
       found = steps[i].key ? key_at : c.at;
+      if (last && i == 1 && steps[0].key && !steps[1].key && found < len)
+        remember (last, steps, found, line + count_lines (text, from, found));
     }
-  return line_of (text, found < len ? found : len);
+  return line + count_lines (text, from, found < len ? found : len);
 }
--- a/tests/test_plans.c
+++ b/tests/test_plans.c
@@ -122,11 +122,13 @@
   (void)state;
   buffer_printf (&text, "{\"customers\":[");
   for (int i = 0; i < 1000; i++)
-    buffer_printf (&text, "%s{\"id\":\"c%d\",\"plan\":\"none\"}", i ? "," : "", i);
+    buffer_printf (&text, "%s{\"id\":\"c%d\",\"plan\":\"none\"}", i ? ",\n" : "", i);
   buffer_printf (&text, "]}");
   assert_null (parse (ONE_PLAN, text.data, &faults));
   assert_int_equal (faults.count, JSON_MAX_FAULTS);
   assert_int_equal (faults.dropped, 1000 - JSON_MAX_FAULTS);
+  for (int i = 0; i < JSON_MAX_FAULTS; i++)
+    assert_int_equal (faults.items[i].line, i + 1);
   json_faults_close (&faults);
   buffer_close (&text);
 }
@@ -266,7 +268,30 @@
       assert_true (faults.count > 0);
       json_faults_close (&faults);
       struct json_step step = { rng_chance (&rng, 0.5) ? "plans" : NULL, rng_below (&rng, 3) };
-      assert_true (json_locate (bytes, len, &step, 1) >= 1);
+      assert_true (json_locate (bytes, len, &step, 1, NULL) >= 1);
+    }
+}
+
+static void
+test_resumed_walk_finds_the_same_line (void **state)
+{
+  static const char doc[] = "{\"a\": [1,\n {\"x\": [\n2], \"y\":\n3}\n, \"]\\\"\",\n{\"y\": 1}],"
+                            "\n\"b\":\n[\n[],\n{\"x\":\n1}]}";
+  static const char *const keys[] = { "a", "b", "c" };
+  struct json_place last = { 0 };
+  struct rng rng;
+  (void)state;
+  rng_init (&rng, 4);
+  for (int i = 0; i < FUZZ_ROUNDS; i++)
+    {
+      size_t len = rng_chance (&rng, 0.9) ? sizeof doc - 1 : (size_t)rng_below (&rng, sizeof doc);
+      struct json_step steps[3] = { { keys[rng_below (&rng, 3)], 0 },
+                                    { NULL, (size_t)rng_below (&rng, 5) },
+                                    { rng_chance (&rng, 0.5) ? "x" : "y", 0 } };
+      size_t depth = (size_t)rng_below (&rng, 4);
+      struct json_place *place = len == sizeof doc - 1 ? &last : NULL;
+      assert_int_equal (json_locate (doc, len, steps, depth, place),
+                        json_locate (doc, len, steps, depth, NULL));
     }
 }
 
@@ -282,6 +307,7 @@
     cmocka_unit_test (test_diff_names_every_change),
     cmocka_unit_test (test_damaged_files),
     cmocka_unit_test (test_random_bytes),
+    cmocka_unit_test (test_resumed_walk_finds_the_same_line),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
