--- a/src/eviction.h
+++ b/src/eviction.h
@@ -21,10 +21,10 @@
   struct order_amount size;
   double lost_core_ms; /* processors x time since the last checkpoint */
   double harm;         /* predicted slowdown it adds to urgent work, 0 is none */
-  uint32_t evictions;  /* how often it was evicted before */
   int64_t started_ms;  /* for the baseline: newest first */
-  bool near_deadline;  /* would miss its deadline */
   void *owner;
+  uint32_t evictions; /* how often it was evicted before */
+  bool near_deadline; /* would miss its deadline */
 };
 
 struct eviction_choice
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -326,6 +326,28 @@
   close_cell ();
 }
 
+static void
+test_new_incarnation_frees_nothing_before_the_lease_ends (void **state)
+{
+  (void)state;
+  open_cell (1, 4000);
+  uint64_t job = submit (CELL_BATCH, 1, 3000, "run=60000");
+  run_for (1000);
+  const struct cell_task *t = STAILQ_FIRST (&cell_find_job (&cell, job)->tasks);
+  uint64_t epoch = t->epoch;
+  int64_t from = now_ms;
+  fake_kill (&workers[0]);
+  workers[0].up = true;
+  while (now_ms - from < SCHEDULER_LEASE_MS - SCHEDULER_HEARTBEAT_MS)
+    {
+      step ();
+      assert_int_equal (t->epoch, epoch);
+    }
+  run_for (7000);
+  assert_true (t->epoch > epoch);
+  close_cell ();
+}
+
 static void
 test_stale_messages_are_refused (void **state)
 {
@@ -532,6 +554,7 @@
     cmocka_unit_test (test_eviction_budget_holds),
     cmocka_unit_test (test_silent_worker_loses_its_tasks_after_the_lease),
     cmocka_unit_test (test_new_leader_waits_a_lease),
+    cmocka_unit_test (test_new_incarnation_frees_nothing_before_the_lease_ends),
     cmocka_unit_test (test_stale_messages_are_refused),
     cmocka_unit_test (test_bad_worker_is_quarantined_and_probed),
     cmocka_unit_test (test_bad_job_ends_failed),
