--- a/bench/fake_worker.h
+++ b/bench/fake_worker.h
@@ -13,6 +13,7 @@
 
 #define FAKE_TASKS 256
 #define FAKE_SEEN 1024
+#define FAKE_LAG 8 /* seconds of measurements kept */
 
 struct fake_task
 {
@@ -34,6 +35,9 @@
   double lost_ms;   /* work since the checkpoint, at a stop without one */
   uint64_t kept_ms; /* by the last checkpoint */
   uint32_t slowdown_milli;
+  uint32_t reported_millicores; /* lagging use; 0 reports the present one */
+  uint32_t slowdowns[FAKE_LAG]; /* of the last seconds */
+  uint32_t uses[FAKE_LAG];
   int64_t started_ms;
   int64_t stop_at_ms; /* end of the grace of a stop, 0 when none */
   int64_t checkpoint_at_ms;
@@ -312,7 +316,7 @@
       out[i].task = f->task;
       out[i].epoch = f->epoch;
       out[i].state = f->state;
-      out[i].used_millicores = fake_use (f);
+      out[i].used_millicores = f->reported_millicores ? f->reported_millicores : fake_use (f);
       out[i].used_memory_mb = f->used_memory_mb;
       out[i].slowdown_milli = f->slowdown_milli;
       out[i].progress_ms = f->kept_ms;
