--- a/src/proxy.c
+++ b/src/proxy.c
@@ -132,12 +132,12 @@
     p->config.max_requests = MAX_REQUESTS;
   rng_init (&p->rng, config->seed);
   STAILQ_INIT (&p->deferred);
-  p->fd_tries = xcalloc (PROXY_MAX_FD, sizeof (struct proxy_try *));
+  p->sockets = xcalloc (PROXY_MAX_FD, sizeof *p->sockets);
   p->daemon = caller_listen (p, &address);
   if (!p->daemon)
     {
       status_set (st, STATUS_INTERNAL, "cannot listen on %s", config->address);
-      free (p->fd_tries);
+      free (p->sockets);
       free (p);
       return NULL;
     }
@@ -175,7 +175,7 @@
   while (p->spares > 0)
     curl_easy_cleanup (p->spare[--p->spares]);
   service_free_all (p);
-  free (p->fd_tries);
+  free (p->sockets);
   free (p);
 }
 
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -22,7 +22,8 @@
 
 #define PROXY_CALL_TRIES 2 /* at the same time: the try and its hedge */
 #define PROXY_MAX_SERVICES 1024
-#define PROXY_MAX_FD 65536                     /* sockets whose received bytes are checked */
+#define PROXY_SOCKET_HINTS 4096
+#define PROXY_MAX_FD 16384                     /* sockets whose received bytes are checked */
 #define PROXY_DISCARD_BYTES (16 * 1024 * 1024) /* of an upload that nobody reads any more */
 
 enum call_stage
@@ -58,12 +59,23 @@
   bool download_paused;
   size_t upload_pos;        /* bytes of the request's body handed to libcurl */
   uint64_t body_bytes;      /* bytes of the answer's body received */
+  int opened_fd;            /* the socket opened for it, -1 when it reuses one */
   int fd;                   /* its socket, -1 when unknown or closed */
   uint64_t received_before; /* bytes the socket had received before this request */
   uint64_t received;        /* and when the answer was over */
   int64_t started_ms;
 };
 
+/* A socket to a runner.  libcurl tells a reused one only by its addresses.  */
+struct proxy_socket
+{
+  bool open;
+  int local_port; /* 0 until the first request goes out */
+  int remote_port;
+  char remote_ip[40];
+  struct proxy_try *current; /* whose request it carries */
+};
+
 struct proxy_service
 {
   char name[RUNNER_NAME_BYTES];
@@ -169,8 +181,10 @@
   bool closing;
   proxy_drained_fn *drained;
   void *drained_arg;
-  struct proxy_try **fd_tries; /* by socket: the try it carries */
-  CURL *spare[64];             /* easy handles to be used again */
+  struct proxy_socket *sockets;         /* by file descriptor, PROXY_MAX_FD of them */
+  int socket_hints[PROXY_SOCKET_HINTS]; /* by local port: where to look first */
+  int max_fd;
+  CURL *spare[64]; /* easy handles to be used again */
   unsigned spares;
 };
 
--- a/src/proxy_try.c
+++ b/src/proxy_try.c
@@ -23,13 +23,13 @@
 }
 
 static void
-watch_fd (struct proxy_try *t, curl_socket_t fd)
+watch_fd (struct proxy_try *t, int fd)
 {
-  if (fd < 0 || fd >= PROXY_MAX_FD)
+  if (fd < 0)
     return;
   t->fd = fd;
   t->received_before = bytes_received (fd);
-  t->call->proxy->fd_tries[fd] = t;
+  t->call->proxy->sockets[fd].current = t;
 }
 
 static void
@@ -38,38 +38,84 @@
   if (t->fd < 0)
     return;
   t->received = bytes_received (t->fd);
-  t->call->proxy->fd_tries[t->fd] = NULL;
+  t->call->proxy->sockets[t->fd].current = NULL;
   t->fd = -1;
 }
 
+static curl_socket_t
+on_open_socket (void *arg, curlsocktype purpose, struct curl_sockaddr *address)
+{
+  struct proxy_try *t = arg;
+  struct proxy *p = t->call->proxy;
+  (void)purpose;
+  int fd = socket (address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+  if (fd < 0 || fd >= PROXY_MAX_FD)
+    return fd;
+  memset (&p->sockets[fd], 0, sizeof p->sockets[fd]);
+  p->sockets[fd].open = true;
+  t->opened_fd = fd;
+  if (fd > p->max_fd)
+    p->max_fd = fd;
+  return fd;
+}
+
 static int
 on_close_socket (void *arg, curl_socket_t fd)
 {
   struct proxy *p = arg;
-  if (fd >= 0 && fd < PROXY_MAX_FD && p->fd_tries[fd])
-    unwatch_fd (p->fd_tries[fd]);
+  if (fd >= 0 && fd < PROXY_MAX_FD)
+    {
+      if (p->sockets[fd].current)
+        unwatch_fd (p->sockets[fd].current);
+      p->sockets[fd].open = false;
+    }
   return close (fd);
 }
 
+static bool
+socket_matches (const struct proxy *p, int fd, const char *remote_ip, int remote_port,
+                int local_port)
+{
+  const struct proxy_socket *s = &p->sockets[fd];
+  return s->open && s->local_port == local_port && s->remote_port == remote_port
+         && strcmp (s->remote_ip, remote_ip) == 0;
+}
+
+/* The socket that carries T: the one opened for it, or the reused one with these addresses.  */
+static int
+find_socket (struct proxy_try *t, const char *remote_ip, int remote_port, int local_port)
+{
+  struct proxy *p = t->call->proxy;
+  int *hint = &p->socket_hints[local_port % PROXY_SOCKET_HINTS];
+  if (socket_matches (p, *hint, remote_ip, remote_port, local_port))
+    return *hint;
+  for (int fd = 0; fd <= p->max_fd; fd++)
+    if (socket_matches (p, fd, remote_ip, remote_port, local_port))
+      return *hint = fd;
+  int fd = t->opened_fd;
+  if (fd < 0 || !p->sockets[fd].open)
+    return -1;
+  p->sockets[fd].local_port = local_port;
+  p->sockets[fd].remote_port = remote_port;
+  snprintf (p->sockets[fd].remote_ip, sizeof p->sockets[fd].remote_ip, "%s", remote_ip);
+  return *hint = fd;
+}
+
 /* The connection stands and the request goes out next: the last moment at which a try can be
    stopped for certain.  */
 static int
 on_ready (void *arg, char *remote_ip, char *local_ip, int remote_port, int local_port)
 {
   struct proxy_try *t = arg;
-  curl_socket_t fd = CURL_SOCKET_BAD;
-  (void)remote_ip;
   (void)local_ip;
-  (void)remote_port;
-  (void)local_port;
   if (!runner_live (t->runner, proxy_now (t->call->proxy)))
     {
       t->stale_runner = true;
       return CURL_PREREQFUNC_ABORT;
     }
   t->sent = true;
-  curl_easy_getinfo (t->easy, CURLINFO_ACTIVESOCKET, &fd);
-  watch_fd (t, fd);
+  unwatch_fd (t);
+  watch_fd (t, find_socket (t, remote_ip, remote_port, local_port));
   return CURL_PREREQFUNC_OK;
 }
 
@@ -265,6 +311,8 @@
     curl_easy_setopt (t->easy, CURLOPT_FRESH_CONNECT, 1L);
   curl_easy_setopt (t->easy, CURLOPT_PREREQFUNCTION, on_ready);
   curl_easy_setopt (t->easy, CURLOPT_PREREQDATA, t);
+  curl_easy_setopt (t->easy, CURLOPT_OPENSOCKETFUNCTION, on_open_socket);
+  curl_easy_setopt (t->easy, CURLOPT_OPENSOCKETDATA, t);
   curl_easy_setopt (t->easy, CURLOPT_CLOSESOCKETFUNCTION, on_close_socket);
   curl_easy_setopt (t->easy, CURLOPT_CLOSESOCKETDATA, call->proxy);
 }
@@ -308,6 +356,7 @@
   t->runner = runner;
   t->easy = take_easy (p);
   t->fd = -1;
+  t->opened_fd = -1;
   t->started_ms = proxy_now (p);
   head_init (&t->head, true);
   router_start (p->config.router, runner, call->body.len + call->request.lines.len, t->started_ms);
