--- a/standins/worker.c
+++ b/standins/worker.c
@@ -3,7 +3,7 @@
    It announces itself, polls for commands, runs tasks as timers and honours its lease: when no poll
    sent within the last lease was answered, it stops every task.  Reports are repeated in every poll
    until a forget command for that task and epoch arrives.  Every start and end of a task is
-   written to the events file, one line "time_ms event task epoch", so that a test can check that no
+   written to the events file, one line "unix_ms event task epoch worker", so that a test can check that no
    task ran in two places.  */
 
 #include <errno.h>
@@ -106,7 +106,7 @@
 {
   if (!w->events)
     return;
-  fprintf (w->events, "%lld %s %lld %lld %s\n", (long long)now_ms (), event, (long long)t->id,
+  fprintf (w->events, "%lld %s %lld %lld %s\n", (long long)clock_wall_ms (), event, (long long)t->id,
            (long long)t->epoch, w->id);
   fflush (w->events);
 }
