--- a/src/admission.h
+++ b/src/admission.h
@@ -26,13 +26,13 @@
 
 struct admission_item
 {
-  bool urgent;
   int64_t arrived_ms;
   int64_t deadline_ms;
-  bool queued;
   struct admission_customer *customer;
   TAILQ_ENTRY (admission_item) link;     /* in the customer's queue of its class */
   TAILQ_ENTRY (admission_item) age_link; /* in the order of arrival of its class */
+  bool urgent;
+  bool queued;
 };
 
 TAILQ_HEAD (admission_items, admission_item);
--- a/src/gen/peer_proto.h
+++ b/src/gen/peer_proto.h
@@ -169,9 +169,10 @@
 
 struct customer_usage {
 	peer_name customer;
-	u_int in_flight;
-	u_int rate;
-	bool_t wants_more;
+	u_int lent;
+	u_int lent_rate;
+	bool_t wants;
+	bool_t wants_rate;
 };
 typedef struct customer_usage customer_usage;
 
--- a/src/gen/peer_proto.x
+++ b/src/gen/peer_proto.x
@@ -137,13 +137,15 @@
   bool departing;
 };
 
-/* One customer's requests at the sender, for limits that hold over all entries.  */
+/* Limits of one customer: what the sender lends the receiver of its own part, for 2 s from echo, and
+   whether the sender would borrow.  */
 struct customer_usage
 {
   peer_name customer;
-  unsigned int in_flight;
-  unsigned int rate;        /* requests per second */
-  bool wants_more;          /* requests were refused or its part is nearly used up */
+  unsigned int lent;        /* requests in flight */
+  unsigned int lent_rate;   /* requests per second */
+  bool wants;
+  bool wants_rate;
 };
 
 /* All runners that announced to the sender.  An unchanged version with no runners renews them all. */
--- a/src/gen/peer_proto_xdr.c
+++ b/src/gen/peer_proto_xdr.c
@@ -302,13 +302,58 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_peer_name (xdrs, &objp->customer))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->lent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->lent_rate))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->wants))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->wants_rate))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->lent);
+			IXDR_PUT_U_LONG(buf, objp->lent_rate);
+			IXDR_PUT_BOOL(buf, objp->wants);
+			IXDR_PUT_BOOL(buf, objp->wants_rate);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_peer_name (xdrs, &objp->customer))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->lent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->lent_rate))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->wants))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->wants_rate))
+				 return FALSE;
+		} else {
+			objp->lent = IXDR_GET_U_LONG(buf);
+			objp->lent_rate = IXDR_GET_U_LONG(buf);
+			objp->wants = IXDR_GET_BOOL(buf);
+			objp->wants_rate = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_peer_name (xdrs, &objp->customer))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->in_flight))
+	 if (!xdr_u_int (xdrs, &objp->lent))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->lent_rate))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->rate))
+	 if (!xdr_bool (xdrs, &objp->wants))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->wants_more))
+	 if (!xdr_bool (xdrs, &objp->wants_rate))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/limit.c
+++ b/src/limit.c
@@ -13,6 +13,34 @@
 #define WANT_MORE_PERCENT 80 /* of its part in use: asks for more */
 #define WANT_MORE_MS 1000    /* after a refusal */
 #define RATE_WINDOW_MS 1000
+#define NEED_FACTOR 1.25 /* of what is in use is kept for growth */
+
+/* Two kinds of limits are lent alike.  */
+enum kind
+{
+  IN_FLIGHT,
+  RATE,
+  KINDS
+};
+
+/* A loan as the lender counts it: the smaller one that follows does not end the larger one early.
+ */
+struct loan
+{
+  unsigned amount[2];
+  int64_t until_ms[2];
+};
+
+/* One customer's dealings with one other entry.  */
+struct account
+{
+  struct peer *peer;
+  struct loan lent[KINDS];
+  unsigned borrowed[KINDS];
+  int64_t borrowed_until_ms;
+  int64_t wanted_ms[KINDS]; /* when the peer last asked, 0 for never */
+  SLIST_ENTRY (account) link;
+};
 
 struct customer
 {
@@ -24,27 +52,15 @@
   unsigned arrivals; /* in the current window */
   double rate;       /* arrivals per second in the last window */
   int64_t window_ms;
-  int64_t refused_ms; /* last refusal, 0 for none */
+  int64_t refused_ms[KINDS]; /* last refusal, 0 for none */
+  SLIST_HEAD (, account) accounts;
   LIST_ENTRY (customer) bucket_link;
   LIST_ENTRY (customer) link;
 };
 
-/* What one peer entry reported about one customer.  */
-struct usage
-{
-  char customer[NAME_BYTES];
-  unsigned in_flight;
-  unsigned rate;
-  bool wants_more;
-};
-
 struct peer
 {
   char entry[NAME_BYTES];
-  int64_t reported_ms;
-  bool truncated; /* customers that are not listed may still have requests */
-  unsigned count;
-  struct usage *usage;
   SLIST_ENTRY (peer) link;
 };
 
@@ -52,7 +68,6 @@
 {
   struct limit_source source;
   unsigned entries;
-  int64_t opened_ms;
   LIST_HEAD (, customer) buckets[BUCKETS];
   LIST_HEAD (, customer) customers;
   SLIST_HEAD (, peer) peers;
@@ -72,7 +87,7 @@
 {
   struct limit *l = xcalloc (1, sizeof *l);
   l->source = *source;
-  l->opened_ms = now_ms;
+  (void)now_ms;
   LIST_INIT (&l->customers);
   SLIST_INIT (&l->peers);
   limit_set_entries (l, entries);
@@ -82,6 +97,12 @@
 static void
 free_customer (struct customer *c)
 {
+  while (!SLIST_EMPTY (&c->accounts))
+    {
+      struct account *a = SLIST_FIRST (&c->accounts);
+      SLIST_REMOVE_HEAD (&c->accounts, link);
+      free (a);
+    }
   LIST_REMOVE (c, bucket_link);
   LIST_REMOVE (c, link);
   free (c);
@@ -98,7 +119,6 @@
     {
       struct peer *p = SLIST_FIRST (&l->peers);
       SLIST_REMOVE_HEAD (&l->peers, link);
-      free (p->usage);
       free (p);
     }
   free (l);
@@ -128,63 +148,62 @@
   c->refilled_ms = now_ms;
   c->window_ms = now_ms;
   c->tokens = -1.0;
+  SLIST_INIT (&c->accounts);
   LIST_INSERT_HEAD (&l->buckets[bucket_of (name)], c, bucket_link);
   LIST_INSERT_HEAD (&l->customers, c, link);
   return c;
 }
 
+static uint32_t
+total_of (const struct customer *c, enum kind k)
+{
+  return k == RATE ? c->plan.rate : c->plan.concurrency;
+}
+
 /* The equal part of this entry; at least one, so that a small limit blocks no entry.  */
-static double
-part_of (const struct limit *l, uint32_t total)
+static unsigned
+part_of (const struct limit *l, const struct customer *c, enum kind k)
 {
-  double part = (double)total / l->entries;
-  return part < 1.0 ? 1.0 : part;
+  unsigned part = total_of (c, k) / l->entries;
+  return part < 1 ? 1 : part;
 }
 
-static const struct usage *
-find_usage (const struct peer *p, const char *customer)
+static unsigned
+lent_now (const struct loan *loan, int64_t now_ms)
 {
-  for (unsigned i = 0; i < p->count; i++)
-    if (strcmp (p->usage[i].customer, customer) == 0)
-      return &p->usage[i];
-  return NULL;
+  unsigned first = now_ms < loan->until_ms[0] ? loan->amount[0] : 0;
+  unsigned second = now_ms < loan->until_ms[1] ? loan->amount[1] : 0;
+  return first > second ? first : second;
 }
 
-/* This entry's part of the unused parts of the others: see the error bound in limit.h.  */
-static double
-borrowed (const struct limit *l, const char *customer, double part, bool by_rate, int64_t now_ms)
+static unsigned
+lent_to_all (const struct customer *c, enum kind k, int64_t now_ms)
 {
-  const struct peer *p;
-  double unused = 0.0;
-  unsigned borrowers = 1;
-  SLIST_FOREACH (p, &l->peers, link)
-  {
-    if (now_ms - p->reported_ms >= LIMIT_REPORT_LIFETIME_MS)
-      continue;
-    const struct usage *u = find_usage (p, customer);
-    if (!u && p->truncated)
-      continue;
-    double used = !u ? 0.0 : by_rate ? u->rate : u->in_flight;
-    if (u && u->wants_more)
-      borrowers++;
-    else if (used < part)
-      unused += part - used;
-  }
-  return unused * LIMIT_BORROW_FRACTION / borrowers;
+  const struct account *a;
+  unsigned sum = 0;
+  SLIST_FOREACH (a, &c->accounts, link)
+  sum += lent_now (&a->lent[k], now_ms);
+  return sum;
 }
 
-static double
-allowance (const struct limit *l, const char *customer, uint32_t total, bool by_rate,
-           int64_t now_ms)
+/* What this entry may use now.  */
+static unsigned
+allowance (const struct limit *l, const struct customer *c, enum kind k, int64_t now_ms)
 {
-  double part = part_of (l, total);
-  return part + borrowed (l, customer, part, by_rate, now_ms);
+  const struct account *a;
+  unsigned part = part_of (l, c, k);
+  unsigned lent = lent_to_all (c, k, now_ms);
+  unsigned sum = lent < part ? part - lent : 0;
+  SLIST_FOREACH (a, &c->accounts, link)
+  if (now_ms < a->borrowed_until_ms)
+    sum += a->borrowed[k];
+  return sum;
 }
 
 static void
 refill (const struct limit *l, struct customer *c, int64_t now_ms)
 {
-  double rate = allowance (l, c->name, c->plan.rate, true, now_ms);
+  double rate = allowance (l, c, RATE, now_ms);
   double burst = rate * LIMIT_BURST_S > 1.0 ? rate * LIMIT_BURST_S : 1.0;
   if (c->tokens < 0.0)
     c->tokens = burst;
@@ -208,11 +227,12 @@
 }
 
 static int
-refuse (struct customer *c, int64_t now_ms, struct status *st, const char *what, double allowed)
+refuse (struct customer *c, enum kind k, int64_t now_ms, struct status *st, unsigned allowed)
 {
-  c->refused_ms = now_ms;
-  return status_set (st, STATUS_LIMIT_EXCEEDED, "customer %s: %s is limited to %.1f at this entry",
-                     c->name, what, allowed);
+  static const char *const names[] = { "requests in flight", "requests per second" };
+  c->refused_ms[k] = now_ms;
+  return status_set (st, STATUS_LIMIT_EXCEEDED, "customer %s: %s are limited to %u at this entry",
+                     c->name, names[k], allowed);
 }
 
 static int
@@ -220,16 +240,15 @@
 {
   if (c->plan.concurrency != LIMIT_NONE)
     {
-      double allowed = allowance (l, c->name, c->plan.concurrency, false, now_ms);
-      if (c->in_flight + 1 > allowed)
-        return refuse (c, now_ms, st, "requests in flight", allowed);
+      unsigned allowed = allowance (l, c, IN_FLIGHT, now_ms);
+      if (c->in_flight >= allowed)
+        return refuse (c, IN_FLIGHT, now_ms, st, allowed);
     }
   if (c->plan.rate != LIMIT_NONE)
     {
       refill (l, c, now_ms);
       if (c->tokens < 1.0)
-        return refuse (c, now_ms, st, "requests per second",
-                       allowance (l, c->name, c->plan.rate, true, now_ms));
+        return refuse (c, RATE, now_ms, st, allowance (l, c, RATE, now_ms));
       c->tokens -= 1.0;
     }
   return 0;
@@ -270,7 +289,9 @@
   const struct customer *c = find_customer (l, customer);
   if (!c || c->plan.rate == LIMIT_NONE || c->tokens >= 1.0)
     return 1000;
-  double rate = allowance (l, customer, c->plan.rate, true, now_ms);
+  double rate = allowance (l, c, RATE, now_ms);
+  if (rate < 1.0)
+    return LIMIT_LOAN_MS;
   return (int64_t)ceil ((1.0 - c->tokens) * 1000.0 / rate);
 }
 
@@ -300,42 +321,84 @@
   return (double)c->arrivals * 1000.0 / (double)length;
 }
 
-static bool
-wants_more (const struct limit *l, const struct customer *c, int64_t now_ms)
+static double
+used (const struct customer *c, enum kind k, int64_t now_ms)
 {
-  if (c->refused_ms > 0 && now_ms - c->refused_ms < WANT_MORE_MS)
-    return true;
-  if (c->plan.concurrency == LIMIT_NONE)
-    return false;
-  return c->in_flight * 100.0 >= part_of (l, c->plan.concurrency) * WANT_MORE_PERCENT;
+  return k == RATE ? current_rate (c, now_ms) : c->in_flight;
 }
 
 static bool
-worth_reporting (const struct customer *c, int64_t now_ms)
+wants_more (const struct limit *l, const struct customer *c, enum kind k, int64_t now_ms)
 {
-  if (c->plan.concurrency == LIMIT_NONE && c->plan.rate == LIMIT_NONE)
+  if (total_of (c, k) == LIMIT_NONE)
     return false;
-  return c->in_flight > 0 || current_rate (c, now_ms) >= 1.0 || c->refused_ms > 0;
+  if (c->refused_ms[k] > 0 && now_ms - c->refused_ms[k] < WANT_MORE_MS)
+    return true;
+  return used (c, k, now_ms) * 100.0 >= (double)part_of (l, c, k) * WANT_MORE_PERCENT;
 }
 
-void
-limit_report (struct limit *l, int64_t now_ms, struct runner_digest *d)
+static unsigned
+count_borrowers (const struct customer *c, enum kind k, int64_t now_ms)
 {
-  struct customer *c;
+  const struct account *a;
   unsigned n = 0;
-  customer_usage *out = xcalloc (PEER_MAX_CUSTOMERS, sizeof *out);
-  LIST_FOREACH (c, &l->customers, link)
-  {
-    if (n == PEER_MAX_CUSTOMERS || !worth_reporting (c, now_ms))
-      continue;
-    out[n].customer = xstrdup (c->name);
-    out[n].in_flight = c->in_flight;
-    out[n].rate = (unsigned)ceil (current_rate (c, now_ms));
-    out[n].wants_more = wants_more (l, c, now_ms);
+  SLIST_FOREACH (a, &c->accounts, link)
+  if (a->wanted_ms[k] > 0 && now_ms - a->wanted_ms[k] < LIMIT_LOAN_MS)
     n++;
-  }
-  d->usage.usage_val = out;
-  d->usage.usage_len = n;
+  return n;
+}
+
+/* What can be lent to each entry that asks: the part without a reserve, without what is in use here
+   and a quarter more, and without what others hold.  */
+static unsigned
+lendable (const struct limit *l, const struct customer *c, const struct account *to, enum kind k,
+          int64_t now_ms)
+{
+  unsigned part = part_of (l, c, k);
+  unsigned borrowers = count_borrowers (c, k, now_ms);
+  double keep = ceil (part * LIMIT_KEEP_FRACTION);
+  double need = ceil (used (c, k, now_ms) * NEED_FACTOR) + 1.0;
+  keep = need > keep ? need : keep;
+  if (total_of (c, k) == LIMIT_NONE || total_of (c, k) < l->entries || borrowers == 0
+      || to->wanted_ms[k] == 0 || now_ms - to->wanted_ms[k] >= LIMIT_LOAN_MS || part <= keep
+      || wants_more (l, c, k, now_ms))
+    return 0;
+  unsigned others = lent_to_all (c, k, now_ms) - lent_now (&to->lent[k], now_ms);
+  unsigned free_part = part - (unsigned)keep;
+  unsigned each = free_part / borrowers;
+  unsigned left = free_part > others ? free_part - others : 0;
+  return each < left ? each : left;
+}
+
+static void
+record_loan (struct loan *loan, unsigned amount, int64_t now_ms)
+{
+  if (amount >= lent_now (loan, now_ms))
+    {
+      loan->amount[0] = amount;
+      loan->until_ms[0] = now_ms + LIMIT_LOAN_MS;
+      loan->until_ms[1] = 0;
+      return;
+    }
+  int older = loan->until_ms[0] <= loan->until_ms[1] ? 0 : 1;
+  int larger = loan->amount[0] >= loan->amount[1] ? 0 : 1;
+  int place = now_ms >= loan->until_ms[older] ? older : 1 - larger;
+  unsigned replaced = now_ms < loan->until_ms[place] ? loan->amount[place] : 0;
+  loan->amount[place] = amount > replaced ? amount : replaced;
+  loan->until_ms[place] = now_ms + LIMIT_LOAN_MS;
+}
+
+static struct account *
+find_account (struct customer *c, struct peer *peer)
+{
+  struct account *a;
+  SLIST_FOREACH (a, &c->accounts, link)
+  if (a->peer == peer)
+    return a;
+  a = xcalloc (1, sizeof *a);
+  a->peer = peer;
+  SLIST_INSERT_HEAD (&c->accounts, a, link);
+  return a;
 }
 
 static struct peer *
@@ -351,22 +414,86 @@
   return p;
 }
 
+static bool
+report_customer (struct limit *l, struct customer *c, struct peer *peer, int64_t now_ms,
+                 customer_usage *out)
+{
+  struct account *a = find_account (c, peer);
+  out->lent = lendable (l, c, a, IN_FLIGHT, now_ms);
+  out->lent_rate = lendable (l, c, a, RATE, now_ms);
+  out->wants = wants_more (l, c, IN_FLIGHT, now_ms);
+  out->wants_rate = wants_more (l, c, RATE, now_ms);
+  record_loan (&a->lent[IN_FLIGHT], out->lent, now_ms);
+  record_loan (&a->lent[RATE], out->lent_rate, now_ms);
+  return out->lent > 0 || out->lent_rate > 0 || out->wants || out->wants_rate;
+}
+
+void
+limit_report (struct limit *l, const char *entry, int64_t now_ms, struct runner_digest *d)
+{
+  struct customer *c;
+  struct peer *peer = find_peer (l, entry);
+  unsigned n = 0;
+  customer_usage *out = xcalloc (PEER_MAX_CUSTOMERS, sizeof *out);
+  LIST_FOREACH (c, &l->customers, link)
+  {
+    if (c->plan.concurrency == LIMIT_NONE && c->plan.rate == LIMIT_NONE)
+      continue;
+    if (n < PEER_MAX_CUSTOMERS && report_customer (l, c, peer, now_ms, &out[n]))
+      out[n++].customer = xstrdup (c->name);
+  }
+  d->usage.usage_val = out;
+  d->usage.usage_len = n;
+}
+
+static void
+forget_loans (struct limit *l, struct peer *peer)
+{
+  struct customer *c;
+  struct account *a;
+  LIST_FOREACH (c, &l->customers, link)
+  SLIST_FOREACH (a, &c->accounts, link)
+  if (a->peer == peer)
+    {
+      a->borrowed_until_ms = 0;
+      a->wanted_ms[IN_FLIGHT] = 0;
+      a->wanted_ms[RATE] = 0;
+    }
+}
+
+static void
+handle_usage (struct customer *c, struct peer *peer, const customer_usage *u, uint64_t echo,
+              int64_t now_ms)
+{
+  struct account *a = find_account (c, peer);
+  bool timely = echo > 0 && echo <= (uint64_t)now_ms;
+  a->borrowed[IN_FLIGHT] = u->lent;
+  a->borrowed[RATE] = u->lent_rate;
+  a->borrowed_until_ms = timely ? (int64_t)echo + LIMIT_LOAN_MS : 0;
+  a->wanted_ms[IN_FLIGHT] = u->wants ? now_ms : 0;
+  a->wanted_ms[RATE] = u->wants_rate ? now_ms : 0;
+}
+
 void
 limit_handle_report (struct limit *l, const char *entry, const struct runner_digest *d,
                      int64_t now_ms)
 {
-  struct peer *p = find_peer (l, entry);
-  unsigned n = d->usage.usage_len < PEER_MAX_CUSTOMERS ? d->usage.usage_len : PEER_MAX_CUSTOMERS;
-  p->reported_ms = now_ms;
-  p->truncated = n == PEER_MAX_CUSTOMERS;
-  p->count = n;
-  p->usage = xrealloc (p->usage, n * sizeof *p->usage);
-  for (unsigned i = 0; i < n; i++)
+  struct peer *peer = find_peer (l, entry);
+  forget_loans (l, peer);
+  for (unsigned i = 0; i < d->usage.usage_len; i++)
     {
       const customer_usage *u = &d->usage.usage_val[i];
-      snprintf (p->usage[i].customer, NAME_BYTES, "%s", u->customer);
-      p->usage[i].in_flight = u->in_flight;
-      p->usage[i].rate = u->rate;
-      p->usage[i].wants_more = u->wants_more;
+      struct limit_plan plan = { 0 };
+      struct customer *c = find_customer (l, u->customer);
+      if (!c
+          && (strlen (u->customer) >= NAME_BYTES
+              || !l->source.lookup (l->source.arg, u->customer, &plan)))
+        continue;
+      if (!c)
+        {
+          c = add_customer (l, u->customer, now_ms);
+          c->plan = plan;
+        }
+      handle_usage (c, peer, u, d->echo, now_ms);
     }
 }
--- a/src/limit.h
+++ b/src/limit.h
@@ -1,11 +1,17 @@
 /* limit: limits of customers on concurrency, request rate and share of the slots.
 
-   Limits hold over all entries together.  Each entry may use limit / entries, plus half of what
-   other entries report as unused, divided among the entries that ask for more.  Error bound: the
-   sum over all entries is at most the limit, rounded up to one per entry, while demand is steady,
-   and at most 1.5 times that for LIMIT_REPORT_LIFETIME_MS after demand has moved between entries.
-   An entry that is silent or cut off counts as using its whole part, so nothing is borrowed from
-   it.  A customer whose requests all arrive at one of 8 entries gets at least half its limit.
+   Limits hold over all entries together.  Each entry has an equal part of a limit.  It lends what
+   it does not need of its part to entries that ask for more, and keeps back what it lent until the
+   loan has ended.  Loans travel in the digests, last LIMIT_LOAN_MS and are renewed every 500 ms;
+   the borrower counts from the clock value that the digest echoes, the lender from when it sent it,
+   so that the borrower stops first.
+
+   Error bounds.  The allowances of all entries together never exceed the limit, rounded up to one
+   per entry, whatever is cut off, delayed or lost; except that an entry that restarts forgets its
+   loans, so that they may exceed it by that entry's part for LIMIT_LOAN_MS.  Requests admitted
+   under a loan that has ended run on.  When demand moves, an entry may be short of its part for
+   LIMIT_LOAN_MS.  An entry that is cut off has its equal part.  An entry that gets all requests of
+   a customer has at least 3/4 of the limit after a second when each part is 8 or more.
 
    Pure.  Source: design page section 7 and the two lists.  */
 
@@ -18,8 +24,8 @@
 #include "peer_proto.h"
 #include "status.h"
 
-#define LIMIT_REPORT_LIFETIME_MS 2000
-#define LIMIT_BORROW_FRACTION 0.5
+#define LIMIT_LOAN_MS 2000
+#define LIMIT_KEEP_FRACTION 0.125 /* of its part that an entry never lends */
 #define LIMIT_BURST_S 1.0
 #define LIMIT_NONE 0 /* in struct limit_plan: no limit */
 
@@ -53,9 +59,9 @@
 unsigned limit_slots (struct limit *l, const char *customer,
                       unsigned capacity); /* Slots out of CAPACITY it may hold while others wait. */
 unsigned limit_in_flight (const struct limit *l, const char *customer); /* At this entry. */
-void limit_report (struct limit *l, int64_t now_ms,
-                   struct runner_digest *d); /* Adds this entry's usage to a digest. */
+void limit_report (struct limit *l, const char *entry, int64_t now_ms,
+                   struct runner_digest *d); /* Adds loans and wishes to a digest for ENTRY. */
 void limit_handle_report (struct limit *l, const char *entry, const struct runner_digest *d,
-                          int64_t now_ms); /* Usage of another entry. */
+                          int64_t now_ms); /* Loans and wishes of ENTRY. */
 
 #endif
--- a/src/runner_digest.c
+++ b/src/runner_digest.c
@@ -205,10 +205,10 @@
     return;
   if (!r && !(r = runner_table_add (t, info.id)))
     return;
+  if (r->departing && info.incarnation == r->info.incarnation)
+    return;
   if (info.incarnation > r->info.incarnation || !r->info.service[0])
     runner_table_restart (t, r, &info);
-  if (r->departing)
-    return;
   if (!r->announced_ms || now_ms - r->announced_ms >= RUNNER_LIFETIME_MS)
     {
       r->info = info;
--- a/src/runner_table.c
+++ b/src/runner_table.c
@@ -120,6 +120,8 @@
   r->departing = true;
   r->departed_ms = now_ms;
   t->generation++;
+  if (r->listed) /* peers that hear only from us have to learn it too */
+    runner_table_touch (t, r);
 }
 
 static bool
@@ -254,9 +256,8 @@
     }
   if (r->departing)
     return 0;
-  runner_table_set_departing (t, r, now_ms);
   r->listed = true;
-  runner_table_touch (t, r);
+  runner_table_set_departing (t, r, now_ms);
   struct runner_peer *p;
   SLIST_FOREACH (p, &t->peers, link)
   p->prompt = true;
