--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -304,22 +304,25 @@
   buffer_close (&in);
 }
 
+/* Callers that are being served and callers that wait in the queue leave.  */
 static void
 test_caller_gone_frees_the_runner (void **state)
 {
   (void)state;
   const char *request = "POST /v1/call/echo/x?mode=hang HTTP/1.1\r\nHost: e\r\n"
                         "Sassafras-Customer: huron\r\nContent-Length: 0\r\n\r\n";
-  int fds[4];
-  for (int i = 0; i < 4; i++)
+  int fds[PARALLEL];
+  for (int i = 0; i < PARALLEL; i++)
     {
       fds[i] = dial (entry.port);
       assert_true (send_all (fds[i], request, strlen (request)));
     }
-  assert_true (wait_statistic (runner.port, "/standin/stats", "in_service", 4));
-  for (int i = 0; i < 4; i++)
+  assert_true (wait_statistic (runner.port, "/standin/stats", "in_service", 8));
+  assert_true (wait_statistic (entry.admin_port, "/stats", "queued", PARALLEL - 8));
+  for (int i = PARALLEL - 1; i >= 0; i--)
     close (fds[i]);
   assert_true (wait_statistic (entry.admin_port, "/stats", "open", 0));
+  assert_true (wait_statistic (entry.admin_port, "/stats", "queued", 0));
   assert_true (wait_statistic (runner.port, "/standin/stats", "in_service", 0));
 }
 
