Recognize slow runners by the rate of late answers

Cause: the moving average of latencies marked runners as slow after one or two long batch requests; they then got probes only, and urgent requests were refused although half of the slots were free. Change: count answers later than 4 times the typical latency of the service; admission keeps the mean service time by class.

--- a/src/admission.c
+++ b/src/admission.c
@@ -32,9 +32,10 @@
   struct admission_items ages[CLASSES];
   unsigned queued[CLASSES];
   unsigned serving;
-  unsigned urgent_run; /* urgent requests popped since the last batch one */
-  double service_ms;   /* moving average, 0 before the first answer */
-  int64_t scan_ms;     /* no queued request is hopeless before this time */
+  unsigned urgent_run;      /* urgent requests popped since the last batch one */
+  double service_ms;        /* moving average, 0 before the first answer */
+  double class_ms[CLASSES]; /* the same by class */
+  int64_t scan_ms;          /* no queued request is hopeless before this time */
 };
 
 struct admission *
@@ -127,7 +128,7 @@
 static int64_t
 last_start_ms (const struct admission *a, const struct admission_item *item)
 {
-  return item->deadline_ms - (int64_t)(a->service_ms * SERVICE_FRACTION);
+  return item->deadline_ms - (int64_t)(a->class_ms[class_of (item)] * SERVICE_FRACTION);
 }
 
 static int
@@ -309,16 +310,25 @@
   item->customer = NULL;
 }
 
+static void
+average (double *mean, double value)
+{
+  if (*mean <= 0.0)
+    *mean = value;
+  *mean += SERVICE_WEIGHT * (value - *mean);
+}
+
 void
 admission_served (struct admission *a, struct admission_item *item, bool answered,
                   double service_ms, int64_t now_ms)
 {
   struct admission_customer *c = item->customer;
   (void)now_ms;
-  if (answered && a->service_ms <= 0.0)
-    a->service_ms = service_ms;
   if (answered)
-    a->service_ms += SERVICE_WEIGHT * (service_ms - a->service_ms);
+    {
+      average (&a->service_ms, service_ms);
+      average (&a->class_ms[class_of (item)], service_ms);
+    }
   c->serving--;
   if (!item->urgent)
     c->serving_batch--;
--- a/src/router.c
+++ b/src/router.c
@@ -9,12 +9,14 @@
 #define FAILURE_RATE_LIMIT 0.5 /* ejection above this rate */
 #define FAILURE_SAMPLES 10     /* answers needed before the rate counts */
 #define LIMIT_DECREASE 0.7     /* on a failure or refusal */
-#define SLOW_FACTOR 4.0        /* times the median latency of its service and distance */
-#define SLOW_FLOOR_MS 5.0      /* smaller differences are never slow */
+#define SLOW_FACTOR 4.0        /* an answer is late above this many times the typical latency */
+#define SLOW_FLOOR_MS 5.0      /* smaller differences are never late */
+#define SLOW_RATE 0.5          /* a runner is slow when more of its answers are late */
 #define SLOW_SAMPLES 5
+#define TYPICAL_STEP 0.02      /* part by which one answer moves the typical latency */
 #define PROBE_INTERVAL_MS 1000 /* between requests to a slow runner */
 #define REPORT_TRUST_MS 1500   /* older load reports are replaced by an assumption */
-#define INDEX_REFRESH_MS 200   /* medians and shares are recomputed this often */
+#define INDEX_REFRESH_MS 200   /* runners that expired leave the index this soon */
 #define FORGIVE_MS 30000       /* without failures, after which ejections start short again */
 
 /* The runners of one service, rebuilt when the table changes.  */
@@ -26,7 +28,7 @@
   unsigned capacity;
   uint64_t generation;
   int64_t built_ms;
-  double median_ms[ROUTER_FAR + 1]; /* latency, by distance; 0 when unknown */
+  double typical_ms[ROUTER_FAR + 1]; /* median latency by distance, 0 when unknown */
   struct router_service *next;
 };
 
@@ -115,45 +117,6 @@
   return share_in_force (r, runner, runner->info.connections, now_ms);
 }
 
-static int
-compare_doubles (const void *a, const void *b)
-{
-  double x = *(const double *)a;
-  double y = *(const double *)b;
-  return (x > y) - (x < y);
-}
-
-static double
-median_latency (const struct router *r, const struct router_service *s, enum router_distance d)
-{
-  double *values = xmalloc ((s->count + 1) * sizeof *values);
-  unsigned n = 0;
-  for (unsigned i = 0; i < s->count; i++)
-    {
-      const struct runner *runner = s->runners[i];
-      if (runner->load.samples >= SLOW_SAMPLES
-          && router_distance (r, runner->info.data_centre) == d)
-        values[n++] = runner->load.latency_ms;
-    }
-  qsort (values, n, sizeof *values, compare_doubles);
-  double median = n >= 3 ? values[(n - 1) / 2] : 0.0;
-  free (values);
-  return median;
-}
-
-static void
-mark_slow (const struct router *r, struct router_service *s)
-{
-  for (unsigned i = 0; i < s->count; i++)
-    {
-      struct runner_load *load = &s->runners[i]->load;
-      double median = s->median_ms[router_distance (r, s->runners[i]->info.data_centre)];
-      load->slow = median > 0.0 && load->samples >= SLOW_SAMPLES
-                   && load->latency_ms > SLOW_FACTOR * median
-                   && load->latency_ms - median > SLOW_FLOOR_MS;
-    }
-}
-
 static void
 build_service (const struct router *r, struct router_service *s, int64_t now_ms)
 {
@@ -170,9 +133,6 @@
       }
     s->runners[s->count++] = runner;
   }
-  for (int d = ROUTER_LOCAL; d <= ROUTER_FAR; d++)
-    s->median_ms[d] = median_latency (r, s, (enum router_distance)d);
-  mark_slow (r, s);
   s->generation = runner_table_generation (r->table);
   s->built_ms = now_ms;
 }
@@ -474,27 +434,44 @@
 }
 
 static void
-count_success (struct router *r, struct runner *runner, double latency_ms, int64_t now_ms)
+count_success (struct router *r, struct runner *runner, int64_t now_ms)
 {
   struct runner_load *load = &runner->load;
   load->failures_in_row = 0;
   load->failure_rate -= LATENCY_WEIGHT * load->failure_rate;
-  if (load->latency_ms <= 0.0)
-    load->latency_ms = latency_ms;
-  load->latency_ms += LATENCY_WEIGHT * (latency_ms - load->latency_ms);
-  load->samples++;
   grow_limit (r, runner, now_ms);
 }
 
-/* An abandoned try took at least this long: counts when that is slower than usual.  */
+/* A running estimate of the median: each answer moves it one step up or down.  */
 static void
-count_waited (struct runner *runner, double waited_ms)
+update_typical (double *typical, double latency_ms)
 {
+  if (*typical <= 0.0)
+    *typical = latency_ms;
+  else
+    *typical *= latency_ms > *typical ? 1.0 + TYPICAL_STEP : 1.0 - TYPICAL_STEP;
+}
+
+/* Counts late answers instead of averaging latencies, so that a few long requests among many short
+   ones do not make their runner look slow.  */
+static void
+count_latency (struct router *r, struct runner *runner, double latency_ms, bool whole,
+               int64_t now_ms)
+{
+  struct router_service *s = find_service (r, runner->info.service, now_ms);
   struct runner_load *load = &runner->load;
-  if (waited_ms <= load->latency_ms)
+  if (!s)
+    return;
+  double *typical = &s->typical_ms[router_distance (r, runner->info.data_centre)];
+  bool late = *typical > 0.0 && latency_ms > SLOW_FACTOR * *typical
+              && latency_ms - *typical > SLOW_FLOOR_MS;
+  if (!whole && !late)
     return;
-  load->latency_ms += LATENCY_WEIGHT * (waited_ms - load->latency_ms);
+  if (whole)
+    update_typical (typical, latency_ms);
+  load->late_rate += LATENCY_WEIGHT * ((late ? 1.0 : 0.0) - load->late_rate);
   load->samples++;
+  load->slow = load->samples >= SLOW_SAMPLES && load->late_rate > SLOW_RATE;
 }
 
 void
@@ -506,7 +483,8 @@
   switch (outcome)
     {
     case ROUTER_OK:
-      count_success (r, runner, latency_ms, now_ms);
+      count_success (r, runner, now_ms);
+      count_latency (r, runner, latency_ms, true, now_ms);
       break;
     case ROUTER_FAILED:
       count_failure (r, runner, now_ms);
@@ -518,7 +496,7 @@
       eject (r, runner, now_ms);
       break;
     case ROUTER_ABANDONED:
-      count_waited (runner, latency_ms);
+      count_latency (r, runner, latency_ms, false, now_ms);
       break;
     }
   runner_release (runner);
--- a/src/router.h
+++ b/src/router.h
@@ -9,8 +9,8 @@
 
    Failing runners are ejected for a time that doubles, at most ROUTER_MAX_EJECTED_PERCENT of a
    service at once; a returning runner starts with one request at a time and grows over
-   ROUTER_SLOW_START_MS.  A runner much slower than the median of its service gets only probes while
-   others have room.
+   ROUTER_SLOW_START_MS.  A runner most of whose answers take several times the median latency of
+   its service gets only probes while others have room.
 
    Pure: time is now_ms, randomness comes from the seed.  Source: design page section 7.  */
 
--- a/src/runner_table.h
+++ b/src/runner_table.h
@@ -63,15 +63,15 @@
   int64_t reported_ms;      /* when info.in_flight was learned */
   unsigned local_at_report; /* in_flight of this entry at that time */
   double limit;             /* adaptive limit on in_flight */
-  double latency_ms;        /* moving average, 0 before the first answer */
-  unsigned samples;         /* answers in the average, saturating */
+  double late_rate;         /* moving average of answers much later than typical, 0 to 1 */
+  unsigned samples;         /* answers and failures in the averages */
   unsigned failures_in_row; /* consecutive failures */
   double failure_rate;      /* moving average of failures, 0 to 1 */
   unsigned ejections;       /* times ejected since it last worked for a while */
   int64_t ejected_until_ms; /* 0 when it is not ejected */
   int64_t returned_ms;      /* when slow start began, 0 when it is over */
   int64_t last_probe_ms;    /* last request sent although it is slow */
-  bool slow;                /* latency far above the median of its service */
+  bool slow;                /* most answers are much later than typical for its service */
 };
 
 struct runner_lease; /* one peer entry that vouches for one runner */
