Hedge at the 99th percentile, keep latencies by class, learn from timeouts

Cause: hedges at the 95th percentile added 3.2% load for long requests that a second runner does not shorten; and a try timeout learned from short requests cut off long ones, which then never entered the latencies. Change: hedge at the 99th percentile; separate latencies of urgent and batch; a timeout counts as a latency of twice the wait.

--- a/bench/request_policy.c
+++ b/bench/request_policy.c
@@ -139,7 +139,7 @@
   struct admission *admission;
   struct limit *limit;
   struct retry_budget budget;
-  struct retry_latency latency;
+  struct retry_latency latency[2]; /* of batch and of urgent requests */
   struct rng rng;
 };
 
@@ -374,10 +374,10 @@
   c->serving = true;
   retry_budget_request (&e->budget);
   start_attempt (s, c, runner);
-  int64_t delay = retry_hedge_delay_ms (&e->latency);
+  int64_t delay = retry_hedge_delay_ms (&e->latency[c->urgent]);
   if (s->policy == FULL && c->urgent && delay > 0)
     schedule_check (s, c, s->now + (double)delay);
-  schedule_check (s, c, s->now + (double)retry_try_timeout_ms (&e->latency));
+  schedule_check (s, c, s->now + (double)retry_try_timeout_ms (&e->latency[c->urgent]));
 }
 
 static void
@@ -464,9 +464,10 @@
       hedge (s, c);
       return;
     }
-  if (s->now - a->started < (double)retry_try_timeout_ms (&e->latency)
+  if (s->now - a->started < (double)retry_try_timeout_ms (&e->latency[c->urgent])
       || !retry_allowed (&q, RETRY_FAILED, now_ms (s)) || !retry_budget_take (&e->budget))
     return;
+  retry_latency_add_timeout (&e->latency[c->urgent], now_ms (s) - (int64_t)a->started, now_ms (s));
   a->abandoned = true;
   router_finish (&e->router, a->runner, ROUTER_FAILED, 0.0, 0, now_ms (s));
   c->open[0] = NULL;
@@ -497,7 +498,7 @@
       router_finish (&e->router, a->runner, o, latency, 0, now_ms (s));
       if (o == ROUTER_OK)
         {
-          retry_latency_add (&e->latency, latency, now_ms (s));
+          retry_latency_add (&e->latency[c->urgent], latency, now_ms (s));
           end_call (s, c, true);
           pump (s, e);
         }
--- a/src/proxy_call.c
+++ b/src/proxy_call.c
@@ -11,6 +11,12 @@
 static struct histogram first_byte = { .name = "sassafras_first_byte_ms",
                                        .help = "Time of a try to the first byte of the answer." };
 
+static struct retry_latency *
+latency_of (const struct proxy_call *call)
+{
+  return &call->service->latency[call->urgent ? 1 : 0];
+}
+
 static unsigned
 tries_open (const struct proxy_call *call)
 {
@@ -323,7 +329,7 @@
   call->last_runner = t->runner;
   if (outcome == ROUTER_OK)
     {
-      retry_latency_add (&call->service->latency, latency, now);
+      retry_latency_add (latency_of (call), latency, now);
       histogram_add (&first_byte, latency);
     }
   if (won)
@@ -362,7 +368,7 @@
   if (call->stage != CALL_TRYING || tries_open (call) != 1 || call->hedged
       || !retry_allowed (&q, RETRY_FAILED, t->started_ms))
     return false;
-  *at = t->started_ms + retry_try_timeout_ms (&call->service->latency);
+  *at = t->started_ms + retry_try_timeout_ms (latency_of (call));
   return true;
 }
 
@@ -370,7 +376,7 @@
 hedge_due (const struct proxy_call *call, int64_t *at)
 {
   struct retry_request q = retry_view (call);
-  int64_t delay = call->service ? retry_hedge_delay_ms (&call->service->latency) : 0;
+  int64_t delay = call->service ? retry_hedge_delay_ms (latency_of (call)) : 0;
   if (call->stage != CALL_TRYING || call->hedged || tries_open (call) != 1 || delay == 0
       || !call->body_complete || !retry_hedge_allowed (&q, call->urgent))
     return false;
@@ -392,7 +398,7 @@
 }
 
 static void
-time_out_try (struct proxy_call *call)
+time_out_try (struct proxy_call *call, int64_t now)
 {
   if (!retry_budget_take (&call->service->budget))
     {
@@ -400,6 +406,9 @@
       return;
     }
   call->retry_granted = true;
+  for (int i = 0; i < PROXY_CALL_TRIES; i++)
+    if (call->tries[i])
+      retry_latency_add_timeout (latency_of (call), now - call->tries[i]->started_ms, now);
   cancel_tries (call, NULL, ROUTER_FAILED);
   status_set (&call->failure, STATUS_TIMEOUT, "no answer in time");
   retry_later (call, RETRY_FAILED);
@@ -436,7 +445,7 @@
   else if (hedge_due (call, &at) && now >= at)
     start_hedge (call, now);
   else if (try_times_out (call, &at) && now >= at)
-    time_out_try (call);
+    time_out_try (call, now);
 }
 
 static void
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -82,9 +82,9 @@
   struct proxy *proxy;
   struct admission *admission;
   struct retry_budget budget;
-  struct retry_latency latency;
-  unsigned calls;         /* that refer to it */
-  int64_t empty_since_ms; /* without a live runner, 0 when there is one */
+  struct retry_latency latency[2]; /* of batch and of urgent requests */
+  unsigned calls;                  /* that refer to it */
+  int64_t empty_since_ms;          /* without a live runner, 0 when there is one */
   SLIST_ENTRY (proxy_service) link;
 };
 
--- a/src/retry.c
+++ b/src/retry.c
@@ -9,7 +9,8 @@
 #define DECAY_FACTOR 0.5
 #define TIMEOUT_QUANTILE 0.99
 #define TIMEOUT_FACTOR 3.0
-#define HEDGE_QUANTILE 0.95
+#define TIMEOUT_GROWTH 2.0
+#define HEDGE_QUANTILE 0.99
 
 void
 retry_budget_init (struct retry_budget *b)
@@ -96,6 +97,14 @@
   l->count += 1.0;
 }
 
+/* What would have answered later never shows in the latencies, so without this a timeout that is
+   too short would stay so.  */
+void
+retry_latency_add_timeout (struct retry_latency *l, int64_t waited_ms, int64_t now_ms)
+{
+  retry_latency_add (l, TIMEOUT_GROWTH * (double)waited_ms, now_ms);
+}
+
 double
 retry_latency_quantile (const struct retry_latency *l, double q)
 {
--- a/src/retry.h
+++ b/src/retry.h
@@ -71,7 +71,9 @@
 void retry_latency_add (struct retry_latency *l, double ms,
                         int64_t now_ms); /* One answer's time to its first byte. */
 double retry_latency_quantile (const struct retry_latency *l,
-                               double q);                     /* 0 with too few samples. */
+                               double q); /* 0 with too few samples. */
+void retry_latency_add_timeout (struct retry_latency *l, int64_t waited_ms,
+                                int64_t now_ms);              /* A try was given up after WAITED. */
 int64_t retry_try_timeout_ms (const struct retry_latency *l); /* For a try that may be repeated. */
 int64_t retry_hedge_delay_ms (const struct retry_latency *l); /* 0: do not hedge yet. */
 
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -89,6 +89,23 @@
   assert_in_range (retry_hedge_delay_ms (&l), 300, 365);
 }
 
+/* A timeout below the real latency must grow: answers that it cuts off are never measured.  */
+static void
+test_timeout_that_is_too_short_grows (void **state)
+{
+  (void)state;
+  struct retry_latency l = { 0 };
+  for (int i = 0; i < 100; i++)
+    retry_latency_add (&l, 10.0, 0);
+  int64_t timeout = retry_try_timeout_ms (&l);
+  for (int i = 0; i < 500 && timeout < 2000; i++)
+    {
+      retry_latency_add_timeout (&l, timeout, 0);
+      timeout = retry_try_timeout_ms (&l);
+    }
+  assert_true (timeout >= 2000);
+}
+
 static void
 test_backoff_is_jittered_and_bounded (void **state)
 {
@@ -113,6 +130,7 @@
     cmocka_unit_test (test_budget_saved_up_is_bounded),
     cmocka_unit_test (test_only_safe_retries),
     cmocka_unit_test (test_timeouts_follow_latency),
+    cmocka_unit_test (test_timeout_that_is_too_short_grows),
     cmocka_unit_test (test_backoff_is_jittered_and_bounded),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
