Keep each worker in one cell; announce the runner stand-in's own address

Ruled out: a permit held too long (the out command was in force 34 ms after it was accepted, and all 12 tasks belonged to another cell). Change: a redirect names the data centre, and the worker endpoints serve the cell so named. A plan that allows no requests now refuses them instead of counting as unlimited.

--- a/src/daemon_groups.c
+++ b/src/daemon_groups.c
@@ -286,8 +286,6 @@
           return -1;
       }
   d->groups_open = true;
-  if (d->cell_count > 0)
-    d->worker_api.cell = d->cells[0];
   log_line (LOG_INFO, "groups are open: %s", join ? "joined" : "started");
   return 0;
 }
--- a/src/daemon_http.c
+++ b/src/daemon_http.c
@@ -230,7 +230,9 @@
                                                 .max_body = OPERATOR_API_MAX_BODY,
                                                 .handler = on_operator_request,
                                                 .handler_arg = d };
-  d->worker_api.registry = d->registry;
+  d->worker_api = (struct worker_api){ .registry = d->registry,
+                                       .cells = d->cells,
+                                       .cell_count = &d->cell_count };
   d->job_api = (struct job_api){ .registry = d->registry,
                                  .proposer = proposal_router_proposer (d->proposals),
                                  .cells = d->cells,
--- a/src/daemon_requests.c
+++ b/src/daemon_requests.c
@@ -24,6 +24,7 @@
   out->concurrency = (uint32_t)p->urgent_concurrency;
   out->rate = (uint32_t)p->requests_per_s;
   out->share = 0;
+  out->no_requests = out->concurrency == 0 || out->rate == 0;
   return true;
 }
 
@@ -130,7 +131,7 @@
   call->daemon = d;
   call->peer = peer;
   runner_table_make_digest (d->runners, peer, now_ms, &digest);
-  limit_report (d->limit, now_ms, &digest);
+  limit_report (d->limit, info->name, now_ms, &digest);
   peer_call_runners (d->net, info->node, &digest, DIGEST_TIMEOUT_MS, on_digest_reply, call);
   runner_digest_free (&digest);
 }
--- a/src/limit.c
+++ b/src/limit.c
@@ -260,6 +260,9 @@
   struct limit_plan plan = { 0 };
   if (strlen (customer) >= NAME_BYTES || !l->source.lookup (l->source.arg, customer, &plan))
     return status_set (st, STATUS_UNKNOWN_CUSTOMER, "customer %.64s is not in the list", customer);
+  if (plan.no_requests)
+    return status_set (st, STATUS_LIMIT_EXCEEDED, "the plan of customer %.64s has no requests",
+                       customer);
   struct customer *c = find_customer (l, customer);
   if (!c)
     c = add_customer (l, customer, now_ms);
--- a/src/limit.h
+++ b/src/limit.h
@@ -35,6 +35,7 @@
   uint32_t concurrency; /* requests in flight, LIMIT_NONE for no limit */
   uint32_t rate;        /* requests per second, LIMIT_NONE for no limit */
   double share;         /* of the slots of a service, 0 to 1; 0 for no limit */
+  bool no_requests;     /* the plan allows none at all */
 };
 
 /* Where the limits come from; the plans implement it.  */
--- a/src/worker_api.c
+++ b/src/worker_api.c
@@ -122,7 +122,7 @@
 }
 
 static void
-announce (struct worker_api *api, struct http_request *req, json_t *body)
+announce (struct cell_service *cell, struct http_request *req, json_t *body)
 {
   struct status st;
   struct worker_announce a = { 0 };
@@ -135,7 +135,7 @@
   a.accelerators = json_field_u32_or (&f, "accelerators", 0);
   struct worker_task *tasks = f.failed ? NULL : read_tasks (body, &a.task_count, &st);
   a.tasks = tasks;
-  if (!tasks || cell_service_announce (api->cell, &a, &st) < 0)
+  if (!tasks || cell_service_announce (cell, &a, &st) < 0)
     http_reply_status (req, &st);
   else
     http_reply_json (req, 200, json_pack ("{s:i}", "heartbeat_ms", SCHEDULER_HEARTBEAT_MS));
@@ -143,7 +143,7 @@
 }
 
 static void
-poll (struct worker_api *api, struct http_request *req, json_t *body)
+poll (struct cell_service *cell, struct http_request *req, json_t *body)
 {
   struct status st;
   struct worker_poll p = { 0 };
@@ -156,62 +156,72 @@
   bool wait = json_field_u32_or (&f, "wait", 0) != 0;
   struct worker_task *tasks = f.failed ? NULL : read_tasks (body, &p.task_count, &st);
   p.tasks = tasks;
-  if (!tasks || cell_service_poll (api->cell, &p, wait, on_poll_answer, req, &st) < 0)
+  if (!tasks || cell_service_poll (cell, &p, wait, on_poll_answer, req, &st) < 0)
     http_reply_status (req, &st);
   free (tasks);
 }
 
 /* Sends the worker to the leader's VM.  */
 static void
-redirect (struct worker_api *api, struct http_request *req)
+redirect (const struct worker_api *api, const struct cell_service *cell, struct http_request *req)
 {
   struct status st;
   char url[URL_BYTES];
-  uint64_t leader = api->cell ? cell_service_leader (api->cell) : 0;
+  uint64_t leader = cell ? cell_service_leader (cell) : 0;
   const registry_member *m = leader ? registry_find_node (api->registry, leader) : NULL;
-  if (!m)
+  /* A leader that has not applied its own log yet must not redirect to itself.  */
+  if (!m || cell_service_elected (cell))
     {
-      status_set (&st, STATUS_NO_QUORUM, "the cell has no leader yet");
+      status_set (&st, STATUS_NO_QUORUM, "the cell has no leader that is ready yet");
       http_reply_status (req, &st);
       return;
     }
-  snprintf (url, sizeof url, "http://%s%s", m->backend, req->path);
+  snprintf (url, sizeof url, "http://%s%s?data_centre=%s", m->backend, req->path,
+            cell_service_data_centre (cell));
   http_reply_redirect (req, url);
 }
 
+/* The cell the worker belongs to, or NULL when this VM has no part in it.  */
+static struct cell_service *
+find_cell (const struct worker_api *api, struct http_request *req)
+{
+  const char *name = http_query (req, "data_centre");
+  for (size_t i = 0; i < *api->cell_count; i++)
+    if (!name || strcmp (name, cell_service_data_centre (api->cells[i])) == 0)
+      return api->cells[i];
+  return NULL;
+}
+
+static void
+handle_body (struct cell_service *cell, struct http_request *req, bool is_announce)
+{
+  struct status st;
+  json_t *body = http_body_json (req, &st);
+  if (!body)
+    http_reply_status (req, &st);
+  else if (is_announce)
+    announce (cell, req, body);
+  else
+    poll (cell, req, body);
+  json_decref (body);
+}
+
 bool
 worker_api_handle (struct worker_api *api, struct http_request *req)
 {
   struct status st;
   bool is_announce = strcmp (req->path, "/v1/workers/announce") == 0;
-  bool is_poll = strcmp (req->path, "/v1/workers/poll") == 0;
-  if (!is_announce && !is_poll)
+  if (!is_announce && strcmp (req->path, "/v1/workers/poll") != 0)
     return false;
+  struct cell_service *cell = find_cell (api, req);
   if (strcmp (req->method, "POST") != 0)
     {
       status_set (&st, STATUS_METHOD_NOT_ALLOWED, "use POST");
       http_reply_status (req, &st);
-      return true;
-    }
-  if (!api->cell || !cell_service_leading (api->cell))
-    {
-      /* A leader that has not applied its own log yet must not redirect to itself.  */
-      if (api->cell && cell_service_elected (api->cell))
-        {
-          status_set (&st, STATUS_NO_QUORUM, "the leader is not ready yet");
-          http_reply_status (req, &st);
-        }
-      else
-        redirect (api, req);
-      return true;
     }
-  json_t *body = http_body_json (req, &st);
-  if (!body)
-    http_reply_status (req, &st);
-  else if (is_announce)
-    announce (api, req, body);
+  else if (!cell || !cell_service_leading (cell))
+    redirect (api, cell, req);
   else
-    poll (api, req, body);
-  json_decref (body);
+    handle_body (cell, req, is_announce);
   return true;
 }
--- a/src/worker_api.h
+++ b/src/worker_api.h
@@ -1,6 +1,8 @@
 /* worker_api: POST /v1/workers/announce and POST /v1/workers/poll.
 
-   Only the leader of the cell answers; any other VM redirects to it with 307.  Fields and units are
+   Only the leader of the cell answers; any other VM redirects to it with 307.  The query parameter
+   data_centre names the cell; without it, it is the cell of the VM's own data centre.  A redirect
+   carries it, because the leader may also take part in another cell.  Fields and units are
    described in docs/api.md.  A poll with "wait": 1 is held until there are commands.  */
 
 #ifndef SASSAFRAS_WORKER_API_H
@@ -14,7 +16,8 @@
 
 struct worker_api
 {
-  struct cell_service *cell; /* of this data centre; NULL until the groups are open */
+  struct cell_service *const *cells; /* on this VM, its own data centre's first */
+  const size_t *cell_count;          /* 0 until the groups are open */
   const struct registry *registry;
 };
 
--- a/standins/runner.c
+++ b/standins/runner.c
@@ -9,6 +9,7 @@
    Announces itself every 500 ms to the first entry address that answers, the next one when it does
    not.  SIGTERM: departs, serves what comes within 2.5 s, finishes what is in flight and exits.  */
 #include <argtable2.h>
+#include <arpa/inet.h>
 #include <ev.h>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -659,7 +660,9 @@
       perror ("runner_standin: listen");
       return -1;
     }
-  snprintf (s->address, sizeof s->address, "127.0.0.1:%d", ntohs (address.sin_port));
+  char host[INET_ADDRSTRLEN];
+  inet_ntop (AF_INET, &address.sin_addr, host, sizeof host);
+  snprintf (s->address, sizeof s->address, "%s:%d", host, ntohs (address.sin_port));
   return 0;
 }
 
--- a/standins/worker.c
+++ b/standins/worker.c
@@ -3,8 +3,8 @@
    It announces itself, polls for commands, runs tasks as timers and honours its lease: when no poll
    sent within the last lease was answered, it stops every task.  Reports are repeated in every poll
    until a forget command for that task and epoch arrives.  Every start and end of a task is
-   written to the events file, one line "unix_ms event task epoch worker", so that a test can check that no
-   task ran in two places.  */
+   written to the events file, one line "unix_ms event task epoch worker", so that a test can check
+   that no task ran in two places.  */
 
 #include <errno.h>
 #include <signal.h>
@@ -66,8 +66,9 @@
   FILE *events;
   char *entries[MAX_ENTRIES];
   int entry_count;
-  int entry;            /* index of the entry in use */
-  char base[URL_BYTES]; /* "http://ip:port" of the VM that answers polls */
+  int entry;             /* index of the entry in use */
+  char base[URL_BYTES];  /* "http://ip:port" of the VM that answers polls */
+  char query[URL_BYTES]; /* of the last redirect: names the cell */
   int64_t incarnation;
   int64_t sequence;
   bool announced;
@@ -106,8 +107,8 @@
 {
   if (!w->events)
     return;
-  fprintf (w->events, "%lld %s %lld %lld %s\n", (long long)clock_wall_ms (), event, (long long)t->id,
-           (long long)t->epoch, w->id);
+  fprintf (w->events, "%lld %s %lld %lld %s\n", (long long)clock_wall_ms (), event,
+           (long long)t->id, (long long)t->epoch, w->id);
   fflush (w->events);
 }
 
@@ -299,22 +300,21 @@
 try_next_entry (struct worker *w)
 {
   w->announced = false;
+  w->query[0] = '\0';
   w->entry = (w->entry + 1) % w->entry_count;
   snprintf (w->base, sizeof w->base, "http://%s", w->entries[w->entry]);
   schedule_retry (w);
 }
 
-/* Keeps "http://ip:port" of a redirect's target.  */
+/* Keeps "http://ip:port" and the query of a redirect's target.  */
 static void
 follow_redirect (struct worker *w, const char *location)
 {
   const char *slash = strchr (location + strlen ("http://"), '/');
+  const char *query = strchr (location, '?');
   size_t len = slash ? (size_t)(slash - location) : strlen (location);
-  if (len < sizeof w->base)
-    {
-      memcpy (w->base, location, len);
-      w->base[len] = '\0';
-    }
+  snprintf (w->base, sizeof w->base, "%.*s", (int)len, location);
+  snprintf (w->query, sizeof w->query, "%s", query ? query : "");
 }
 
 static void
@@ -368,7 +368,7 @@
 static void
 poll_cell (struct worker *w, bool wait)
 {
-  char url[URL_BYTES + 32];
+  char url[2 * URL_BYTES + 32];
   struct poll *p = xcalloc (1, sizeof *p);
   json_t *body = json_pack ("{s:s, s:I, s:I, s:i, s:i, s:o}", "id", w->id, "incarnation",
                             (json_int_t)w->incarnation, "sequence", (json_int_t)++w->sequence,
@@ -383,7 +383,7 @@
   else
     w->reporting = true;
   w->report_due = false;
-  snprintf (url, sizeof url, "%s/v1/workers/poll", w->base);
+  snprintf (url, sizeof url, "%s/v1/workers/poll%s", w->base, w->query);
   const struct http_call call = { .method = "POST",
                                   .url = url,
                                   .body = p->body,
@@ -419,7 +419,7 @@
 static void
 announce (struct worker *w)
 {
-  char url[URL_BYTES + 32];
+  char url[2 * URL_BYTES + 32];
   if (w->polling)
     return;
   struct poll *p = xcalloc (1, sizeof *p);
@@ -432,7 +432,7 @@
   p->body = json_dumps (body, JSON_COMPACT);
   json_decref (body);
   w->polling = true;
-  snprintf (url, sizeof url, "%s/v1/workers/announce", w->base);
+  snprintf (url, sizeof url, "%s/v1/workers/announce%s", w->base, w->query);
   const struct http_call call = { .method = "POST",
                                   .url = url,
                                   .body = p->body,
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -95,6 +95,20 @@
   g->in_flight[entry]--;
 }
 
+/* Guards against a plan with zero requests that counts as unlimited.  */
+static void
+test_plan_without_requests (void **state)
+{
+  struct limit_plan plan = { .no_requests = true };
+  const struct limit_source source = { lookup, &plan };
+  struct limit *l = limit_open (&source, 1, 0);
+  struct status st;
+  (void)state;
+  assert_int_equal (limit_enter (l, "c", 0, &st), -1);
+  assert_int_equal (st.kind, STATUS_LIMIT_EXCEEDED);
+  limit_close (l);
+}
+
 static void
 test_concurrency_everywhere (void **state)
 {
@@ -248,6 +262,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_plan_without_requests),
     cmocka_unit_test (test_concurrency_everywhere),
     cmocka_unit_test (test_one_entry_may_borrow_and_gives_back),
     cmocka_unit_test (test_cut_off_entries_keep_to_their_part),
