Grant permits only on rounds of the current leadership; propose the first members while there are none

A round begun before the election says nothing about leaders in between. The registry's first members were proposed only at log index 0, so an operators' command that came first left the registry without members. Counters of permits and operators' requests are counted by the daemon, not twice. sassafrasctl jobs takes the fields and filters of the job endpoints.

--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -34,13 +34,16 @@
   struct http_client *client;
   char servers[CTL_MAX_SERVERS][CTL_ADDRESS_BYTES];
   size_t server_count;
-  size_t next_server;  /* the one that answered last, asked first */
-  long timeout_ms;     /* for the whole command */
-  int64_t deadline_ms; /* monotonic */
-  bool json;           /* machine-readable output */
-  bool wait;           /* until in force */
-  bool off;            /* drain: end it */
-  int64_t version;     /* -1: not given */
+  size_t next_server;   /* the one that answered last, asked first */
+  long timeout_ms;      /* for the whole command */
+  int64_t deadline_ms;  /* monotonic */
+  bool json;            /* machine-readable output */
+  bool wait;            /* until in force */
+  bool off;             /* drain: end it */
+  int64_t version;      /* -1: not given */
+  const char *customer; /* filters of jobs list; NULL: none */
+  const char *data_centre;
+  int64_t limit;
   char request_id[64];
   char authorization[300]; /* header line, or empty */
   char **words;            /* command and its arguments */
--- a/ctl/jobs.c
+++ b/ctl/jobs.c
@@ -1,6 +1,8 @@
 /* jobs: submit, list, show and cancel.  */
 #include "ctl.h"
 
+#include <errno.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,10 +14,11 @@
 
 static const char *const numbers[]
     = { "replicas", "millicores", "memory_mb", "accelerators", "run_time_ms", "deadline_ms" };
-static const char *const fields[]
-    = { "request_id", "customer",     "kind",        "class",       "replicas",   "millicores",
-        "memory_mb",  "accelerators", "run_time_ms", "deadline_ms", "checkpoint", "safe_to_repeat",
-        NULL };
+static const char *const fields[] = {
+  "request_id",     "customer",     "kind",        "class",       "replicas",   "millicores",
+  "memory_mb",      "accelerators", "run_time_ms", "deadline_ms", "checkpoint", "checkpoint_ms",
+  "safe_to_repeat", "max_per_rack", "payload",     "data_centre", NULL
+};
 
 /* Faults that every server would report; customer and plan are judged by the server.  */
 static void
@@ -75,15 +78,60 @@
 }
 
 static int
-one_job (struct ctl *c, const char *method, const char *id)
+show_job (struct ctl *c, const char *id)
 {
   char path[PATH_BYTES];
   if (!json_name_valid (id))
     return ctl_usage (c, "'%s' is no job id", id);
   snprintf (path, sizeof path, "/v1/jobs/%s", id);
-  json_t *body
-      = strcmp (method, "DELETE") == 0 ? json_pack ("{s:s}", "request_id", c->request_id) : NULL;
-  int code = ctl_finish (c, method, path, body, NULL);
+  return ctl_finish (c, "GET", path, NULL, NULL);
+}
+
+static void
+print_jobs (const json_t *body)
+{
+  const json_t *list = json_object_get (body, "jobs");
+  printf ("%-20s %-16s %-7s %-16s %-10s %9s %s\n", "JOB", "CUSTOMER", "KIND", "CLASS", "STATE",
+          "OPEN", "REASON");
+  for (size_t i = 0; i < json_array_size (list); i++)
+    {
+      const json_t *j = json_array_get (list, i);
+      printf ("%-20" PRId64 " %-16s %-7s %-16s %-10s %4" PRId64 "/%-4" PRId64 " %s\n",
+              ctl_int (j, "job"), ctl_text (j, "customer"), ctl_text (j, "kind"),
+              ctl_text (j, "class"), ctl_text (j, "state"), ctl_int (j, "open_tasks"),
+              ctl_int (j, "replicas"), ctl_text (j, "reason"));
+    }
+}
+
+static int
+list_jobs (struct ctl *c)
+{
+  char path[PATH_BYTES];
+  size_t used = (size_t)snprintf (path, sizeof path, "/v1/jobs?limit=%" PRId64, c->limit);
+  if (c->customer)
+    used += (size_t)snprintf (path + used, sizeof path - used, "&customer=%s", c->customer);
+  if (c->data_centre)
+    snprintf (path + used, sizeof path - used, "&data_centre=%s", c->data_centre);
+  return ctl_finish (c, "GET", path, NULL, print_jobs);
+}
+
+static int
+cancel_jobs (struct ctl *c)
+{
+  json_t *ids = json_array ();
+  int code = 0;
+  for (int i = 2; i < c->word_count && code == 0; i++)
+    {
+      char *end;
+      errno = 0;
+      long long id = strtoll (c->words[i], &end, 10);
+      if (*end || end == c->words[i] || id < 1 || errno != 0)
+        code = ctl_usage (c, "'%s' is no job id", c->words[i]);
+      json_array_append_new (ids, json_integer (id));
+    }
+  json_t *body = json_pack ("{s:o}", "jobs", ids);
+  if (code == 0)
+    code = ctl_finish (c, "POST", "/v1/jobs/cancel", body, NULL);
   json_decref (body);
   return code;
 }
@@ -93,12 +141,12 @@
 {
   const char *verb = c->word_count > 1 ? c->words[1] : "list";
   if (strcmp (verb, "list") == 0 && c->word_count <= 2)
-    return ctl_finish (c, "GET", "/v1/jobs", NULL, NULL);
+    return list_jobs (c);
   if (strcmp (verb, "submit") == 0 && c->word_count == 3)
     return submit (c, c->words[2]);
   if (strcmp (verb, "show") == 0 && c->word_count == 3)
-    return one_job (c, "GET", c->words[2]);
-  if (strcmp (verb, "cancel") == 0 && c->word_count == 3)
-    return one_job (c, "DELETE", c->words[2]);
-  return ctl_usage (c, "usage: sassafrasctl jobs [list | submit FILE | show ID | cancel ID]");
+    return show_job (c, c->words[2]);
+  if (strcmp (verb, "cancel") == 0 && c->word_count >= 3)
+    return cancel_jobs (c);
+  return ctl_usage (c, "usage: sassafrasctl jobs [list | submit FILE | show ID | cancel ID...]");
 }
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -11,10 +11,12 @@
 #include "http_server.h"
 #include "settings.h"
 
-#define MAX_WORDS 8
+#define MAX_WORDS 1002 /* jobs cancel takes up to 1,000 ids */
 #define MAX_TIMEOUT_MS 3600000
 #define REQUEST_ID_BYTES 16
 #define MAX_FLAG_ERRORS 20
+#define DEFAULT_LIMIT 100
+#define MAX_LIMIT 10000
 #define DEFAULT_SERVER "127.0.0.1:7402"
 
 struct command
@@ -35,7 +37,7 @@
   { "data-centre", "[list|out NAME|return NAME|close-epoch NAME EPOCH]", command_data_centre,
     false },
   { "drain", "VM [--off]                 give a VM no new work", command_drain, false },
-  { "jobs", "[list|submit FILE|show ID|cancel ID]", command_jobs, false },
+  { "jobs", "[list|submit FILE|show ID|cancel ID...]", command_jobs, false },
   { "members", "[list|add FILE|replace FILE|remove VM]", command_members, false },
   { "state", "                           state of one VM", command_state, false },
   { "counters", "                        counters of one VM", command_counters, false },
@@ -53,6 +55,9 @@
   struct arg_str *timeout;
   struct arg_str *request_id;
   struct arg_str *if_version;
+  struct arg_str *customer;
+  struct arg_str *data_centre;
+  struct arg_str *limit;
   struct arg_str *words;
   struct arg_end *end;
 };
@@ -71,6 +76,9 @@
   f->timeout = arg_str0 (NULL, "timeout", "<ms>", "for the whole command (default: 15000)");
   f->request_id = arg_str0 (NULL, "request-id", "<id>", "repeat an earlier command");
   f->if_version = arg_str0 (NULL, "if-version", "<number>", "change only this version");
+  f->customer = arg_str0 (NULL, "customer", "<id>", "jobs list: of this customer");
+  f->data_centre = arg_str0 (NULL, "data-centre", "<name>", "jobs list: of this cell");
+  f->limit = arg_str0 (NULL, "limit", "<number>", "jobs list: at most (default: 100)");
   f->words = arg_strn (NULL, NULL, "<command>", 0, MAX_WORDS, "command and its arguments");
   f->end = arg_end (MAX_FLAG_ERRORS);
 }
@@ -190,10 +198,28 @@
   return 0;
 }
 
+static int
+read_filters (struct ctl *c, const struct flags *f)
+{
+  c->customer = f->customer->count > 0 ? f->customer->sval[0] : NULL;
+  c->data_centre = f->data_centre->count > 0 ? f->data_centre->sval[0] : NULL;
+  if (c->customer && !json_name_valid (c->customer))
+    return ctl_usage (c, "--customer: '%s' is no name", c->customer);
+  if (c->data_centre && !json_name_valid (c->data_centre))
+    return ctl_usage (c, "--data-centre: '%s' is no name", c->data_centre);
+  c->limit = DEFAULT_LIMIT;
+  if (f->limit->count > 0 && read_number (f->limit->sval[0], 1, MAX_LIMIT, &c->limit) < 0)
+    return ctl_usage (c, "--limit: '%s' is out of range, allowed: 1 to %d", f->limit->sval[0],
+                      MAX_LIMIT);
+  return 0;
+}
+
 static int
 read_flags (struct ctl *c, const struct flags *f)
 {
   int code = read_numbers (c, f);
+  if (code == 0)
+    code = read_filters (c, f);
   c->json = f->json->count > 0;
   c->wait = f->no_wait->count == 0;
   c->off = f->off->count > 0;
--- a/src/operator_api.c
+++ b/src/operator_api.c
@@ -10,8 +10,6 @@
 
 #define BEARER "Bearer "
 
-static struct counter requests_total
-    = { .name = "sassafras_operator_requests_total", .help = "Requests of operators." };
 static struct counter unauthorized_total
     = { .name = "sassafras_operator_unauthorized_total",
         .help = "Requests of operators without the right token." };
@@ -124,7 +122,6 @@
       known = true;
       if (strcmp (routes[i].method, req->method) != 0)
         continue;
-      counter_add (&requests_total, 1);
       if (operator_api_authorized (api, req))
         routes[i].fn (api, req, subject);
       return true;
--- a/src/permit.c
+++ b/src/permit.c
@@ -5,12 +5,6 @@
 #include <sys/queue.h>
 
 #include "buffer.h"
-#include "counters.h"
-
-static struct counter granted_total
-    = { .name = "sassafras_permits_granted_total", .help = "Start permits granted." };
-static struct counter refused_total
-    = { .name = "sassafras_permits_refused_total", .help = "Requests for a start permit refused." };
 
 /* When the permits of one node for one data centre have surely expired.  */
 struct grant
@@ -24,6 +18,7 @@
 struct permit_granter
 {
   bool leading;
+  int64_t elected_ms;
   bool confirmed;          /* a round of this leadership was answered by a quorum */
   int64_t confirmed_ms;    /* when the latest such round began */
   int64_t inherited_until; /* permits of earlier leaders have surely expired then */
@@ -64,6 +59,7 @@
   drop_grants (g);
   g->leading = true;
   g->confirmed = false;
+  g->elected_ms = now_ms;
   g->inherited_until = now_ms + PERMIT_LIFE_MS;
 }
 
@@ -83,7 +79,8 @@
 void
 permit_granter_confirm (struct permit_granter *g, int64_t began_ms)
 {
-  if (!g->leading || (g->confirmed && began_ms <= g->confirmed_ms))
+  /* A round of an earlier leadership of this VM says nothing about the leaders in between.  */
+  if (!g->leading || began_ms < g->elected_ms || (g->confirmed && began_ms <= g->confirmed_ms))
     return;
   g->confirmed = true;
   g->confirmed_ms = began_ms;
@@ -133,12 +130,8 @@
   if (life_ms > PERMIT_LIFE_MS)
     life_ms = PERMIT_LIFE_MS;
   if (!g->leading || !dc || dc->out || life_ms <= 0)
-    {
-      counter_add (&refused_total, 1);
-      return permit;
-    }
+    return permit;
   remember (g, dc->name, node, now_ms + life_ms);
-  counter_add (&granted_total, 1);
   permit.granted = true;
   permit.life_ms = (uint32_t)life_ms;
   permit.epoch = dc->epoch;
--- a/src/registry_service.c
+++ b/src/registry_service.c
@@ -284,7 +284,9 @@
 {
   if (!s->group || !group_is_leader (s->group) || s->proposing || now_ms < s->next_proposal_ms)
     return;
-  if (registry_applied (s->config.registry) == 0)
+  /* Not "nothing applied": an operators' command may reach a new registry before its members.  */
+  const registry_member *all;
+  if (registry_members (s->config.registry, &all) == 0)
     {
       propose_first_members (s, now_ms);
       return;
--- a/tests/test_permit.c
+++ b/tests/test_permit.c
@@ -51,6 +51,7 @@
   assert_false (permit_granter_leading (g));
   assert_false (permit_granter_ask (g, &dc, 1, 200).granted);
   permit_granter_lead (g, 300);
+  permit_granter_confirm (g, 299);
   assert_false (permit_granter_ask (g, &dc, 1, 300).granted);
   permit_granter_free (g);
 }
