--- a/ctl/main.c
+++ b/ctl/main.c
@@ -38,7 +38,7 @@
     false },
   { "drain", "VM [--off]                 give a VM no new work", command_drain, false },
   { "jobs", "[list|submit FILE|show ID|cancel ID...]", command_jobs, false },
-  { "members", "[list|add FILE|replace FILE|remove VM]", command_members, false },
+  { "members", "[list|file|add FILE|replace FILE|remove VM]", command_members, false },
   { "state", "                           state of one VM", command_state, false },
   { "counters", "                        counters of one VM", command_counters, false },
 };
--- a/ctl/places.c
+++ b/ctl/places.c
@@ -207,6 +207,15 @@
     printf ("draining: %s\n", json_string_value (json_array_get (list, i)));
 }
 
+/* The members as the members file that every VM is started with.  */
+static void
+print_members_file (const json_t *body)
+{
+  json_t *file = json_pack ("{s:O}", "members", json_object_get (body, "members"));
+  ctl_print_json (file);
+  json_decref (file);
+}
+
 /* Adds or replaces the member that FILE describes.  */
 static int
 put_member (struct ctl *c, const char *verb, const char *file)
@@ -257,9 +266,15 @@
   const char *verb = c->word_count > 1 ? c->words[1] : "list";
   if (strcmp (verb, "list") == 0 && c->word_count <= 2)
     return ctl_finish (c, "GET", "/v1/members", NULL, print_members);
+  if (strcmp (verb, "file") == 0 && c->word_count == 2)
+    {
+      c->json = false;
+      return ctl_finish (c, "GET", "/v1/members", NULL, print_members_file);
+    }
   if (c->word_count == 3 && (strcmp (verb, "add") == 0 || strcmp (verb, "replace") == 0))
     return put_member (c, verb, c->words[2]);
   if (c->word_count == 3 && strcmp (verb, "remove") == 0)
     return remove_member (c, c->words[2]);
-  return ctl_usage (c, "usage: sassafrasctl members [list | add FILE | replace FILE | remove VM]");
+  return ctl_usage (c, "usage: sassafrasctl members [list | file | add FILE | replace FILE | "
+                       "remove VM]");
 }
--- a/tests/path_operators.sh
+++ b/tests/path_operators.sh
@@ -114,6 +114,12 @@
 expect 0 members
 grep -q "draining: a1" "$dir/out" || fail "$(cat "$dir/out")"
 expect 0 drain a1 --off
+expect 0 members file
+cp "$dir/out" "$dir/members-again.json"
+expect 0 members file
+cmp "$dir/out" "$dir/members-again.json"
+"$build/sassafrasd" --check --vm a1 --data-centre a --region r --deployment d --data-dir "$dir" \
+  --members-file "$dir/members-again.json" >"$dir/out" || fail "members file: $(cat "$dir/out")"
 expect 3 members remove nobody
 expect 2 members remove a1
 expect 3 jobs list
