--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -91,6 +91,16 @@
   return apply (f, &c);
 }
 
+static registry_result
+stopped (struct fixture *f, const char *dc, uint64_t version, uint64_t node)
+{
+  registry_command c = { .body.kind = REGISTRY_STOPPED };
+  c.body.registry_body_u.stopped.data_centre = (char *)dc;
+  c.body.registry_body_u.stopped.out_version = version;
+  c.body.registry_body_u.stopped.node = node;
+  return apply (f, &c);
+}
+
 static registry_result
 member (struct fixture *f, const char *id, registry_kind kind, const char *vm, const char *dc,
         bool voter)
@@ -247,7 +257,28 @@
   assert_int_equal (registry_find_data_centre (f.r, "a")->in_force, REGISTRY_NOT_IN_FORCE);
   assert_int_equal (in_force (&f, "a", 4).status, STATUS_OK);
   assert_int_equal (registry_find_data_centre (f.r, "a")->in_force, REGISTRY_PERMIT_EXPIRED);
-  assert_int_equal (change (&f, "o5", "nowhere", true, -1).status, STATUS_NOT_FOUND);
+  change (&f, "r2", "a", false, -1);
+  change (&f, "o5", "a", true, -1);
+  assert_int_equal (registry_find_data_centre (f.r, "a")->in_force, REGISTRY_NOT_IN_FORCE);
+  assert_int_equal (change (&f, "o6", "nowhere", true, -1).status, STATUS_NOT_FOUND);
+  registry_free (f.r);
+}
+
+static void
+test_acknowledgement_is_for_one_out_command (void **state)
+{
+  struct fixture f = open_fixture ();
+  (void)state;
+  change (&f, "o1", "a", true, -1);
+  change (&f, "r1", "a", false, -1);
+  assert_int_equal (stopped (&f, "a", 2, 1).status, STATUS_VERSION_CONFLICT);
+  change (&f, "o2", "a", true, -1);
+  assert_int_equal (stopped (&f, "a", 2, 1).status, STATUS_VERSION_CONFLICT);
+  assert_int_equal (registry_find_data_centre (f.r, "a")->stopped_version, 0);
+  assert_int_equal (stopped (&f, "a", 4, 1).status, STATUS_OK);
+  assert_int_equal (stopped (&f, "a", 4, 2).status, STATUS_OK);
+  assert_int_equal (registry_find_data_centre (f.r, "a")->stopped_version, 4);
+  assert_int_equal (registry_find_data_centre (f.r, "a")->stopped_node, 2);
   registry_free (f.r);
 }
 
@@ -330,6 +361,10 @@
   assert_int_equal (registry_find_member (f.r, "x")->node, 5);
   assert_int_equal (registry_find_member (f.r, "y")->node, 2);
   assert_int_equal (member (&f, "n", REGISTRY_MEMBER_ADD, "z", "b", false).node, 6);
+  list[0].vm = "late";
+  list[0].node = 20;
+  assert_int_equal (apply (&f, &c).status, STATUS_OK);
+  assert_null (registry_find_member (f.r, "late"));
   registry_free (f.r);
 }
 
@@ -489,6 +524,8 @@
       damage (&rng, &bytes);
       registry_result result = apply_bytes (&f, bytes.data, bytes.len);
       registry_result_free (&result);
+      if (registry_decode_result (bytes.data, bytes.len, &result, NULL) == 0)
+        registry_result_free (&result);
       buffer_close (&bytes);
     }
   restore_log (saved);
@@ -534,6 +571,7 @@
     cmocka_unit_test (test_oldest_answers_make_room),
     cmocka_unit_test (test_order_of_indexes_and_snapshots),
     cmocka_unit_test (test_out_twice_and_return_during_out),
+    cmocka_unit_test (test_acknowledgement_is_for_one_out_command),
     cmocka_unit_test (test_all_out),
     cmocka_unit_test (test_epoch_closes_once),
     cmocka_unit_test (test_members),
