--- a/src/scheduler_answer.c
+++ b/src/scheduler_answer.c
@@ -67,6 +67,9 @@
   const struct cell_task *t = st->t;
   if (!sched_permit (s) || t->incarnation != w->incarnation || other_epoch_runs (w, t->id))
     return;
+  /* A stop or loss of this placement may be in the log already.  */
+  if (st->in_flight)
+    return;
   if (!due (s, w, &st->start_sent_ms))
     return;
   struct worker_command *c = add_command (s, WORKER_START, t->id, t->epoch);
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -228,6 +228,10 @@
   uint32_t room_count;
   bool round_needed;
   int64_t round_ms;
+  double demand_now;  /* millicores that urgent tasks took in the present window */
+  double demand_mean; /* per window */
+  double demand_deviation;
+  int64_t demand_ms; /* start of the window */
   int64_t scan_ms;
   int64_t decay_ms;
 
--- a/src/scheduler_place.c
+++ b/src/scheduler_place.c
@@ -1,4 +1,5 @@
 /* Rounds of placement: urgent first, customers by weighted dominant share, preemption.  */
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,6 +15,13 @@
 #define AGED_ROOM_MS 600000 /* an aged batch task collects room this long */
 #define WORKERS_PER_AGED_ROOM 16
 
+/* Batch tasks leave room for what urgent tasks are likely to ask for in one window.  */
+#define DEMAND_WINDOW_MS 10000
+#define DEMAND_RATE 0.1
+#define DEMAND_DEVIATIONS 3.0
+#define MAX_HEADROOM 0.08 /* of all processors */
+#define CRITICAL_MS 5000  /* before its latest start a batch task may use the headroom */
+
 struct failed_size
 {
   const struct sched_class *cls;
@@ -26,6 +34,7 @@
   bool urgent;
   size_t aside;
   size_t placed;
+  double spare; /* free millicores beyond the headroom */
   struct failed_size failed[MAX_FAILED];
   size_t failed_count;
 };
@@ -108,6 +117,8 @@
   cell_place *p = &cmd.cell_command_u.place;
   sched_unreserve (s, st);
   sched_hold (s, st, w);
+  if (sched_is_urgent (st))
+    s->demand_now += (double)st->hold.millicores;
   if (w->health.quarantined)
     {
       worker_health_probe (&w->health);
@@ -284,13 +295,48 @@
   return true;
 }
 
+static void
+follow_demand (struct scheduler *s)
+{
+  if (s->now_ms - s->demand_ms < DEMAND_WINDOW_MS)
+    return;
+  double error = s->demand_now - s->demand_mean;
+  s->demand_mean += DEMAND_RATE * error;
+  s->demand_deviation += DEMAND_RATE * (fabs (error) - s->demand_deviation);
+  s->demand_now = 0;
+  s->demand_ms = s->now_ms;
+}
+
+static double
+spare_processors (const struct scheduler *s)
+{
+  if (sched_policy (s, SCHEDULER_NO_LEARNING))
+    return INFINITY;
+  double spare = 0;
+  for (size_t i = 0; i < s->worker_count; i++)
+    if (s->rows[i].usable)
+      spare += s->rows[i].free_millicores;
+  double headroom = s->demand_mean + DEMAND_DEVIATIONS * s->demand_deviation;
+  return spare - fmin (headroom, MAX_HEADROOM * (double)s->total.millicores);
+}
+
+static bool
+takes_headroom (const struct round *r, const struct sched_task *st, const struct order_amount *need)
+{
+  if (r->urgent || (double)need->millicores <= r->spare)
+    return false;
+  bool critical = st->t->job->deadline_ms > 0
+                  && st->item.key <= cell_log_time (r->s->cell, r->s->now_ms) + CRITICAL_MS;
+  return !critical;
+}
+
 static bool
 try_place (struct round *r, struct sched_task *st)
 {
   struct scheduler *s = r->s;
   struct choice c = { s, st };
   struct order_amount need = sched_need (s, st);
-  if (known_not_to_fit (r, st, &need))
+  if (known_not_to_fit (r, st, &need) || takes_headroom (r, st, &need))
     return false;
   struct placement_request q = request_for (&c, &need);
   size_t row = placement_choose (s->rows, s->worker_count, &q, &s->rng);
@@ -305,6 +351,7 @@
   if (row != PLACEMENT_NONE)
     {
       place (s, st, s->workers[row]);
+      r->spare -= (double)need.millicores;
       r->placed++;
       return true;
     }
@@ -401,7 +448,7 @@
 static void
 run_round (struct scheduler *s, bool urgent)
 {
-  struct round r = { .s = s, .urgent = urgent };
+  struct round r = { .s = s, .urgent = urgent, .spare = spare_processors (s) };
   struct sched_customer *c;
   struct sched_class *cls;
   LIST_FOREACH (c, &s->customers, link)
@@ -459,6 +506,7 @@
 sched_place_round (struct scheduler *s)
 {
   queue_delayed (s);
+  follow_demand (s);
   if (!sched_permit (s) || s->worker_count == 0)
     return;
   place_waiting (s);
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -348,6 +348,33 @@
   close_cell ();
 }
 
+/* A worker polls after its placement was given up, but before that is committed.  */
+static void
+test_no_start_of_a_placement_that_is_given_up (void **state)
+{
+  (void)state;
+  open_cell (1, 4000);
+  run_for (500);
+  uint64_t job = submit (CELL_BATCH, 1, 1000, "run=1000");
+  scheduler_tick (sched, now_ms);
+  drain_proposals ();
+  assert_int_equal (state_of (job), CELL_PLACED);
+  now_ms += SCHEDULER_LEASE_MS + SCHEDULER_LEASE_MARGIN_MS + 1000;
+  scheduler_confirm (sched, now_ms + 1000);
+  scheduler_permit (sched, now_ms + 3000);
+  scheduler_tick (sched, now_ms);
+  struct scheduler_proposal p;
+  assert_true (scheduler_next_proposal (sched, now_ms, &p));
+  poll_worker (&workers[0]);
+  answer (&workers[0]);
+  assert_int_equal (workers[0].started, 0);
+  apply (&p.entry);
+  buffer_close (&p.entry);
+  scheduler_proposal_done (sched, now_ms, p.id, true);
+  assert_int_equal (state_of (job), CELL_PENDING);
+  close_cell ();
+}
+
 static void
 test_stale_messages_are_refused (void **state)
 {
@@ -555,6 +582,7 @@
     cmocka_unit_test (test_silent_worker_loses_its_tasks_after_the_lease),
     cmocka_unit_test (test_new_leader_waits_a_lease),
     cmocka_unit_test (test_new_incarnation_frees_nothing_before_the_lease_ends),
+    cmocka_unit_test (test_no_start_of_a_placement_that_is_given_up),
     cmocka_unit_test (test_stale_messages_are_refused),
     cmocka_unit_test (test_bad_worker_is_quarantined_and_probed),
     cmocka_unit_test (test_bad_job_ends_failed),
