--- a/bench/fake_worker.h
+++ b/bench/fake_worker.h
@@ -265,11 +265,23 @@
     w->covered_until_ms = poll_sent_ms + covered_ms;
 }
 
+/* Processors in demand over the worker's, at least 1: everything runs slower by this factor.  */
+static inline double
+fake_contention (const struct fake_worker *w)
+{
+  double used = 0;
+  for (size_t i = 0; i < w->count; i++)
+    if (fake_running (&w->tasks[i]))
+      used += fake_use (&w->tasks[i]);
+  return used > w->size.millicores ? used / w->size.millicores : 1;
+}
+
 static inline void
-fake_step_task (struct fake_worker *w, struct fake_task *f, int64_t now_ms, int64_t step_ms)
+fake_step_task (struct fake_worker *w, struct fake_task *f, int64_t now_ms, int64_t step_ms,
+                double contention)
 {
   uint32_t use = f->used_millicores ? f->used_millicores : 1;
-  double speed = (double)fake_use (f) / use;
+  double speed = (double)fake_use (f) / use / contention;
   f->work_ms += speed * (double)step_ms;
   if (!f->urgent)
     w->done_core_ms += speed * (double)step_ms * f->size.millicores / 1000.0;
@@ -296,10 +308,11 @@
 fake_step (struct fake_worker *w, int64_t now_ms, int64_t step_ms)
 {
   bool ended = false;
+  double contention = fake_contention (w);
   for (size_t i = 0; i < w->count; i++)
     if (fake_running (&w->tasks[i]))
       {
-        fake_step_task (w, &w->tasks[i], now_ms, step_ms);
+        fake_step_task (w, &w->tasks[i], now_ms, step_ms, contention);
         ended = ended || !fake_running (&w->tasks[i]);
       }
   return ended;
--- a/bench/scheduler_policy.c
+++ b/bench/scheduler_policy.c
@@ -145,7 +145,9 @@
   spec->request_id = request;
   spec->payload = payload;
   cell_command cmd = { .kind = CELL_SUBMIT, .cell_command_u.submit = *spec };
-  return command (s, &cmd).job;
+  uint64_t id = command (s, &cmd).job;
+  spec->request_id = NULL;
+  return id;
 }
 
 static double
@@ -310,7 +312,7 @@
         continue;
       harm += truth[f->service[1] - '0'][o->service[1] - '0'] * fake_use (o) / w->size.millicores;
     }
-  return 1 + harm * load_factor;
+  return (1 + harm * load_factor) * fake_contention (w);
 }
 
 static void
--- a/src/scheduler_guard.c
+++ b/src/scheduler_guard.c
@@ -155,20 +155,40 @@
     relax (s, w);
 }
 
+/* What the task holds is raised to what it uses while the worker has room.  */
+static bool
+grow_to_use (struct scheduler *s, struct sched_task *st)
+{
+  struct order_amount want = sched_need (s, st);
+  if (st->used_millicores > want.millicores)
+    want.millicores = st->used_millicores;
+  if (st->used_memory_mb > want.memory_mb)
+    want.memory_mb = st->used_memory_mb;
+  if (!sched_grow (s, st, &want))
+    return false;
+  if (st->limit == SCHED_LIMIT_SIZE)
+    sched_limit (s, st, SCHED_LIMIT_NONE, 0);
+  st->over_samples = 0;
+  return true;
+}
+
+/* Oversize: hold more, else throttle, and at last evict.  */
 static void
 guard_size (struct scheduler *s, struct sched_task *st)
 {
   bool processors = st->used_millicores > OVERSIZE * (double)st->hold.millicores;
   bool memory = st->used_memory_mb > OVERSIZE * (double)st->hold.memory_mb;
-  if (!processors && !memory)
+  bool limited = st->limit == SCHED_LIMIT_SIZE;
+  if (!processors && !memory && !limited)
     {
       st->over_samples = 0;
       return;
     }
-  st->over_samples++;
+  if ((++st->over_samples >= OVER_SAMPLES || limited) && grow_to_use (s, st))
+    return;
   if (st->over_samples >= OVER_SAMPLES && processors && st->limit == SCHED_LIMIT_NONE)
     sched_limit (s, st, SCHED_LIMIT_SIZE, (uint32_t)st->hold.millicores);
-  if (sched_is_urgent (st) || !sched_may_evict (s, st, 0))
+  if (sched_is_urgent (st) || !sched_may_evict (s, st, 0) || (!processors && !memory))
     return;
   if (st->over_samples >= (memory ? OVER_SAMPLES : EVICT_SAMPLES))
     sched_stop (s, st, CELL_STOP_OVERSIZE);
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -270,6 +270,8 @@
 void sched_enqueue (struct scheduler *s, struct sched_task *st);
 void sched_hold (struct scheduler *s, struct sched_task *st, struct sched_worker *w);
 void sched_release (struct scheduler *s, struct sched_task *st);
+bool sched_grow (struct scheduler *s, struct sched_task *st,
+                 const struct order_amount *want); /* Holds more where it runs; false: no room. */
 void sched_reserve (struct scheduler *s, struct sched_task *st, struct sched_worker *w,
                     int64_t until_ms); /* Keeps room on W for ST. */
 void sched_unreserve (struct scheduler *s, struct sched_task *st);
--- a/src/scheduler_task.c
+++ b/src/scheduler_task.c
@@ -88,6 +88,30 @@
   take (s, st, w, need);
 }
 
+bool
+sched_grow (struct scheduler *s, struct sched_task *st, const struct order_amount *want)
+{
+  struct sched_worker *w = st->worker;
+  struct order_amount more = { 0, 0, 0 };
+  if (want->millicores > st->hold.millicores)
+    more.millicores = want->millicores - st->hold.millicores;
+  if (want->memory_mb > st->hold.memory_mb)
+    more.memory_mb = want->memory_mb - st->hold.memory_mb;
+  const struct scheduler_quota *q = &st->customer->quota;
+  const struct order_amount *used = &st->customer->used;
+  if ((q->max_millicores && used->millicores + more.millicores > q->max_millicores)
+      || (q->max_memory_mb && used->memory_mb + more.memory_mb > q->max_memory_mb)
+      || !sched_fits (w, &more, NULL))
+    return false;
+  sched_mix_remove (w, st);
+  add (&w->held, &more);
+  add (&st->customer->used, &more);
+  add (&st->hold, &more);
+  sched_mix_add (w, st);
+  sched_update_row (s, w);
+  return true;
+}
+
 /* A placement of an earlier leader: it fits the worker by that leader's books.  */
 static void
 adopt (struct scheduler *s, struct sched_task *st)
