--- a/src/interference.c
+++ b/src/interference.c
@@ -138,6 +138,15 @@
   return slowdown;
 }
 
+double
+interference_noise (const struct interference *m, int class_id)
+{
+  double noise = 0;
+  for (int i = 0; i < m->services.count; i++)
+    noise = fmax (noise, coefficient_at (&m->pairs[i][class_id], INTERFERENCE_BANDS - 1));
+  return noise;
+}
+
 static void
 correct (struct pair *p, int band, double change)
 {
--- a/src/interference.h
+++ b/src/interference.h
@@ -40,6 +40,8 @@
                              double load); /* Expected slowdown, 1 is none. */
 double interference_coefficient (const struct interference *m, int service, int class_id,
                                  double load);
+double interference_noise (const struct interference *m,
+                           int class_id); /* Largest coefficient over the services. */
 bool interference_known (const struct interference *m, int service,
                          int class_id); /* Enough recent samples. */
 void interference_decay (struct interference *m,
--- a/src/placement.c
+++ b/src/placement.c
@@ -8,9 +8,11 @@
 #define FAILURE_WEIGHT 1.0
 #define SHAPE_WEIGHT 1.0
 #define PACK_WEIGHT 0.3
-#define URGENT_SPREAD_WEIGHT 0.6
-/* A batch task prefers workers without urgent work while they have room.  */
-#define BESIDE_URGENT 0.5
+#define URGENT_SPREAD_WEIGHT 0.2
+/* Workers without urgent work are kept for noisy batch classes: urgent tasks and harmless classes
+   go there last.  */
+#define OPEN_WORKER_WEIGHT 0.8
+#define ACCELERATOR_WEIGHT 0.5
 
 bool
 placement_fits (const struct placement_row *r, const struct placement_request *q)
@@ -32,12 +34,11 @@
   if (q->rack_counts)
     score += RACK_WEIGHT * q->rack_counts[r->rack];
   if (q->urgent)
-    return score - URGENT_SPREAD_WEIGHT * processors;
-  if (r->urgent > 0)
-    score += BESIDE_URGENT;
+    return score - URGENT_SPREAD_WEIGHT * processors + (r->urgent ? 0 : OPEN_WORKER_WEIGHT);
+  score += OPEN_WORKER_WEIGHT * (r->urgent ? q->noise : 1 - q->noise);
   /* Accelerators stay free for tasks that need them.  */
   if (q->accelerators == 0 && r->free_accelerators > 0)
-    score += BESIDE_URGENT;
+    score += ACCELERATOR_WEIGHT;
   return score + PACK_WEIGHT * processors;
 }
 
--- a/src/placement.h
+++ b/src/placement.h
@@ -37,6 +37,7 @@
   uint32_t memory_mb;
   uint32_t accelerators;
   bool urgent;
+  double noise;                /* batch: 0 harmless to 1 noisy */
   uint32_t max_per_rack;       /* 0 is no limit */
   const uint32_t *rack_counts; /* tasks of the job per rack; NULL is none */
   bool first_fit;              /* baseline */
--- a/src/scheduler_place.c
+++ b/src/scheduler_place.c
@@ -100,6 +100,7 @@
     .memory_mb = (uint32_t)need->memory_mb,
     .accelerators = (uint32_t)need->accelerators,
     .urgent = sched_is_urgent (c->st),
+    .noise = sched_is_urgent (c->st) ? 0 : fmin (interference_noise (s->model, c->st->cls->id), 1),
     .max_per_rack = c->st->t->job->spec.max_per_rack,
     .rack_counts = count_racks (s, c->st),
     .first_fit = sched_policy (s, SCHEDULER_FIRST_FIT),
