--- a/src/order.c
+++ b/src/order.c
@@ -11,6 +11,8 @@
 #define MIN_SAMPLES 3
 /* Share of the deviation that is added to the mean: about the 84th percentile.  */
 #define CAUTION 1.0
+#define HOPE 2.0
+#define LEAST_PART 0.2
 
 void
 order_heap_init (struct order_heap *h)
@@ -145,15 +147,25 @@
   return (uint64_t)(declared_ms ? x * (double)declared_ms : x);
 }
 
+uint64_t
+order_expect_least (const struct order_run_time *r, uint64_t declared_ms)
+{
+  if (r->samples < MIN_SAMPLES)
+    return declared_ms / 2;
+  double x = fmax (r->mean - HOPE * r->deviation, LEAST_PART * r->mean);
+  return (uint64_t)(declared_ms ? x * (double)declared_ms : x);
+}
+
 int64_t
-order_key (int64_t now_ms, int64_t submitted_ms, int64_t deadline_ms, uint64_t remaining_ms)
+order_key (int64_t now_ms, int64_t submitted_ms, int64_t deadline_ms, uint64_t remaining_ms,
+           uint64_t least_ms)
 {
   int64_t aged = submitted_ms + ORDER_AGE_BOUND_MS;
   if (deadline_ms == 0)
     return aged;
-  int64_t latest = deadline_ms - (int64_t)remaining_ms;
   /* A deadline that is lost already must not delay one that can still be met.  */
-  if (now_ms > latest)
+  if (now_ms > deadline_ms - (int64_t)least_ms)
     return aged;
+  int64_t latest = deadline_ms - (int64_t)remaining_ms;
   return latest < aged ? latest : aged;
 }
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -167,6 +167,7 @@
   size_t recent_next;
   double used_millicores;
   int64_t action_at_ms; /* last throttle or move because of harm */
+  uint64_t mark;        /* of the last round that found a task of the job here */
   int64_t learned_ms;   /* time of the newest sample learned from */
   uint32_t slow_samples;
   uint32_t calm_samples;
@@ -217,6 +218,7 @@
   char (*racks)[CELL_NAME_BYTES + 1];
   size_t rack_count;
   uint32_t *rack_counts; /* scratch, per rack */
+  uint64_t mark;         /* scratch, see sched_worker.mark */
   size_t quarantined;
 
   struct cell_map customer_map;
@@ -281,6 +283,7 @@
 void sched_stop (struct scheduler *s, struct sched_task *st,
                  enum cell_stop_reason reason); /* Proposes a stop. */
 struct order_amount sched_need (const struct scheduler *s, const struct sched_task *st);
+int64_t sched_key (const struct scheduler *s, const struct sched_task *st); /* See order.h. */
 bool sched_is_urgent (const struct sched_task *st);
 uint64_t sched_remaining_ms (const struct sched_task *st); /* Expected run time that is left. */
 
--- a/src/scheduler_place.c
+++ b/src/scheduler_place.c
@@ -15,6 +15,9 @@
 #define AGED_ROOM_MS 600000 /* an aged batch task collects room this long */
 #define WORKERS_PER_AGED_ROOM 16
 
+/* Replicas of one service share a worker only when nothing else is free.  */
+#define SAME_WORKER_HARM 0.1
+
 /* Batch tasks leave room for what urgent tasks are likely to ask for in one window.  */
 #define DEMAND_WINDOW_MS 10000
 #define DEMAND_RATE 0.1
@@ -51,7 +54,7 @@
   const struct choice *c = ctx;
   const struct sched_worker *w = c->s->workers[row];
   if (sched_is_urgent (c->st))
-    return sched_harm_urgent (c->s, w, c->st);
+    return sched_harm_urgent (c->s, w, c->st) + (w->mark == c->s->mark ? SAME_WORKER_HARM : 0);
   return sched_harm_batch (c->s, w, c->st);
 }
 
@@ -77,6 +80,7 @@
 count_racks (struct scheduler *s, const struct sched_task *st)
 {
   const struct cell_job *j = st->t->job;
+  s->mark++;
   if (j->spec.replicas < 2 || (j->spec.max_per_rack == 0 && j->spec.kind != CELL_URGENT))
     return NULL;
   memset (s->rack_counts, 0, s->rack_count * sizeof *s->rack_counts);
@@ -425,8 +429,7 @@
   const struct cell_job *j = st->t->job;
   if (j->deadline_ms == 0 || sched_is_urgent (st) || sched_policy (s, SCHEDULER_FIFO))
     return false;
-  int64_t key = order_key (cell_log_time (s->cell, s->now_ms), j->submitted_ms, j->deadline_ms,
-                           sched_remaining_ms (st));
+  int64_t key = sched_key (s, st);
   if (key <= st->item.key)
     return false;
   st->item.key = key;
--- a/src/scheduler_task.c
+++ b/src/scheduler_task.c
@@ -24,6 +24,18 @@
   return run > st->t->progress_ms ? run - st->t->progress_ms : 0;
 }
 
+int64_t
+sched_key (const struct scheduler *s, const struct sched_task *st)
+{
+  const struct cell_job *j = st->t->job;
+  if (sched_is_urgent (st) || sched_policy (s, SCHEDULER_FIFO))
+    return j->submitted_ms;
+  uint64_t least = order_expect_least (&st->cls->run, j->spec.run_ms);
+  least = least > st->t->progress_ms ? least - st->t->progress_ms : 0;
+  return order_key (cell_log_time (s->cell, s->now_ms), j->submitted_ms, j->deadline_ms,
+                    sched_remaining_ms (st), least);
+}
+
 static uint64_t
 scaled (uint64_t declared, double ratio, uint64_t largest)
 {
@@ -229,11 +241,7 @@
       return;
     }
   st->delayed = false;
-  if (sched_is_urgent (st) || sched_policy (s, SCHEDULER_FIFO))
-    st->item.key = t->job->submitted_ms;
-  else
-    st->item.key
-        = order_key (now, t->job->submitted_ms, t->job->deadline_ms, sched_remaining_ms (st));
+  st->item.key = sched_key (s, st);
   order_push (&st->cls->queue, &st->item);
   s->round_needed = true;
 }
