--- a/src/scheduler_place.c
+++ b/src/scheduler_place.c
@@ -11,9 +11,10 @@
 #define MAX_FAILED 32     /* sizes known not to fit in this round */
 #define PREEMPT_SAMPLE 64 /* workers looked at for victims */
 #define MAX_CANDIDATES 64
-#define ROOM_MS 5000        /* a preempted worker's room is kept this long */
-#define AGED_ROOM_MS 600000 /* an aged batch task collects room this long */
-#define WORKERS_PER_AGED_ROOM 16
+#define ROOM_MS 5000           /* a preempted worker's room is kept this long */
+#define COLLECT_LIFE_MS 300000 /* a batch task collects room this long */
+#define COLLECT_MS 60000       /* before its latest start a task may collect room */
+#define WORKERS_PER_ROOM 16
 
 /* Replicas of one service share a worker only when nothing else is free.  */
 #define SAME_WORKER_HARM 0.1
@@ -276,27 +277,42 @@
   r->failed[r->failed_count++].need = *need;
 }
 
-/* An aged task that fits nowhere collects the room that becomes free on one worker.  */
+static bool
+may_collect (const struct scheduler *s, const struct sched_task *st)
+{
+  const struct cell_job *j = st->t->job;
+  if (sched_is_urgent (st) || sched_policy (s, SCHEDULER_FIFO)
+      || s->room_count > s->worker_count / WORKERS_PER_ROOM)
+    return false;
+  int64_t now = cell_log_time (s->cell, s->now_ms);
+  if (now - j->submitted_ms >= ORDER_AGE_BOUND_MS)
+    return true;
+  return j->deadline_ms > 0 && st->item.key <= now + COLLECT_MS;
+}
+
+/* A task that fits nowhere and is aged or close to its latest start collects the room that becomes
+   free on one worker: small tasks would take each piece before it.  */
 static bool
 collect_room (struct scheduler *s, struct sched_task *st, const struct order_amount *need)
 {
-  int64_t age = cell_log_time (s->cell, s->now_ms) - st->t->job->submitted_ms;
-  if (age < ORDER_AGE_BOUND_MS || s->room_count > s->worker_count / WORKERS_PER_AGED_ROOM)
+  if (!may_collect (s, st))
     return false;
+  struct choice c = { s, st };
   struct sched_worker *best = NULL;
   for (size_t i = 0; i < s->worker_count; i++)
     {
       struct sched_worker *w = s->workers[i];
       if (!s->rows[i].usable || w->health.quarantined || w->reserved.millicores > 0
-          || w->urgent_count > 0 || w->total.millicores < need->millicores
-          || w->total.memory_mb < need->memory_mb || w->total.accelerators < need->accelerators)
+          || w->total.millicores < need->millicores || w->total.memory_mb < need->memory_mb
+          || w->total.accelerators < need->accelerators || avoid_at (&c, i)
+          || sched_harm_batch (s, w, st) >= PLACEMENT_REFUSED)
         continue;
       if (!best || s->rows[i].free_millicores > s->rows[best->row].free_millicores)
         best = w;
     }
   if (!best)
     return false;
-  sched_reserve (s, st, best, s->now_ms + AGED_ROOM_MS);
+  sched_reserve (s, st, best, s->now_ms + COLLECT_LIFE_MS);
   return true;
 }
 
@@ -342,7 +358,7 @@
   struct choice c = { s, st };
   struct order_amount need = sched_need (s, st);
   if (known_not_to_fit (r, st, &need) || takes_headroom (r, st, &need))
-    return false;
+    return collect_room (s, st, &need);
   struct placement_request q = request_for (&c, &need);
   size_t row = placement_choose (s->rows, s->worker_count, &q, &s->rng);
   if (row == PLACEMENT_NONE && r->urgent && preempt (s, st, &q, &need))
@@ -360,7 +376,7 @@
       r->placed++;
       return true;
     }
-  if (!r->urgent && collect_room (s, st, &need))
+  if (collect_room (s, st, &need))
     return true;
   note_failed (r, st, &need);
   return false;
