Learn declared and undeclared run times apart; cancel tasks that are on their way to another cell

A class with both kinds mixed factors with milliseconds and took every deadline for lost. A worker that comes back smaller than what it still holds no longer counts as a broken rule: it gets nothing until the leases of its earlier life end.

--- a/src/cell_handoff.c
+++ b/src/cell_handoff.c
@@ -20,6 +20,7 @@
   out->progress_ms = t->progress_ms;
   out->checkpoint = t->checkpoint ? t->checkpoint : no_checkpoint;
   out->deadline_left_ms = j->deadline_ms - c->now_ms;
+  out->cancelled = j->cancelled;
   out->spec = j->spec;
 }
 
@@ -138,8 +139,8 @@
   return t->epoch >= a->task_epoch;
 }
 
-void
-cell_apply_accept (struct cell *c, cell_transfer *a, cell_result *r)
+static void
+accept_task (struct cell *c, cell_transfer *a, cell_result *r)
 {
   const struct cell_handoff *h = cell_find_handoff (c, a->task);
   r->task = a->task;
@@ -163,6 +164,14 @@
     record_handoff (c, a, true, a->task);
 }
 
+void
+cell_apply_accept (struct cell *c, cell_transfer *a, cell_result *r)
+{
+  accept_task (c, a, r);
+  if (a->cancelled && r->status == STATUS_OK)
+    cell_cancel_job (c, a->job);
+}
+
 void
 cell_apply_refuse (struct cell *c, const cell_transfer *a, cell_result *r)
 {
--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -23,6 +23,7 @@
 uint64_t cell_next_epoch (const struct cell *c, uint64_t epoch);
 uint64_t cell_take_id (struct cell *c);
 void cell_end_on_worker (struct cell *c, struct cell_task *t); /* Its run is over. */
+bool cell_cancel_job (struct cell *c, uint64_t id); /* False when there is nothing to cancel. */
 void cell_refuse (cell_result *r, enum status_kind kind, const char *message);
 
 /* Commands.  */
--- a/src/cell_task.c
+++ b/src/cell_task.c
@@ -335,18 +335,23 @@
   }
 }
 
+bool
+cell_cancel_job (struct cell *c, uint64_t id)
+{
+  struct cell_job *j = cell_find_job (c, id);
+  if (!j || j->cancelled || j->open_tasks == 0)
+    return false;
+  j->cancelled = true;
+  end_job (c, j);
+  return true;
+}
+
 void
 cell_apply_cancel (struct cell *c, const cell_cancel *a, cell_result *r)
 {
   for (u_int i = 0; i < a->jobs.jobs_len; i++)
-    {
-      struct cell_job *j = cell_find_job (c, a->jobs.jobs_val[i]);
-      if (!j || j->cancelled || j->open_tasks == 0)
-        continue;
-      j->cancelled = true;
-      end_job (c, j);
+    if (cell_cancel_job (c, a->jobs.jobs_val[i]))
       r->count++;
-    }
   r->repeated = r->count == 0;
 }
 
--- a/src/gen/cell_proto.h
+++ b/src/gen/cell_proto.h
@@ -92,6 +92,7 @@
 	u_quad_t progress_ms;
 	char *checkpoint;
 	quad_t deadline_left_ms;
+	bool_t cancelled;
 	cell_job_spec spec;
 };
 typedef struct cell_transfer cell_transfer;
--- a/src/gen/cell_proto.x
+++ b/src/gen/cell_proto.x
@@ -81,6 +81,7 @@
   unsigned hyper progress_ms;
   string checkpoint<CELL_CHECKPOINT_BYTES>;
   hyper deadline_left_ms;      /* meaningful when spec.deadline_ms is set */
+  bool cancelled;              /* the job was cancelled while the offer was open */
   cell_job_spec spec;
 };
 
--- a/src/gen/cell_proto_xdr.c
+++ b/src/gen/cell_proto_xdr.c
@@ -114,6 +114,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->deadline_left_ms))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->cancelled))
+		 return FALSE;
 	 if (!xdr_cell_job_spec (xdrs, &objp->spec))
 		 return FALSE;
 	return TRUE;
--- a/src/order.c
+++ b/src/order.c
@@ -129,30 +129,33 @@
 void
 order_learn (struct order_run_time *r, uint64_t declared_ms, uint64_t actual_ms)
 {
+  struct order_estimate *e = declared_ms ? &r->factor : &r->ms;
   double x = declared_ms ? (double)actual_ms / (double)declared_ms : (double)actual_ms;
-  r->samples++;
-  double rate = fmax (LEARN_RATE, 1.0 / r->samples);
-  double error = x - r->mean;
-  r->mean += rate * error;
-  if (r->samples > 1)
-    r->deviation += rate * (fabs (error) - r->deviation);
+  e->samples++;
+  double rate = fmax (LEARN_RATE, 1.0 / e->samples);
+  double error = x - e->mean;
+  e->mean += rate * error;
+  if (e->samples > 1)
+    e->deviation += rate * (fabs (error) - e->deviation);
 }
 
 uint64_t
 order_expect (const struct order_run_time *r, uint64_t declared_ms)
 {
-  if (r->samples < MIN_SAMPLES)
+  const struct order_estimate *e = declared_ms ? &r->factor : &r->ms;
+  if (e->samples < MIN_SAMPLES)
     return declared_ms;
-  double x = r->mean + CAUTION * r->deviation;
+  double x = e->mean + CAUTION * e->deviation;
   return (uint64_t)(declared_ms ? x * (double)declared_ms : x);
 }
 
 uint64_t
 order_expect_least (const struct order_run_time *r, uint64_t declared_ms)
 {
-  if (r->samples < MIN_SAMPLES)
+  const struct order_estimate *e = declared_ms ? &r->factor : &r->ms;
+  if (e->samples < MIN_SAMPLES)
     return declared_ms / 2;
-  double x = fmax (r->mean - HOPE * r->deviation, LEAST_PART * r->mean);
+  double x = fmax (e->mean - HOPE * e->deviation, LEAST_PART * e->mean);
   return (uint64_t)(declared_ms ? x * (double)declared_ms : x);
 }
 
--- a/src/order.h
+++ b/src/order.h
@@ -32,14 +32,20 @@
   size_t capacity;
 };
 
-/* Run times of one class, as a factor of the declared time (or in ms when none is declared).  */
-struct order_run_time
+struct order_estimate
 {
   double mean;
   double deviation;
   uint32_t samples;
 };
 
+/* Run times of one class.  Tasks with and without a declared time are learned apart.  */
+struct order_run_time
+{
+  struct order_estimate factor; /* of the declared time */
+  struct order_estimate ms;     /* when none is declared */
+};
+
 struct order_amount
 {
   uint64_t millicores;
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -149,6 +149,7 @@
   struct order_amount held;
   struct order_amount ghost;
   struct order_amount reserved;
+  bool shrunk; /* it came back smaller than what it holds */
   struct sched_task_list tasks;
   uint32_t urgent_count;
   struct sched_ghost *ghosts;
@@ -291,6 +292,7 @@
 struct sched_worker *sched_find_worker (const struct scheduler *s, const char *id);
 struct sched_worker *sched_add_worker (struct scheduler *s, const char *id);
 void sched_free_workers (struct scheduler *s);
+bool sched_within (const struct sched_worker *w); /* Holds no more than its size. */
 void sched_update_row (struct scheduler *s, struct sched_worker *w);
 void sched_mark_ready (struct scheduler *s, struct sched_worker *w);
 void sched_scan_workers (struct scheduler *s); /* Leases, retries and probes. */
--- a/src/scheduler_report.c
+++ b/src/scheduler_report.c
@@ -182,8 +182,7 @@
     sched_fault ("the sum of what tasks hold differs from the worker's books");
   if (!w->announced)
     return;
-  if (held.millicores > w->total.millicores || held.memory_mb > w->total.memory_mb
-      || held.accelerators > w->total.accelerators)
+  if (!w->shrunk && !sched_within (w))
     sched_fault ("a worker is committed beyond its size");
   if (s->workers[w->row] != w)
     sched_fault ("a worker's row is wrong");
--- a/src/scheduler_worker.c
+++ b/src/scheduler_worker.c
@@ -86,6 +86,13 @@
                                         w->reserved.accelerators - o->accelerators);
 }
 
+bool
+sched_within (const struct sched_worker *w)
+{
+  return w->held.millicores <= w->total.millicores && w->held.memory_mb <= w->total.memory_mb
+         && w->held.accelerators <= w->total.accelerators;
+}
+
 void
 sched_update_row (struct scheduler *s, struct sched_worker *w)
 {
@@ -101,6 +108,7 @@
   r->rack = w->rack;
   r->urgent = w->urgent_count < UINT8_MAX ? (uint8_t)w->urgent_count : UINT8_MAX;
   r->failures = (float)w->health.score;
+  w->shrunk = w->shrunk && !sched_within (w);
   r->usable = w->announced && w->alive && worker_health_usable (&w->health, s->now_ms);
 }
 
@@ -260,6 +268,7 @@
   w->total.accelerators = a->accelerators;
   w->rack = rack_id (s, a->rack ? a->rack : "");
   w->announced = true;
+  w->shrunk = !sched_within (w);
   set_alive (s, w, true);
   if (w->total.millicores > s->largest.millicores)
     s->largest = w->total;
--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -69,7 +69,11 @@
   memset (&r, 0, sizeof r);
   assert_int_equal (order_expect (&r, 1000), 1000);
   for (int i = 0; i < 50; i++)
-    order_learn (&r, 1000, 3000);
+    {
+      order_learn (&r, 1000, 3000);
+      order_learn (&r, 0, 7000);
+    }
+  assert_in_range (order_expect (&r, 0), 6900, 7100);
   assert_in_range (order_expect (&r, 2000), 5900, 6200);
 }
 
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -22,6 +22,7 @@
 static bool permit;
 static struct scheduler_quota quota;
 static uint32_t submitted;
+static uint64_t next_deadline_ms; /* of the next submissions, 0 is none */
 
 static bool
 get_quota (void *ctx, const char *customer, struct scheduler_quota *out)
@@ -184,6 +185,8 @@
   s->replicas = replicas;
   s->payload = text;
   s->checkpoint_ms = 200;
+  s->deadline_ms = next_deadline_ms;
+  s->run_ms = next_deadline_ms / 6;
   command (&cmd);
   return cell_find_request (&cell, customer_copy, request)->id;
 }
@@ -375,6 +378,48 @@
   close_cell ();
 }
 
+static void
+test_worker_comes_back_smaller (void **state)
+{
+  (void)state;
+  open_cell (1, 4000);
+  submit (CELL_BATCH, 4, 1000, "run=20000");
+  run_for (1000);
+  fake_kill (&workers[0]);
+  workers[0].up = true;
+  workers[0].size.millicores = 2000;
+  run_for (20000);
+  uint32_t running = 0;
+  for (size_t i = 0; i < workers[0].count; i++)
+    running += fake_running (&workers[0].tasks[i]);
+  assert_int_equal (running, 2);
+  close_cell ();
+}
+
+/* Small tasks must not take every piece of the room that a large one with a deadline needs.  */
+static void
+test_large_task_meets_its_deadline_among_small_ones (void **state)
+{
+  (void)state;
+  open_cell (2, 4000);
+  uint64_t large = 0;
+  for (int i = 0; i < 600; i++)
+    {
+      submit (CELL_BATCH, 1, 1000, "run=6000");
+      if (i == 50)
+        {
+          next_deadline_ms = 120000;
+          large = submit_as ("huron", CELL_BATCH, 1, 4000, "run=10000");
+          next_deadline_ms = 0;
+        }
+      run_for (500);
+    }
+  const struct cell_job *j = cell_find_job (&cell, large);
+  assert_int_equal (cell_job_state (j), CELL_DONE);
+  assert_true (j->finished_ms <= j->deadline_ms);
+  close_cell ();
+}
+
 static void
 test_stale_messages_are_refused (void **state)
 {
@@ -583,6 +628,8 @@
     cmocka_unit_test (test_new_leader_waits_a_lease),
     cmocka_unit_test (test_new_incarnation_frees_nothing_before_the_lease_ends),
     cmocka_unit_test (test_no_start_of_a_placement_that_is_given_up),
+    cmocka_unit_test (test_worker_comes_back_smaller),
+    cmocka_unit_test (test_large_task_meets_its_deadline_among_small_ones),
     cmocka_unit_test (test_stale_messages_are_refused),
     cmocka_unit_test (test_bad_worker_is_quarantined_and_probed),
     cmocka_unit_test (test_bad_job_ends_failed),
