--- a/src/scheduler_place.c
+++ b/src/scheduler_place.c
@@ -1,4 +1,5 @@
 /* Rounds of placement: urgent first, customers by weighted dominant share, preemption.  */
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -10,9 +11,20 @@
 #define MAX_FAILED 32     /* sizes known not to fit in this round */
 #define PREEMPT_SAMPLE 64 /* workers looked at for victims */
 #define MAX_CANDIDATES 64
-#define ROOM_MS 5000        /* a preempted worker's room is kept this long */
-#define AGED_ROOM_MS 600000 /* an aged batch task collects room this long */
-#define WORKERS_PER_AGED_ROOM 16
+#define ROOM_MS 5000           /* a preempted worker's room is kept this long */
+#define COLLECT_LIFE_MS 300000 /* a batch task collects room this long */
+#define COLLECT_MS 60000       /* before its latest start a task may collect room */
+#define WORKERS_PER_ROOM 16
+
+/* Replicas of one service share a worker only when nothing else is free.  */
+#define SAME_WORKER_HARM 0.1
+
+/* Batch tasks leave room for what urgent tasks are likely to ask for in one window.  */
+#define DEMAND_WINDOW_MS 10000
+#define DEMAND_RATE 0.1
+#define DEMAND_DEVIATIONS 3.0
+#define MAX_HEADROOM 0.08 /* of all processors */
+#define CRITICAL_MS 5000  /* before its latest start a batch task may use the headroom */
 
 struct failed_size
 {
@@ -26,6 +38,7 @@
   bool urgent;
   size_t aside;
   size_t placed;
+  double spare; /* free millicores beyond the headroom */
   struct failed_size failed[MAX_FAILED];
   size_t failed_count;
 };
@@ -42,7 +55,7 @@
   const struct choice *c = ctx;
   const struct sched_worker *w = c->s->workers[row];
   if (sched_is_urgent (c->st))
-    return sched_harm_urgent (c->s, w, c->st);
+    return sched_harm_urgent (c->s, w, c->st) + (w->mark == c->s->mark ? SAME_WORKER_HARM : 0);
   return sched_harm_batch (c->s, w, c->st);
 }
 
@@ -68,6 +81,7 @@
 count_racks (struct scheduler *s, const struct sched_task *st)
 {
   const struct cell_job *j = st->t->job;
+  s->mark++;
   if (j->spec.replicas < 2 || (j->spec.max_per_rack == 0 && j->spec.kind != CELL_URGENT))
     return NULL;
   memset (s->rack_counts, 0, s->rack_count * sizeof *s->rack_counts);
@@ -91,6 +105,7 @@
     .memory_mb = (uint32_t)need->memory_mb,
     .accelerators = (uint32_t)need->accelerators,
     .urgent = sched_is_urgent (c->st),
+    .noise = sched_is_urgent (c->st) ? 0 : fmin (interference_noise (s->model, c->st->cls->id), 1),
     .max_per_rack = c->st->t->job->spec.max_per_rack,
     .rack_counts = count_racks (s, c->st),
     .first_fit = sched_policy (s, SCHEDULER_FIRST_FIT),
@@ -108,6 +123,8 @@
   cell_place *p = &cmd.cell_command_u.place;
   sched_unreserve (s, st);
   sched_hold (s, st, w);
+  if (sched_is_urgent (st))
+    s->demand_now += (double)st->hold.millicores;
   if (w->health.quarantined)
     {
       worker_health_probe (&w->health);
@@ -260,38 +277,88 @@
   r->failed[r->failed_count++].need = *need;
 }
 
-/* An aged task that fits nowhere collects the room that becomes free on one worker.  */
+static bool
+may_collect (const struct scheduler *s, const struct sched_task *st)
+{
+  const struct cell_job *j = st->t->job;
+  if (sched_is_urgent (st) || sched_policy (s, SCHEDULER_FIFO)
+      || s->room_count > s->worker_count / WORKERS_PER_ROOM)
+    return false;
+  int64_t now = cell_log_time (s->cell, s->now_ms);
+  if (now - j->submitted_ms >= ORDER_AGE_BOUND_MS)
+    return true;
+  return j->deadline_ms > 0 && st->item.key <= now + COLLECT_MS;
+}
+
+/* A task that fits nowhere and is aged or close to its latest start collects the room that becomes
+   free on one worker: small tasks would take each piece before it.  */
 static bool
 collect_room (struct scheduler *s, struct sched_task *st, const struct order_amount *need)
 {
-  int64_t age = cell_log_time (s->cell, s->now_ms) - st->t->job->submitted_ms;
-  if (age < ORDER_AGE_BOUND_MS || s->room_count > s->worker_count / WORKERS_PER_AGED_ROOM)
+  if (!may_collect (s, st))
     return false;
+  struct choice c = { s, st };
   struct sched_worker *best = NULL;
   for (size_t i = 0; i < s->worker_count; i++)
     {
       struct sched_worker *w = s->workers[i];
       if (!s->rows[i].usable || w->health.quarantined || w->reserved.millicores > 0
-          || w->urgent_count > 0 || w->total.millicores < need->millicores
-          || w->total.memory_mb < need->memory_mb || w->total.accelerators < need->accelerators)
+          || w->total.millicores < need->millicores || w->total.memory_mb < need->memory_mb
+          || w->total.accelerators < need->accelerators || avoid_at (&c, i)
+          || sched_harm_batch (s, w, st) >= PLACEMENT_REFUSED)
         continue;
       if (!best || s->rows[i].free_millicores > s->rows[best->row].free_millicores)
         best = w;
     }
   if (!best)
     return false;
-  sched_reserve (s, st, best, s->now_ms + AGED_ROOM_MS);
+  sched_reserve (s, st, best, s->now_ms + COLLECT_LIFE_MS);
   return true;
 }
 
+static void
+follow_demand (struct scheduler *s)
+{
+  if (s->now_ms - s->demand_ms < DEMAND_WINDOW_MS)
+    return;
+  double error = s->demand_now - s->demand_mean;
+  s->demand_mean += DEMAND_RATE * error;
+  s->demand_deviation += DEMAND_RATE * (fabs (error) - s->demand_deviation);
+  s->demand_now = 0;
+  s->demand_ms = s->now_ms;
+}
+
+static double
+spare_processors (const struct scheduler *s)
+{
+  if (sched_policy (s, SCHEDULER_NO_LEARNING))
+    return INFINITY;
+  double spare = 0;
+  for (size_t i = 0; i < s->worker_count; i++)
+    if (s->rows[i].usable)
+      spare += s->rows[i].free_millicores;
+  double headroom = s->demand_mean + DEMAND_DEVIATIONS * s->demand_deviation;
+  return spare - fmin (headroom, MAX_HEADROOM * (double)s->total.millicores);
+}
+
+static bool
+takes_headroom (const struct round *r, const struct sched_task *st, const struct order_amount *need)
+{
+  if (r->urgent || (double)need->millicores <= r->spare)
+    return false;
+  bool critical = st->t->job->deadline_ms > 0
+                  && st->item.key <= cell_log_time (r->s->cell, r->s->now_ms) + CRITICAL_MS;
+  return !critical;
+}
+
 static bool
 try_place (struct round *r, struct sched_task *st)
 {
   struct scheduler *s = r->s;
   struct choice c = { s, st };
   struct order_amount need = sched_need (s, st);
-  if (known_not_to_fit (r, st, &need))
-    return false;
+  if (known_not_to_fit (r, st, &need) || takes_headroom (r, st, &need))
+    return collect_room (s, st, &need);
   struct placement_request q = request_for (&c, &need);
   size_t row = placement_choose (s->rows, s->worker_count, &q, &s->rng);
   if (row == PLACEMENT_NONE && r->urgent && preempt (s, st, &q, &need))
@@ -305,10 +372,11 @@
   if (row != PLACEMENT_NONE)
     {
       place (s, st, s->workers[row]);
+      r->spare -= (double)need.millicores;
       r->placed++;
       return true;
     }
-  if (!r->urgent && collect_room (s, st, &need))
+  if (collect_room (s, st, &need))
     return true;
   note_failed (r, st, &need);
   return false;
@@ -377,8 +445,7 @@
   const struct cell_job *j = st->t->job;
   if (j->deadline_ms == 0 || sched_is_urgent (st) || sched_policy (s, SCHEDULER_FIFO))
     return false;
-  int64_t key = order_key (cell_log_time (s->cell, s->now_ms), j->submitted_ms, j->deadline_ms,
-                           sched_remaining_ms (st));
+  int64_t key = sched_key (s, st);
   if (key <= st->item.key)
     return false;
   st->item.key = key;
@@ -401,7 +468,7 @@
 static void
 run_round (struct scheduler *s, bool urgent)
 {
-  struct round r = { .s = s, .urgent = urgent };
+  struct round r = { .s = s, .urgent = urgent, .spare = spare_processors (s) };
   struct sched_customer *c;
   struct sched_class *cls;
   LIST_FOREACH (c, &s->customers, link)
@@ -459,6 +526,7 @@
 sched_place_round (struct scheduler *s)
 {
   queue_delayed (s);
+  follow_demand (s);
   if (!sched_permit (s) || s->worker_count == 0)
     return;
   place_waiting (s);
