--- a/src/proxy_try.c
+++ b/src/proxy_try.c
@@ -22,16 +22,6 @@
   return info.tcpi_bytes_received;
 }
 
-static void
-watch_fd (struct proxy_try *t, int fd)
-{
-  if (fd < 0)
-    return;
-  t->fd = fd;
-  t->received_before = bytes_received (fd);
-  t->call->proxy->sockets[fd].current = t;
-}
-
 static void
 unwatch_fd (struct proxy_try *t)
 {
@@ -42,6 +32,19 @@
   t->fd = -1;
 }
 
+static void
+watch_fd (struct proxy_try *t, int fd)
+{
+  if (fd < 0)
+    return;
+  struct proxy_try *previous = t->call->proxy->sockets[fd].current;
+  if (previous) /* its answer is over, but libcurl has not reported it yet */
+    unwatch_fd (previous);
+  t->fd = fd;
+  t->received_before = bytes_received (fd);
+  t->call->proxy->sockets[fd].current = t;
+}
+
 static curl_socket_t
 on_open_socket (void *arg, curlsocktype purpose, struct curl_sockaddr *address)
 {
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -437,6 +437,16 @@
   return good;
 }
 
+/* Connections to the runner are used again by other requests before the end of the last answer is
+   reported: the answers must not be confused or called over-long.  */
+static void
+test_many_requests_share_connections (void **state)
+{
+  (void)state;
+  for (int i = 0; i < 100; i++)
+    assert_int_equal (round_of_requests (entry.port, "GET", 0), PARALLEL);
+}
+
 static void
 test_departure_under_load (void **state)
 {
@@ -525,6 +535,7 @@
     cmocka_unit_test (test_late_answers_are_dropped),
     cmocka_unit_test (test_slow_caller_holds_little_memory),
     cmocka_unit_test (test_limits_of_customers),
+    cmocka_unit_test (test_many_requests_share_connections),
     cmocka_unit_test (test_departure_under_load),
     cmocka_unit_test (test_dead_runner_is_retried),
     cmocka_unit_test (test_drain_finishes_what_is_open),
