--- a/tests/test_peer_codec.c
+++ b/tests/test_peer_codec.c
@@ -26,7 +26,7 @@
 encode_raft (size_t *len)
 {
   static raft_entry entries[2];
-  static raft_member members[2] = { { 1, TRUE }, { 2, FALSE } };
+  static raft_member members[2] = { { .node = 1, .voter = TRUE }, { .node = 2 } };
   raft_message m = { .group = 1, .type = RAFT_APPEND_REQUEST, .from = 1, .to = 2, .term = 7 };
   for (int i = 0; i < 2; i++)
     {
