Repair a voter whose disk was replaced; hand tasks off from a leader elected while out

Cause 1: tests/path_disks.sh found that a voter with a replaced disk stayed without a vote: the change of members compared voters only, and the log already named it a voter. Change: it becomes a learner first and is promoted with its new store; the leader sends to a learner that is to be promoted as often as to a voter. Cause 2: tests/path_cut_off.sh found that a cell leader elected while its data centre is out handed nothing over: it learned the room of other cells only from permit grants, which it did not ask for. Change: it asks also while out (and is refused).

--- a/src/cell_service.c
+++ b/src/cell_service.c
@@ -540,8 +540,8 @@
   if (!s->leading)
     return;
   follow_data_centre (s, now_ms);
-  if (!s->out)
-    ask_permit (s, now_ms);
+  /* Also while the data centre is out: the answer tells which cells can take its tasks.  */
+  ask_permit (s, now_ms);
   use_permit (s, now_ms);
   scheduler_peers (s->scheduler, cell_transfers_cells (s->transfers),
                    cell_transfers_cell_count (s->transfers));
--- a/src/member_sync.c
+++ b/src/member_sync.c
@@ -6,7 +6,7 @@
 #include "log.h"
 
 #define CHECK_EVERY_MS 1000
-#define RETRY_MS 3000
+#define RETRY_MS 1000
 
 static int
 compare_members (const void *a, const void *b)
@@ -30,15 +30,16 @@
   return true;
 }
 
-static bool
-store_replaced (const struct group *g)
+/* Makes learners of the voters whose disk was replaced.  */
+static void
+demote_replaced_stores (const struct group *g, raft_member *target, size_t count)
 {
   struct group_stats stats;
   group_stats (g, &stats);
   for (size_t i = 0; i < stats.peers_len; i++)
-    if (stats.peers[i].wrong_store)
-      return true;
-  return false;
+    for (size_t k = 0; k < count; k++)
+      if (stats.peers[i].wrong_store && target[k].node == stats.peers[i].node)
+        target[k].voter = false;
 }
 
 static void
@@ -67,7 +68,8 @@
     return;
   m->next_ms = now_ms + CHECK_EVERY_MS;
   qsort (target, count, sizeof *target, compare_members);
-  if (same_members (group_members (m->group), target, count) && !store_replaced (m->group))
+  demote_replaced_stores (m->group, target, count);
+  if (same_members (group_members (m->group), target, count))
     return;
   const raft_members list = { { (u_int)count, target } };
   log_line (LOG_INFO, "group %s: changing members", m->name);
--- a/src/member_sync.h
+++ b/src/member_sync.h
@@ -1,8 +1,9 @@
 /* member_sync: brings the members of a group in line with a target list.
 
-   A change of members is asked for when the log's members differ from the target or when a voter
-   answers from another store than the one that may vote, which means that its disk was replaced.
-   One change at a time; a change that ends without success is asked for again.  */
+   A change of members is asked for when the log's members differ from the target.  A voter that
+   answers from another store than the one that may vote has lost its disk: it becomes a learner
+   first, and the next change promotes its new store once it has caught up.  One change at a time; a
+   change that ends without success is asked for again.  */
 
 #ifndef SASSAFRAS_MEMBER_SYNC_H
 #define SASSAFRAS_MEMBER_SYNC_H
--- a/src/raft_leader.c
+++ b/src/raft_leader.c
@@ -50,7 +50,10 @@
 send_period (const struct raft *r, const struct raft_peer *p)
 {
   bool current = p->match == raft_log_last (&r->log) && p->sent_commit == r->commit;
-  if (!p->voter && current && p->state == PEER_REPLICATE)
+  /* A learner is promoted only while it answers, so it must be heard at the rate of a voter.  */
+  const raft_member *wanted = r->target_set ? raft_members_find (&r->target, p->node) : NULL;
+  bool promoting = wanted && wanted->voter;
+  if (!p->voter && !promoting && current && p->state == PEER_REPLICATE)
     return r->timing.learner_heartbeat_ms;
   return r->timing.heartbeat_ms;
 }
