--- a/ctl/places.c
+++ b/ctl/places.c
@@ -113,24 +113,90 @@
   putchar ('\n');
 }
 
+/* Counts the VMs that answered, and those of them that have applied the log up to INDEX.  */
+static size_t
+count_applied (struct ctl *c, int64_t index, size_t *reached, size_t *members_count)
+{
+  struct ctl_probe *probes = xcalloc (CTL_MAX_VMS, sizeof *probes);
+  json_t *members;
+  size_t applied = 0;
+  *reached = 0;
+  *members_count = ctl_ask_all (c, probes, &members);
+  for (size_t i = 0; i < *members_count; i++)
+    {
+      bool answered = status_ok (&probes[i].reply.status) && probes[i].reply.body;
+      *reached += answered ? 1 : 0;
+      if (answered && ctl_int (probes[i].reply.body, "registry_applied") >= index)
+        applied++;
+      ctl_reply_close (&probes[i].reply);
+    }
+  json_decref (members);
+  free (probes);
+  return applied;
+}
+
+/* Waits until every VM that answers has applied the change, so that a later command is answered
+   from a state that contains it, whichever VM it asks.  */
+static int
+wait_applied (struct ctl *c, const json_t *answer)
+{
+  struct status st;
+  int64_t index = ctl_int (answer, "registry_index");
+  size_t reached = 0;
+  size_t total = 0;
+  size_t last = SIZE_MAX;
+  do
+    {
+      size_t applied = count_applied (c, index, &reached, &total);
+      if (applied != last)
+        ctl_progress (c, "accepted; known on %zu of %zu VMs, %zu do not answer", applied, total,
+                      total - reached);
+      last = applied;
+      if (applied == reached && reached > 0)
+        return 0;
+      if (ctl_time_left (c))
+        ctl_sleep (c, CTL_POLL_MS);
+    }
+  while (ctl_time_left (c));
+  status_set (&st, STATUS_TIMEOUT, "accepted, but after %ld ms known on %zu of %zu VMs",
+              c->timeout_ms, last, total);
+  return ctl_fail (c, &st, NULL);
+}
+
+/* Sends a change, waits until it is known everywhere and prints the answer.  */
+static int
+finish_change (struct ctl *c, const char *path, const json_t *body)
+{
+  struct ctl_reply reply;
+  int code = 0;
+  if (ctl_call (c, "POST", path, body, &reply) < 0)
+    code = ctl_fail (c, &reply.status, &reply);
+  else if (c->wait)
+    code = wait_applied (c, reply.body);
+  if (code == 0 && c->json)
+    ctl_print_json (reply.body);
+  else if (code == 0)
+    print_accepted (reply.body);
+  ctl_reply_close (&reply);
+  return code;
+}
+
 static int
 change_data_centre (struct ctl *c, const char *verb, const char *name)
 {
   char path[PATH_BYTES];
-  struct ctl_reply reply;
+  struct ctl_reply reply = { 0 };
   int code = 0;
   json_t *body = json_pack ("{s:s}", "request_id", c->request_id);
   if (c->version >= 0)
     json_object_set_new (body, "version", json_integer (c->version));
   snprintf (path, sizeof path, "/v1/data-centres/%s/%s", name, verb);
-  if (ctl_call (c, "POST", path, body, &reply) < 0)
+  if (!c->wait || strcmp (verb, "return") == 0)
+    code = finish_change (c, path, body);
+  else if (ctl_call (c, "POST", path, body, &reply) < 0)
     code = ctl_fail (c, &reply.status, &reply);
-  else if (c->wait && strcmp (verb, "out") == 0)
-    code = wait_out (c, name, &reply);
-  else if (c->json)
-    ctl_print_json (reply.body);
   else
-    print_accepted (reply.body);
+    code = wait_out (c, name, &reply);
   json_decref (body);
   ctl_reply_close (&reply);
   return code;
@@ -146,7 +212,7 @@
     return ctl_usage (c, "epoch '%s' is out of range, allowed: 1 and up", epoch);
   json_t *body = json_pack ("{s:s, s:I}", "request_id", c->request_id, "epoch", (json_int_t)number);
   snprintf (path, sizeof path, "/v1/data-centres/%s/close-epoch", name);
-  int code = ctl_finish (c, "POST", path, body, NULL);
+  int code = finish_change (c, path, body);
   json_decref (body);
   return code;
 }
@@ -179,7 +245,7 @@
     return code;
   json_t *body = json_pack ("{s:s, s:s, s:b}", "request_id", c->request_id, "vm", c->words[1],
                             "draining", (int)!c->off);
-  code = ctl_finish (c, "POST", "/v1/drain", body, print_accepted);
+  code = finish_change (c, "/v1/drain", body);
   json_decref (body);
   return code;
 }
@@ -238,7 +304,7 @@
   if (code == 0)
     {
       json_t *body = json_pack ("{s:s, s:O}", "request_id", c->request_id, "member", member);
-      code = ctl_finish (c, "POST", path, body, print_accepted);
+      code = finish_change (c, path, body);
       json_decref (body);
     }
   json_decref (member);
@@ -255,7 +321,7 @@
     return code;
   json_t *body = json_pack ("{s:s}", "request_id", c->request_id);
   snprintf (path, sizeof path, "/v1/members/%s/remove", vm);
-  code = ctl_finish (c, "POST", path, body, print_accepted);
+  code = finish_change (c, path, body);
   json_decref (body);
   return code;
 }
--- a/src/operator_api.c
+++ b/src/operator_api.c
@@ -187,6 +187,8 @@
   json_object_set_new (body, "accepted_at_ms",
                        result->status == STATUS_OK ? json_integer (result->accepted_ms)
                                                    : json_null ());
+  if (result->status == STATUS_OK)
+    json_object_set_new (body, "registry_index", json_integer ((json_int_t)result->index));
   if (result->status == STATUS_OK && result->message && result->message[0])
     json_object_set_new (body, "note", json_string (result->message));
   return body;
--- a/tests/test_operator_api.c
+++ b/tests/test_operator_api.c
@@ -223,6 +223,7 @@
   assert_int_equal (
       call (&f, "POST", "/v1/members", "{\"request_id\":\"m\",\"member\":" MEMBER "}"), 200);
   assert_int_equal (number (&f, "node"), 1);
+  assert_int_equal (number (&f, "registry_index"), 1);
   assert_int_equal (call (&f, "POST", "/v1/data-centres/a/out", "{\"request_id\":\"o\"}"), 200);
   assert_string_equal (text (&f, "state"), "out");
   assert_true (json_is_null (json_object_get (f.body, "in_force_at_ms")));
