--- a/src/order.c
+++ b/src/order.c
@@ -11,6 +11,8 @@
 #define MIN_SAMPLES 3
 /* Share of the deviation that is added to the mean: about the 84th percentile.  */
 #define CAUTION 1.0
+#define HOPE 2.0
+#define LEAST_PART 0.2
 
 void
 order_heap_init (struct order_heap *h)
@@ -127,33 +129,46 @@
 void
 order_learn (struct order_run_time *r, uint64_t declared_ms, uint64_t actual_ms)
 {
+  struct order_estimate *e = declared_ms ? &r->factor : &r->ms;
   double x = declared_ms ? (double)actual_ms / (double)declared_ms : (double)actual_ms;
-  r->samples++;
-  double rate = fmax (LEARN_RATE, 1.0 / r->samples);
-  double error = x - r->mean;
-  r->mean += rate * error;
-  if (r->samples > 1)
-    r->deviation += rate * (fabs (error) - r->deviation);
+  e->samples++;
+  double rate = fmax (LEARN_RATE, 1.0 / e->samples);
+  double error = x - e->mean;
+  e->mean += rate * error;
+  if (e->samples > 1)
+    e->deviation += rate * (fabs (error) - e->deviation);
 }
 
 uint64_t
 order_expect (const struct order_run_time *r, uint64_t declared_ms)
 {
-  if (r->samples < MIN_SAMPLES)
+  const struct order_estimate *e = declared_ms ? &r->factor : &r->ms;
+  if (e->samples < MIN_SAMPLES)
     return declared_ms;
-  double x = r->mean + CAUTION * r->deviation;
+  double x = e->mean + CAUTION * e->deviation;
+  return (uint64_t)(declared_ms ? x * (double)declared_ms : x);
+}
+
+uint64_t
+order_expect_least (const struct order_run_time *r, uint64_t declared_ms)
+{
+  const struct order_estimate *e = declared_ms ? &r->factor : &r->ms;
+  if (e->samples < MIN_SAMPLES)
+    return declared_ms / 2;
+  double x = fmax (e->mean - HOPE * e->deviation, LEAST_PART * e->mean);
   return (uint64_t)(declared_ms ? x * (double)declared_ms : x);
 }
 
 int64_t
-order_key (int64_t now_ms, int64_t submitted_ms, int64_t deadline_ms, uint64_t remaining_ms)
+order_key (int64_t now_ms, int64_t submitted_ms, int64_t deadline_ms, uint64_t remaining_ms,
+           uint64_t least_ms)
 {
   int64_t aged = submitted_ms + ORDER_AGE_BOUND_MS;
   if (deadline_ms == 0)
     return aged;
-  int64_t latest = deadline_ms - (int64_t)remaining_ms;
   /* A deadline that is lost already must not delay one that can still be met.  */
-  if (now_ms > latest)
+  if (now_ms > deadline_ms - (int64_t)least_ms)
     return aged;
+  int64_t latest = deadline_ms - (int64_t)remaining_ms;
   return latest < aged ? latest : aged;
 }
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -33,18 +33,19 @@
   struct scheduler_quota quota;
   bool known;               /* the plans name it */
   struct order_amount used; /* held on workers */
-  struct order_heap urgent;
-  struct order_heap batch;
+  LIST_HEAD (, sched_class) classes;
   struct eviction_budget budget;
-  bool blocked;          /* nothing more of it fits in this round */
+  bool blocked;          /* no more of it in this round */
   int64_t over_since_ms; /* above its plan since, 0 when it is not */
 };
 
-/* What is learned about a service or batch class of one customer.  */
+/* A service or batch class of one customer: its waiting tasks and what is learned about it.  */
 struct sched_class
 {
-  struct cell_node node; /* by customer and name */
-  LIST_ENTRY (sched_class) link;
+  struct cell_node node;         /* by customer and name */
+  LIST_ENTRY (sched_class) link; /* of the customer's classes */
+  struct order_heap queue;
+  size_t aside; /* tasks passed over in this round */
   char key[2 * CELL_NAME_BYTES + 8];
   bool urgent;
   int id; /* in the interference model */
@@ -148,6 +149,7 @@
   struct order_amount held;
   struct order_amount ghost;
   struct order_amount reserved;
+  bool shrunk; /* it came back smaller than what it holds */
   struct sched_task_list tasks;
   uint32_t urgent_count;
   struct sched_ghost *ghosts;
@@ -166,6 +168,7 @@
   size_t recent_next;
   double used_millicores;
   int64_t action_at_ms; /* last throttle or move because of harm */
+  uint64_t mark;        /* of the last round that found a task of the job here */
   int64_t learned_ms;   /* time of the newest sample learned from */
   uint32_t slow_samples;
   uint32_t calm_samples;
@@ -216,18 +219,22 @@
   char (*racks)[CELL_NAME_BYTES + 1];
   size_t rack_count;
   uint32_t *rack_counts; /* scratch, per rack */
+  uint64_t mark;         /* scratch, see sched_worker.mark */
   size_t quarantined;
 
   struct cell_map customer_map;
   LIST_HEAD (, sched_customer) customers;
   struct cell_map class_map;
-  LIST_HEAD (, sched_class) classes;
   struct interference *model;
   struct order_heap delayed;      /* back-off, key is not_before_ms */
   struct sched_task_list waiting; /* tasks that wait for room, oldest first */
   uint32_t room_count;
   bool round_needed;
   int64_t round_ms;
+  double demand_now;  /* millicores that urgent tasks took in the present window */
+  double demand_mean; /* per window */
+  double demand_deviation;
+  int64_t demand_ms; /* start of the window */
   int64_t scan_ms;
   int64_t decay_ms;
 
@@ -254,7 +261,8 @@
 bool sched_policy (const struct scheduler *s, unsigned bit);
 bool sched_permit (const struct scheduler *s); /* Starts are allowed now. */
 struct sched_customer *sched_customer (struct scheduler *s, const char *name); /* Finds or makes. */
-struct sched_class *sched_class (struct scheduler *s, const cell_job_spec *spec);
+struct sched_class *sched_class (struct scheduler *s, struct sched_customer *customer,
+                                 const cell_job_spec *spec); /* Finds or makes. */
 void sched_propose (struct scheduler *s, cell_command *cmd,
                     struct sched_task *st);                     /* Takes the strings of CMD. */
 void sched_fault (const char *rule) __attribute__ ((noreturn)); /* Ends the process. */
@@ -265,6 +273,8 @@
 void sched_enqueue (struct scheduler *s, struct sched_task *st);
 void sched_hold (struct scheduler *s, struct sched_task *st, struct sched_worker *w);
 void sched_release (struct scheduler *s, struct sched_task *st);
+bool sched_grow (struct scheduler *s, struct sched_task *st,
+                 const struct order_amount *want); /* Holds more where it runs; false: no room. */
 void sched_reserve (struct scheduler *s, struct sched_task *st, struct sched_worker *w,
                     int64_t until_ms); /* Keeps room on W for ST. */
 void sched_unreserve (struct scheduler *s, struct sched_task *st);
@@ -274,6 +284,7 @@
 void sched_stop (struct scheduler *s, struct sched_task *st,
                  enum cell_stop_reason reason); /* Proposes a stop. */
 struct order_amount sched_need (const struct scheduler *s, const struct sched_task *st);
+int64_t sched_key (const struct scheduler *s, const struct sched_task *st); /* See order.h. */
 bool sched_is_urgent (const struct sched_task *st);
 uint64_t sched_remaining_ms (const struct sched_task *st); /* Expected run time that is left. */
 
@@ -281,6 +292,7 @@
 struct sched_worker *sched_find_worker (const struct scheduler *s, const char *id);
 struct sched_worker *sched_add_worker (struct scheduler *s, const char *id);
 void sched_free_workers (struct scheduler *s);
+bool sched_within (const struct sched_worker *w); /* Holds no more than its size. */
 void sched_update_row (struct scheduler *s, struct sched_worker *w);
 void sched_mark_ready (struct scheduler *s, struct sched_worker *w);
 void sched_scan_workers (struct scheduler *s); /* Leases, retries and probes. */
--- a/src/scheduler_report.c
+++ b/src/scheduler_report.c
@@ -139,7 +139,11 @@
   out->quarantined = (uint32_t)s->quarantined;
   const struct sched_customer *c;
   LIST_FOREACH (c, &s->customers, link)
-  out->pending += (uint32_t)(c->urgent.count + c->batch.count);
+  {
+    const struct sched_class *cls;
+    LIST_FOREACH (cls, &c->classes, link)
+    out->pending += (uint32_t)cls->queue.count;
+  }
   out->pending += (uint32_t)s->delayed.count + s->room_count;
   for (size_t i = 0; i < s->worker_count; i++)
     {
@@ -178,8 +182,7 @@
     sched_fault ("the sum of what tasks hold differs from the worker's books");
   if (!w->announced)
     return;
-  if (held.millicores > w->total.millicores || held.memory_mb > w->total.memory_mb
-      || held.accelerators > w->total.accelerators)
+  if (!w->shrunk && !sched_within (w))
     sched_fault ("a worker is committed beyond its size");
   if (s->workers[w->row] != w)
     sched_fault ("a worker's row is wrong");
--- a/src/scheduler_task.c
+++ b/src/scheduler_task.c
@@ -24,6 +24,18 @@
   return run > st->t->progress_ms ? run - st->t->progress_ms : 0;
 }
 
+int64_t
+sched_key (const struct scheduler *s, const struct sched_task *st)
+{
+  const struct cell_job *j = st->t->job;
+  if (sched_is_urgent (st) || sched_policy (s, SCHEDULER_FIFO))
+    return j->submitted_ms;
+  uint64_t least = order_expect_least (&st->cls->run, j->spec.run_ms);
+  least = least > st->t->progress_ms ? least - st->t->progress_ms : 0;
+  return order_key (cell_log_time (s->cell, s->now_ms), j->submitted_ms, j->deadline_ms,
+                    sched_remaining_ms (st), least);
+}
+
 static uint64_t
 scaled (uint64_t declared, double ratio, uint64_t largest)
 {
@@ -88,6 +100,30 @@
   take (s, st, w, need);
 }
 
+bool
+sched_grow (struct scheduler *s, struct sched_task *st, const struct order_amount *want)
+{
+  struct sched_worker *w = st->worker;
+  struct order_amount more = { 0, 0, 0 };
+  if (want->millicores > st->hold.millicores)
+    more.millicores = want->millicores - st->hold.millicores;
+  if (want->memory_mb > st->hold.memory_mb)
+    more.memory_mb = want->memory_mb - st->hold.memory_mb;
+  const struct scheduler_quota *q = &st->customer->quota;
+  const struct order_amount *used = &st->customer->used;
+  if ((q->max_millicores && used->millicores + more.millicores > q->max_millicores)
+      || (q->max_memory_mb && used->memory_mb + more.memory_mb > q->max_memory_mb)
+      || !sched_fits (w, &more, NULL))
+    return false;
+  sched_mix_remove (w, st);
+  add (&w->held, &more);
+  add (&st->customer->used, &more);
+  add (&st->hold, &more);
+  sched_mix_add (w, st);
+  sched_update_row (s, w);
+  return true;
+}
+
 /* A placement of an earlier leader: it fits the worker by that leader's books.  */
 static void
 adopt (struct scheduler *s, struct sched_task *st)
@@ -185,7 +221,7 @@
   if (st->delayed)
     order_remove (&s->delayed, &st->item);
   else
-    order_remove (sched_is_urgent (st) ? &st->customer->urgent : &st->customer->batch, &st->item);
+    order_remove (&st->cls->queue, &st->item);
   st->delayed = false;
 }
 
@@ -205,12 +241,8 @@
       return;
     }
   st->delayed = false;
-  if (sched_is_urgent (st) || sched_policy (s, SCHEDULER_FIFO))
-    st->item.key = t->job->submitted_ms;
-  else
-    st->item.key
-        = order_key (now, t->job->submitted_ms, t->job->deadline_ms, sched_remaining_ms (st));
-  order_push (sched_is_urgent (st) ? &st->customer->urgent : &st->customer->batch, &st->item);
+  st->item.key = sched_key (s, st);
+  order_push (&st->cls->queue, &st->item);
   s->round_needed = true;
 }
 
@@ -235,7 +267,7 @@
   struct sched_task *st = xcalloc (1, sizeof *st);
   st->t = t;
   st->customer = sched_customer (s, t->job->spec.customer);
-  st->cls = sched_class (s, &t->job->spec);
+  st->cls = sched_class (s, st->customer, &t->job->spec);
   st->item.owner = st;
   st->seen_failures = t->failures;
   t->soft = st;
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -226,11 +226,22 @@
       assert_int_equal (executions ("k2"), 1);
       free_reply (&r);
     }
-  struct reply r = post_call ("/v1/call/echo/t?mode=reset", "Idempotency-Key: k3\r\n",
-                              ""); /* not idempotent */
-  assert_true (r.code >= 500);
-  assert_int_equal (executions ("k3"), 1);
-  free_reply (&r);
+  /* On a connection that was used before, libcurl would send these again by itself.  */
+  static const char *const requests[]
+      = { "POST /v1/call/echo/t?mode=reset HTTP/1.1\r\nHost: e\r\nSassafras-Customer: huron\r\n"
+          "Idempotency-Key: k3\r\nContent-Length: 0\r\n\r\n",
+          "GET /v1/call/echo/t?mode=reset HTTP/1.1\r\nHost: e\r\nSassafras-Customer: huron\r\n"
+          "Idempotency-Key: k3-get\r\nSassafras-Unrepeatable: 1\r\n\r\n" };
+  for (int i = 0; i < 2; i++)
+    {
+      struct reply r = get (entry.port, "/v1/call/echo/x");
+      assert_int_equal (r.code, 200);
+      free_reply (&r);
+      r = exchange (entry.port, requests[i]);
+      assert_true (r.code >= 500);
+      assert_int_equal (executions (i == 0 ? "k3" : "k3-get"), 1);
+      free_reply (&r);
+    }
 }
 
 /* The caller of an unrepeatable request leaves: its repeat gets the answer of the first run.  */
@@ -304,22 +315,25 @@
   buffer_close (&in);
 }
 
+/* Callers that are being served and callers that wait in the queue leave.  */
 static void
 test_caller_gone_frees_the_runner (void **state)
 {
   (void)state;
   const char *request = "POST /v1/call/echo/x?mode=hang HTTP/1.1\r\nHost: e\r\n"
                         "Sassafras-Customer: huron\r\nContent-Length: 0\r\n\r\n";
-  int fds[4];
-  for (int i = 0; i < 4; i++)
+  int fds[PARALLEL];
+  for (int i = 0; i < PARALLEL; i++)
     {
       fds[i] = dial (entry.port);
       assert_true (send_all (fds[i], request, strlen (request)));
     }
-  assert_true (wait_statistic (runner.port, "/standin/stats", "in_service", 4));
-  for (int i = 0; i < 4; i++)
+  assert_true (wait_statistic (runner.port, "/standin/stats", "in_service", 8));
+  assert_true (wait_statistic (entry.admin_port, "/stats", "queued", PARALLEL - 8));
+  for (int i = PARALLEL - 1; i >= 0; i--)
     close (fds[i]);
   assert_true (wait_statistic (entry.admin_port, "/stats", "open", 0));
+  assert_true (wait_statistic (entry.admin_port, "/stats", "queued", 0));
   assert_true (wait_statistic (runner.port, "/standin/stats", "in_service", 0));
 }
 
@@ -423,6 +437,16 @@
   return good;
 }
 
+/* Connections to the runner are used again by other requests before the end of the last answer is
+   reported: the answers must not be confused or called over-long.  */
+static void
+test_many_requests_share_connections (void **state)
+{
+  (void)state;
+  for (int i = 0; i < 100; i++)
+    assert_int_equal (round_of_requests (entry.port, "GET", 0), PARALLEL);
+}
+
 static void
 test_departure_under_load (void **state)
 {
@@ -511,6 +535,7 @@
     cmocka_unit_test (test_late_answers_are_dropped),
     cmocka_unit_test (test_slow_caller_holds_little_memory),
     cmocka_unit_test (test_limits_of_customers),
+    cmocka_unit_test (test_many_requests_share_connections),
     cmocka_unit_test (test_departure_under_load),
     cmocka_unit_test (test_dead_runner_is_retried),
     cmocka_unit_test (test_drain_finishes_what_is_open),
