--- a/tests/path_registry.sh
+++ b/tests/path_registry.sh
@@ -9,7 +9,11 @@
 
 fail ()
 {
+  local vm
   echo "FAIL: $*"
+  for vm in "${VMS[@]}"; do
+    echo "$vm: $(state_of "$vm")"
+  done
   tail -n 5 "$WORK"/*.log
   exit 1
 }
@@ -24,14 +28,21 @@
   "$BUILD/sassafrasctl" --server="${VM_ADDRESS[$vm]}:7402" "$@"
 }
 
+# State of one VM on one line without spaces.  grep -q is not used at the end of a pipe: it closes the
+# pipe early, and pipefail would then report the writer's SIGPIPE as a failure.
+state_of ()
+{
+  operator "$1" --json --timeout 500 state 2>/dev/null | tr -d '\n '
+}
+
 # VM that leads the registry, by the state of each VM; empty while there is none.
 registry_leader ()
 {
-  local vm
+  local vm state
   for vm in "${VMS[@]}"; do
     [ -n "${PIDS[$vm]:-}" ] || continue
-    if operator "$vm" --json --timeout 500 state 2>/dev/null |
-      grep -A1 '"name": "registry"' | grep -q '"leads": true'; then
+    state=$(state_of "$vm") || continue
+    if grep -q '"name":"registry","leads":true' <<<"$state"; then
       echo "$vm"
       return
     fi
@@ -45,25 +56,26 @@
 
 version ()
 {
-  ctl --json diff "${lists[@]}" | sed -n 's/.*"version": \([0-9]*\).*/\1/p' | head -n 1
+  ctl --json diff "${lists[@]}" | sed -n 's/^  "version": \([0-9]*\).*/\1/p'
 }
 
 # Every VM that runs has version $1 in force.
 all_have ()
 {
-  local vm
+  local vm state
   for vm in "${VMS[@]}"; do
     [ -n "${PIDS[$vm]:-}" ] || continue
-    operator "$vm" --json --timeout 500 state | grep -q "\"version_in_force\": $1," || return 1
+    state=$(state_of "$vm") || return 1
+    grep -q "\"version_in_force\":$1," <<<"$state" || return 1
   done
 }
 
 # Node $1 is a voter of the registry and follows its leader.
 votes ()
 {
-  operator "$(registry_leader)" --json --timeout 500 state | tr -d '\n ' |
-    sed 's/.*"name":"registry"\([^]]*\)\].*/\1/' |
-    grep -q "\"node\":$1,\"voter\":true,\"active\":true"
+  local registry
+  registry=$(state_of "$(registry_leader)" | sed 's/.*"name":"registry"\([^]]*\)\].*/\1/')
+  grep -q "\"node\":$1,\"voter\":true,\"active\":true" <<<"$registry"
 }
 
 cluster_members "a:2 b:2 c:1"
@@ -123,6 +135,6 @@
 cluster_start b1
 wait_for 20 healthy b1 || fail "the replaced b1 is not healthy"
 wait_for 15 all_have "$expected" || fail "the replaced b1 does not have version $expected"
-wait_for 20 votes 6 || fail "node 6 does not vote: $(operator a1 --json state)"
+wait_for 20 votes 6 || fail "node 6 does not vote"
 ctl apply "${lists[@]}" --if-version "$expected" >/dev/null || fail "an edit after the replacement"
 echo "path_registry: passed"
