--- a/ctl/main.c
+++ b/ctl/main.c
@@ -36,7 +36,7 @@
     command_show, false },
   { "data-centre", "[list|out NAME|return NAME|close-epoch NAME EPOCH]", command_data_centre,
     false },
-  { "drain", "VM [--off]                 give a VM no new work", command_drain, false },
+  { "drain", "VM [--off]                 mark a VM as draining", command_drain, false },
   { "jobs", "[list|submit FILE|show ID|cancel ID...]", command_jobs, false },
   { "members", "[list|file|add FILE|replace FILE|remove VM]", command_members, false },
   { "state", "                           state of one VM", command_state, false },
