--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -9,7 +9,6 @@
 /* Copies that start count from here, above the epochs that a returning owner gives under the same
    cell epoch: two offers of one task never have the same epoch.  */
 #define CELL_COPY_EPOCH (1ULL << 32)
-#define CELL_ID_SHIFT 48 /* the cell number sits above the count of ids */
 
 /* Jobs and tasks.  */
 struct cell_job *cell_new_job (struct cell *c, uint64_t id, cell_job_spec *spec,
--- a/src/gen/cell_proto_xdr.c
+++ b/src/gen/cell_proto_xdr.c
@@ -299,6 +299,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->request_hash))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->attempt))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -311,6 +313,8 @@
 		 return FALSE;
 	 if (!xdr_cell_name (xdrs, &objp->key))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->attempt))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->outcome))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->code))
@@ -547,6 +551,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->request_hash))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->attempt))
+			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->begun_ms))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
@@ -573,6 +579,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->request_hash))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->attempt))
+			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->begun_ms))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
@@ -600,6 +608,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->request_hash))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->attempt))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->begun_ms))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->finished))
