--- a/src/cell_internal.h
+++ b/src/cell_internal.h
@@ -6,6 +6,9 @@
 #include "cell.h"
 
 #define CELL_EPOCH_SHIFT 40 /* the cell epoch sits above the count of placements */
+/* Copies that start count from here, above the epochs that a returning owner gives under the same
+   cell epoch: two offers of one task never have the same epoch.  */
+#define CELL_COPY_EPOCH (1ULL << 32)
 
 /* Jobs and tasks.  */
 struct cell_job *cell_new_job (struct cell *c, uint64_t id, cell_job_spec *spec,
