--- a/src/gen/peer_proto.x
+++ b/src/gen/peer_proto.x
@@ -48,7 +48,8 @@
 struct raft_member
 {
   unsigned hyper node;
-  bool voter; /* a learner when false */
+  bool voter;           /* a learner when false */
+  unsigned hyper store; /* id of the store that may vote for this member */
 };
 
 struct raft_members
@@ -76,6 +77,7 @@
   unsigned hyper commit;
   bool granted;             /* replies: vote granted, append accepted, chunk stored */
   unsigned hyper round;     /* read-index and check-quorum round, echoed in replies */
+  unsigned hyper store;     /* vote requests: store the candidate expects; replies: the sender's */
   raft_entry entries<PEER_MAX_ENTRIES>;
   unsigned hyper chunk_offset;
   unsigned hyper chunk_total;
@@ -169,8 +171,9 @@
 {
   version SASSAFRAS_PEER_V1
   {
+    void PEER_NULL (void) = 0;      /* keepalive */
     peer_hello PEER_HELLO (peer_hello) = 1;
-    void PEER_RAFT (raft_message) = 2;
+    void PEER_RAFT (raft_message) = 2; /* one-way: never answered */
     propose_reply PEER_PROPOSE (propose_args) = 3;
     permit_grant PEER_PERMIT (permit_request) = 4;
     runner_digest_reply PEER_RUNNERS (runner_digest) = 5;
