--- a/src/gen/peer_proto.h
+++ b/src/gen/peer_proto.h
@@ -21,6 +21,7 @@
 #define PEER_MAX_MEMBERS 64
 #define PEER_MAX_RUNNERS 1024
 #define PEER_MAX_CELLS 64
+#define PEER_MAX_CUSTOMERS 256
 #define PEER_MESSAGE_BYTES 1200
 
 typedef char *peer_name;
@@ -169,19 +170,34 @@
 };
 typedef struct runner_entry runner_entry;
 
+struct customer_usage {
+	peer_name customer;
+	u_int lent;
+	u_int lent_rate;
+	bool_t wants;
+	bool_t wants_rate;
+};
+typedef struct customer_usage customer_usage;
+
 struct runner_digest {
 	u_quad_t table_version;
 	bool_t full;
 	u_quad_t base_version;
+	u_quad_t echo;
 	struct {
 		u_int runners_len;
 		runner_entry *runners_val;
 	} runners;
+	struct {
+		u_int usage_len;
+		customer_usage *usage_val;
+	} usage;
 };
 typedef struct runner_digest runner_digest;
 
 struct runner_digest_reply {
 	u_quad_t table_version;
+	u_quad_t asked;
 };
 typedef struct runner_digest_reply runner_digest_reply;
 
@@ -189,6 +205,9 @@
 #define SASSAFRAS_PEER_V1 1
 
 #if defined(__STDC__) || defined(__cplusplus)
+#define PEER_NULL 0
+extern  void * peer_null_1(void *, CLIENT *);
+extern  void * peer_null_1_svc(void *, struct svc_req *);
 #define PEER_HELLO 1
 extern  peer_hello * peer_hello_1(peer_hello *, CLIENT *);
 extern  peer_hello * peer_hello_1_svc(peer_hello *, struct svc_req *);
@@ -207,6 +226,9 @@
 extern int sassafras_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
+#define PEER_NULL 0
+extern  void * peer_null_1();
+extern  void * peer_null_1_svc();
 #define PEER_HELLO 1
 extern  peer_hello * peer_hello_1();
 extern  peer_hello * peer_hello_1_svc();
@@ -242,6 +264,7 @@
 extern  bool_t xdr_permit_request (XDR *, permit_request*);
 extern  bool_t xdr_permit_grant (XDR *, permit_grant*);
 extern  bool_t xdr_runner_entry (XDR *, runner_entry*);
+extern  bool_t xdr_customer_usage (XDR *, customer_usage*);
 extern  bool_t xdr_runner_digest (XDR *, runner_digest*);
 extern  bool_t xdr_runner_digest_reply (XDR *, runner_digest_reply*);
 
@@ -260,6 +283,7 @@
 extern bool_t xdr_permit_request ();
 extern bool_t xdr_permit_grant ();
 extern bool_t xdr_runner_entry ();
+extern bool_t xdr_customer_usage ();
 extern bool_t xdr_runner_digest ();
 extern bool_t xdr_runner_digest_reply ();
 
--- a/src/gen/peer_proto.x
+++ b/src/gen/peer_proto.x
@@ -8,6 +8,7 @@
 const PEER_MAX_MEMBERS = 64;
 const PEER_MAX_RUNNERS = 1024;
 const PEER_MAX_CELLS = 64;
+const PEER_MAX_CUSTOMERS = 256;
 const PEER_MESSAGE_BYTES = 1200;
 
 typedef string peer_name<PEER_NAME_BYTES>;
@@ -139,26 +140,41 @@
   bool departing;
 };
 
+/* Limits of one customer: what the sender lends the receiver of its own part, for 2 s from echo, and
+   whether the sender would borrow.  */
+struct customer_usage
+{
+  peer_name customer;
+  unsigned int lent;        /* requests in flight */
+  unsigned int lent_rate;   /* requests per second */
+  bool wants;
+  bool wants_rate;
+};
+
 /* All runners that announced to the sender.  An unchanged version with no runners renews them all. */
 struct runner_digest
 {
   unsigned hyper table_version;
   bool full;                /* runners is the whole table at this version */
   unsigned hyper base_version;
+  unsigned hyper echo;      /* asked of the receiver's last reply, 0 for none; lifetimes count from it */
   runner_entry runners<PEER_MAX_RUNNERS>;
+  customer_usage usage<PEER_MAX_CUSTOMERS>;
 };
 
 struct runner_digest_reply
 {
   unsigned hyper table_version;   /* what the receiver now holds; a mismatch asks for the full table */
+  unsigned hyper asked;           /* the receiver's clock, echoed by the next digest */
 };
 
 program SASSAFRAS_PEER
 {
   version SASSAFRAS_PEER_V1
   {
+    void PEER_NULL (void) = 0;      /* keepalive */
     peer_hello PEER_HELLO (peer_hello) = 1;
-    void PEER_RAFT (raft_message) = 2;
+    void PEER_RAFT (raft_message) = 2; /* one-way: never answered */
     propose_reply PEER_PROPOSE (propose_args) = 3;
     permit_grant PEER_PERMIT (permit_request) = 4;
     runner_digest_reply PEER_RUNNERS (runner_digest) = 5;
--- a/src/gen/peer_proto_xdr.c
+++ b/src/gen/peer_proto_xdr.c
@@ -303,6 +303,67 @@
 	return TRUE;
 }
 
+bool_t
+xdr_customer_usage (XDR *xdrs, customer_usage *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_peer_name (xdrs, &objp->customer))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->lent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->lent_rate))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->wants))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->wants_rate))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->lent);
+			IXDR_PUT_U_LONG(buf, objp->lent_rate);
+			IXDR_PUT_BOOL(buf, objp->wants);
+			IXDR_PUT_BOOL(buf, objp->wants_rate);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_peer_name (xdrs, &objp->customer))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->lent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->lent_rate))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->wants))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->wants_rate))
+				 return FALSE;
+		} else {
+			objp->lent = IXDR_GET_U_LONG(buf);
+			objp->lent_rate = IXDR_GET_U_LONG(buf);
+			objp->wants = IXDR_GET_BOOL(buf);
+			objp->wants_rate = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_peer_name (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->lent))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->lent_rate))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->wants))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->wants_rate))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_runner_digest (XDR *xdrs, runner_digest *objp)
 {
@@ -314,9 +375,14 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->base_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->echo))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->runners.runners_val, (u_int *) &objp->runners.runners_len, PEER_MAX_RUNNERS,
 		sizeof (runner_entry), (xdrproc_t) xdr_runner_entry))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->usage.usage_val, (u_int *) &objp->usage.usage_len, PEER_MAX_CUSTOMERS,
+		sizeof (customer_usage), (xdrproc_t) xdr_customer_usage))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -327,5 +393,7 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->table_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->asked))
+		 return FALSE;
 	return TRUE;
 }
--- /dev/null
+++ b/src/member_sync.h
@@ -0,0 +1,29 @@
+/* member_sync: brings the members of a group in line with a target list.
+
+   A change of members is asked for when the log's members differ from the target.  A voter that
+   answers from another store than the one that may vote has lost its disk: it becomes a learner
+   first, and the next change promotes its new store once it has caught up.  One change at a time; a
+   change that ends without success is asked for again.  */
+
+#ifndef SASSAFRAS_MEMBER_SYNC_H
+#define SASSAFRAS_MEMBER_SYNC_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "group.h"
+
+struct member_sync
+{
+  struct group *group;
+  const char *name; /* of the group, for log lines */
+  bool changing;
+  int64_t next_ms;
+};
+
+void member_sync_init (struct member_sync *m, struct group *g,
+                       const char *name); /* Nothing to close; G must outlive its changes. */
+void member_sync_tick (struct member_sync *m, raft_member *target, size_t count,
+                       int64_t now_ms); /* While leading; sorts TARGET. */
+
+#endif
