--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -23,7 +23,7 @@
 #define CTL_MAX_SERVERS 64
 #define CTL_MAX_VMS 256
 #define CTL_ADDRESS_BYTES 64
-#define CTL_TRY_MS 3000 /* one attempt, so that a silent server leaves time for the others */
+#define CTL_TRY_MS 1500 /* one attempt: a silent server leaves time for the others */
 #define CTL_POLL_MS 200 /* between two looks while a command waits */
 #define CTL_TIMEOUT_MS 15000
 #define CTL_TIME_BYTES 40
