--- a/src/scheduler_guard.c
+++ b/src/scheduler_guard.c
@@ -11,6 +11,8 @@
 #define SLOW_SAMPLES 2
 #define CALM_SAMPLES 4
 #define SETTLE_MS 1000 /* between an action and the first sample that can show its effect */
+#define MAX_ARRIVAL_LIMITS 8
+#define LEAST_KEPT 0.25 /* of its processors, for a task throttled by the estimate */
 #define OVERSIZE 1.15
 #define OVER_SAMPLES 2
 #define EVICT_SAMPLES 6
@@ -50,6 +52,15 @@
   return eviction_spent (&st->customer->budget, s->now_ms) + planned < budget;
 }
 
+static bool
+near_deadline (const struct scheduler *s, const struct sched_task *st)
+{
+  const struct cell_job *j = st->t->job;
+  int64_t now = cell_log_time (s->cell, s->now_ms);
+  return j->deadline_ms > 0
+         && now + (int64_t)sched_remaining_ms (st) + NEAR_DEADLINE_MS > j->deadline_ms;
+}
+
 void
 sched_candidate (struct scheduler *s, const struct sched_worker *w, struct sched_task *st,
                  struct eviction_candidate *out)
@@ -66,15 +77,13 @@
   if (since > 0 && !quick)
     out->lost_core_ms = (double)(s->now_ms - since) * (double)st->hold.millicores / 1000.0;
   out->harm = sched_harm_of (s, w, st);
-  int64_t now = cell_log_time (s->cell, s->now_ms);
-  out->near_deadline
-      = t->job->deadline_ms > 0
-        && now + (int64_t)sched_remaining_ms (st) + NEAR_DEADLINE_MS > t->job->deadline_ms;
+  out->near_deadline = near_deadline (s, st);
 }
 
-/* The running batch task that adds most to the slowdown.  */
+/* The running batch task that adds most to the slowdown; SPARE_DEADLINES passes over those that
+   have a deadline.  */
 static struct sched_task *
-worst_neighbour (struct scheduler *s, const struct sched_worker *w)
+worst_neighbour (struct scheduler *s, const struct sched_worker *w, bool spare_deadlines)
 {
   struct sched_task *worst = NULL;
   double worst_harm = 0;
@@ -83,6 +92,8 @@
   {
     if (sched_is_urgent (st) || st->t->state != CELL_RUNNING || st->want_stop != CELL_STOP_NONE)
       continue;
+    if (spare_deadlines && st->t->job->deadline_ms > 0)
+      continue;
     double harm = sched_harm_of (s, w, st);
     if (harm > worst_harm)
       {
@@ -96,7 +107,7 @@
 static void
 escalate (struct scheduler *s, struct sched_worker *w, uint32_t slowdown)
 {
-  struct sched_task *st = worst_neighbour (s, w);
+  struct sched_task *st = worst_neighbour (s, w, false);
   if (!st)
     return;
   w->action_at_ms = s->now_ms;
@@ -110,6 +121,36 @@
     sched_limit (s, st, SCHED_LIMIT_HARM, hold / 8);
 }
 
+/* Largest slowdown that ST adds to one service on W.  */
+static double
+worst_harm_of (const struct scheduler *s, const struct sched_worker *w, const struct sched_task *st)
+{
+  double total = (double)w->total.millicores;
+  double worst = 0;
+  for (size_t i = 0; i < w->service_count; i++)
+    worst = fmax (worst, interference_coefficient (s->model, w->services[i].id, st->cls->id,
+                                                   w->used_millicores / total));
+  return worst * st->mix_use / total;
+}
+
+/* An urgent task had to start beside noisy ones: they are throttled by the estimate, before the
+   first lagging sample shows the harm, and no further than the estimate asks for.  */
+void
+sched_guard_arrival (struct scheduler *s, struct sched_worker *w)
+{
+  for (int i = 0; i < MAX_ARRIVAL_LIMITS; i++)
+    {
+      double excess = sched_worst_predicted (s, w) - INTERFERENCE_TARGET;
+      struct sched_task *st = excess > 0 ? worst_neighbour (s, w, true) : NULL;
+      double harm = st ? worst_harm_of (s, w, st) : 0;
+      if (!st || harm <= 0 || st->limit == SCHED_LIMIT_HARM)
+        return;
+      double keep = fmax (1 - excess / harm, LEAST_KEPT);
+      sched_limit (s, st, SCHED_LIMIT_HARM, (uint32_t)(keep * st->mix_use));
+      w->action_at_ms = s->now_ms;
+    }
+}
+
 /* Lifts one throttle, if the estimate says that the urgent tasks can bear it.  */
 static void
 relax (struct scheduler *s, struct sched_worker *w)
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -314,12 +314,16 @@
                          const struct sched_task *st);
 double sched_harm_urgent (struct scheduler *s, const struct sched_worker *w,
                           const struct sched_task *st);
+double sched_worst_predicted (const struct scheduler *s,
+                              const struct sched_worker *w); /* Over the services on W. */
 double sched_harm_of (struct scheduler *s, const struct sched_worker *w,
                       const struct sched_task *st); /* Slowdown a running batch task adds. */
 
 /* scheduler_guard.c */
 void sched_guard_poll (struct scheduler *s, struct sched_worker *w,
                        const struct worker_poll *p); /* Harm and oversize. */
+void sched_guard_arrival (struct scheduler *s,
+                          struct sched_worker *w); /* An urgent task was placed on W. */
 void sched_limit (struct scheduler *s, struct sched_task *st, enum sched_limit why,
                   uint32_t millicores); /* Throttles; SCHED_LIMIT_NONE lifts. */
 bool sched_may_evict (const struct scheduler *s, const struct sched_task *st,
--- a/src/scheduler_learn.c
+++ b/src/scheduler_learn.c
@@ -117,6 +117,18 @@
   return slowdown > INTERFERENCE_TARGET ? PLACEMENT_REFUSED : slowdown - 1;
 }
 
+double
+sched_worst_predicted (const struct scheduler *s, const struct sched_worker *w)
+{
+  struct interference_load mix[SCHED_MIX];
+  size_t count = mix_of (w, mix);
+  double load = w->used_millicores / (double)w->total.millicores;
+  double worst = 1;
+  for (size_t i = 0; i < w->service_count; i++)
+    worst = fmax (worst, interference_predict (s->model, w->services[i].id, mix, count, load));
+  return worst;
+}
+
 double
 sched_harm_of (struct scheduler *s, const struct sched_worker *w, const struct sched_task *st)
 {
--- a/src/scheduler_place.c
+++ b/src/scheduler_place.c
@@ -124,7 +124,11 @@
   sched_unreserve (s, st);
   sched_hold (s, st, w);
   if (sched_is_urgent (st))
-    s->demand_now += (double)st->hold.millicores;
+    {
+      s->demand_now += (double)st->hold.millicores;
+      if (!sched_policy (s, SCHEDULER_NO_LEARNING))
+        sched_guard_arrival (s, w);
+    }
   if (w->health.quarantined)
     {
       worker_health_probe (&w->health);
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -29,6 +29,8 @@
 {
   (void)ctx;
   *out = quota;
+  if (strcmp (customer, "kigali") == 0)
+    out->weight = 3 * quota.weight;
   return strcmp (customer, "stranger") != 0;
 }
 
@@ -420,6 +422,44 @@
   close_cell ();
 }
 
+static void
+test_customers_share_by_weight (void **state)
+{
+  (void)state;
+  open_cell (4, 8000);
+  for (int i = 0; i < 400; i++)
+    submit_as (i % 2 ? "huron" : "kigali", CELL_BATCH, 1, 1000, "run=3000");
+  run_for (12000);
+  uint32_t kigali = 0;
+  uint32_t all = 0;
+  const struct cell_job *j;
+  TAILQ_FOREACH (j, &cell.job_list, link)
+  if (cell_job_state (j) == CELL_RUNNING)
+    {
+      all++;
+      kigali += strcmp (j->spec.customer, "kigali") == 0;
+    }
+  assert_true (all >= 28);
+  assert_in_range (kigali * 100 / all, 65, 85);
+  close_cell ();
+}
+
+static void
+test_crash_loop_backs_off_and_ends (void **state)
+{
+  (void)state;
+  open_cell (8, 4000);
+  uint64_t job = submit (CELL_URGENT, 1, 1000, "run=600000 fail=100");
+  run_for (20000);
+  uint64_t starts = 0;
+  for (size_t i = 0; i < worker_count; i++)
+    starts += workers[i].started;
+  assert_in_range (starts, 3, 7);
+  run_for (300000);
+  assert_int_equal (state_of (job), CELL_FAILED);
+  close_cell ();
+}
+
 static void
 test_stale_messages_are_refused (void **state)
 {
@@ -630,6 +670,8 @@
     cmocka_unit_test (test_no_start_of_a_placement_that_is_given_up),
     cmocka_unit_test (test_worker_comes_back_smaller),
     cmocka_unit_test (test_large_task_meets_its_deadline_among_small_ones),
+    cmocka_unit_test (test_customers_share_by_weight),
+    cmocka_unit_test (test_crash_loop_backs_off_and_ends),
     cmocka_unit_test (test_stale_messages_are_refused),
     cmocka_unit_test (test_bad_worker_is_quarantined_and_probed),
     cmocka_unit_test (test_bad_job_ends_failed),
