Keep the connection of a refused caller; bound the memory of open requests

Cause: an answer before the end of the request makes libmicrohttpd close the connection, so every refusal under overload cost the caller a new one. Change: bodies of up to 64 KiB are read first. Open requests are limited to 1200, which keeps their buffers under 256 MB in the worst case.

--- a/bench/request_loopback.c
+++ b/bench/request_loopback.c
@@ -1,11 +1,12 @@
 /* Measures the real proxy on loopback: one entry process, a few runner stand-ins, and callers on
    keep-alive connections, each sending its next request when the answer is whole.
 
-   Usage: bench_request_loopback [REQUESTS [CONNECTIONS [BYTES [METHOD]]]]
+   Usage: bench_request_loopback [REQUESTS [CONNECTIONS [BYTES [METHOD [CUSTOMER]]]]]
 
-   Prints requests per second of wall clock and per second of the entry's processor time, latencies,
-   and the entry's resident memory along the way.  Under valgrind --tool=callgrind the file named by
-   the printed pid of the entry holds its instructions.  */
+   Customer "small" may have one request at a time: the others are refused, which shows what a
+   refusal costs.  Prints requests per second of wall clock and per second of the entry's processor
+   time, latencies, and the entry's resident memory along the way.  Under valgrind --tool=callgrind
+   the file named by the printed pid of the entry holds its instructions.  */
 #include "../tests/proxy_fixture.h"
 
 #include <fcntl.h>
@@ -186,13 +187,14 @@
   b.connections = argc > 2 ? (int)strtol (argv[2], NULL, 10) : 32;
   long bytes = argc > 3 ? strtol (argv[3], NULL, 10) : 500;
   const char *method = argc > 4 ? argv[4] : "GET";
+  const char *customer = argc > 5 ? argv[5] : "huron";
   if (b.total < REPORTS || b.connections < 1 || b.connections > MAX_CONNECTIONS)
     return 2;
   b.latencies = xcalloc ((size_t)b.total, sizeof *b.latencies);
   b.request_len = (size_t)snprintf (b.request, sizeof b.request,
                                     "%s /v1/call/echo/price?bytes=%ld HTTP/1.1\r\nHost: entry\r\n"
-                                    "Sassafras-Customer: huron\r\nContent-Length: 0\r\n\r\n",
-                                    method, bytes);
+                                    "Sassafras-Customer: %s\r\nContent-Length: 0\r\n\r\n",
+                                    method, bytes, customer);
   b.entry = start_entry ();
   for (int i = 0; i < BENCH_RUNNERS; i++)
     runners[i] = start_runner (&b.entry, NULL);
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -9,7 +9,7 @@
 #include "counters.h"
 #include "log.h"
 
-#define MAX_REQUESTS 8192
+#define MAX_REQUESTS 1200     /* with buffers of up to 192 KiB each, under 256 MB in all */
 #define TICK_S 0.02           /* queues are looked at this often at least */
 #define RUNNER_CONNECTIONS 64 /* that a runner takes from all entries */
 
--- a/src/proxy_caller.c
+++ b/src/proxy_caller.c
@@ -95,7 +95,7 @@
 static void
 add_common_headers (struct proxy_call *call)
 {
-  if (call->proxy->draining)
+  if (call->proxy->draining || call->request.fault)
     MHD_add_response_header (call->response, "Connection", "close");
 }
 
@@ -469,6 +469,17 @@
   return MHD_YES;
 }
 
+/* MHD closes the connection after an answer that comes before the body was read.  An overloaded
+   entry would then spend more on new connections than on refusals, so a short body is read first.
+ */
+static bool
+body_is_short (const struct proxy_call *call)
+{
+  const struct head *h = &call->request;
+  return !h->fault && !h->chunked && h->content_length <= PROXY_BODY_BYTES
+         && (h->content_length <= 0 || !header (call, "Expect"));
+}
+
 static enum MHD_Result
 on_access (void *arg, struct MHD_Connection *connection, const char *url, const char *method,
            const char *version, const char *data, size_t *size, void **user)
@@ -482,7 +493,7 @@
   if (!call->parsed)
     {
       begin_call (call, method, version);
-      return call->response ? queue_answer (call) : MHD_YES;
+      return call->response && !body_is_short (call) ? queue_answer (call) : MHD_YES;
     }
   if (*size > 0)
     return take_body (call, data, size);
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -410,6 +410,32 @@
   free_reply (&r);
 }
 
+/* Under overload a refusal must not cost the caller its connection.  */
+static void
+test_refusal_keeps_the_connection (void **state)
+{
+  (void)state;
+  struct buffer in = { 0 };
+  int fd = dial (entry.port);
+  for (int i = 0; i < 6; i++)
+    {
+      char request[512];
+      struct reply r;
+      int size = i % 3 * 100;
+      snprintf (request, sizeof request,
+                "POST /v1/call/echo/x HTTP/1.1\r\nHost: e\r\nSassafras-Customer: %s\r\n"
+                "Content-Length: %d\r\n\r\n%0*d",
+                i < 4 ? "stranger" : "huron", size, size, 0);
+      assert_true (send_all (fd, request, strlen (request) - (size == 0)));
+      read_reply (fd, &in, &r, false);
+      assert_int_equal (r.code, i < 4 ? 403 : 200);
+      assert_true (r.whole);
+      free_reply (&r);
+    }
+  buffer_close (&in);
+  close (fd);
+}
+
 /* PARALLEL requests at once; returns how many were answered whole with 200.  */
 static int
 round_of_requests (int port, const char *method, int ms)
@@ -540,6 +566,7 @@
     cmocka_unit_test (test_late_answers_are_dropped),
     cmocka_unit_test (test_slow_caller_holds_little_memory),
     cmocka_unit_test (test_limits_of_customers),
+    cmocka_unit_test (test_refusal_keeps_the_connection),
     cmocka_unit_test (test_many_requests_share_connections),
     cmocka_unit_test (test_departure_under_load),
     cmocka_unit_test (test_dead_runner_is_retried),
