--- a/src/scheduler_task.c
+++ b/src/scheduler_task.c
@@ -111,9 +111,8 @@
     more.memory_mb = want->memory_mb - st->hold.memory_mb;
   const struct scheduler_quota *q = &st->customer->quota;
   const struct order_amount *used = &st->customer->used;
-  if ((q->max_millicores && used->millicores + more.millicores > q->max_millicores)
-      || (q->max_memory_mb && used->memory_mb + more.memory_mb > q->max_memory_mb)
-      || !sched_fits (w, &more, NULL))
+  if (used->millicores + more.millicores > q->max_millicores
+      || used->memory_mb + more.memory_mb > q->max_memory_mb || !sched_fits (w, &more, NULL))
     return false;
   sched_mix_remove (w, st);
   add (&w->held, &more);
