--- a/tests/test_peer_net.c
+++ b/tests/test_peer_net.c
@@ -37,6 +37,7 @@
   uint64_t last_term;
   int proposals;
   struct peer_info last_hello;
+  void (*on_raft) (void *arg, const struct peer_info *from, const raft_message *m);
   bool hold; /* keep the reply handle instead of answering */
   struct peer_reply *held;
 };
@@ -53,6 +54,11 @@
 {
   struct end *e = arg;
   assert_int_equal (from->node, m->from);
+  if (e->on_raft)
+    {
+      e->on_raft (arg, from, m);
+      return;
+    }
   e->raft++;
   assert_true (m->term > e->last_term);
   e->last_term = m->term;
@@ -592,6 +598,90 @@
   close_end (&b);
 }
 
+/* A process that was held up, or a VM that was suspended for a moment, must first read what its
+   peers sent meanwhile before it may call them silent.  */
+static void
+test_late_tick (void **state)
+{
+  struct end a;
+  struct end b;
+  (void)state;
+  open_pair (&a, &b);
+  manual_clock_advance (&clk, PEER_SILENCE_MS + 1000);
+  step (2000);
+  assert_int_equal (a.losses + b.losses, 0);
+  assert_int_equal (info_of (&a, 2).stats.connects, 1);
+  close_end (&a);
+  close_end (&b);
+}
+
+static void
+remove_sender (void *arg, const struct peer_info *from, const raft_message *m)
+{
+  struct end *e = arg;
+  (void)m;
+  e->raft++;
+  peer_net_remove_peer (e->net, from->name);
+  assert_string_equal (from->name, "vm-b"); /* still readable after the removal */
+}
+
+/* A handler may remove the very peer it was called for; a removed peer is a stranger, and a peer
+   that moved is found at its new address.  */
+static void
+test_changes_of_the_list (void **state)
+{
+  struct end a;
+  struct end b;
+  struct outcome o;
+  (void)state;
+  open_pair (&a, &b);
+  a.on_raft = remove_sender;
+  send_raft (&b, 2, 1, 1, 10);
+  send_raft (&b, 2, 1, 2, 10);
+  propose (&a, 2, &o);
+  step (STEP_MS);
+  assert_int_equal (a.raft, 1);
+  assert_true (o.calls == 1 && o.kind != STATUS_OK);
+  assert_int_equal (peer_net_peer_count (a.net), 0);
+  step (3000);
+  assert_false (connected (&b, 1));
+  assert_true (peer_net_refused (a.net) > 0);
+  set_peer_port (&a, "vm-b", 2, 9);
+  await_connected (&b, 1);
+  assert_false (connected (&a, 2));
+  set_peer_port (&a, "vm-b", 2, peer_net_port (b.net));
+  await_connected (&a, 2);
+  close_end (&a);
+  close_end (&b);
+}
+
+/* Peers that are down are dialed with growing, jittered pauses, at most 2 s apart.  */
+static void
+test_backoff (void **state)
+{
+  struct end a;
+  int port;
+  int accepted = 0;
+  (void)state;
+  open_end (&a, "huron", "vm-a", 1, 100);
+  int listen_fd = raw_listen (&port);
+  set_peer_port (&a, "vm-b", 2, port);
+  for (int i = 0; i < 200; i++)
+    {
+      step (STEP_MS);
+      int fd = accept (listen_fd, NULL, NULL);
+      if (fd >= 0)
+        {
+          accepted++;
+          close (fd);
+        }
+    }
+  /* 20 s: a pause is 1 to 2 s once it has grown, so 10 to 20 dials and a few quick ones.  */
+  assert_in_range (accepted, 10, 26);
+  close (listen_fd);
+  close_end (&a);
+}
+
 static int
 set_up (void **state)
 {
@@ -624,6 +714,9 @@
     cmocka_unit_test_setup_teardown (test_idle_traffic, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_garbage, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_idle_strangers, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_late_tick, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_changes_of_the_list, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_backoff, set_up, tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
