Confirm leadership less often when nothing depends on it

Cause: an idle leader of the registry and a cell sent 5,526 B/s, over the aim of 4 KB/s per VM: each permit request started a quorum round, and a cell without workers confirmed its leader twice a second. Change: a round that began at most 0.9 s ago answers further permit requests (the permit is shortened by its age), and a cell confirms every 0.8 s and only while it has workers.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -15,11 +15,21 @@
 VMS=()
 DCS=()
 
+# True when a socket is open on 127.NET.*.*; /proc/net/tcp has addresses in hexadecimal, last byte
+# first.
+net_in_use ()
+{
+  grep -q "[0-9A-F]\{4\}$(printf '%02X' "$1")7F:" /proc/net/tcp
+}
+
 cluster_init ()
 {
   BUILD=$(cd "$1" && pwd)
   NET=$((1 + $$ % 250))
-  WORK=$(mktemp -d "${TMPDIR:-/tmp}/sassafras.XXXXXX")
+  while net_in_use "$NET"; do
+    NET=$((1 + NET % 250))
+  done
+  WORK=$(mktemp -d "${TMPDIR:-/tmp}/loopback-cluster.XXXXXX")
   trap cluster_stop EXIT
 }
 
--- a/src/cell_service.c
+++ b/src/cell_service.c
@@ -10,8 +10,8 @@
 #include "log.h"
 #include "member_sync.h"
 
-#define CONFIRM_EVERY_MS 500  /* quorum rounds while this VM leads */
-#define CONFIRMED_FOR_MS 1000 /* no node elects another leader this soon after a round began */
+#define CONFIRM_EVERY_MS 800  /* quorum rounds while this VM leads and has workers */
+#define CONFIRMED_FOR_MS 1100 /* no node elects another leader this soon after a round began */
 #define PERMIT_TIMEOUT_MS 1000
 #define CLOSE_RETRY_MS 500
 #define MAX_DRAIN_ROUNDS 64 /* proposals may end at once and cause others */
@@ -322,10 +322,18 @@
     scheduler_confirm (s->scheduler, s->round_began_ms + CONFIRMED_FOR_MS);
 }
 
+static bool
+has_workers (const struct cell_service *s)
+{
+  struct scheduler_stats stats;
+  scheduler_stats (s->scheduler, &stats);
+  return stats.workers > 0;
+}
+
 static void
 confirm_leadership (struct cell_service *s, int64_t now_ms)
 {
-  if (s->round_open || now_ms < s->next_round_ms)
+  if (s->round_open || now_ms < s->next_round_ms || (s->leading && !has_workers (s)))
     return;
   s->round_open = true;
   s->round_began_ms = now_ms;
--- a/src/registry_service.c
+++ b/src/registry_service.c
@@ -40,6 +40,7 @@
   struct waiter_list in_round; /* for the round in flight */
   bool round_open;
   int64_t round_began_ms;
+  int64_t confirmed_ms; /* begin of the last round that a quorum answered */
   struct member_sync members;
   bool proposing;
   int64_t next_proposal_ms;
@@ -146,7 +147,10 @@
   (void)len;
   s->round_open = false;
   if (status_ok (st))
-    permit_granter_confirm (s->granter, s->round_began_ms);
+    {
+      permit_granter_confirm (s->granter, s->round_began_ms);
+      s->confirmed_ms = s->round_began_ms;
+    }
   answer_all (s, &s->in_round, status_ok (st));
   start_round (s);
 }
@@ -194,6 +198,11 @@
       return;
     }
   note_capacity (s, request);
+  if (s->confirmed_ms && clock_now_ms (s->config.clock) - s->confirmed_ms <= PERMIT_ROUND_REUSE_MS)
+    {
+      answer_waiter (s, w, true);
+      return;
+    }
   STAILQ_INSERT_TAIL (&s->waiting, w, link);
   start_round (s);
 }
@@ -209,6 +218,7 @@
   else
     {
       permit_granter_step_down (s->granter);
+      s->confirmed_ms = 0;
       answer_all (s, &s->waiting, false);
     }
 }
--- a/src/registry_service.h
+++ b/src/registry_service.h
@@ -4,8 +4,10 @@
    members, grants start permits, records when an out command is in force, and brings the members
    of the group in line with the members in the registry.
 
-   Permits: a request is answered after a quorum round that began after the request came in, so
-   that a leader that was replaced without noticing grants nothing.  */
+   Permits: a leader that was replaced without noticing must grant nothing, so a request is answered
+   on the strength of a quorum round that began at most PERMIT_ROUND_REUSE_MS ago; permit_granter
+   shortens the permit by the age of the round.  The number of rounds thus does not grow with the
+   number of cells.  */
 
 #ifndef SASSAFRAS_REGISTRY_SERVICE_H
 #define SASSAFRAS_REGISTRY_SERVICE_H
@@ -21,6 +23,8 @@
 #include "peer_proto.h"
 #include "registry.h"
 
+#define PERMIT_ROUND_REUSE_MS 900
+
 struct registry_service;
 
 struct registry_service_config
