Mend the faults that the models of tasks, permits and requests showed

A new leader of a cut-off cell renewed covered tasks for another 20 s, longer than the wait before their standby copies start: it now starts without a grace (test_new_leader_without_permit_renews_no_covered_task fails before, passes after). A worker that still runs a task of a closed epoch gets no covered lease. A cell acknowledges an out command only when no start command sent before can still be obeyed. A repeat whose home cell is not reachable is told that it is unknown whether the request ran, since an earlier attempt may have.

Also: a VM's incarnation grows when its clock steps back; a single voter confirms its leadership (a one-VM deployment never started tasks); jobs above the plan's largest task or every worker shape are refused; a drained VM fails its health check and hands its groups over.

--- a/src/cell_service.c
+++ b/src/cell_service.c
@@ -51,7 +51,8 @@
   bool closing_epoch;
   int64_t next_close_ms;
   bool stopped_proposing;
-  uint64_t stopped_version; /* state version that was acknowledged */
+  int64_t starts_valid_until_ms; /* of start commands sent before the data centre was out */
+  uint64_t stopped_version;      /* state version that was acknowledged */
   bool transferring;
   struct member_sync members;
   struct cell_map polls;
@@ -146,14 +147,32 @@
 }
 
 /* Refuses jobs that can never run before they are in the log.  */
+/* The plan may allow less than the largest worker: a task above it would wait for ever.  */
+static int
+check_plan (const struct cell_service *s, const cell_job_spec *spec, struct status *st)
+{
+  const struct plan *p = plans_for_customer (registry_plans (s->config.registry), spec->customer);
+  const struct plan_size size = { .millicores = spec->size.millicores,
+                                  .memory_mb = spec->size.memory_mb,
+                                  .accelerators = spec->size.accelerators };
+  if (!p)
+    return status_set (st, STATUS_UNKNOWN_CUSTOMER, "customer '%s' is not in the list of customers",
+                       spec->customer);
+  return plans_task_fits (registry_plans (s->config.registry), p, &size, spec->kind == CELL_URGENT,
+                          st)
+             ? 0
+             : -1;
+}
+
 static int
 admit_jobs (struct cell_service *s, const cell_batch *batch, struct status *st)
 {
   for (u_int i = 0; i < batch->commands.commands_len; i++)
     {
       const cell_command *c = &batch->commands.commands_val[i];
+      const cell_job_spec *spec = &c->cell_command_u.submit;
       if (c->kind == CELL_SUBMIT
-          && scheduler_admit (s->scheduler, &c->cell_command_u.submit, st) < 0)
+          && (check_plan (s, spec, st) < 0 || scheduler_admit (s->scheduler, spec, st) < 0))
         return -1;
     }
   return 0;
@@ -300,7 +319,6 @@
 {
   s->leading = true;
   s->transferring = false;
-  cell_set_leader_time (&s->cell, now_ms);
   scheduler_lead (s->scheduler, now_ms, true);
   cell_transfers_lead (s->transfers, true);
   log_line (LOG_INFO, "cell %s: this VM leads in term %llu", s->config.data_centre,
@@ -424,13 +442,29 @@
   s->stopped_proposing = false;
 }
 
+/* True while a start command that was already sent may still be obeyed.  */
+static bool
+start_outstanding (const struct cell_service *s, int64_t now_ms)
+{
+  const struct cell_job *job;
+  const struct cell_task *task;
+  if (now_ms >= s->starts_valid_until_ms)
+    return false;
+  TAILQ_FOREACH (job, &s->cell.job_list, link)
+  STAILQ_FOREACH (task, &job->tasks, link)
+  if (task->state == CELL_PLACED || task->state == CELL_STOPPING)
+    return true;
+  return false;
+}
+
 /* Tells the registry that this cell starts no more tasks since the data centre is out.  */
 static void
-acknowledge_out (struct cell_service *s, const registry_data_centre *dc)
+acknowledge_out (struct cell_service *s, const registry_data_centre *dc, int64_t now_ms)
 {
   struct buffer encoded;
   struct status st;
-  if (s->stopped_proposing || dc->stopped_version == dc->state_version)
+  if (s->stopped_proposing || dc->stopped_version == dc->state_version
+      || start_outstanding (s, now_ms))
     return;
   registry_command command = { .request_id = (char *)"" };
   command.body.kind = REGISTRY_STOPPED;
@@ -482,11 +516,14 @@
   if (!dc)
     return;
   if (dc->out && !s->out)
-    permit_holder_stop (&s->permit, now_ms);
+    {
+      s->starts_valid_until_ms = now_ms + permit_holder_left_ms (&s->permit, now_ms);
+      permit_holder_stop (&s->permit, now_ms);
+    }
   s->out = dc->out;
   scheduler_data_centre (s->scheduler, now_ms, dc->out);
   if (dc->out)
-    acknowledge_out (s, dc);
+    acknowledge_out (s, dc, now_ms);
   follow_cell_epoch (s, dc, now_ms);
 }
 
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -150,7 +150,6 @@
   d->loop = ev_default_loop (0);
   d->clock = clock_real ();
   d->node = settings->node;
-  d->incarnation = (uint64_t)clock_wall_ms ();
   d->self = members_find (&settings->members, settings->vm);
   d->disk = settings->data_dir[0] != '\0';
   rng_init (&d->rng, random_seed ());
@@ -180,8 +179,8 @@
   open_registry (d);
   if (!d->self)
     status_set (st, STATUS_INVALID_SETTING, "vm '%s' is not in the members file", settings->vm);
-  if (!d->self || daemon_open_requests (d, st) < 0 || daemon_open_http (d, st) < 0
-      || daemon_open_peers (d, st) < 0)
+  if (!d->self || daemon_take_incarnation (d, st) < 0 || daemon_open_requests (d, st) < 0
+      || daemon_open_http (d, st) < 0 || daemon_open_peers (d, st) < 0)
     {
       daemon_close (d);
       return NULL;
--- a/src/daemon_groups.c
+++ b/src/daemon_groups.c
@@ -10,7 +10,8 @@
 #include "home_cell.h"
 #include "log.h"
 
-#define MAX_FLUSH_ROUNDS 8 /* results of one flush often cause another proposal */
+#define HANDOVER_EVERY_MS 2000 /* attempts of a drained VM to hand its groups over */
+#define MAX_FLUSH_ROUNDS 8     /* results of one flush often cause another proposal */
 
 static struct counter raft_out
     = { .name = "sassafras_raft_messages_sent_total", .help = "Raft messages sent to peers." };
@@ -250,11 +251,11 @@
 list_data_centres (const struct daemon *d, const char **out)
 {
   const struct member_list *all = &d->settings->members;
-  const registry_member **sorted = xcalloc (all->count, sizeof *sorted);
+  const registry_member **sorted = xcalloc (all->count, sizeof (const registry_member *));
   size_t n = 0;
   for (size_t i = 0; i < all->count; i++)
     sorted[i] = &all->items[i];
-  qsort (sorted, all->count, sizeof *sorted, compare_nodes);
+  qsort (sorted, all->count, sizeof (const registry_member *), compare_nodes);
   for (size_t i = 0; i < all->count; i++)
     {
       size_t k = 0;
@@ -371,18 +372,6 @@
       }
 }
 
-void
-daemon_tick_groups (struct daemon *d, int64_t now_ms)
-{
-  for (size_t i = 0; i < d->group_count; i++)
-    group_tick (d->groups[i].group, now_ms);
-  note_state (d);
-  registry_service_tick (d->registry_service, now_ms);
-  for (size_t i = 0; i < d->cell_count; i++)
-    cell_service_tick (d->cells[i], now_ms);
-  proposal_router_tick (d->proposals, now_ms);
-}
-
 void
 daemon_follow_members (struct daemon *d)
 {
@@ -398,6 +387,39 @@
     }
 }
 
+bool
+daemon_is_draining (const struct daemon *d)
+{
+  const registry_member *self = registry_find_node (d->registry, d->node);
+  return self && self->draining;
+}
+
+/* A VM that is drained leads nothing; a group without another voter keeps its leader.  */
+static void
+leave_leadership (struct daemon *d, int64_t now_ms)
+{
+  struct status st;
+  if (!daemon_is_draining (d) || now_ms < d->next_handover_ms)
+    return;
+  d->next_handover_ms = now_ms + HANDOVER_EVERY_MS;
+  for (size_t i = 0; i < d->group_count; i++)
+    if (group_is_leader (d->groups[i].group))
+      group_transfer (d->groups[i].group, 0, &st);
+}
+
+void
+daemon_tick_groups (struct daemon *d, int64_t now_ms)
+{
+  for (size_t i = 0; i < d->group_count; i++)
+    group_tick (d->groups[i].group, now_ms);
+  note_state (d);
+  registry_service_tick (d->registry_service, now_ms);
+  for (size_t i = 0; i < d->cell_count; i++)
+    cell_service_tick (d->cells[i], now_ms);
+  proposal_router_tick (d->proposals, now_ms);
+  leave_leadership (d, now_ms);
+}
+
 bool
 daemon_leads (const struct daemon *d)
 {
--- a/src/daemon_http.c
+++ b/src/daemon_http.c
@@ -59,6 +59,8 @@
   struct group_stats stats;
   if (d->stopping)
     return "stopping";
+  if (daemon_is_draining (d))
+    return "draining";
   if (!d->groups_open)
     return "waiting to learn whether the groups exist";
   if (registry_applied (d->registry) == 0)
--- a/src/daemon_internal.h
+++ b/src/daemon_internal.h
@@ -76,8 +76,13 @@
   bool stopping;
   bool proxy_drained;
   int64_t stop_deadline_ms;
+  int64_t next_handover_ms; /* while this VM is drained */
 };
 
+/* daemon_identity.c */
+int daemon_take_incarnation (struct daemon *d,
+                             struct status *st); /* Grows with every start of this VM. */
+
 /* daemon_groups.c */
 int daemon_open_peers (struct daemon *d, struct status *st); /* Transport and bootstrap. */
 int daemon_bootstrap (struct daemon *d, struct status *st);  /* Opens the groups once it may. */
@@ -86,6 +91,7 @@
 void daemon_close_groups (struct daemon *d);                 /* Groups, then their services. */
 void daemon_follow_members (struct daemon *d);               /* Addresses of the peers. */
 bool daemon_leads (const struct daemon *d);                  /* Any group. */
+bool daemon_is_draining (const struct daemon *d);            /* Operators drain this VM. */
 void daemon_transfer_leadership (struct daemon *d);          /* All groups led here. */
 
 /* daemon_requests.c */
--- a/src/proxy_intent.c
+++ b/src/proxy_intent.c
@@ -63,7 +63,9 @@
       call_fail (call, STATUS_BAD_REQUEST, "the Idempotency-Key stands for a different request");
       break;
     case INTENT_UNAVAILABLE:
-      call_fail (call, STATUS_NO_QUORUM, "the intent cannot be recorded now");
+      /* This attempt was not sent, but an earlier one with the same key may have run.  */
+      caller_reply_error (call, STATUS_NO_QUORUM, RAN_UNKNOWN, 0,
+                          "the intent cannot be recorded now; this attempt was not sent");
       break;
     }
 }
--- a/src/raft_leader.c
+++ b/src/raft_leader.c
@@ -319,6 +319,9 @@
 bool
 raft_wants_to_send (const struct raft *r)
 {
+  /* Also without other voters: a single voter confirms a round by itself.  */
+  if (r->round_open)
+    return true;
   for (size_t i = 0; i < r->peers_len; i++)
     {
       const struct raft_peer *p = &r->peers[i];
@@ -328,7 +331,7 @@
             return true;
           continue;
         }
-      if (p->send_now || window_open (r, p) || (p->voter && r->round_open))
+      if (p->send_now || window_open (r, p))
         return true;
     }
   return false;
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -336,7 +336,8 @@
     return;
   clear (s);
   s->leading = leader;
-  s->permit_until_ms = now_ms;
+  /* Without a permit of its own a new leader renews no task that may be started elsewhere.  */
+  s->permit_until_ms = now_ms - CELL_CUT_OFF_GRACE_MS;
   s->permit_lapsed = true;
   s->confirmed_until_ms = now_ms;
   if (!leader)
--- a/src/scheduler_answer.c
+++ b/src/scheduler_answer.c
@@ -146,6 +146,17 @@
     answer_running (s, st);
 }
 
+/* True while a task whose standby copy owns the work has not stopped: its lease must run out.  */
+static bool
+runs_closed_task (const struct sched_worker *w)
+{
+  const struct sched_task *st;
+  TAILQ_FOREACH (st, &w->tasks, link)
+  if (st->t->state == CELL_STOPPING && st->t->stop == CELL_STOP_CLOSED)
+    return true;
+  return false;
+}
+
 int
 scheduler_answer (struct scheduler *s, int64_t now_ms, const char *worker,
                   struct worker_answer *out, struct status *st)
@@ -176,7 +187,7 @@
   int64_t covered = s->permit_until_ms + CELL_CUT_OFF_GRACE_MS - s->now_ms;
   if (covered > SCHEDULER_LEASE_MS)
     covered = SCHEDULER_LEASE_MS;
-  out->covered_lease_ms = covered > 0 ? (uint32_t)covered : 0;
+  out->covered_lease_ms = covered > 0 && !runs_closed_task (w) ? (uint32_t)covered : 0;
   if (w->lease_until_ms < w->handled_ms + SCHEDULER_LEASE_MS)
     w->lease_until_ms = w->handled_ms + SCHEDULER_LEASE_MS;
   return 0;
--- a/standins/worker.c
+++ b/standins/worker.c
@@ -340,11 +340,10 @@
   if (answer->code == 200 && status_ok (&answer->status))
     {
       json_t *body = json_loadb (answer->body.data, answer->body.len, 0, NULL);
-      size_t i;
-      json_t *command;
       renew_lease (w, p->sent_ms, body);
-      json_array_foreach (json_object_get (body, "commands"), i, command)
-          run_command (w, command, p->sent_ms);
+      json_t *commands = json_object_get (body, "commands");
+      for (size_t i = 0; i < json_array_size (commands); i++)
+        run_command (w, json_array_get (commands, i), p->sent_ms);
       json_decref (body);
     }
   else if (answer->code == 307 && answer->location)
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -65,6 +65,34 @@
   sim_close (&s);
 }
 
+static void
+count_done (void *arg, const struct status *st, const void *result, size_t len)
+{
+  (void)result;
+  (void)len;
+  if (status_ok (st))
+    (*(int *)arg)++;
+}
+
+/* Guards against a single voter that never confirms its leadership, because no message is due.  */
+static void
+test_single_voter_confirms_itself (void **state)
+{
+  struct sim s;
+  struct sim_config c = config_of (1, 0);
+  int confirmed = 0;
+  (void)state;
+  sim_init (&s, &c);
+  start_all (&s);
+  assert_non_null (wait_leader (&s, 100));
+  sim_run_ms (&s, 100);
+  group_confirm_leader (s.nodes[0].group, count_done, &confirmed);
+  assert_true (group_needs_flush (s.nodes[0].group));
+  group_flush (s.nodes[0].group);
+  assert_int_equal (confirmed, 1);
+  sim_close (&s);
+}
+
 static void
 test_replicates (void **state)
 {
@@ -308,6 +336,7 @@
 {
   struct log_config quiet = { .level = LOG_ERROR };
   const struct CMUnitTest tests[] = { cmocka_unit_test (test_single_voter),
+                                      cmocka_unit_test (test_single_voter_confirms_itself),
                                       cmocka_unit_test (test_replicates),
                                       cmocka_unit_test (test_leader_replaced_within_2_s),
                                       cmocka_unit_test (test_full_disk_stops_acknowledging),
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -331,6 +331,40 @@
   close_cell ();
 }
 
+/* The covered lease in the answer to the open poll of worker 0.  */
+static uint32_t
+covered_lease (void)
+{
+  struct worker_answer a;
+  struct status st;
+  poll_worker (&workers[0]);
+  scheduler_confirm (sched, now_ms + 1000);
+  assert_int_equal (scheduler_answer (sched, now_ms, workers[0].id, &a, &st), 0);
+  workers[0].poll_out = false;
+  assert_true (a.lease_ms > 0);
+  return a.covered_lease_ms;
+}
+
+/* Guards against a cut-off cell that renews tasks with a standby copy for 20 s after each change of
+   its leader, which outlasts the wait before the copy starts.  */
+static void
+test_new_leader_without_permit_renews_no_covered_task (void **state)
+{
+  (void)state;
+  open_cell (1, 4000);
+  run_for (1000);
+  workers[0].poll_out = false;
+  assert_true (covered_lease () > 0);
+  permit = false;
+  scheduler_lead (sched, now_ms, false);
+  scheduler_lead (sched, now_ms, true);
+  workers[0].announced = false;
+  assert_int_equal (covered_lease (), 0);
+  scheduler_permit (sched, now_ms + 3000);
+  assert_true (covered_lease () > 0);
+  close_cell ();
+}
+
 static void
 test_new_incarnation_frees_nothing_before_the_lease_ends (void **state)
 {
@@ -666,6 +700,7 @@
     cmocka_unit_test (test_eviction_budget_holds),
     cmocka_unit_test (test_silent_worker_loses_its_tasks_after_the_lease),
     cmocka_unit_test (test_new_leader_waits_a_lease),
+    cmocka_unit_test (test_new_leader_without_permit_renews_no_covered_task),
     cmocka_unit_test (test_new_incarnation_frees_nothing_before_the_lease_ends),
     cmocka_unit_test (test_no_start_of_a_placement_that_is_given_up),
     cmocka_unit_test (test_worker_comes_back_smaller),
