Let a longer log override a promised pre-vote; repair replaced disks in the fault test

The fault test now also gives a wiped voter its vote back under its old identity (learner first, then voter with the new store). A longer log now overrides a promise, and the long pauses spread over twice the timeout.

--- a/src/raft_election.c
+++ b/src/raft_election.c
@@ -13,8 +13,10 @@
 pause_after_failure (struct raft *r, int64_t now_ms)
 {
   r->failed_elections++;
+  /* The long pauses vary widely, or nodes with equal timeouts would keep colliding.  */
   if (r->failed_elections > RAFT_QUICK_RETRIES)
-    raft_reset_election (r, now_ms);
+    r->election_ms
+        = now_ms + rng_between (r->rng, r->timing.election_min_ms, 2 * r->timing.election_min_ms);
   else
     r->election_ms = now_ms + rng_between (r->rng, r->timing.retry_min_ms, r->timing.retry_max_ms);
 }
@@ -130,7 +132,8 @@
 
 /* Two nodes that start within one trip of each other would both win the pre-vote and then split the
    votes.  So each pre-vote is promised to one node for a short time, and of two nodes with equal
-   logs that ask each other the one with the lower id goes on.  Affects liveness only.  */
+   logs that ask each other the one with the lower id goes on.  A longer log overrides a promise:
+   its node may be the only one that can win.  Affects liveness only.  */
 static bool
 may_promise (struct raft *r, const raft_message *m, int64_t now_ms)
 {
@@ -142,14 +145,18 @@
   bool asking = r->role == RAFT_PRE_CANDIDATE && now_ms - r->asked_ms < window_ms;
   if (asking && equal_logs && r->node < m->from)
     return false;
-  return r->promised == m->from || now_ms - r->promised_ms >= window_ms;
+  bool longer = m->log_term > r->promised_term
+                || (m->log_term == r->promised_term && m->log_index > r->promised_index);
+  return longer || r->promised == m->from || now_ms - r->promised_ms >= window_ms;
 }
 
 static void
-promise (struct raft *r, uint64_t node, int64_t now_ms)
+promise (struct raft *r, const raft_message *m, int64_t now_ms)
 {
-  r->promised = node;
+  r->promised = m->from;
   r->promised_ms = now_ms;
+  r->promised_index = m->log_index;
+  r->promised_term = m->log_term;
   if (r->role == RAFT_PRE_CANDIDATE)
     {
       r->role = RAFT_FOLLOWER;
@@ -174,7 +181,7 @@
   if (pre && grant)
     {
       reply->term = m->term;
-      promise (r, m->from, now_ms);
+      promise (r, m, now_ms);
     }
   if (pre || !grant)
     return;
--- a/src/raft_internal.h
+++ b/src/raft_internal.h
@@ -88,9 +88,11 @@
   struct message_list now;
   struct message_list after;
 
-  int64_t asked_ms;    /* start of the own pre-vote round */
-  uint64_t promised;   /* node whose pre-vote was granted last */
-  int64_t promised_ms; /* when */
+  int64_t asked_ms;        /* start of the own pre-vote round */
+  uint64_t promised;       /* node whose pre-vote was granted last */
+  int64_t promised_ms;     /* when */
+  uint64_t promised_index; /* end of that node's log */
+  uint64_t promised_term;
   int failed_elections;
   bool hard_dirty;    /* HARD is not on disk yet */
   bool self_granted;  /* own vote is durable */
--- a/tests/log_faults.c
+++ b/tests/log_faults.c
@@ -313,12 +313,57 @@
   raft_members_free (&target);
 }
 
+/* Gives a voter with a replaced disk its vote back under its old identity: a learner first, then a
+   voter with the new store.  */
+static void
+repair_wiped (struct scenario *sc)
+{
+  struct sim *s = &sc->sim;
+  struct sim_node *leader = sim_leader (s);
+  raft_members target = { { 0, NULL } };
+  if (!leader || sc->changing)
+    return;
+  raft_members_copy (&target, group_members (leader->group));
+  for (u_int i = 0; i < target.members.members_len; i++)
+    {
+      raft_member *m = &target.members.members_val[i];
+      if (m->node == leader->id || !sim_node (s, m->node)->wiped)
+        continue;
+      m->voter = !m->voter;
+      request_members (sc, leader, &target);
+      break;
+    }
+  raft_members_free (&target);
+}
+
+/* A replaced disk is whole again once the committed members give its store the vote.  */
+static void
+note_repaired (struct scenario *sc)
+{
+  struct sim *s = &sc->sim;
+  for (int i = 0; i < s->nodes_len; i++)
+    {
+      struct sim_node *n = &s->nodes[i];
+      struct group_stats stats;
+      if (!n->wiped || !n->group)
+        continue;
+      const raft_member *member = raft_members_find (&s->members, n->id);
+      group_stats (n->group, &stats);
+      if (member && member->voter && member->store == stats.store)
+        {
+          n->wiped = false;
+          sim_trace (s, "node %d has its vote back", (int)n->id);
+        }
+    }
+}
+
 typedef void (*fault) (struct scenario *sc);
 
 static const fault faults[] = {
-  crash,    crash,   crash_in_write, crash_in_write, crash_in_write, fill_disk,    partition,
-  heal,     heal,    heal,           heal,           cut_one_way,    isolate,      isolate,
-  transfer, lose_vm, transfer,       change_members, replace_lost,   replace_lost,
+  crash,        crash,        crash_in_write, crash_in_write, crash_in_write, fill_disk,
+  partition,    heal,         heal,           heal,           heal,           cut_one_way,
+  isolate,      isolate,      transfer,       lose_vm,        transfer,       change_members,
+  replace_lost, replace_lost, repair_wiped,   repair_wiped,
 };
 
 static void
@@ -516,6 +561,7 @@
       sim_step (s);
       restart_stopped (sc);
       fail_elections (sc);
+      note_repaired (sc);
     }
   uint64_t before = s->ok;
   if (!s->failed)
--- a/tests/log_sim.c
+++ b/tests/log_sim.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "group_internal.h"
+
 #define US_PER_MS 1000
 #define RPC_HEADER_BYTES 44 /* record mark and ONC RPC call header around each message */
 
@@ -298,6 +300,18 @@
   s->members_index = index;
 }
 
+/* Entries that a snapshot dropped in the flush that committed them: the snapshot has their members.
+ */
+static void
+note_snapshot_members (struct sim *s, const struct group *g)
+{
+  if (g->snapshot_index <= s->members_index)
+    return;
+  raft_members_free (&s->members);
+  raft_members_at (g->raft, g->snapshot_index, &s->members);
+  s->members_index = g->snapshot_index;
+}
+
 static void
 check_leader (struct sim *s, struct sim_node *n)
 {
@@ -338,7 +352,10 @@
     {
       uint64_t term = entry_term (n->group, i);
       if (term == 0)
-        continue;
+        {
+          note_snapshot_members (s, n->group);
+          continue;
+        }
       note_members (s, n->group, i);
       if (s->entry_terms[i] == 0)
         s->entry_terms[i] = term;
@@ -356,15 +373,15 @@
 {
   if (!n->group)
     return;
+  if (group_is_leader (n->group))
+    check_leader (s, n);
+  /* Also when it has just crashed: what it sent before may depend on what it knew as committed.  */
+  check_commit (s, n);
   if (n->disk && memory_disk_crashed (n->disk))
     {
       sim_trace (s, "node %llu crashes in a disk write", ull (n->id));
       sim_crash (s, n, rng_between (&s->rng, 1, 1500));
-      return;
     }
-  if (group_is_leader (n->group))
-    check_leader (s, n);
-  check_commit (s, n);
 }
 
 /* ---- nodes ---- */
