Check the call's stage when an intent is recorded late

A request that was answered as not run while its intent was being recorded must not run afterwards. So far the passed deadline prevented it in the queue; the stage is now checked first. test_proxy covers a passed deadline, a caller that left and a body that is still coming; it passed before this change too.

--- a/src/proxy_intent.c
+++ b/src/proxy_intent.c
@@ -41,7 +41,7 @@
   struct proxy_call *call = arg;
   call->intent_pending = false;
   call->intent_open = state == INTENT_NEW;
-  if (!call->connection)
+  if (!call->connection || call->stage != CALL_INTENT) /* left, or answered as not run */
     {
       call_finish_intent (call, INTENT_NOT_RUN);
       call_free_when_done (call);
--- a/tests/proxy_fixture.h
+++ b/tests/proxy_fixture.h
@@ -37,6 +37,71 @@
 
 /* ---- the entry ---- */
 
+#define FIXTURE_SLOW_BEGIN_S 0.1
+
+/* An intent store that answers begin later for keys that start with "slow".  */
+struct slow_store
+{
+  struct intent_store store; /* first member: the vtable */
+  struct intent_store *memory;
+  struct ev_loop *loop;
+  int begun; /* slow begins answered */
+};
+
+struct slow_begin
+{
+  struct slow_store *s;
+  ev_timer timer;
+  char *customer;
+  char *key;
+  uint64_t fingerprint;
+  intent_begin_fn *done;
+  void *arg;
+};
+
+static void
+slow_begin_now (struct ev_loop *loop, ev_timer *w, int events)
+{
+  struct slow_begin *b = w->data;
+  struct intent_key key = { b->customer, b->key, b->fingerprint };
+  (void)loop;
+  (void)events;
+  b->s->memory->ops->begin (b->s->memory, &key, b->done, b->arg);
+  b->s->begun++;
+  free (b->customer);
+  free (b->key);
+  free (b);
+}
+
+static void
+slow_begin (struct intent_store *store, const struct intent_key *key, intent_begin_fn *done,
+            void *arg)
+{
+  struct slow_store *s = (struct slow_store *)store;
+  if (strncmp (key->key, "slow", 4) != 0)
+    {
+      s->memory->ops->begin (s->memory, key, done, arg);
+      return;
+    }
+  struct slow_begin *b = xcalloc (1, sizeof *b);
+  *b = (struct slow_begin){ .s = s, .fingerprint = key->fingerprint, .done = done, .arg = arg };
+  b->customer = xstrdup (key->customer);
+  b->key = xstrdup (key->key);
+  ev_timer_init (&b->timer, slow_begin_now, FIXTURE_SLOW_BEGIN_S, 0.0);
+  b->timer.data = b;
+  ev_timer_start (s->loop, &b->timer);
+}
+
+static void
+slow_finish (struct intent_store *store, const struct intent_key *key,
+             const struct intent_outcome *outcome, intent_finish_fn *done, void *arg)
+{
+  struct slow_store *s = (struct slow_store *)store;
+  s->memory->ops->finish (s->memory, key, outcome, done, arg);
+}
+
+static const struct intent_store_ops slow_ops = { slow_begin, slow_finish };
+
 struct entry
 {
   struct ev_loop *loop;
@@ -44,6 +109,7 @@
   struct router router;
   struct limit *limit;
   struct intent_store *intents;
+  struct slow_store slow;
   struct runner_api api;
   struct proxy *proxy;
   struct http_server *admin;
@@ -76,11 +142,11 @@
       proxy_stats (e->proxy, &s);
       http_reply_json (
           req, 200,
-          json_pack ("{s:I,s:I,s:i,s:i,s:i,s:i,s:I}", "requests", (json_int_t)s.requests, "tries",
-                     (json_int_t)s.tries, "open", (int)s.open, "queued", (int)s.queued,
+          json_pack ("{s:I,s:I,s:i,s:i,s:i,s:i,s:I,s:i}", "requests", (json_int_t)s.requests,
+                     "tries", (json_int_t)s.tries, "open", (int)s.open, "queued", (int)s.queued,
                      "connections", (int)s.connections, "live",
                      (int)router_live (&e->router, "echo", clock_now_ms (clock_real ())), "broken",
-                     (json_int_t)s.broken));
+                     (json_int_t)s.broken, "begun", e->slow.begun));
     }
 }
 
@@ -132,12 +198,13 @@
   router_init (&e.router, &routing, e.table, now);
   e.limit = limit_open (&source, 1, now);
   e.intents = intent_memory_open ();
+  e.slow = (struct slow_store){ { &slow_ops }, e.intents, e.loop, 0 };
   struct proxy_config config = { .address = "127.0.0.1:0",
                                  .clock = clock_real (),
                                  .table = e.table,
                                  .router = &e.router,
                                  .limit = e.limit,
-                                 .intents = e.intents,
+                                 .intents = &e.slow.store,
                                  .seed = 1,
                                  .retry_tokens = 10.0 };
   e.proxy = proxy_open (e.loop, &config, &st);
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -276,6 +276,61 @@
   free_reply (&r);
 }
 
+/* The deadline passes, or the caller leaves, while the intent is being recorded: the request must
+   not run afterwards, and its key must be free again.  */
+static void
+test_late_intent_runs_nothing (void **state)
+{
+  (void)state;
+  const char *marks = "Sassafras-Unrepeatable: 1\r\nIdempotency-Key: slow1\r\n"
+                      "Sassafras-Deadline-Ms: 20\r\n";
+  const char *request = "POST /v1/call/echo/t HTTP/1.1\r\nHost: e\r\nSassafras-Customer: huron\r\n"
+                        "Sassafras-Unrepeatable: 1\r\nIdempotency-Key: slow1\r\n"
+                        "Content-Length: 3\r\n\r\none";
+  struct reply r = post_call ("/v1/call/echo/t", marks, "one");
+  assert_int_equal (r.code, 504);
+  assert_true (says (&r, "\"ran\":\"no\""));
+  free_reply (&r);
+  int fd = dial (entry.port);
+  assert_true (send_all (fd, request, strlen (request)));
+  close (fd);
+  assert_true (wait_statistic (entry.admin_port, "/stats", "open", 0));
+  assert_int_equal (executions ("slow1"), 0);
+  r = exchange (entry.port, request);
+  assert_int_equal (r.code, 200);
+  assert_int_equal (executions ("slow1"), 1);
+  free_reply (&r);
+}
+
+/* The same while the rest of a long body is still to come, so that the answer has to wait for it.
+ */
+static void
+test_late_intent_with_a_long_body (void **state)
+{
+  (void)state;
+  const char *head = "POST /v1/call/echo/t HTTP/1.1\r\nHost: e\r\nSassafras-Customer: huron\r\n"
+                     "Sassafras-Unrepeatable: 1\r\nIdempotency-Key: slow2\r\n"
+                     "Sassafras-Deadline-Ms: 20\r\nContent-Length: 100000\r\n\r\n";
+  static char body[100000];
+  struct buffer in = { 0 };
+  struct reply r;
+  long begun = statistic (entry.admin_port, "/stats", "begun");
+  int fd = dial (entry.port);
+  memset (body, 'b', sizeof body);
+  assert_true (send_all (fd, head, strlen (head)));
+  assert_true (send_all (fd, body, 70000));
+  assert_true (wait_statistic (entry.admin_port, "/stats", "begun", begun + 1));
+  assert_true (send_all (fd, body + 70000, sizeof body - 70000));
+  read_reply (fd, &in, &r, false);
+  assert_int_equal (r.code, 504);
+  assert_true (says (&r, "\"ran\":\"no\""));
+  assert_true (wait_statistic (entry.admin_port, "/stats", "open", 0));
+  assert_int_equal (executions ("slow2"), 0);
+  free_reply (&r);
+  buffer_close (&in);
+  close (fd);
+}
+
 static void
 test_not_run_is_said_only_when_true (void **state)
 {
@@ -562,6 +617,8 @@
     cmocka_unit_test (test_unrepeatable_runs_once),
     cmocka_unit_test (test_unrepeatable_is_not_retried),
     cmocka_unit_test (test_unrepeatable_outlives_its_caller),
+    cmocka_unit_test (test_late_intent_runs_nothing),
+    cmocka_unit_test (test_late_intent_with_a_long_body),
     cmocka_unit_test (test_not_run_is_said_only_when_true),
     cmocka_unit_test (test_late_answers_are_dropped),
     cmocka_unit_test (test_slow_caller_holds_little_memory),
