--- a/bench/scheduler_cost.c
+++ b/bench/scheduler_cost.c
@@ -2,8 +2,9 @@
    choice of victims, at 1,400 workers with 13,000 tasks and at 4 times that.  The log is applied at
    once; consensus and transport are not part of the figures.
 
-   Usage: bench_scheduler_cost [SECONDS]  */
+   Usage: bench_scheduler_cost [SECONDS [WORKERS TASKS]]   With WORKERS and TASKS only that size. */
 
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -25,8 +26,8 @@
 
 struct light_worker
 {
-  char id[16];
-  char rack[16];
+  char id[24];
+  char rack[32];
   uint64_t sequence;
   bool polling;
   bool again; /* a task ended: poll at once */
@@ -284,6 +285,7 @@
           b.other_s * 1e6 / (double)started, worst * 1e3);
   printf ("  per heartbeat: %.1f us (%.0f polls/s)\n", b.poll_s * 1e6 / (double)b.polls,
           (double)b.polls / seconds);
+  printf ("  heap of cell, scheduler and fakes: %.1f MB\n", (double)mallinfo2 ().uordblks / 1e6);
   printf ("  processor in all: %.1f%% of a core\n", 100 * (b.poll_s + b.other_s) / seconds);
   measure_evictions (&b);
   scheduler_check (b.sched);
@@ -296,6 +298,11 @@
 main (int argc, char **argv)
 {
   int seconds = argc > 1 ? atoi (argv[1]) : 20;
+  if (argc > 3)
+    {
+      measure ((size_t)atol (argv[2]), (size_t)atol (argv[3]), seconds);
+      return 0;
+    }
   measure (1400, 13000, seconds);
   measure (4 * 1400, 4 * 13000, seconds);
   return 0;
