--- a/bench/today.sh
+++ b/bench/today.sh
@@ -2,11 +2,12 @@
 # Usage: bench/today.sh [BUILD-DIR [VMS [WORKERS [RUNNERS [SECONDS]]]]]
 # Cost of whole processes on loopback: starts the VMs of VMS ("a:2+1 b:2+1 c:2": two VMs with a disk
 # and one without in a), and prints processor time, memory and bytes between VMs per second for each
-# daemon in three phases: idle, with WORKERS and RUNNERS (spread over the data centres), and under a
-# bounded load of calls and batch jobs.  With 0 workers and runners only the idle phase runs.
+# daemon in three phases: idle; with WORKERS and RUNNERS, spread over the data centres; and, when
+# there are both, under a bounded load of calls and batch jobs.  With no workers and no runners only
+# the idle phase runs.
 #
 # Processor time is from /proc/PID/stat in ticks of 10 ms, so it is hardly affected by other work on
-# the machine; bytes are the peers' counters in /v1/state.  LABEL is printed with each line.
+# the machine; bytes are the peers' counters in /v1/state.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . scripts/cluster.sh
@@ -151,5 +152,8 @@
 wait_for 20 runners_known || fail "not every runner became known"
 sleep 4
 measure "$WORKERS workers, $RUNNERS runners, no load" sleep "$SECONDS_PER_PHASE"
+if [ "$WORKERS" = 0 ] || [ "$RUNNERS" = 0 ]; then
+  exit 0
+fi
 measure "calls and jobs" load
 echo "  calls: $(sort "$WORK"/calls.* | uniq -c | awk '{ printf "%s with %s; ", $1, $2 }')task starts: $(starts)"
