Tell waiters of a leadership round as soon as a quorum has answered

Cause: tests/path_workers.sh saw a healthy worker lose its lease. With one of three voters down, the reply that confirms a round causes no output, so group_needs_flush was false and the waiters were told at the next heartbeat; 3 of 10 polls were answered while leadership was not confirmed and renewed nothing, and three in a row ended the lease. Ruled out: a stuck poll (all were answered) and a worker that stalled (its log shows answers with lease 0). Change: a confirmed round asks for a flush; a poll is held up to 1 s longer while leadership is not confirmed; a poll that a newer one replaces gets an empty answer instead of consuming the newer one's.

--- a/src/cell_service.c
+++ b/src/cell_service.c
@@ -10,8 +10,9 @@
 #include "log.h"
 #include "member_sync.h"
 
-#define CONFIRM_EVERY_MS 800  /* quorum rounds while this VM leads and has workers */
-#define CONFIRMED_FOR_MS 1100 /* no node elects another leader this soon after a round began */
+#define CONFIRM_EVERY_MS 800     /* quorum rounds while this VM leads and has workers */
+#define CONFIRMED_FOR_MS 1100    /* no node elects another leader this soon after a round began */
+#define UNCONFIRMED_HOLD_MS 1000 /* longer hold of a poll while leadership is not confirmed */
 #define PERMIT_TIMEOUT_MS 1000
 #define CLOSE_RETRY_MS 500
 #define MAX_DRAIN_ROUNDS 64 /* proposals may end at once and cause others */
@@ -47,6 +48,7 @@
   bool out;      /* the data centre is out, as last told to the scheduler */
   bool round_open;
   int64_t round_began_ms;
+  int64_t confirmed_until_ms; /* as told to the scheduler */
   int64_t next_round_ms;
   bool closing_epoch;
   int64_t next_close_ms;
@@ -231,6 +233,23 @@
   answer_poll (s, worker, done, arg);
 }
 
+/* Ends the poll that is held for a worker which polls again: the scheduler answers only the newer
+   one, so the older gets neither commands nor a lease.  */
+static void
+supersede_poll (struct cell_service *s, const struct worker_poll *newer)
+{
+  struct held_poll *p = find_poll (s, newer->id);
+  if (!p)
+    return;
+  const struct worker_answer nothing = { .incarnation = newer->incarnation };
+  struct status st;
+  cell_poll_fn *done = p->done;
+  void *arg = p->arg;
+  status_clear (&st);
+  remove_poll (s, p);
+  done (arg, &st, &nothing);
+}
+
 static void
 refuse_all_polls (struct cell_service *s, enum status_kind kind, const char *message)
 {
@@ -337,7 +356,10 @@
   if (!s->leading)
     gain_leadership (s, clock_now_ms (s->config.clock));
   if (!s->transferring)
-    scheduler_confirm (s->scheduler, s->round_began_ms + CONFIRMED_FOR_MS);
+    {
+      s->confirmed_until_ms = s->round_began_ms + CONFIRMED_FOR_MS;
+      scheduler_confirm (s->scheduler, s->confirmed_until_ms);
+    }
 }
 
 static bool
@@ -572,7 +594,10 @@
 release_due_polls (struct cell_service *s, int64_t now_ms)
 {
   struct held_poll *p;
-  while ((p = TAILQ_FIRST (&s->poll_order)) && p->until_ms <= now_ms)
+  /* An answer without a confirmed leader renews no lease: better to hold the poll a little longer.
+   */
+  int64_t due_ms = now_ms <= s->confirmed_until_ms ? now_ms : now_ms - UNCONFIRMED_HOLD_MS;
+  while ((p = TAILQ_FIRST (&s->poll_order)) && p->until_ms <= due_ms)
     release_poll (s, p);
 }
 
@@ -655,9 +680,6 @@
 static void
 hold_poll (struct cell_service *s, const char *worker, cell_poll_fn *done, void *arg)
 {
-  struct held_poll *old = find_poll (s, worker);
-  if (old)
-    release_poll (s, old);
   struct held_poll *p = xcalloc (1, sizeof *p);
   snprintf (p->worker, sizeof p->worker, "%s", worker);
   p->until_ms = clock_now_ms (s->config.clock) + CELL_POLL_HOLD_MS;
@@ -674,6 +696,7 @@
   int64_t now_ms = clock_now_ms (s->config.clock);
   if (scheduler_poll (s->scheduler, now_ms, p, st) < 0)
     return -1;
+  supersede_poll (s, p);
   if (wait)
     hold_poll (s, p->id, done, arg);
   scheduler_tick (s->scheduler, now_ms);
--- a/src/group.c
+++ b/src/group.c
@@ -300,11 +300,21 @@
   group_maybe_snapshot (g);
 }
 
+static bool
+confirm_is_ready (const struct group *g)
+{
+  const struct group_waiter *w = STAILQ_FIRST (&g->confirms);
+  return w && raft_round_confirmed (g->raft, w->position);
+}
+
 bool
 group_needs_flush (const struct group *g)
 {
   if (has_failed (g))
     return false;
+  /* The reply that confirms a round causes no output, but its waiters are told in a flush.  */
+  if (confirm_is_ready (g))
+    return true;
   return raft_has_output (g->raft) || g->applied < raft_commit (g->raft);
 }
 
--- a/standins/worker.c
+++ b/standins/worker.c
@@ -341,6 +341,7 @@
     {
       json_t *body = json_loadb (answer->body.data, answer->body.len, 0, NULL);
       renew_lease (w, p->sent_ms, body);
+      log_line (LOG_DEBUG, "%s poll answered: %.*s", p->wait ? "long" : "short", 60, answer->body.data);
       json_t *commands = json_object_get (body, "commands");
       for (size_t i = 0; i < json_array_size (commands); i++)
         run_command (w, json_array_get (commands, i), p->sent_ms);
@@ -353,9 +354,17 @@
       schedule_retry (w);
     }
   else if (answer->code == 409 || answer->code == 404)
-    w->announced = false;
+    {
+      log_line (LOG_DEBUG, "%s poll refused: %.*s", p->wait ? "long" : "short",
+                (int)answer->body.len, answer->body.data ? answer->body.data : "");
+      w->announced = false;
+    }
   else
-    try_next_entry (w);
+    {
+      log_line (LOG_DEBUG, "%s poll to %s failed: code %d %s", p->wait ? "long" : "short", w->base,
+                answer->code, answer->status.message);
+      try_next_entry (w);
+    }
   free (p->body);
   free (p);
   if (w->announced && !w->polling)
@@ -410,7 +419,12 @@
       schedule_retry (w);
     }
   else
-    try_next_entry (w);
+    {
+      log_line (LOG_DEBUG, "announcement to %s failed: code %d %s %.*s", w->base, answer->code,
+                answer->status.message, (int)answer->body.len,
+                answer->body.data ? answer->body.data : "");
+      try_next_entry (w);
+    }
   free (p->body);
   free (p);
 }
@@ -559,6 +573,7 @@
   w.client = http_client_open (w.loop, 0);
   LIST_INIT (&w.tasks);
   signal (SIGPIPE, SIG_IGN);
+  log_configure (&(struct log_config){ .level = getenv ("WORKER_DEBUG") ? LOG_DEBUG : LOG_INFO });
   parse_entries (&w, entries->sval[0]);
   run (&w);
   close_worker (&w);
--- a/tests/log_sim.c
+++ b/tests/log_sim.c
@@ -473,7 +473,8 @@
 input_done (struct sim *s, struct sim_node *n, bool flush)
 {
   if (flush && n->group)
-    group_flush (n->group);
+    if (group_needs_flush (n->group))
+      group_flush (n->group);
   sim_check (s, n);
 }
 
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -93,6 +93,35 @@
   sim_close (&s);
 }
 
+/* Guards against a confirmation that waits for the next heartbeat although a quorum has answered:
+   with one voter down nothing else causes a flush, and workers lost their leases.  */
+static void
+test_confirms_as_soon_as_a_quorum_answers (void **state)
+{
+  struct sim s;
+  struct sim_config c = config_of (3, 0);
+  int confirmed = 0;
+  (void)state;
+  sim_init (&s, &c);
+  start_all (&s);
+  assert_non_null (wait_leader (&s, 5000));
+  struct sim_node *leader = sim_leader (&s);
+  for (int i = 0; i < 3; i++)
+    if (&s.nodes[i] != leader)
+      {
+        sim_crash (&s, &s.nodes[i], 0);
+        break;
+      }
+  sim_run_ms (&s, 3000);
+  for (int round = 1; round <= 20; round++)
+    {
+      group_confirm_leader (sim_leader (&s)->group, count_done, &confirmed);
+      sim_run_ms (&s, 70);
+      assert_int_equal (confirmed, round);
+    }
+  sim_close (&s);
+}
+
 static void
 test_replicates (void **state)
 {
@@ -337,6 +366,7 @@
   struct log_config quiet = { .level = LOG_ERROR };
   const struct CMUnitTest tests[] = { cmocka_unit_test (test_single_voter),
                                       cmocka_unit_test (test_single_voter_confirms_itself),
+                                      cmocka_unit_test (test_confirms_as_soon_as_a_quorum_answers),
                                       cmocka_unit_test (test_replicates),
                                       cmocka_unit_test (test_leader_replaced_within_2_s),
                                       cmocka_unit_test (test_full_disk_stops_acknowledging),
