--- a/standins/worker.c
+++ b/standins/worker.c
@@ -341,7 +341,6 @@
     {
       json_t *body = json_loadb (answer->body.data, answer->body.len, 0, NULL);
       renew_lease (w, p->sent_ms, body);
-      log_line (LOG_DEBUG, "%s poll answered: %.*s", p->wait ? "long" : "short", 60, answer->body.data);
       json_t *commands = json_object_get (body, "commands");
       for (size_t i = 0; i < json_array_size (commands); i++)
         run_command (w, json_array_get (commands, i), p->sent_ms);
@@ -543,10 +542,11 @@
   struct arg_int *accelerators = arg_int0 (NULL, "accelerators", "N", "accelerators (default 0)");
   struct arg_dbl *fail = arg_dbl0 (NULL, "fail-share", "X", "share of tasks that fail at once");
   struct arg_dbl *factor = arg_dbl0 (NULL, "time-factor", "X", "true / declared run time");
+  struct arg_lit *verbose = arg_lit0 (NULL, "verbose", "log every poll that fails");
   struct arg_file *events = arg_file0 (NULL, "events", "FILE", "append task starts and ends here");
   struct arg_end *end = arg_end (8);
   void *table[]
-      = { id, rack, entries, millicores, memory, accelerators, fail, factor, events, end };
+      = { id, rack, entries, millicores, memory, accelerators, fail, factor, verbose, events, end };
   struct worker w
       = { .rack = "rack-1", .millicores = 16000, .memory_mb = 60000, .time_factor = 1.0 };
   if (arg_nullcheck (table) || arg_parse (argc, argv, table) > 0)
@@ -555,6 +555,8 @@
       arg_print_glossary (stderr, table, "  %-24s %s\n");
       return 2;
     }
+  if (verbose->count)
+    log_configure (&(struct log_config){ .level = LOG_DEBUG });
   w.id = id->sval[0];
   w.rack = rack->count ? rack->sval[0] : w.rack;
   w.millicores = millicores->count ? millicores->ival[0] : w.millicores;
@@ -573,7 +575,6 @@
   w.client = http_client_open (w.loop, 0);
   LIST_INIT (&w.tasks);
   signal (SIGPIPE, SIG_IGN);
-  log_configure (&(struct log_config){ .level = getenv ("WORKER_DEBUG") ? LOG_DEBUG : LOG_INFO });
   parse_entries (&w, entries->sval[0]);
   run (&w);
   close_worker (&w);
