--- a/src/http_server.c
+++ b/src/http_server.c
@@ -8,6 +8,8 @@
 #include "log.h"
 
 #define CONNECTION_TIMEOUT_S 60
+/* The library's default is 1,020; the largest cell of the target holds 8,000 workers' polls.  */
+#define MAX_CONNECTIONS 16384
 #define CONNECTION_MEMORY_BYTES 32768
 #define RETRY_AFTER_S "1"
 
@@ -224,7 +226,8 @@
       MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
       server, MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)CONNECTION_TIMEOUT_S,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+      MHD_OPTION_CONNECTION_LIMIT, (unsigned)MAX_CONNECTIONS, MHD_OPTION_LISTENING_ADDRESS_REUSE,
+      1U, MHD_OPTION_END);
   if (!server->daemon)
     {
       status_set (st, STATUS_INTERNAL, "cannot listen on %s", config->address);
--- a/src/main.c
+++ b/src/main.c
@@ -1,5 +1,6 @@
 /* sassafrasd: the scheduler's daemon, one on every entry VM.  */
 #include <stdio.h>
+#include <sys/resource.h>
 
 #include <curl/curl.h>
 
@@ -7,11 +8,24 @@
 #include "log.h"
 #include "settings.h"
 
+/* Polls and callers hold a connection each, so the usual soft limit of 1,024 files is too low.  */
+static void
+raise_file_limit (void)
+{
+  struct rlimit limit;
+  if (getrlimit (RLIMIT_NOFILE, &limit) < 0)
+    return;
+  limit.rlim_cur = limit.rlim_max;
+  if (setrlimit (RLIMIT_NOFILE, &limit) < 0)
+    log_line (LOG_WARN, "cannot raise the limit of open files");
+}
+
 static int
 run (const struct settings *settings)
 {
   struct status st;
   log_configure (&settings->log);
+  raise_file_limit ();
   struct daemon *d = daemon_open (settings, &st);
   if (!d)
     {
