--- a/src/cell_service.c
+++ b/src/cell_service.c
@@ -17,17 +17,6 @@
 #define CLOSE_RETRY_MS 500
 #define MAX_DRAIN_ROUNDS 64 /* proposals may end at once and cause others */
 
-/* A worker's poll that waits for commands.  */
-struct held_poll
-{
-  char worker[CELL_NAME_BYTES + 1];
-  int64_t until_ms;
-  cell_poll_fn *done;
-  void *arg;
-  struct cell_node node;        /* in polls, by worker */
-  TAILQ_ENTRY (held_poll) link; /* in order of until_ms */
-};
-
 /* A proposal of the scheduler in flight.  */
 struct open_proposal
 {
@@ -57,8 +46,7 @@
   uint64_t stopped_version;      /* state version that was acknowledged */
   bool transferring;
   struct member_sync members;
-  struct cell_map polls;
-  TAILQ_HEAD (poll_list, held_poll) poll_order;
+  struct held_polls polls;
 };
 
 static struct counter starts_gauge = { .name = "sassafras_cell_starts_total",
@@ -107,28 +95,16 @@
                                             .clock = config->clock };
   s->transfers = cell_transfers_open (&tc);
   permit_holder_init (&s->permit);
-  cell_map_init (&s->polls);
-  TAILQ_INIT (&s->poll_order);
+  held_polls_init (&s->polls);
   return s;
 }
 
-static void
-remove_poll (struct cell_service *s, struct held_poll *p)
-{
-  cell_map_remove (&s->polls, &p->node);
-  TAILQ_REMOVE (&s->poll_order, p, link);
-  free (p);
-}
-
 void
 cell_service_close (struct cell_service *s)
 {
-  struct held_poll *p;
   if (!s)
     return;
-  while ((p = TAILQ_FIRST (&s->poll_order)))
-    remove_poll (s, p);
-  cell_map_close (&s->polls);
+  held_polls_close (&s->polls);
   cell_transfers_close (s->transfers);
   scheduler_free (s->scheduler);
   cell_close (&s->cell);
@@ -196,19 +172,6 @@
   return rc;
 }
 
-static struct held_poll *
-find_poll (struct cell_service *s, const char *worker)
-{
-  for (struct cell_node *n = cell_map_first (&s->polls, cell_hash_names (worker, "")); n;
-       n = cell_map_next (n))
-    {
-      struct held_poll *p = CELL_CONTAINER (n, struct held_poll, node);
-      if (strcmp (p->worker, worker) == 0)
-        return p;
-    }
-  return NULL;
-}
-
 /* Answers one poll with what the scheduler has for its worker.  */
 static void
 answer_poll (struct cell_service *s, const char *worker, cell_poll_fn *done, void *arg)
@@ -222,47 +185,28 @@
     done (arg, &st, &answer);
 }
 
-static void
-release_poll (struct cell_service *s, struct held_poll *p)
-{
-  char worker[sizeof p->worker];
-  cell_poll_fn *done = p->done;
-  void *arg = p->arg;
-  memcpy (worker, p->worker, sizeof worker);
-  remove_poll (s, p);
-  answer_poll (s, worker, done, arg);
-}
-
 /* Ends the poll that is held for a worker which polls again: the scheduler answers only the newer
    one, so the older gets neither commands nor a lease.  */
 static void
 supersede_poll (struct cell_service *s, const struct worker_poll *newer)
 {
-  struct held_poll *p = find_poll (s, newer->id);
-  if (!p)
+  struct held_poll p;
+  if (!held_polls_take (&s->polls, newer->id, &p))
     return;
   const struct worker_answer nothing = { .incarnation = newer->incarnation };
   struct status st;
-  cell_poll_fn *done = p->done;
-  void *arg = p->arg;
   status_clear (&st);
-  remove_poll (s, p);
-  done (arg, &st, &nothing);
+  p.done (p.arg, &st, &nothing);
 }
 
 static void
 refuse_all_polls (struct cell_service *s, enum status_kind kind, const char *message)
 {
-  struct held_poll *p;
+  struct held_poll p;
   struct status st;
   status_set (&st, kind, "%s", message);
-  while ((p = TAILQ_FIRST (&s->poll_order)))
-    {
-      cell_poll_fn *done = p->done;
-      void *arg = p->arg;
-      remove_poll (s, p);
-      done (arg, &st, NULL);
-    }
+  while (held_polls_take_due (&s->polls, INT64_MAX, &p))
+    p.done (p.arg, &st, NULL);
 }
 
 static void
@@ -296,12 +240,10 @@
 answer_ready (struct cell_service *s)
 {
   const char *worker;
+  struct held_poll p;
   while ((worker = scheduler_next_ready (s->scheduler)))
-    {
-      struct held_poll *p = find_poll (s, worker);
-      if (p)
-        release_poll (s, p);
-    }
+    if (held_polls_take (&s->polls, worker, &p))
+      answer_poll (s, p.worker, p.done, p.arg);
 }
 
 static void
@@ -593,12 +535,12 @@
 static void
 release_due_polls (struct cell_service *s, int64_t now_ms)
 {
-  struct held_poll *p;
+  struct held_poll p;
   /* An answer without a confirmed leader renews no lease: better to hold the poll a little longer.
    */
   int64_t due_ms = now_ms <= s->confirmed_until_ms ? now_ms : now_ms - UNCONFIRMED_HOLD_MS;
-  while ((p = TAILQ_FIRST (&s->poll_order)) && p->until_ms <= due_ms)
-    release_poll (s, p);
+  while (held_polls_take_due (&s->polls, due_ms, &p))
+    answer_poll (s, p.worker, p.done, p.arg);
 }
 
 void
@@ -680,13 +622,11 @@
 static void
 hold_poll (struct cell_service *s, const char *worker, cell_poll_fn *done, void *arg)
 {
-  struct held_poll *p = xcalloc (1, sizeof *p);
-  snprintf (p->worker, sizeof p->worker, "%s", worker);
-  p->until_ms = clock_now_ms (s->config.clock) + CELL_POLL_HOLD_MS;
-  p->done = done;
-  p->arg = arg;
-  cell_map_add (&s->polls, &p->node, cell_hash_names (worker, ""));
-  TAILQ_INSERT_TAIL (&s->poll_order, p, link);
+  struct held_poll p = { .until_ms = clock_now_ms (s->config.clock) + CELL_POLL_HOLD_MS,
+                         .done = done,
+                         .arg = arg };
+  snprintf (p.worker, sizeof p.worker, "%s", worker);
+  held_polls_add (&s->polls, &p);
 }
 
 int
@@ -706,18 +646,6 @@
   return 0;
 }
 
-void
-cell_service_abandon (struct cell_service *s, void *arg)
-{
-  struct held_poll *p;
-  TAILQ_FOREACH (p, &s->poll_order, link)
-  if (p->arg == arg)
-    {
-      remove_poll (s, p);
-      return;
-    }
-}
-
 void
 cell_service_stop (struct cell_service *s)
 {
--- a/src/cell_service.h
+++ b/src/cell_service.h
@@ -17,6 +17,7 @@
 #include "cell.h"
 #include "clock.h"
 #include "group.h"
+#include "held_polls.h"
 #include "operator_api.h"
 #include "peer_net.h"
 #include "permit.h"
@@ -42,9 +43,6 @@
   uint64_t seed;
 };
 
-/* The answer to a held poll; ST is OK when ANSWER is set, which is valid during the call.  */
-typedef void cell_poll_fn (void *arg, const struct status *st, const struct worker_answer *answer);
-
 struct cell_service *
 cell_service_open (const struct cell_service_config *config);  /* Without a group yet. */
 void cell_service_close (struct cell_service *s);              /* Held polls get no answer. */
@@ -66,8 +64,7 @@
                            struct status *st); /* A worker introduces itself; leader only. */
 int cell_service_poll (struct cell_service *s, const struct worker_poll *p, bool wait,
                        cell_poll_fn *done, void *arg,
-                       struct status *st); /* -1: refused, DONE is not called. */
-void cell_service_abandon (struct cell_service *s, void *arg); /* The poll of ARG is gone. */
+                       struct status *st);       /* -1: refused, DONE is not called. */
 void cell_service_stop (struct cell_service *s); /* Planned stop: answers polls, stops leading. */
 json_t *cell_service_state (const struct cell_service *s); /* For the state dump. */
 
--- a/src/scheduler_guard.c
+++ b/src/scheduler_guard.c
@@ -373,13 +373,8 @@
         continue;
       if (batch && t->other_cell != 0 && t->other_cell != p->cell)
         continue;
-      if (p->free_millicores < size->millicores || p->free_memory_mb < size->memory_mb
-          || p->free_accelerators < size->accelerators)
-        continue;
-      p->free_millicores -= size->millicores;
-      p->free_memory_mb -= size->memory_mb;
-      p->free_accelerators -= size->accelerators;
-      return p;
+      if (sched_take_room (p, size))
+        return p;
     }
   return NULL;
 }
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -333,4 +333,7 @@
 void sched_guard_plans (struct scheduler *s); /* Lowered plans. */
 void sched_guard_drain (struct scheduler *s); /* Data centre out. */
 
+bool sched_take_room (struct scheduler_peer_cell *p,
+                      const cell_size *size); /* False when P lacks room for SIZE. */
+
 #endif
--- a/src/scheduler_report.c
+++ b/src/scheduler_report.c
@@ -63,20 +63,24 @@
   return admit_racks (s, spec, st);
 }
 
+bool
+sched_take_room (struct scheduler_peer_cell *p, const cell_size *size)
+{
+  if (p->free_millicores < size->millicores || p->free_memory_mb < size->memory_mb
+      || p->free_accelerators < size->accelerators)
+    return false;
+  p->free_millicores -= size->millicores;
+  p->free_memory_mb -= size->memory_mb;
+  p->free_accelerators -= size->accelerators;
+  return true;
+}
+
 static struct scheduler_peer_cell *
 peer_with_room (struct scheduler *s, const cell_size *size)
 {
   for (size_t i = 0; i < s->peer_count; i++)
-    {
-      struct scheduler_peer_cell *p = &s->peers[i];
-      if (p->free_millicores < size->millicores || p->free_memory_mb < size->memory_mb
-          || p->free_accelerators < size->accelerators)
-        continue;
-      p->free_millicores -= size->millicores;
-      p->free_memory_mb -= size->memory_mb;
-      p->free_accelerators -= size->accelerators;
-      return p;
-    }
+    if (sched_take_room (&s->peers[i], size))
+      return &s->peers[i];
   return NULL;
 }
 
