--- a/bench/request_policy.c
+++ b/bench/request_policy.c
@@ -384,7 +384,7 @@
 pump (struct sim *s, struct entry *e)
 {
   struct admission_item *item;
-  while ((item = admission_pop_hopeless (e->admission, now_ms (s))))
+  while ((item = admission_pop_expired (e->admission, now_ms (s))))
     refuse (s, (struct call *)item);
   while (admission_queued (e->admission) > 0)
     {
--- a/src/admission.c
+++ b/src/admission.c
@@ -35,7 +35,7 @@
   unsigned urgent_run;      /* urgent requests popped since the last batch one */
   double service_ms;        /* moving average, 0 before the first answer */
   double class_ms[CLASSES]; /* the same by class */
-  int64_t scan_ms;          /* no queued request is hopeless before this time */
+  int64_t scan_ms;          /* no queued request can miss its deadline before this time */
 };
 
 struct admission *
@@ -267,7 +267,7 @@
 }
 
 struct admission_item *
-admission_pop_hopeless (struct admission *a, int64_t now_ms)
+admission_pop_expired (struct admission *a, int64_t now_ms)
 {
   struct admission_item *item;
   int64_t earliest = INT64_MAX;
--- a/src/admission.h
+++ b/src/admission.h
@@ -58,8 +58,8 @@
 struct admission_item *admission_pop (struct admission *a,
                                       int64_t now_ms); /* The next to be served, or NULL. */
 struct admission_item *
-admission_pop_hopeless (struct admission *a,
-                        int64_t now_ms); /* One that cannot meet its deadline, or NULL. */
+admission_pop_expired (struct admission *a,
+                       int64_t now_ms); /* One that cannot meet its deadline, or NULL. */
 struct admission_item *
 admission_pop_any (struct admission *a); /* Any that waits, not to be served, or NULL. */
 void admission_remove (struct admission *a, struct admission_item *item); /* The caller left. */
--- a/src/order.h
+++ b/src/order.h
@@ -1,8 +1,8 @@
 /* order: who is next.  Weighted dominant-resource shares among customers; within a customer the
    latest start that still meets the deadline, from run times learned per class.
 
-   A deadline counts as lost when even the hopeful run time is too long; until then the cautious one
-   sets the key.
+   A deadline counts as lost when even the optimistic run time is too long; until then the cautious
+   one sets the key.
 
    The key of a waiting task does not depend on the current time, so a heap keeps the order.  A task
    without a deadline gets the key submitted + ORDER_AGE_BOUND_MS: every task that arrives with a
@@ -68,6 +68,6 @@
 uint64_t order_expect_least (const struct order_run_time *r,
                              uint64_t declared_ms); /* Hopeful run time in ms. */
 int64_t order_key (int64_t now_ms, int64_t submitted_ms, int64_t deadline_ms, uint64_t remaining_ms,
-                   uint64_t least_ms); /* REMAINING_MS is cautious, LEAST_MS hopeful. */
+                   uint64_t least_ms); /* REMAINING_MS is cautious, LEAST_MS optimistic. */
 
 #endif
--- a/src/proxy_service.c
+++ b/src/proxy_service.c
@@ -92,10 +92,10 @@
 }
 
 static void
-drop_hopeless (struct proxy_service *s, int64_t now)
+drop_expired (struct proxy_service *s, int64_t now)
 {
   struct admission_item *item;
-  while ((item = admission_pop_hopeless (s->admission, now)))
+  while ((item = admission_pop_expired (s->admission, now)))
     call_fail (call_of (item), STATUS_DEADLINE_EXCEEDED, "no runner was free in time");
 }
 
@@ -125,7 +125,7 @@
 {
   struct proxy *p = s->proxy;
   int64_t now = proxy_now (p);
-  drop_hopeless (s, now);
+  drop_expired (s, now);
   if (give_up_waiting (s, now))
     return;
   while (admission_queued (s->admission) > 0)
--- a/src/scheduler_answer.c
+++ b/src/scheduler_answer.c
@@ -31,12 +31,12 @@
    dropped that the log lacks, so it acts only on epochs that its own log has moved past, and on
    tasks it does not know only while a quorum confirms it.  */
 static void
-answer_ghosts (struct scheduler *s, const struct sched_worker *w)
+answer_unplaced (struct scheduler *s, const struct sched_worker *w)
 {
   bool confirmed = s->confirmed_until_ms >= s->now_ms;
-  for (size_t i = 0; i < w->ghost_count; i++)
+  for (size_t i = 0; i < w->unplaced_count; i++)
     {
-      const struct sched_ghost *g = &w->ghosts[i];
+      const struct sched_unplaced *g = &w->unplaced_tasks[i];
       if (g->past || (g->unknown && confirmed))
         add_command (s, g->running ? WORKER_STOP : WORKER_FORGET, g->task, g->epoch);
     }
@@ -45,8 +45,8 @@
 static bool
 other_epoch_runs (const struct sched_worker *w, uint64_t task)
 {
-  for (size_t i = 0; i < w->ghost_count; i++)
-    if (w->ghosts[i].running && w->ghosts[i].task == task)
+  for (size_t i = 0; i < w->unplaced_count; i++)
+    if (w->unplaced_tasks[i].running && w->unplaced_tasks[i].task == task)
       return true;
   return false;
 }
@@ -174,7 +174,7 @@
     TAILQ_REMOVE (&s->ready, w, ready_link);
   w->ready = false;
   s->command_count = 0;
-  answer_ghosts (s, w);
+  answer_unplaced (s, w);
   struct sched_task *task;
   TAILQ_FOREACH (task, &w->tasks, link)
   answer_task (s, w, task);
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -106,7 +106,7 @@
 TAILQ_HEAD (sched_task_list, sched_task);
 
 /* An entry of a poll that does not match the log.  */
-struct sched_ghost
+struct sched_unplaced
 {
   uint64_t task;
   uint64_t epoch;
@@ -142,12 +142,12 @@
   int64_t gone_since_ms;    /* when it was declared lost */
   struct order_amount total;
   struct order_amount held;
-  struct order_amount ghost;
+  struct order_amount unplaced;
   struct order_amount reserved;
   struct sched_task_list tasks;
-  struct sched_ghost *ghosts;
-  size_t ghost_count;
-  size_t ghost_capacity;
+  struct sched_unplaced *unplaced_tasks;
+  size_t unplaced_count;
+  size_t unplaced_capacity;
   TAILQ_ENTRY (sched_worker) ready_link;
   int64_t retry_at_ms; /* commands are due again; 0 when none */
   struct worker_health health;
--- a/src/scheduler_place.c
+++ b/src/scheduler_place.c
@@ -173,11 +173,11 @@
 {
   struct order_amount m = {
     short_of (need->millicores, w->total.millicores,
-              w->held.millicores + w->ghost.millicores + w->reserved.millicores),
+              w->held.millicores + w->unplaced.millicores + w->reserved.millicores),
     short_of (need->memory_mb, w->total.memory_mb,
-              w->held.memory_mb + w->ghost.memory_mb + w->reserved.memory_mb),
+              w->held.memory_mb + w->unplaced.memory_mb + w->reserved.memory_mb),
     short_of (need->accelerators, w->total.accelerators,
-              w->held.accelerators + w->ghost.accelerators + w->reserved.accelerators),
+              w->held.accelerators + w->unplaced.accelerators + w->reserved.accelerators),
   };
   return m;
 }
--- a/src/scheduler_worker.c
+++ b/src/scheduler_worker.c
@@ -53,7 +53,7 @@
   if (w->health.quarantined)
     s->quarantined--;
   cell_map_remove (&s->worker_map, &w->node);
-  free (w->ghosts);
+  free (w->unplaced_tasks);
   free (w);
 }
 
@@ -65,9 +65,9 @@
 }
 
 static uint64_t
-left (uint64_t total, uint64_t held, uint64_t ghost, uint64_t reserved)
+left (uint64_t total, uint64_t held, uint64_t unplaced, uint64_t reserved)
 {
-  uint64_t used = held + ghost + reserved;
+  uint64_t used = held + unplaced + reserved;
   return used < total ? total - used : 0;
 }
 
@@ -77,12 +77,12 @@
 {
   static const struct order_amount none;
   const struct order_amount *o = own ? own : &none;
-  return need->millicores <= left (w->total.millicores, w->held.millicores, w->ghost.millicores,
+  return need->millicores <= left (w->total.millicores, w->held.millicores, w->unplaced.millicores,
                                    w->reserved.millicores - o->millicores)
-         && need->memory_mb <= left (w->total.memory_mb, w->held.memory_mb, w->ghost.memory_mb,
+         && need->memory_mb <= left (w->total.memory_mb, w->held.memory_mb, w->unplaced.memory_mb,
                                      w->reserved.memory_mb - o->memory_mb)
          && need->accelerators <= left (w->total.accelerators, w->held.accelerators,
-                                        w->ghost.accelerators,
+                                        w->unplaced.accelerators,
                                         w->reserved.accelerators - o->accelerators);
 }
 
@@ -97,12 +97,12 @@
 sched_update_row (struct scheduler *s, struct sched_worker *w)
 {
   struct placement_row *r = &s->rows[w->row];
-  r->free_millicores = (uint32_t)left (w->total.millicores, w->held.millicores, w->ghost.millicores,
-                                       w->reserved.millicores);
-  r->free_memory_mb = (uint32_t)left (w->total.memory_mb, w->held.memory_mb, w->ghost.memory_mb,
+  r->free_millicores = (uint32_t)left (w->total.millicores, w->held.millicores,
+                                       w->unplaced.millicores, w->reserved.millicores);
+  r->free_memory_mb = (uint32_t)left (w->total.memory_mb, w->held.memory_mb, w->unplaced.memory_mb,
                                       w->reserved.memory_mb);
   r->free_accelerators = (uint32_t)left (w->total.accelerators, w->held.accelerators,
-                                         w->ghost.accelerators, w->reserved.accelerators);
+                                         w->unplaced.accelerators, w->reserved.accelerators);
   r->total_millicores = (uint32_t)w->total.millicores;
   r->total_memory_mb = (uint32_t)w->total.memory_mb;
   r->rack = w->rack;
@@ -186,14 +186,15 @@
 }
 
 static void
-add_ghost (struct sched_worker *w, const struct worker_task *in, const struct cell_task *t)
+add_unplaced (struct sched_worker *w, const struct worker_task *in, const struct cell_task *t)
 {
-  if (w->ghost_count == w->ghost_capacity)
+  if (w->unplaced_count == w->unplaced_capacity)
     {
-      w->ghost_capacity = w->ghost_capacity ? 2 * w->ghost_capacity : 8;
-      w->ghosts = xrealloc (w->ghosts, w->ghost_capacity * sizeof *w->ghosts);
+      w->unplaced_capacity = w->unplaced_capacity ? 2 * w->unplaced_capacity : 8;
+      w->unplaced_tasks
+          = xrealloc (w->unplaced_tasks, w->unplaced_capacity * sizeof *w->unplaced_tasks);
     }
-  struct sched_ghost *g = &w->ghosts[w->ghost_count++];
+  struct sched_unplaced *g = &w->unplaced_tasks[w->unplaced_count++];
   g->task = in->task;
   g->epoch = in->epoch;
   g->running = in->state < CELL_REPORT_DONE;
@@ -204,17 +205,17 @@
     return;
   uint64_t millicores = t ? t->job->spec.size.millicores : in->used_millicores;
   uint64_t memory_mb = t ? t->job->spec.size.memory_mb : in->used_memory_mb;
-  w->ghost.millicores += millicores;
-  w->ghost.memory_mb += memory_mb;
-  w->ghost.accelerators += t ? t->job->spec.size.accelerators : 0;
+  w->unplaced.millicores += millicores;
+  w->unplaced.memory_mb += memory_mb;
+  w->unplaced.accelerators += t ? t->job->spec.size.accelerators : 0;
 }
 
 static void
 take_listing (struct scheduler *s, struct sched_worker *w, const struct worker_task *tasks,
               size_t count)
 {
-  w->ghost_count = 0;
-  memset (&w->ghost, 0, sizeof w->ghost);
+  w->unplaced_count = 0;
+  memset (&w->unplaced, 0, sizeof w->unplaced);
   for (size_t i = 0; i < count; i++)
     {
       const struct cell_task *t = cell_find_task (s->cell, tasks[i].task);
@@ -223,7 +224,7 @@
           && t->epoch == tasks[i].epoch)
         note_listing (s, w, st, &tasks[i]);
       else
-        add_ghost (w, &tasks[i], t);
+        add_unplaced (w, &tasks[i], t);
     }
   sched_update_row (s, w);
 }
@@ -249,8 +250,8 @@
   w->incarnation = a->incarnation;
   w->sequence = 0;
   w->poll_open = false;
-  memset (&w->ghost, 0, sizeof w->ghost);
-  w->ghost_count = 0;
+  memset (&w->unplaced, 0, sizeof w->unplaced);
+  w->unplaced_count = 0;
   struct sched_task *st;
   TAILQ_FOREACH (st, &w->tasks, link)
   {
@@ -332,8 +333,8 @@
 wants_command (const struct scheduler *s, const struct sched_worker *w)
 {
   const struct sched_task *st;
-  for (size_t i = 0; i < w->ghost_count; i++)
-    if (w->ghosts[i].running && w->ghosts[i].past)
+  for (size_t i = 0; i < w->unplaced_count; i++)
+    if (w->unplaced_tasks[i].running && w->unplaced_tasks[i].past)
       return true;
   TAILQ_FOREACH (st, &w->tasks, link)
   {
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -94,9 +94,9 @@
   assert_int_equal (push (a, &items[2], "c", true, 2000), 0);
   assert_int_equal (admission_push (a, &items[3], "c", true, 400, 0, &evicted, &st), -1);
   assert_int_equal (st.kind, STATUS_OVERLOADED); /* 300 ms of waiting, 400 ms left */
-  assert_null (admission_pop_hopeless (a, 900));
-  assert_ptr_equal (admission_pop_hopeless (a, 950), &items[0]);
-  assert_null (admission_pop_hopeless (a, 950));
+  assert_null (admission_pop_expired (a, 900));
+  assert_ptr_equal (admission_pop_expired (a, 950), &items[0]);
+  assert_null (admission_pop_expired (a, 950));
   admission_remove (a, &items[1]);
   assert_ptr_equal (admission_pop (a, 950), &items[2]);
   assert_int_equal (admission_queued (a), 0);
--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -1,5 +1,5 @@
 /* Guards against lost or misordered tasks in the heap, starvation of tasks without a deadline, and
-   a hopeless deadline that delays one that can be met.  */
+   a deadline that cannot be met that delays one that can be met.  */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -52,7 +52,8 @@
   int64_t later = ORDER_AGE_BOUND_MS + 1;
   assert_true (order_key (later, 0, 0, 0, 0) < order_key (later, later, later + 5000, 1000, 1000));
   assert_int_equal (order_key (0, 0, 10000, 4000, 2000), 6000);
-  /* The run time is uncertain: the deadline is given up only when the hopeful one is too long.  */
+  /* The run time is uncertain: the deadline is given up only when the optimistic one is too long.
+   */
   assert_int_equal (order_key (6001, 0, 10000, 4000, 2000), 6000);
   assert_int_equal (order_key (8001, 0, 10000, 4000, 2000), ORDER_AGE_BOUND_MS);
 }
