--- a/tests/path_whole.sh
+++ b/tests/path_whole.sh
@@ -25,7 +25,8 @@
   fail "a second edit with the same version was accepted"
 fi
 
-start_runner ra1 a
+RUNNER=127.$NET.91.1:8080
+start_runner ra1 a --listen="$RUNNER"
 start_worker wa1 a --rack=r1
 start_worker wb1 b --rack=r1
 start_worker wc1 c --rack=r1
@@ -36,6 +37,8 @@
 first=$(call b2 book -X POST -d 'pallet 7' -H 'Sassafras-Unrepeatable: 1' -H 'Idempotency-Key: k1')
 again=$(call c1 book -X POST -d 'pallet 7' -H 'Sassafras-Unrepeatable: 1' -H 'Idempotency-Key: k1' -D "$WORK/headers")
 [ "$first" = "$again" ] || fail "the first answer was '$first', the repeat got '$again'"
+runs=$(curl -s -m 2 "http://$RUNNER/standin/executions?key=k1" | tr -cd '0-9')
+[ "$runs" = 1 ] || fail "the unrepeatable request ran $runs times"
 grep -qi '^sassafras-replayed: 1' "$WORK/headers" || fail "the repeat was not answered from the record"
 unknown=$(curl -s -m 5 -H 'Sassafras-Customer: nobody' "http://${VM_ADDRESS[a1]}:7400/v1/call/echo/x")
 grep -q '"ran": *"no"' <<<"$unknown" || fail "an unknown customer got: $unknown"
