Send typed commands and error answers through one function each

job_api, cell_transfers, cell_service and registry_service each encoded a command and proposed it, with three callbacks that only cleared a flag; four files set a status and answered it. propose_command and http_reply_error now serve them. Two functions that nothing called are gone.

--- a/src/cell_service.c
+++ b/src/cell_service.c
@@ -9,6 +9,7 @@
 #include "home_cell.h"
 #include "log.h"
 #include "member_sync.h"
+#include "propose_command.h"
 
 #define CONFIRM_EVERY_MS 800     /* quorum rounds while this VM leads and has workers */
 #define CONFIRMED_FOR_MS 1100    /* no node elects another leader this soon after a round began */
@@ -396,16 +397,6 @@
   scheduler_permit (s->scheduler, left > 0 ? now_ms + left : 0);
 }
 
-static void
-on_stopped_proposed (void *arg, const struct status *st, const void *result, size_t len)
-{
-  struct cell_service *s = arg;
-  (void)st;
-  (void)result;
-  (void)len;
-  s->stopped_proposing = false;
-}
-
 /* True while a start command that was already sent may still be obeyed.  */
 static bool
 start_outstanding (const struct cell_service *s, int64_t now_ms)
@@ -425,7 +416,6 @@
 static void
 acknowledge_out (struct cell_service *s, const registry_data_centre *dc, int64_t now_ms)
 {
-  struct buffer encoded;
   struct status st;
   if (s->stopped_proposing || dc->stopped_version == dc->state_version
       || start_outstanding (s, now_ms))
@@ -435,24 +425,11 @@
   command.body.registry_body_u.stopped.data_centre = dc->name;
   command.body.registry_body_u.stopped.out_version = dc->state_version;
   command.body.registry_body_u.stopped.node = s->config.node;
-  buffer_init (&encoded);
-  if (registry_encode (&command, &encoded, &st) == 0)
-    {
-      s->stopped_proposing = true;
-      s->config.proposer->ops->propose (s->config.proposer, REGISTRY_GROUP, encoded.data,
-                                        encoded.len, on_stopped_proposed, s);
-    }
-  buffer_close (&encoded);
-}
-
-static void
-on_close_proposed (void *arg, const struct status *st, const void *result, size_t len)
-{
-  struct cell_service *s = arg;
-  (void)st;
-  (void)result;
-  (void)len;
-  s->closing_epoch = false;
+  s->stopped_proposing = true;
+  if (propose_registry_command (s->config.proposer, &command, propose_clear_flag,
+                                &s->stopped_proposing, &st)
+      < 0)
+    s->stopped_proposing = false;
 }
 
 /* Learns that the registry closed this cell's epoch, for example while the data centre was dark. */
@@ -468,7 +445,7 @@
   cell_encode (&s->cell, now_ms, &command, 1, &entry);
   s->closing_epoch = true;
   s->next_close_ms = now_ms + CLOSE_RETRY_MS;
-  group_propose (s->group, entry.data, entry.len, on_close_proposed, s);
+  group_propose (s->group, entry.data, entry.len, propose_clear_flag, &s->closing_epoch);
   buffer_close (&entry);
 }
 
--- a/src/cell_transfers.c
+++ b/src/cell_transfers.c
@@ -5,6 +5,7 @@
 
 #include "counters.h"
 #include "log.h"
+#include "propose_command.h"
 
 #define SCAN_EVERY_MS 250
 #define RETRY_MS 1000     /* before a step without an outcome is repeated */
@@ -217,18 +218,6 @@
   return true;
 }
 
-static void
-propose_to (struct cell_transfers *t, uint64_t group, cell_command *command, propose_done *done,
-            void *arg)
-{
-  struct buffer entry;
-  buffer_init (&entry);
-  /* The leader of the group stamps its own time.  */
-  cell_encode (t->config.cell, clock_now_ms (t->config.clock), command, 1, &entry);
-  t->config.proposer->ops->propose (t->config.proposer, group, entry.data, entry.len, done, arg);
-  buffer_close (&entry);
-}
-
 static void
 ignore_outcome (void *arg, const struct status *st, const void *result, size_t len)
 {
@@ -247,7 +236,8 @@
   c.cell_command_u.handoff_end.epoch = s->epoch;
   if (accepted)
     counter_add (&moved, 1);
-  propose_to (s->transfers, s->transfers->config.cell->number, &c, ignore_outcome, NULL);
+  propose_cell_command (s->transfers->config.proposer, s->transfers->config.cell->number, &c,
+                        ignore_outcome, NULL);
 }
 
 static void
@@ -295,7 +285,7 @@
   s->cell = group;
   s->open = true;
   s->transfers->open_steps++;
-  propose_to (s->transfers, group, command, on_step_done, s);
+  propose_cell_command (s->transfers->config.proposer, group, command, on_step_done, s);
 }
 
 static void
@@ -464,7 +454,8 @@
       command.cell_command_u.standby_start.closed_ago_ms = (uint64_t)ago;
       c->open = true;
       c->next_ms = now_ms + RETRY_MS;
-      propose_to (t, t->config.cell->number, &command, on_standby_started, c);
+      propose_cell_command (t->config.proposer, t->config.cell->number, &command,
+                            on_standby_started, c);
     }
 }
 
--- a/src/daemon_http.c
+++ b/src/daemon_http.c
@@ -14,20 +14,14 @@
 static void
 reply_not_found (struct http_request *req)
 {
-  struct status st;
-  status_set (&st, STATUS_NOT_FOUND, "no endpoint %s %s", req->method, req->path);
-  http_reply_status (req, &st);
+  http_reply_error (req, STATUS_NOT_FOUND, "no endpoint %s %s", req->method, req->path);
 }
 
 static void
 handle_runner (struct daemon *d, struct http_request *req, bool announce)
 {
-  struct status st;
   if (strcmp (req->method, "POST") != 0)
-    {
-      status_set (&st, STATUS_METHOD_NOT_ALLOWED, "use POST");
-      http_reply_status (req, &st);
-    }
+    http_reply_error (req, STATUS_METHOD_NOT_ALLOWED, "use POST");
   else if (announce)
     runner_api_announce (&d->runner_api, req);
   else
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -1,6 +1,7 @@
 #include "http_server.h"
 
 #include <arpa/inet.h>
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -238,12 +239,6 @@
   return server;
 }
 
-void
-http_server_quiesce (struct http_server *server)
-{
-  MHD_quiesce_daemon (server->daemon);
-}
-
 unsigned
 http_server_open_requests (const struct http_server *server)
 {
@@ -361,6 +356,17 @@
   answer (req, a->http_code, r);
 }
 
+void
+http_reply_error (struct http_request *req, enum status_kind kind, const char *format, ...)
+{
+  struct status st = { .kind = kind };
+  va_list args;
+  va_start (args, format);
+  vsnprintf (st.message, sizeof st.message, format, args);
+  va_end (args);
+  http_reply_status (req, &st);
+}
+
 void
 http_reply_redirect (struct http_request *req, const char *location)
 {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -56,7 +56,6 @@
 struct http_server *http_server_open (struct ev_loop *loop, const struct http_server_config *config,
                                       struct status *st); /* NULL and ST on failure. */
 void http_server_close (struct http_server *server);      /* Ends every connection and frees. */
-void http_server_quiesce (struct http_server *server); /* Stops accepting; open requests go on. */
 unsigned
 http_server_open_requests (const struct http_server *server); /* Requests without an answer. */
 int http_server_port (const struct http_server *server);      /* Port in use. */
@@ -73,6 +72,8 @@
                       json_t *body); /* Answers; takes over BODY. */
 void http_reply_status (struct http_request *req,
                         const struct status *st); /* Answers by the table of kinds. */
+void http_reply_error (struct http_request *req, enum status_kind kind, const char *format, ...)
+    __attribute__ ((format (printf, 3, 4))); /* http_reply_status with a message of its own. */
 void http_reply_redirect (struct http_request *req, const char *location); /* Answers 307. */
 json_t *http_status_json (const struct status *st); /* {"error","message","ran"}. */
 int http_parse_address (const char *text, struct sockaddr_in *out,
--- a/src/job_api.c
+++ b/src/job_api.c
@@ -6,6 +6,7 @@
 
 #include "home_cell.h"
 #include "json_fields.h"
+#include "propose_command.h"
 
 #define PATH "/v1/jobs"
 #define URL_BYTES 256
@@ -32,16 +33,6 @@
   return NULL;
 }
 
-static void
-propose (struct job_api *api, uint64_t cell, cell_command *command, propose_done *done, void *arg)
-{
-  struct buffer entry;
-  buffer_init (&entry);
-  cell_encode (NULL, 0, command, 1, &entry);
-  api->proposer->ops->propose (api->proposer, cell, entry.data, entry.len, done, arg);
-  buffer_close (&entry);
-}
-
 static int
 read_kind (struct json_fields *f, cell_job_spec *spec)
 {
@@ -121,16 +112,10 @@
   uint64_t cell = named ? cell_of_data_centre (api->registry, named)
                         : home_cell (api->registry, spec->customer, spec->request_id);
   if (!*api->registry_known)
-    {
-      status_set (&st, STATUS_NO_QUORUM, "the lists are not known here yet");
-      http_reply_status (req, &st);
-    }
+    http_reply_error (req, STATUS_NO_QUORUM, "the lists are not known here yet");
   else if (!plans_for_customer (registry_plans (api->registry), spec->customer))
-    {
-      status_set (&st, STATUS_UNKNOWN_CUSTOMER, "customer '%s' is not in the list of customers",
-                  spec->customer);
-      http_reply_status (req, &st);
-    }
+    http_reply_error (req, STATUS_UNKNOWN_CUSTOMER, "customer '%s' is not in the list of customers",
+                      spec->customer);
   else if (cell == 0)
     {
       status_set (&st, named ? STATUS_NOT_FOUND : STATUS_NO_QUORUM, "no data centre '%s' is known",
@@ -143,7 +128,7 @@
       call->req = req;
       snprintf (call->data_centre, sizeof call->data_centre, "%s",
                 cell_data_centre_name (api->registry, cell));
-      propose (api, cell, &c, on_submitted, call);
+      propose_cell_command (api->proposer, cell, &c, on_submitted, call);
     }
   json_decref (body);
 }
@@ -190,7 +175,6 @@
 static void
 redirect_to (struct job_api *api, struct http_request *req, const char *data_centre)
 {
-  struct status st;
   char url[URL_BYTES];
   const registry_member *all;
   size_t n = registry_members (api->registry, &all);
@@ -202,9 +186,8 @@
         http_reply_redirect (req, url);
         return;
       }
-  status_set (&st, STATUS_NOT_FOUND, "no VM of data centre '%s' is known",
-              data_centre ? data_centre : "");
-  http_reply_status (req, &st);
+  http_reply_error (req, STATUS_NOT_FOUND, "no VM of data centre '%s' is known",
+                    data_centre ? data_centre : "");
 }
 
 /* The cell that holds all of a moved job's tasks now; 0 when they are here or in several cells.  */
@@ -225,7 +208,6 @@
 static void
 show (struct job_api *api, struct http_request *req, uint64_t id)
 {
-  struct status st;
   const char *named = http_query (req, "data_centre");
   uint64_t number = named ? cell_of_data_centre (api->registry, named) : id >> CELL_ID_SHIFT;
   const struct cell *c = find_cell (api, number);
@@ -237,11 +219,8 @@
   const struct cell_job *j = cell_find_job (c, id);
   uint64_t other = j ? moved_to (j) : 0;
   if (!j)
-    {
-      status_set (&st, STATUS_NOT_FOUND, "no job %llu in data centre '%s'", (unsigned long long)id,
-                  cell_data_centre_name (api->registry, number));
-      http_reply_status (req, &st);
-    }
+    http_reply_error (req, STATUS_NOT_FOUND, "no job %llu in data centre '%s'",
+                      (unsigned long long)id, cell_data_centre_name (api->registry, number));
   else if (other != 0 && !named)
     redirect_to (api, req, cell_data_centre_name (api->registry, other));
   else
@@ -345,7 +324,7 @@
       c.cell_command_u.cancel.jobs.jobs_val = (u_quad_t *)&ids[i];
       c.cell_command_u.cancel.jobs.jobs_len = (u_int)n;
       call->open++;
-      propose (api, cell, &c, on_cancelled, call);
+      propose_cell_command (api->proposer, cell, &c, on_cancelled, call);
     }
   if (--call->open == 0)
     finish_cancel (call);
@@ -363,10 +342,7 @@
   for (size_t i = 0; i < n; i++)
     ids[i] = (uint64_t)json_integer_value (json_array_get (jobs, i));
   if (n == 0)
-    {
-      status_set (&st, STATUS_BAD_REQUEST, "jobs must be an array of job ids");
-      http_reply_status (req, &st);
-    }
+    http_reply_error (req, STATUS_BAD_REQUEST, "jobs must be an array of job ids");
   else
     cancel_ids (api, req, ids, n);
   free (ids);
@@ -376,23 +352,18 @@
 static void
 refuse_method (struct http_request *req)
 {
-  struct status st;
-  status_set (&st, STATUS_METHOD_NOT_ALLOWED, "%s is not allowed on %s", req->method, req->path);
-  http_reply_status (req, &st);
+  http_reply_error (req, STATUS_METHOD_NOT_ALLOWED, "%s is not allowed on %s", req->method,
+                    req->path);
 }
 
 static void
 handle_one (struct job_api *api, struct http_request *req, const char *id_text)
 {
-  struct status st;
   char *end;
   errno = 0;
   uint64_t id = strtoull (id_text, &end, 10);
   if (*end || end == id_text || errno != 0)
-    {
-      status_set (&st, STATUS_NOT_FOUND, "'%s' is not a job id", id_text);
-      http_reply_status (req, &st);
-    }
+    http_reply_error (req, STATUS_NOT_FOUND, "'%s' is not a job id", id_text);
   else if (strcmp (req->method, "GET") == 0)
     show (api, req, id);
   else if (strcmp (req->method, "DELETE") == 0)
--- a/src/operator_api.c
+++ b/src/operator_api.c
@@ -76,14 +76,6 @@
   return true;
 }
 
-void
-api_reply_error (struct http_request *req, enum status_kind kind, const char *message)
-{
-  struct status st;
-  status_set (&st, kind, "%s", message);
-  http_reply_status (req, &st);
-}
-
 /* Takes the same time wherever the first difference is.  */
 static bool
 token_equal (const char *a, const char *b)
@@ -106,7 +98,7 @@
       && token_equal (header + strlen (BEARER), token))
     return true;
   counter_add (&unauthorized_total, 1);
-  api_reply_error (req, STATUS_UNAUTHORIZED, "the operators' token is missing or wrong");
+  http_reply_error (req, STATUS_UNAUTHORIZED, "the operators' token is missing or wrong");
   return false;
 }
 
@@ -127,7 +119,7 @@
       return true;
     }
   if (known)
-    api_reply_error (req, STATUS_METHOD_NOT_ALLOWED, "this path has no such method");
+    http_reply_error (req, STATUS_METHOD_NOT_ALLOWED, "this path has no such method");
   return known;
 }
 
--- a/src/operator_api_internal.h
+++ b/src/operator_api_internal.h
@@ -60,8 +60,6 @@
 void api_body_close (struct api_body *b);     /* Frees it. */
 void api_propose (struct operator_api *api, struct http_request *req, registry_command *command,
                   render_fn *render, const char *subject); /* Proposes; answers later. */
-void api_reply_error (struct http_request *req, enum status_kind kind,
-                      const char *message); /* Answers by the table of kinds. */
 json_t *api_data_centre_json (const struct operator_api *api,
                               const registry_data_centre *dc); /* New object. */
 void api_get_lists (struct operator_api *api, struct http_request *req, const char *subject);
--- a/src/operator_api_places.c
+++ b/src/operator_api_places.c
@@ -58,7 +58,7 @@
   if (dc)
     http_reply_json (req, MHD_HTTP_OK, api_data_centre_json (api, dc));
   else
-    api_reply_error (req, STATUS_NOT_FOUND, "no such data centre");
+    http_reply_error (req, STATUS_NOT_FOUND, "no such data centre");
 }
 
 static void
--- a/src/proposal_router.c
+++ b/src/proposal_router.c
@@ -248,14 +248,6 @@
   r->groups[r->group_count++] = (struct local_group){ id, g, prepare, prepare_arg };
 }
 
-void
-proposal_router_remove (struct proposal_router *r, uint64_t id)
-{
-  struct local_group *local = find_group (r, id);
-  if (local)
-    *local = r->groups[--r->group_count];
-}
-
 struct proposer *
 proposal_router_proposer (struct proposal_router *r)
 {
--- a/src/proposal_router.h
+++ b/src/proposal_router.h
@@ -41,7 +41,6 @@
 void proposal_router_set_net (struct proposal_router *r, struct peer_net *net); /* After opening. */
 void proposal_router_add (struct proposal_router *r, uint64_t id, struct group *g,
                           proposal_prepare *prepare, void *prepare_arg); /* A local group. */
-void proposal_router_remove (struct proposal_router *r, uint64_t id);    /* Forgets it. */
 struct proposer *proposal_router_proposer (struct proposal_router *r);   /* The interface. */
 void proposal_router_receive (struct proposal_router *r, const propose_args *args,
                               struct peer_reply *reply); /* A command another VM forwarded. */
--- a/src/registry_service.c
+++ b/src/registry_service.c
@@ -8,6 +8,7 @@
 #include "log.h"
 #include "member_sync.h"
 #include "permit.h"
+#include "propose_command.h"
 
 #define PROPOSAL_RETRY_MS 500
 
@@ -223,32 +224,17 @@
     }
 }
 
-static void
-on_proposed (void *arg, const struct status *st, const void *result, size_t len)
-{
-  struct registry_service *s = arg;
-  (void)st;
-  (void)result;
-  (void)len;
-  s->proposing = false;
-}
-
 static void
 propose (struct registry_service *s, const registry_command *command, int64_t now_ms)
 {
-  struct buffer encoded;
   struct status st;
-  buffer_init (&encoded);
   s->next_proposal_ms = now_ms + PROPOSAL_RETRY_MS;
-  if (registry_encode (command, &encoded, &st) < 0)
-    log_line (LOG_ERROR, "cannot encode a registry command: %s", st.message);
-  else
-    {
-      s->proposing = true;
-      s->config.proposer->ops->propose (s->config.proposer, REGISTRY_GROUP, encoded.data,
-                                        encoded.len, on_proposed, s);
-    }
-  buffer_close (&encoded);
+  s->proposing = true;
+  if (propose_registry_command (s->config.proposer, command, propose_clear_flag, &s->proposing, &st)
+      == 0)
+    return;
+  s->proposing = false;
+  log_line (LOG_ERROR, "cannot encode a registry command: %s", st.message);
 }
 
 static void
--- a/src/sassafras.h
+++ b/src/sassafras.h
@@ -57,6 +57,7 @@
 #include "job_api.h"         /* endpoints for jobs */
 #include "operator_api.h"    /* endpoints for operators */
 #include "peer_net.h"        /* ONC RPC between the daemons */
+#include "propose_command.h" /* one typed command to its group */
 #include "proposal_router.h" /* commands to the leader of their group */
 #include "runner_api.h"      /* endpoints for runners */
 #include "worker_api.h"      /* endpoints for workers */
--- a/src/worker_api.c
+++ b/src/worker_api.c
@@ -165,15 +165,13 @@
 static void
 redirect (const struct worker_api *api, const struct cell_service *cell, struct http_request *req)
 {
-  struct status st;
   char url[URL_BYTES];
   uint64_t leader = cell ? cell_service_leader (cell) : 0;
   const registry_member *m = leader ? registry_find_node (api->registry, leader) : NULL;
   /* A leader that has not applied its own log yet must not redirect to itself.  */
   if (!m || cell_service_elected (cell))
     {
-      status_set (&st, STATUS_NO_QUORUM, "the cell has no leader that is ready yet");
-      http_reply_status (req, &st);
+      http_reply_error (req, STATUS_NO_QUORUM, "the cell has no leader that is ready yet");
       return;
     }
   snprintf (url, sizeof url, "http://%s%s?data_centre=%s", m->backend, req->path,
@@ -209,16 +207,12 @@
 bool
 worker_api_handle (struct worker_api *api, struct http_request *req)
 {
-  struct status st;
   bool is_announce = strcmp (req->path, "/v1/workers/announce") == 0;
   if (!is_announce && strcmp (req->path, "/v1/workers/poll") != 0)
     return false;
   struct cell_service *cell = find_cell (api, req);
   if (strcmp (req->method, "POST") != 0)
-    {
-      status_set (&st, STATUS_METHOD_NOT_ALLOWED, "use POST");
-      http_reply_status (req, &st);
-    }
+    http_reply_error (req, STATUS_METHOD_NOT_ALLOWED, "use POST");
   else if (!cell || !cell_service_leading (cell))
     redirect (api, cell, req);
   else
