Check the customer of a job where the job is admitted

The check that the lists are known stood only in the endpoint, so a cell leader that had not caught up could still call a forwarded job's customer unknown. The leader now makes both checks, and the endpoint's own look at the customers is gone. A job of an unknown customer still gets 403 unknown-customer; path_operators and the linters pass; no test of its own for a leader that lags.

--- a/src/cell_service.c
+++ b/src/cell_service.c
@@ -134,6 +134,8 @@
   const struct plan_size size = { .millicores = spec->size.millicores,
                                   .memory_mb = spec->size.memory_mb,
                                   .accelerators = spec->size.accelerators };
+  if (!*s->config.registry_known)
+    return status_set (st, STATUS_NO_QUORUM, "the lists are not known here yet");
   if (!p)
     return status_set (st, STATUS_UNKNOWN_CUSTOMER, "customer '%s' is not in the list of customers",
                        spec->customer);
--- a/src/cell_service.h
+++ b/src/cell_service.h
@@ -41,6 +41,7 @@
   struct peer_net *net;
   struct clock *clock;
   uint64_t seed;
+  const bool *registry_known; /* false: this VM has not caught up with the lists yet */
 };
 
 struct cell_service *
--- a/src/daemon_groups.c
+++ b/src/daemon_groups.c
@@ -227,7 +227,8 @@
                                               .proposer = proposal_router_proposer (d->proposals),
                                               .net = d->net,
                                               .clock = d->clock,
-                                              .seed = rng_next (&d->rng) };
+                                              .seed = rng_next (&d->rng),
+                                              .registry_known = &d->registry_known };
   struct cell_service *cell = cell_service_open (&config);
   d->cells[d->cell_count++] = cell;
   if (open_group (d, number, data_centre, cell_service_machine (cell), cell, join, st) < 0)
--- a/src/job_api.c
+++ b/src/job_api.c
@@ -113,9 +113,6 @@
                         : home_cell (api->registry, spec->customer, spec->request_id);
   if (!*api->registry_known)
     http_reply_error (req, STATUS_NO_QUORUM, "the lists are not known here yet");
-  else if (!plans_for_customer (registry_plans (api->registry), spec->customer))
-    http_reply_error (req, STATUS_UNKNOWN_CUSTOMER, "customer '%s' is not in the list of customers",
-                      spec->customer);
   else if (cell == 0)
     {
       status_set (&st, named ? STATUS_NOT_FOUND : STATUS_NO_QUORUM, "no data centre '%s' is known",
