--- a/tests/memory_disk.c
+++ b/tests/memory_disk.c
@@ -70,7 +70,7 @@
 set_name (struct disk_name *names, const char *name, int file)
 {
   struct disk_name *n = find_name (names, name);
-  snprintf (n->name, sizeof n->name, "%s", name);
+  strncpy (n->name, name, sizeof n->name - 1);
   n->file = file;
 }
 
@@ -79,7 +79,7 @@
 {
   set_name (d->current, name, file);
   struct disk_name *c = &d->changes[d->changes_len++];
-  snprintf (c->name, sizeof c->name, "%s", name);
+  strncpy (c->name, name, sizeof c->name - 1);
   c->file = file;
 }
 
