--- a/src/edge/daemon_identity.c
+++ b/src/base/incarnation.c
@@ -1,6 +1,5 @@
-/* The incarnation of this process.  It has to grow with every start, or the peers refuse the VM as
-   an earlier life of itself.  With a disk the last one is kept in a file, because the wall clock
-   may step back between two starts.  */
+#include "incarnation.h"
+
 #include <errno.h>
 #include <fcntl.h>
 #include <inttypes.h>
@@ -8,10 +7,11 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "daemon_internal.h"
+#include "clock.h"
 
 #define FILE_NAME "incarnation"
 #define TEXT_BYTES 32
+#define PATH_BYTES 4200
 
 static int
 fail (struct status *st, const char *path, const char *what)
@@ -37,7 +37,7 @@
 write_next (const char *path, uint64_t value, struct status *st)
 {
   char text[TEXT_BYTES];
-  char temporary[SETTINGS_PATH_BYTES + TEXT_BYTES + 8];
+  char temporary[PATH_BYTES + 8];
   snprintf (temporary, sizeof temporary, "%s.new", path);
   int len = snprintf (text, sizeof text, "%" PRIu64 "\n", value);
   int file = open (temporary, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
@@ -51,15 +51,15 @@
 }
 
 int
-daemon_take_incarnation (struct daemon *d, struct status *st)
+incarnation_take (const char *data_dir, uint64_t *out, struct status *st)
 {
-  char path[SETTINGS_PATH_BYTES + TEXT_BYTES];
-  d->incarnation = (uint64_t)clock_wall_ms ();
-  if (!d->disk)
+  char path[PATH_BYTES];
+  *out = (uint64_t)clock_wall_ms ();
+  if (!data_dir[0])
     return 0;
-  snprintf (path, sizeof path, "%s/%s", d->settings->data_dir, FILE_NAME);
+  snprintf (path, sizeof path, "%s/%s", data_dir, FILE_NAME);
   uint64_t last = read_last (path);
-  if (d->incarnation <= last)
-    d->incarnation = last + 1;
-  return write_next (path, d->incarnation, st);
+  if (*out <= last)
+    *out = last + 1;
+  return write_next (path, *out, st);
 }
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,6 +1,9 @@
 #include "log.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <stdarg.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
@@ -75,3 +78,88 @@
     fprintf (stderr, "%s %-5s [%d %s %s] %s\n", when, level_names[level], (int)getpid (),
              current.vm, current.data_centre, text);
 }
+
+/* Events that wait for log_flush.  */
+static struct
+{
+  char bytes[LOG_BUFFER_BYTES];
+  size_t len;
+  unsigned lines;    /* in BYTES */
+  time_t second;     /* the second that KEPT counts */
+  unsigned kept;     /* lines in that second */
+  uint64_t left_out; /* lines dropped and not yet reported */
+  bool nonblocking;  /* standard output was set so */
+} events;
+
+static bool
+may_keep (time_t now)
+{
+  if (now != events.second)
+    {
+      events.second = now;
+      events.kept = 0;
+    }
+  if (events.kept >= LOG_EVENTS_PER_S || events.len + LINE_BYTES + 128 > sizeof events.bytes)
+    {
+      events.left_out++;
+      return false;
+    }
+  events.kept++;
+  return true;
+}
+
+static void
+add_event (enum log_level level, const char *event, const char *text)
+{
+  char when[40];
+  format_time (when, sizeof when);
+  int n = snprintf (events.bytes + events.len, sizeof events.bytes - events.len,
+                    "time=%s level=%s vm=%s event=%s %s\n", when, level_names[level], current.vm,
+                    event, text);
+  if (n > 0 && (size_t)n < sizeof events.bytes - events.len)
+    events.len += (size_t)n;
+  events.lines++;
+}
+
+void
+log_event (enum log_level level, const char *event, const char *format, ...)
+{
+  char text[LINE_BYTES];
+  va_list args;
+  if (level > current.level || !may_keep (time (NULL)))
+    return;
+  va_start (args, format);
+  vsnprintf (text, sizeof text, format, args);
+  va_end (args);
+  add_event (level, event, text);
+}
+
+static void
+set_nonblocking (void)
+{
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+  events.nonblocking = true;
+  if (flags >= 0 && !(flags & O_NONBLOCK))
+    fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+void
+log_flush (void)
+{
+  char text[64];
+  if (events.left_out > 0 && events.len + LINE_BYTES < sizeof events.bytes)
+    {
+      snprintf (text, sizeof text, "count=%llu", (unsigned long long)events.left_out);
+      events.left_out = 0;
+      add_event (LOG_WARN, "lines-left-out", text);
+    }
+  if (events.len == 0)
+    return;
+  if (!events.nonblocking)
+    set_nonblocking ();
+  ssize_t n = write (STDOUT_FILENO, events.bytes, events.len);
+  if (n < (ssize_t)events.len && !(n < 0 && errno == EINTR))
+    events.left_out += events.lines;
+  events.len = 0;
+  events.lines = 0;
+}
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,11 +1,20 @@
 /* log: leveled logger.  Lines are for changes of state only; anything frequent is a counter.
-   Format: text or JSON lines on standard error, with time, level, process id and data centre.  */
+   Format: text or JSON lines on standard error, with time, level, process id and data centre.
+
+   log_event writes structured lines, "time=... level=... vm=... event=NAME key=value ...", on
+   standard output: one for each decision that touches a request or changes what the process
+   believes.  They are collected and written by log_flush, which never blocks: what a full pipe does
+   not take is dropped.  At most LOG_EVENTS_PER_S lines a second are kept.  The number of lines left
+   out for either reason is logged with event=lines-left-out.  */
 
 #ifndef SASSAFRAS_LOG_H
 #define SASSAFRAS_LOG_H
 
 #include <stdbool.h>
 
+#define LOG_EVENTS_PER_S 4000 /* about 0.6 MB a second; twice the peak of decisions measured */
+#define LOG_BUFFER_BYTES (256u << 10) /* lines that wait for log_flush */
+
 enum log_level
 {
   LOG_ERROR,
@@ -27,5 +36,8 @@
                          enum log_level *out); /* "error".."debug"; -1 when unknown. */
 void log_line (enum log_level level, const char *format, ...)
     __attribute__ ((format (printf, 2, 3))); /* Writes one line. */
+void log_event (enum log_level level, const char *event, const char *format, ...)
+    __attribute__ ((format (printf, 3, 4))); /* One structured line; FORMAT gives key=value. */
+void log_flush (void);                       /* Writes collected events; never blocks. */
 
 #endif
--- a/src/edge/daemon.c
+++ b/src/edge/daemon.c
@@ -7,6 +7,7 @@
 #include <sys/random.h>
 
 #include "daemon_internal.h"
+#include "incarnation.h"
 #include "log.h"
 
 #define MS_PER_S 1000.0
@@ -179,8 +180,9 @@
   open_registry (d);
   if (!d->self)
     status_set (st, STATUS_INVALID_SETTING, "vm '%s' is not in the members file", settings->vm);
-  if (!d->self || daemon_take_incarnation (d, st) < 0 || daemon_open_requests (d, st) < 0
-      || daemon_open_http (d, st) < 0 || daemon_open_peers (d, st) < 0)
+  if (!d->self || incarnation_take (settings->data_dir, &d->incarnation, st) < 0
+      || daemon_open_requests (d, st) < 0 || daemon_open_http (d, st) < 0
+      || daemon_open_peers (d, st) < 0)
     {
       daemon_close (d);
       return NULL;
--- a/src/edge/daemon_internal.h
+++ b/src/edge/daemon_internal.h
@@ -81,10 +81,6 @@
   int64_t next_handover_ms; /* while this VM is drained */
 };
 
-/* daemon_identity.c */
-int daemon_take_incarnation (struct daemon *d,
-                             struct status *st); /* Grows with every start of this VM. */
-
 /* daemon_groups.c */
 int daemon_open_peers (struct daemon *d, struct status *st); /* Transport and bootstrap. */
 int daemon_bootstrap (struct daemon *d, struct status *st);  /* Opens the groups once it may. */
--- a/src/gen/cell_proto.h
+++ b/src/gen/cell_proto.h
@@ -8,9 +8,9 @@
 
 #include <rpc/rpc.h>
 
-
 #ifdef __cplusplus
-extern "C" {
+extern "C"
+{
 #endif
 
 #define CELL_NAME_BYTES 64
@@ -23,399 +23,442 @@
 #define CELL_MAX_REPLICAS 1024
 #define CELL_FAILED_WORKERS 4
 
-typedef char *cell_name;
-
-enum cell_class {
-	CELL_URGENT = 1,
-	CELL_BATCH = 2,
-};
-typedef enum cell_class cell_class;
-
-enum cell_task_state {
-	CELL_PENDING = 1,
-	CELL_PLACED = 2,
-	CELL_RUNNING = 3,
-	CELL_STOPPING = 4,
-	CELL_OFFERED = 5,
-	CELL_STANDBY = 6,
-	CELL_DONE = 7,
-	CELL_FAILED = 8,
-	CELL_CANCELLED = 9,
-	CELL_MOVED = 10,
-};
-typedef enum cell_task_state cell_task_state;
-
-enum cell_stop_reason {
-	CELL_STOP_NONE = 0,
-	CELL_STOP_PREEMPT = 1,
-	CELL_STOP_HARM = 2,
-	CELL_STOP_OVERSIZE = 3,
-	CELL_STOP_PLAN = 4,
-	CELL_STOP_DRAIN = 5,
-	CELL_STOP_CANCEL = 6,
-	CELL_STOP_REPLACED = 7,
-	CELL_STOP_WORKER = 8,
-	CELL_STOP_CLOSED = 9,
-};
-typedef enum cell_stop_reason cell_stop_reason;
-
-struct cell_size {
-	u_int millicores;
-	u_int memory_mb;
-	u_int accelerators;
-};
-typedef struct cell_size cell_size;
-
-struct cell_job_spec {
-	cell_name customer;
-	cell_name request_id;
-	cell_name service;
-	cell_class kind;
-	cell_size size;
-	u_int replicas;
-	u_int max_per_rack;
-	u_quad_t run_ms;
-	u_quad_t deadline_ms;
-	u_int checkpoint_ms;
-	bool_t repeat_elsewhere;
-	char *payload;
-};
-typedef struct cell_job_spec cell_job_spec;
-
-struct cell_transfer {
-	u_quad_t from_cell;
-	u_quad_t from_epoch;
-	u_quad_t job;
-	u_quad_t task;
-	u_int index;
-	u_quad_t task_epoch;
-	u_quad_t progress_ms;
-	char *checkpoint;
-	quad_t deadline_left_ms;
-	bool_t cancelled;
-	cell_job_spec spec;
-};
-typedef struct cell_transfer cell_transfer;
-
-enum cell_command_kind {
-	CELL_SUBMIT = 1,
-	CELL_CANCEL = 2,
-	CELL_PLACE = 3,
-	CELL_REPORT = 4,
-	CELL_STOP = 5,
-	CELL_LOST = 6,
-	CELL_FAIL_JOB = 7,
-	CELL_HANDOFF_OFFER = 8,
-	CELL_HANDOFF_ACCEPT = 9,
-	CELL_HANDOFF_REFUSE = 10,
-	CELL_HANDOFF_DONE = 11,
-	CELL_HANDOFF_ABORT = 12,
-	CELL_REPLICA_ADD = 13,
-	CELL_REPLICA_REPLACED = 14,
-	CELL_STANDBY_PUT = 15,
-	CELL_STANDBY_START = 16,
-	CELL_STANDBY_DROP = 17,
-	CELL_EPOCH_CLOSED = 18,
-	CELL_INTENT_BEGIN = 19,
-	CELL_INTENT_FINISH = 20,
-	CELL_STANDBY_SENT = 21,
-};
-typedef enum cell_command_kind cell_command_kind;
-
-struct cell_cancel {
-	struct {
-		u_int jobs_len;
-		u_quad_t *jobs_val;
-	} jobs;
-};
-typedef struct cell_cancel cell_cancel;
-
-struct cell_place {
-	u_quad_t task;
-	u_quad_t epoch;
-	cell_name worker;
-	u_quad_t incarnation;
-};
-typedef struct cell_place cell_place;
-
-enum cell_report_kind {
-	CELL_REPORT_RUNNING = 1,
-	CELL_REPORT_CHECKPOINT = 2,
-	CELL_REPORT_DONE = 3,
-	CELL_REPORT_FAILED = 4,
-	CELL_REPORT_STOPPED = 5,
-	CELL_REPORT_REFUSED = 6,
-};
-typedef enum cell_report_kind cell_report_kind;
-
-struct cell_report {
-	u_quad_t task;
-	u_quad_t epoch;
-	cell_report_kind kind;
-	u_quad_t progress_ms;
-	char *checkpoint;
-	char *reason;
-	u_int backoff_ms;
-};
-typedef struct cell_report cell_report;
-
-struct cell_stop {
-	u_quad_t task;
-	u_quad_t epoch;
-	cell_stop_reason reason;
-};
-typedef struct cell_stop cell_stop;
-
-struct cell_lost {
-	u_quad_t task;
-	u_quad_t epoch;
-};
-typedef struct cell_lost cell_lost;
-
-struct cell_fail_job {
-	u_quad_t job;
-	char *reason;
-};
-typedef struct cell_fail_job cell_fail_job;
-
-struct cell_offer {
-	u_quad_t task;
-	u_quad_t epoch;
-	u_quad_t to_cell;
-};
-typedef struct cell_offer cell_offer;
-
-struct cell_handoff_end {
-	u_quad_t task;
-	u_quad_t epoch;
-};
-typedef struct cell_handoff_end cell_handoff_end;
-
-struct cell_standby_start {
-	u_quad_t cell;
-	u_quad_t closed_epoch;
-	u_quad_t closed_ago_ms;
-};
-typedef struct cell_standby_start cell_standby_start;
-
-struct cell_standby_drop {
-	u_quad_t job;
-};
-typedef struct cell_standby_drop cell_standby_drop;
-
-struct cell_epoch_closed {
-	u_quad_t closed_epoch;
-};
-typedef struct cell_epoch_closed cell_epoch_closed;
-
-struct cell_intent_begin {
-	cell_name customer;
-	cell_name key;
-	u_quad_t request_hash;
-	u_quad_t attempt;
-};
-typedef struct cell_intent_begin cell_intent_begin;
-
-struct cell_intent_finish {
-	cell_name customer;
-	cell_name key;
-	u_quad_t attempt;
-	u_int outcome;
-	u_int code;
-	struct {
-		u_int answer_len;
-		char *answer_val;
-	} answer;
-};
-typedef struct cell_intent_finish cell_intent_finish;
-
-struct cell_command {
-	cell_command_kind kind;
-	union {
-		cell_job_spec submit;
-		cell_cancel cancel;
-		cell_place place;
-		cell_report report;
-		cell_stop stop;
-		cell_lost lost;
-		cell_fail_job fail_job;
-		cell_offer offer;
-		cell_transfer transfer;
-		cell_handoff_end handoff_end;
-		cell_standby_start standby_start;
-		cell_standby_drop standby_drop;
-		cell_epoch_closed epoch_closed;
-		cell_intent_begin intent_begin;
-		cell_intent_finish intent_finish;
-	} cell_command_u;
-};
-typedef struct cell_command cell_command;
-
-struct cell_batch {
-	quad_t now_ms;
-	struct {
-		u_int commands_len;
-		cell_command *commands_val;
-	} commands;
-};
-typedef struct cell_batch cell_batch;
-
-enum cell_intent_state {
-	CELL_INTENT_NONE = 0,
-	CELL_INTENT_NEW = 1,
-	CELL_INTENT_IN_PROGRESS = 2,
-	CELL_INTENT_DONE = 3,
-	CELL_INTENT_KEY_REUSED = 4,
-};
-typedef enum cell_intent_state cell_intent_state;
-
-struct cell_result {
-	u_int status;
-	u_quad_t job;
-	u_quad_t task;
-	u_quad_t epoch;
-	u_int count;
-	bool_t repeated;
-	cell_intent_state intent;
-	u_int outcome;
-	u_int code;
-	struct {
-		u_int answer_len;
-		char *answer_val;
-	} answer;
-	char *message;
-};
-typedef struct cell_result cell_result;
-
-struct cell_results {
-	struct {
-		u_int results_len;
-		cell_result *results_val;
-	} results;
-};
-typedef struct cell_results cell_results;
-
-struct cell_task_image {
-	u_quad_t id;
-	u_int index;
-	cell_task_state state;
-	u_quad_t epoch;
-	cell_name worker;
-	u_quad_t incarnation;
-	quad_t state_ms;
-	quad_t not_before_ms;
-	u_quad_t progress_ms;
-	char *checkpoint;
-	cell_stop_reason stop;
-	u_int failures;
-	u_int evictions;
-	struct {
-		u_int failed_on_len;
-		cell_name *failed_on_val;
-	} failed_on;
-	u_quad_t other_cell;
-	u_quad_t other_epoch;
-	u_quad_t replaces;
-};
-typedef struct cell_task_image cell_task_image;
-
-struct cell_job_image {
-	u_quad_t id;
-	cell_job_spec spec;
-	quad_t submitted_ms;
-	quad_t deadline_ms;
-	quad_t finished_ms;
-	bool_t cancelled;
-	bool_t failed;
-	char *reason;
-	struct {
-		u_int tasks_len;
-		cell_task_image *tasks_val;
-	} tasks;
-};
-typedef struct cell_job_image cell_job_image;
-
-struct cell_intent_image {
-	cell_name customer;
-	cell_name key;
-	u_quad_t request_hash;
-	u_quad_t attempt;
-	quad_t begun_ms;
-	bool_t finished;
-	u_int outcome;
-	u_int code;
-	struct {
-		u_int answer_len;
-		char *answer_val;
-	} answer;
-};
-typedef struct cell_intent_image cell_intent_image;
-
-struct cell_handoff_image {
-	u_quad_t task;
-	u_quad_t epoch;
-	bool_t accepted;
-	u_quad_t local_task;
-	quad_t at_ms;
-};
-typedef struct cell_handoff_image cell_handoff_image;
-
-struct cell_image {
-	u_int format;
-	u_quad_t cell;
-	u_quad_t epoch;
-	u_quad_t next_id;
-	quad_t now_ms;
-	struct {
-		u_int jobs_len;
-		cell_job_image *jobs_val;
-	} jobs;
-	struct {
-		u_int intents_len;
-		cell_intent_image *intents_val;
-	} intents;
-	struct {
-		u_int handoffs_len;
-		cell_handoff_image *handoffs_val;
-	} handoffs;
-};
-typedef struct cell_image cell_image;
-
-/* the xdr functions */
+  typedef char *cell_name;
+
+  enum cell_class
+  {
+    CELL_URGENT = 1,
+    CELL_BATCH = 2,
+  };
+  typedef enum cell_class cell_class;
+
+  enum cell_task_state
+  {
+    CELL_PENDING = 1,
+    CELL_PLACED = 2,
+    CELL_RUNNING = 3,
+    CELL_STOPPING = 4,
+    CELL_OFFERED = 5,
+    CELL_STANDBY = 6,
+    CELL_DONE = 7,
+    CELL_FAILED = 8,
+    CELL_CANCELLED = 9,
+    CELL_MOVED = 10,
+  };
+  typedef enum cell_task_state cell_task_state;
+
+  enum cell_stop_reason
+  {
+    CELL_STOP_NONE = 0,
+    CELL_STOP_PREEMPT = 1,
+    CELL_STOP_HARM = 2,
+    CELL_STOP_OVERSIZE = 3,
+    CELL_STOP_PLAN = 4,
+    CELL_STOP_DRAIN = 5,
+    CELL_STOP_CANCEL = 6,
+    CELL_STOP_REPLACED = 7,
+    CELL_STOP_WORKER = 8,
+    CELL_STOP_CLOSED = 9,
+  };
+  typedef enum cell_stop_reason cell_stop_reason;
+
+  struct cell_size
+  {
+    u_int millicores;
+    u_int memory_mb;
+    u_int accelerators;
+  };
+  typedef struct cell_size cell_size;
+
+  struct cell_job_spec
+  {
+    cell_name customer;
+    cell_name request_id;
+    cell_name service;
+    cell_class kind;
+    cell_size size;
+    u_int replicas;
+    u_int max_per_rack;
+    u_quad_t run_ms;
+    u_quad_t deadline_ms;
+    u_int checkpoint_ms;
+    bool_t repeat_elsewhere;
+    char *payload;
+  };
+  typedef struct cell_job_spec cell_job_spec;
+
+  struct cell_transfer
+  {
+    u_quad_t from_cell;
+    u_quad_t from_epoch;
+    u_quad_t job;
+    u_quad_t task;
+    u_int index;
+    u_quad_t task_epoch;
+    u_quad_t progress_ms;
+    char *checkpoint;
+    quad_t deadline_left_ms;
+    bool_t cancelled;
+    cell_job_spec spec;
+  };
+  typedef struct cell_transfer cell_transfer;
+
+  enum cell_command_kind
+  {
+    CELL_SUBMIT = 1,
+    CELL_CANCEL = 2,
+    CELL_PLACE = 3,
+    CELL_REPORT = 4,
+    CELL_STOP = 5,
+    CELL_LOST = 6,
+    CELL_FAIL_JOB = 7,
+    CELL_HANDOFF_OFFER = 8,
+    CELL_HANDOFF_ACCEPT = 9,
+    CELL_HANDOFF_REFUSE = 10,
+    CELL_HANDOFF_DONE = 11,
+    CELL_HANDOFF_ABORT = 12,
+    CELL_REPLICA_ADD = 13,
+    CELL_REPLICA_REPLACED = 14,
+    CELL_STANDBY_PUT = 15,
+    CELL_STANDBY_START = 16,
+    CELL_STANDBY_DROP = 17,
+    CELL_EPOCH_CLOSED = 18,
+    CELL_INTENT_BEGIN = 19,
+    CELL_INTENT_FINISH = 20,
+    CELL_STANDBY_SENT = 21,
+  };
+  typedef enum cell_command_kind cell_command_kind;
+
+  struct cell_cancel
+  {
+    struct
+    {
+      u_int jobs_len;
+      u_quad_t *jobs_val;
+    } jobs;
+  };
+  typedef struct cell_cancel cell_cancel;
+
+  struct cell_place
+  {
+    u_quad_t task;
+    u_quad_t epoch;
+    cell_name worker;
+    u_quad_t incarnation;
+  };
+  typedef struct cell_place cell_place;
+
+  enum cell_report_kind
+  {
+    CELL_REPORT_RUNNING = 1,
+    CELL_REPORT_CHECKPOINT = 2,
+    CELL_REPORT_DONE = 3,
+    CELL_REPORT_FAILED = 4,
+    CELL_REPORT_STOPPED = 5,
+    CELL_REPORT_REFUSED = 6,
+  };
+  typedef enum cell_report_kind cell_report_kind;
+
+  struct cell_report
+  {
+    u_quad_t task;
+    u_quad_t epoch;
+    cell_report_kind kind;
+    u_quad_t progress_ms;
+    char *checkpoint;
+    char *reason;
+    u_int backoff_ms;
+  };
+  typedef struct cell_report cell_report;
+
+  struct cell_stop
+  {
+    u_quad_t task;
+    u_quad_t epoch;
+    cell_stop_reason reason;
+  };
+  typedef struct cell_stop cell_stop;
+
+  struct cell_lost
+  {
+    u_quad_t task;
+    u_quad_t epoch;
+  };
+  typedef struct cell_lost cell_lost;
+
+  struct cell_fail_job
+  {
+    u_quad_t job;
+    char *reason;
+  };
+  typedef struct cell_fail_job cell_fail_job;
+
+  struct cell_offer
+  {
+    u_quad_t task;
+    u_quad_t epoch;
+    u_quad_t to_cell;
+  };
+  typedef struct cell_offer cell_offer;
+
+  struct cell_handoff_end
+  {
+    u_quad_t task;
+    u_quad_t epoch;
+  };
+  typedef struct cell_handoff_end cell_handoff_end;
+
+  struct cell_standby_start
+  {
+    u_quad_t cell;
+    u_quad_t closed_epoch;
+    u_quad_t closed_ago_ms;
+  };
+  typedef struct cell_standby_start cell_standby_start;
+
+  struct cell_standby_drop
+  {
+    u_quad_t job;
+  };
+  typedef struct cell_standby_drop cell_standby_drop;
+
+  struct cell_epoch_closed
+  {
+    u_quad_t closed_epoch;
+  };
+  typedef struct cell_epoch_closed cell_epoch_closed;
+
+  struct cell_intent_begin
+  {
+    cell_name customer;
+    cell_name key;
+    u_quad_t request_hash;
+    u_quad_t attempt;
+  };
+  typedef struct cell_intent_begin cell_intent_begin;
+
+  struct cell_intent_finish
+  {
+    cell_name customer;
+    cell_name key;
+    u_quad_t attempt;
+    u_int outcome;
+    u_int code;
+    struct
+    {
+      u_int answer_len;
+      char *answer_val;
+    } answer;
+  };
+  typedef struct cell_intent_finish cell_intent_finish;
+
+  struct cell_command
+  {
+    cell_command_kind kind;
+    union
+    {
+      cell_job_spec submit;
+      cell_cancel cancel;
+      cell_place place;
+      cell_report report;
+      cell_stop stop;
+      cell_lost lost;
+      cell_fail_job fail_job;
+      cell_offer offer;
+      cell_transfer transfer;
+      cell_handoff_end handoff_end;
+      cell_standby_start standby_start;
+      cell_standby_drop standby_drop;
+      cell_epoch_closed epoch_closed;
+      cell_intent_begin intent_begin;
+      cell_intent_finish intent_finish;
+    } cell_command_u;
+  };
+  typedef struct cell_command cell_command;
+
+  struct cell_batch
+  {
+    quad_t now_ms;
+    struct
+    {
+      u_int commands_len;
+      cell_command *commands_val;
+    } commands;
+  };
+  typedef struct cell_batch cell_batch;
+
+  enum cell_intent_state
+  {
+    CELL_INTENT_NONE = 0,
+    CELL_INTENT_NEW = 1,
+    CELL_INTENT_IN_PROGRESS = 2,
+    CELL_INTENT_DONE = 3,
+    CELL_INTENT_KEY_REUSED = 4,
+  };
+  typedef enum cell_intent_state cell_intent_state;
+
+  struct cell_result
+  {
+    u_int status;
+    u_quad_t job;
+    u_quad_t task;
+    u_quad_t epoch;
+    u_int count;
+    bool_t repeated;
+    cell_intent_state intent;
+    u_int outcome;
+    u_int code;
+    struct
+    {
+      u_int answer_len;
+      char *answer_val;
+    } answer;
+    char *message;
+  };
+  typedef struct cell_result cell_result;
+
+  struct cell_results
+  {
+    struct
+    {
+      u_int results_len;
+      cell_result *results_val;
+    } results;
+  };
+  typedef struct cell_results cell_results;
+
+  struct cell_task_image
+  {
+    u_quad_t id;
+    u_int index;
+    cell_task_state state;
+    u_quad_t epoch;
+    cell_name worker;
+    u_quad_t incarnation;
+    quad_t state_ms;
+    quad_t not_before_ms;
+    u_quad_t progress_ms;
+    char *checkpoint;
+    cell_stop_reason stop;
+    u_int failures;
+    u_int evictions;
+    struct
+    {
+      u_int failed_on_len;
+      cell_name *failed_on_val;
+    } failed_on;
+    u_quad_t other_cell;
+    u_quad_t other_epoch;
+    u_quad_t replaces;
+  };
+  typedef struct cell_task_image cell_task_image;
+
+  struct cell_job_image
+  {
+    u_quad_t id;
+    cell_job_spec spec;
+    quad_t submitted_ms;
+    quad_t deadline_ms;
+    quad_t finished_ms;
+    bool_t cancelled;
+    bool_t failed;
+    char *reason;
+    struct
+    {
+      u_int tasks_len;
+      cell_task_image *tasks_val;
+    } tasks;
+  };
+  typedef struct cell_job_image cell_job_image;
+
+  struct cell_intent_image
+  {
+    cell_name customer;
+    cell_name key;
+    u_quad_t request_hash;
+    u_quad_t attempt;
+    quad_t begun_ms;
+    bool_t finished;
+    u_int outcome;
+    u_int code;
+    struct
+    {
+      u_int answer_len;
+      char *answer_val;
+    } answer;
+  };
+  typedef struct cell_intent_image cell_intent_image;
+
+  struct cell_handoff_image
+  {
+    u_quad_t task;
+    u_quad_t epoch;
+    bool_t accepted;
+    u_quad_t local_task;
+    quad_t at_ms;
+  };
+  typedef struct cell_handoff_image cell_handoff_image;
+
+  struct cell_image
+  {
+    u_int format;
+    u_quad_t cell;
+    u_quad_t epoch;
+    u_quad_t next_id;
+    quad_t now_ms;
+    struct
+    {
+      u_int jobs_len;
+      cell_job_image *jobs_val;
+    } jobs;
+    struct
+    {
+      u_int intents_len;
+      cell_intent_image *intents_val;
+    } intents;
+    struct
+    {
+      u_int handoffs_len;
+      cell_handoff_image *handoffs_val;
+    } handoffs;
+  };
+  typedef struct cell_image cell_image;
+
+  /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_cell_name (XDR *, cell_name*);
-extern  bool_t xdr_cell_class (XDR *, cell_class*);
-extern  bool_t xdr_cell_task_state (XDR *, cell_task_state*);
-extern  bool_t xdr_cell_stop_reason (XDR *, cell_stop_reason*);
-extern  bool_t xdr_cell_size (XDR *, cell_size*);
-extern  bool_t xdr_cell_job_spec (XDR *, cell_job_spec*);
-extern  bool_t xdr_cell_transfer (XDR *, cell_transfer*);
-extern  bool_t xdr_cell_command_kind (XDR *, cell_command_kind*);
-extern  bool_t xdr_cell_cancel (XDR *, cell_cancel*);
-extern  bool_t xdr_cell_place (XDR *, cell_place*);
-extern  bool_t xdr_cell_report_kind (XDR *, cell_report_kind*);
-extern  bool_t xdr_cell_report (XDR *, cell_report*);
-extern  bool_t xdr_cell_stop (XDR *, cell_stop*);
-extern  bool_t xdr_cell_lost (XDR *, cell_lost*);
-extern  bool_t xdr_cell_fail_job (XDR *, cell_fail_job*);
-extern  bool_t xdr_cell_offer (XDR *, cell_offer*);
-extern  bool_t xdr_cell_handoff_end (XDR *, cell_handoff_end*);
-extern  bool_t xdr_cell_standby_start (XDR *, cell_standby_start*);
-extern  bool_t xdr_cell_standby_drop (XDR *, cell_standby_drop*);
-extern  bool_t xdr_cell_epoch_closed (XDR *, cell_epoch_closed*);
-extern  bool_t xdr_cell_intent_begin (XDR *, cell_intent_begin*);
-extern  bool_t xdr_cell_intent_finish (XDR *, cell_intent_finish*);
-extern  bool_t xdr_cell_command (XDR *, cell_command*);
-extern  bool_t xdr_cell_batch (XDR *, cell_batch*);
-extern  bool_t xdr_cell_intent_state (XDR *, cell_intent_state*);
-extern  bool_t xdr_cell_result (XDR *, cell_result*);
-extern  bool_t xdr_cell_results (XDR *, cell_results*);
-extern  bool_t xdr_cell_task_image (XDR *, cell_task_image*);
-extern  bool_t xdr_cell_job_image (XDR *, cell_job_image*);
-extern  bool_t xdr_cell_intent_image (XDR *, cell_intent_image*);
-extern  bool_t xdr_cell_handoff_image (XDR *, cell_handoff_image*);
-extern  bool_t xdr_cell_image (XDR *, cell_image*);
+  extern bool_t xdr_cell_name (XDR *, cell_name *);
+  extern bool_t xdr_cell_class (XDR *, cell_class *);
+  extern bool_t xdr_cell_task_state (XDR *, cell_task_state *);
+  extern bool_t xdr_cell_stop_reason (XDR *, cell_stop_reason *);
+  extern bool_t xdr_cell_size (XDR *, cell_size *);
+  extern bool_t xdr_cell_job_spec (XDR *, cell_job_spec *);
+  extern bool_t xdr_cell_transfer (XDR *, cell_transfer *);
+  extern bool_t xdr_cell_command_kind (XDR *, cell_command_kind *);
+  extern bool_t xdr_cell_cancel (XDR *, cell_cancel *);
+  extern bool_t xdr_cell_place (XDR *, cell_place *);
+  extern bool_t xdr_cell_report_kind (XDR *, cell_report_kind *);
+  extern bool_t xdr_cell_report (XDR *, cell_report *);
+  extern bool_t xdr_cell_stop (XDR *, cell_stop *);
+  extern bool_t xdr_cell_lost (XDR *, cell_lost *);
+  extern bool_t xdr_cell_fail_job (XDR *, cell_fail_job *);
+  extern bool_t xdr_cell_offer (XDR *, cell_offer *);
+  extern bool_t xdr_cell_handoff_end (XDR *, cell_handoff_end *);
+  extern bool_t xdr_cell_standby_start (XDR *, cell_standby_start *);
+  extern bool_t xdr_cell_standby_drop (XDR *, cell_standby_drop *);
+  extern bool_t xdr_cell_epoch_closed (XDR *, cell_epoch_closed *);
+  extern bool_t xdr_cell_intent_begin (XDR *, cell_intent_begin *);
+  extern bool_t xdr_cell_intent_finish (XDR *, cell_intent_finish *);
+  extern bool_t xdr_cell_command (XDR *, cell_command *);
+  extern bool_t xdr_cell_batch (XDR *, cell_batch *);
+  extern bool_t xdr_cell_intent_state (XDR *, cell_intent_state *);
+  extern bool_t xdr_cell_result (XDR *, cell_result *);
+  extern bool_t xdr_cell_results (XDR *, cell_results *);
+  extern bool_t xdr_cell_task_image (XDR *, cell_task_image *);
+  extern bool_t xdr_cell_job_image (XDR *, cell_job_image *);
+  extern bool_t xdr_cell_intent_image (XDR *, cell_intent_image *);
+  extern bool_t xdr_cell_handoff_image (XDR *, cell_handoff_image *);
+  extern bool_t xdr_cell_image (XDR *, cell_image *);
 
 #else /* K&R C */
 extern bool_t xdr_cell_name ();
--- a/src/gen/cell_proto_xdr.c
+++ b/src/gen/cell_proto_xdr.c
@@ -8,662 +8,677 @@
 bool_t
 xdr_cell_name (XDR *xdrs, cell_name *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_string (xdrs, objp, CELL_NAME_BYTES))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_string (xdrs, objp, CELL_NAME_BYTES))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_class (XDR *xdrs, cell_class *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_enum (xdrs, (enum_t *) objp))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_enum (xdrs, (enum_t *)objp))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_task_state (XDR *xdrs, cell_task_state *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_enum (xdrs, (enum_t *) objp))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_enum (xdrs, (enum_t *)objp))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_stop_reason (XDR *xdrs, cell_stop_reason *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_enum (xdrs, (enum_t *) objp))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_enum (xdrs, (enum_t *)objp))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_size (XDR *xdrs, cell_size *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_u_int (xdrs, &objp->millicores))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->memory_mb))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->accelerators))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_u_int (xdrs, &objp->millicores))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->memory_mb))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->accelerators))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_job_spec (XDR *xdrs, cell_job_spec *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_cell_name (xdrs, &objp->customer))
-		 return FALSE;
-	 if (!xdr_cell_name (xdrs, &objp->request_id))
-		 return FALSE;
-	 if (!xdr_cell_name (xdrs, &objp->service))
-		 return FALSE;
-	 if (!xdr_cell_class (xdrs, &objp->kind))
-		 return FALSE;
-	 if (!xdr_cell_size (xdrs, &objp->size))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->replicas))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->max_per_rack))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->run_ms))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->deadline_ms))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->checkpoint_ms))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->repeat_elsewhere))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->payload, CELL_PAYLOAD_BYTES))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_cell_name (xdrs, &objp->customer))
+    return FALSE;
+  if (!xdr_cell_name (xdrs, &objp->request_id))
+    return FALSE;
+  if (!xdr_cell_name (xdrs, &objp->service))
+    return FALSE;
+  if (!xdr_cell_class (xdrs, &objp->kind))
+    return FALSE;
+  if (!xdr_cell_size (xdrs, &objp->size))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->replicas))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->max_per_rack))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->run_ms))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->deadline_ms))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->checkpoint_ms))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->repeat_elsewhere))
+    return FALSE;
+  if (!xdr_string (xdrs, &objp->payload, CELL_PAYLOAD_BYTES))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_transfer (XDR *xdrs, cell_transfer *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_u_quad_t (xdrs, &objp->from_cell))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->from_epoch))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->job))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->task))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->index))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->task_epoch))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->progress_ms))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->checkpoint, CELL_CHECKPOINT_BYTES))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->deadline_left_ms))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->cancelled))
-		 return FALSE;
-	 if (!xdr_cell_job_spec (xdrs, &objp->spec))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_u_quad_t (xdrs, &objp->from_cell))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->from_epoch))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->job))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->task))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->index))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->task_epoch))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->progress_ms))
+    return FALSE;
+  if (!xdr_string (xdrs, &objp->checkpoint, CELL_CHECKPOINT_BYTES))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->deadline_left_ms))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->cancelled))
+    return FALSE;
+  if (!xdr_cell_job_spec (xdrs, &objp->spec))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_command_kind (XDR *xdrs, cell_command_kind *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_enum (xdrs, (enum_t *) objp))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_enum (xdrs, (enum_t *)objp))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_cancel (XDR *xdrs, cell_cancel *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->jobs.jobs_val, (u_int *) &objp->jobs.jobs_len, CELL_MAX_CANCEL,
-		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_array (xdrs, (char **)&objp->jobs.jobs_val, (u_int *)&objp->jobs.jobs_len,
+                  CELL_MAX_CANCEL, sizeof (u_quad_t), (xdrproc_t)xdr_u_quad_t))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_place (XDR *xdrs, cell_place *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->task))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
-		 return FALSE;
-	 if (!xdr_cell_name (xdrs, &objp->worker))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_u_quad_t (xdrs, &objp->task))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->epoch))
+    return FALSE;
+  if (!xdr_cell_name (xdrs, &objp->worker))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_report_kind (XDR *xdrs, cell_report_kind *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_enum (xdrs, (enum_t *) objp))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_enum (xdrs, (enum_t *)objp))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_report (XDR *xdrs, cell_report *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->task))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
-		 return FALSE;
-	 if (!xdr_cell_report_kind (xdrs, &objp->kind))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->progress_ms))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->checkpoint, CELL_CHECKPOINT_BYTES))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->reason, CELL_REASON_BYTES))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->backoff_ms))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_u_quad_t (xdrs, &objp->task))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->epoch))
+    return FALSE;
+  if (!xdr_cell_report_kind (xdrs, &objp->kind))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->progress_ms))
+    return FALSE;
+  if (!xdr_string (xdrs, &objp->checkpoint, CELL_CHECKPOINT_BYTES))
+    return FALSE;
+  if (!xdr_string (xdrs, &objp->reason, CELL_REASON_BYTES))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->backoff_ms))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_stop (XDR *xdrs, cell_stop *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->task))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
-		 return FALSE;
-	 if (!xdr_cell_stop_reason (xdrs, &objp->reason))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_u_quad_t (xdrs, &objp->task))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->epoch))
+    return FALSE;
+  if (!xdr_cell_stop_reason (xdrs, &objp->reason))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_lost (XDR *xdrs, cell_lost *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->task))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_u_quad_t (xdrs, &objp->task))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->epoch))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_fail_job (XDR *xdrs, cell_fail_job *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->job))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->reason, CELL_REASON_BYTES))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_u_quad_t (xdrs, &objp->job))
+    return FALSE;
+  if (!xdr_string (xdrs, &objp->reason, CELL_REASON_BYTES))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_offer (XDR *xdrs, cell_offer *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->task))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->to_cell))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_u_quad_t (xdrs, &objp->task))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->epoch))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->to_cell))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_handoff_end (XDR *xdrs, cell_handoff_end *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->task))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_u_quad_t (xdrs, &objp->task))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->epoch))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_standby_start (XDR *xdrs, cell_standby_start *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->cell))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->closed_epoch))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->closed_ago_ms))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_u_quad_t (xdrs, &objp->cell))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->closed_epoch))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->closed_ago_ms))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_standby_drop (XDR *xdrs, cell_standby_drop *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->job))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_u_quad_t (xdrs, &objp->job))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_epoch_closed (XDR *xdrs, cell_epoch_closed *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->closed_epoch))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_u_quad_t (xdrs, &objp->closed_epoch))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_intent_begin (XDR *xdrs, cell_intent_begin *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_cell_name (xdrs, &objp->customer))
-		 return FALSE;
-	 if (!xdr_cell_name (xdrs, &objp->key))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->request_hash))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->attempt))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_cell_name (xdrs, &objp->customer))
+    return FALSE;
+  if (!xdr_cell_name (xdrs, &objp->key))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->request_hash))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->attempt))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_intent_finish (XDR *xdrs, cell_intent_finish *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_cell_name (xdrs, &objp->customer))
-		 return FALSE;
-	 if (!xdr_cell_name (xdrs, &objp->key))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->attempt))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->outcome))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->code))
-		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, CELL_ANSWER_BYTES))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_cell_name (xdrs, &objp->customer))
+    return FALSE;
+  if (!xdr_cell_name (xdrs, &objp->key))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->attempt))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->outcome))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->code))
+    return FALSE;
+  if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *)&objp->answer.answer_len,
+                  CELL_ANSWER_BYTES))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_command (XDR *xdrs, cell_command *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_cell_command_kind (xdrs, &objp->kind))
-		 return FALSE;
-	switch (objp->kind) {
-	case CELL_SUBMIT:
-		 if (!xdr_cell_job_spec (xdrs, &objp->cell_command_u.submit))
-			 return FALSE;
-		break;
-	case CELL_CANCEL:
-		 if (!xdr_cell_cancel (xdrs, &objp->cell_command_u.cancel))
-			 return FALSE;
-		break;
-	case CELL_PLACE:
-		 if (!xdr_cell_place (xdrs, &objp->cell_command_u.place))
-			 return FALSE;
-		break;
-	case CELL_REPORT:
-		 if (!xdr_cell_report (xdrs, &objp->cell_command_u.report))
-			 return FALSE;
-		break;
-	case CELL_STOP:
-		 if (!xdr_cell_stop (xdrs, &objp->cell_command_u.stop))
-			 return FALSE;
-		break;
-	case CELL_LOST:
-		 if (!xdr_cell_lost (xdrs, &objp->cell_command_u.lost))
-			 return FALSE;
-		break;
-	case CELL_FAIL_JOB:
-		 if (!xdr_cell_fail_job (xdrs, &objp->cell_command_u.fail_job))
-			 return FALSE;
-		break;
-	case CELL_HANDOFF_OFFER:
-	case CELL_STANDBY_SENT:
-		 if (!xdr_cell_offer (xdrs, &objp->cell_command_u.offer))
-			 return FALSE;
-		break;
-	case CELL_HANDOFF_ACCEPT:
-	case CELL_HANDOFF_REFUSE:
-	case CELL_REPLICA_ADD:
-	case CELL_STANDBY_PUT:
-		 if (!xdr_cell_transfer (xdrs, &objp->cell_command_u.transfer))
-			 return FALSE;
-		break;
-	case CELL_HANDOFF_DONE:
-	case CELL_HANDOFF_ABORT:
-	case CELL_REPLICA_REPLACED:
-		 if (!xdr_cell_handoff_end (xdrs, &objp->cell_command_u.handoff_end))
-			 return FALSE;
-		break;
-	case CELL_STANDBY_START:
-		 if (!xdr_cell_standby_start (xdrs, &objp->cell_command_u.standby_start))
-			 return FALSE;
-		break;
-	case CELL_STANDBY_DROP:
-		 if (!xdr_cell_standby_drop (xdrs, &objp->cell_command_u.standby_drop))
-			 return FALSE;
-		break;
-	case CELL_EPOCH_CLOSED:
-		 if (!xdr_cell_epoch_closed (xdrs, &objp->cell_command_u.epoch_closed))
-			 return FALSE;
-		break;
-	case CELL_INTENT_BEGIN:
-		 if (!xdr_cell_intent_begin (xdrs, &objp->cell_command_u.intent_begin))
-			 return FALSE;
-		break;
-	case CELL_INTENT_FINISH:
-		 if (!xdr_cell_intent_finish (xdrs, &objp->cell_command_u.intent_finish))
-			 return FALSE;
-		break;
-	default:
-		return FALSE;
-	}
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_cell_command_kind (xdrs, &objp->kind))
+    return FALSE;
+  switch (objp->kind)
+    {
+    case CELL_SUBMIT:
+      if (!xdr_cell_job_spec (xdrs, &objp->cell_command_u.submit))
+        return FALSE;
+      break;
+    case CELL_CANCEL:
+      if (!xdr_cell_cancel (xdrs, &objp->cell_command_u.cancel))
+        return FALSE;
+      break;
+    case CELL_PLACE:
+      if (!xdr_cell_place (xdrs, &objp->cell_command_u.place))
+        return FALSE;
+      break;
+    case CELL_REPORT:
+      if (!xdr_cell_report (xdrs, &objp->cell_command_u.report))
+        return FALSE;
+      break;
+    case CELL_STOP:
+      if (!xdr_cell_stop (xdrs, &objp->cell_command_u.stop))
+        return FALSE;
+      break;
+    case CELL_LOST:
+      if (!xdr_cell_lost (xdrs, &objp->cell_command_u.lost))
+        return FALSE;
+      break;
+    case CELL_FAIL_JOB:
+      if (!xdr_cell_fail_job (xdrs, &objp->cell_command_u.fail_job))
+        return FALSE;
+      break;
+    case CELL_HANDOFF_OFFER:
+    case CELL_STANDBY_SENT:
+      if (!xdr_cell_offer (xdrs, &objp->cell_command_u.offer))
+        return FALSE;
+      break;
+    case CELL_HANDOFF_ACCEPT:
+    case CELL_HANDOFF_REFUSE:
+    case CELL_REPLICA_ADD:
+    case CELL_STANDBY_PUT:
+      if (!xdr_cell_transfer (xdrs, &objp->cell_command_u.transfer))
+        return FALSE;
+      break;
+    case CELL_HANDOFF_DONE:
+    case CELL_HANDOFF_ABORT:
+    case CELL_REPLICA_REPLACED:
+      if (!xdr_cell_handoff_end (xdrs, &objp->cell_command_u.handoff_end))
+        return FALSE;
+      break;
+    case CELL_STANDBY_START:
+      if (!xdr_cell_standby_start (xdrs, &objp->cell_command_u.standby_start))
+        return FALSE;
+      break;
+    case CELL_STANDBY_DROP:
+      if (!xdr_cell_standby_drop (xdrs, &objp->cell_command_u.standby_drop))
+        return FALSE;
+      break;
+    case CELL_EPOCH_CLOSED:
+      if (!xdr_cell_epoch_closed (xdrs, &objp->cell_command_u.epoch_closed))
+        return FALSE;
+      break;
+    case CELL_INTENT_BEGIN:
+      if (!xdr_cell_intent_begin (xdrs, &objp->cell_command_u.intent_begin))
+        return FALSE;
+      break;
+    case CELL_INTENT_FINISH:
+      if (!xdr_cell_intent_finish (xdrs, &objp->cell_command_u.intent_finish))
+        return FALSE;
+      break;
+    default:
+      return FALSE;
+    }
+  return TRUE;
 }
 
 bool_t
 xdr_cell_batch (XDR *xdrs, cell_batch *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_quad_t (xdrs, &objp->now_ms))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->commands.commands_val, (u_int *) &objp->commands.commands_len, CELL_MAX_COMMANDS,
-		sizeof (cell_command), (xdrproc_t) xdr_cell_command))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_quad_t (xdrs, &objp->now_ms))
+    return FALSE;
+  if (!xdr_array (xdrs, (char **)&objp->commands.commands_val,
+                  (u_int *)&objp->commands.commands_len, CELL_MAX_COMMANDS, sizeof (cell_command),
+                  (xdrproc_t)xdr_cell_command))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_intent_state (XDR *xdrs, cell_intent_state *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_enum (xdrs, (enum_t *) objp))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_enum (xdrs, (enum_t *)objp))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_result (XDR *xdrs, cell_result *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_u_int (xdrs, &objp->status))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->job))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->task))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->count))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->repeated))
-		 return FALSE;
-	 if (!xdr_cell_intent_state (xdrs, &objp->intent))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->outcome))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->code))
-		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, CELL_ANSWER_BYTES))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->message, CELL_REASON_BYTES))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_u_int (xdrs, &objp->status))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->job))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->task))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->epoch))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->count))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->repeated))
+    return FALSE;
+  if (!xdr_cell_intent_state (xdrs, &objp->intent))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->outcome))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->code))
+    return FALSE;
+  if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *)&objp->answer.answer_len,
+                  CELL_ANSWER_BYTES))
+    return FALSE;
+  if (!xdr_string (xdrs, &objp->message, CELL_REASON_BYTES))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_results (XDR *xdrs, cell_results *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->results.results_val, (u_int *) &objp->results.results_len, CELL_MAX_COMMANDS,
-		sizeof (cell_result), (xdrproc_t) xdr_cell_result))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_array (xdrs, (char **)&objp->results.results_val, (u_int *)&objp->results.results_len,
+                  CELL_MAX_COMMANDS, sizeof (cell_result), (xdrproc_t)xdr_cell_result))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_task_image (XDR *xdrs, cell_task_image *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_u_quad_t (xdrs, &objp->id))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->index))
-		 return FALSE;
-	 if (!xdr_cell_task_state (xdrs, &objp->state))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
-		 return FALSE;
-	 if (!xdr_cell_name (xdrs, &objp->worker))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->state_ms))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->not_before_ms))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->progress_ms))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->checkpoint, CELL_CHECKPOINT_BYTES))
-		 return FALSE;
-	 if (!xdr_cell_stop_reason (xdrs, &objp->stop))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->failures))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->evictions))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->failed_on.failed_on_val, (u_int *) &objp->failed_on.failed_on_len, CELL_FAILED_WORKERS,
-		sizeof (cell_name), (xdrproc_t) xdr_cell_name))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->other_cell))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->other_epoch))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->replaces))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_u_quad_t (xdrs, &objp->id))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->index))
+    return FALSE;
+  if (!xdr_cell_task_state (xdrs, &objp->state))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->epoch))
+    return FALSE;
+  if (!xdr_cell_name (xdrs, &objp->worker))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->state_ms))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->not_before_ms))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->progress_ms))
+    return FALSE;
+  if (!xdr_string (xdrs, &objp->checkpoint, CELL_CHECKPOINT_BYTES))
+    return FALSE;
+  if (!xdr_cell_stop_reason (xdrs, &objp->stop))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->failures))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->evictions))
+    return FALSE;
+  if (!xdr_array (xdrs, (char **)&objp->failed_on.failed_on_val,
+                  (u_int *)&objp->failed_on.failed_on_len, CELL_FAILED_WORKERS, sizeof (cell_name),
+                  (xdrproc_t)xdr_cell_name))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->other_cell))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->other_epoch))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->replaces))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_job_image (XDR *xdrs, cell_job_image *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_u_quad_t (xdrs, &objp->id))
-		 return FALSE;
-	 if (!xdr_cell_job_spec (xdrs, &objp->spec))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->submitted_ms))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->deadline_ms))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->finished_ms))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->cancelled))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->failed))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->reason, CELL_REASON_BYTES))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, ~0,
-		sizeof (cell_task_image), (xdrproc_t) xdr_cell_task_image))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_u_quad_t (xdrs, &objp->id))
+    return FALSE;
+  if (!xdr_cell_job_spec (xdrs, &objp->spec))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->submitted_ms))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->deadline_ms))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->finished_ms))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->cancelled))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->failed))
+    return FALSE;
+  if (!xdr_string (xdrs, &objp->reason, CELL_REASON_BYTES))
+    return FALSE;
+  if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *)&objp->tasks.tasks_len, ~0,
+                  sizeof (cell_task_image), (xdrproc_t)xdr_cell_task_image))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_intent_image (XDR *xdrs, cell_intent_image *objp)
 {
-	register int32_t *buf;
-
-
-	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_cell_name (xdrs, &objp->customer))
-			 return FALSE;
-		 if (!xdr_cell_name (xdrs, &objp->key))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->request_hash))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->attempt))
-			 return FALSE;
-		 if (!xdr_quad_t (xdrs, &objp->begun_ms))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_bool (xdrs, &objp->finished))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->outcome))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->code))
-				 return FALSE;
-
-		} else {
-		IXDR_PUT_BOOL(buf, objp->finished);
-		IXDR_PUT_U_LONG(buf, objp->outcome);
-		IXDR_PUT_U_LONG(buf, objp->code);
-		}
-		 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, CELL_ANSWER_BYTES))
-			 return FALSE;
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_cell_name (xdrs, &objp->customer))
-			 return FALSE;
-		 if (!xdr_cell_name (xdrs, &objp->key))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->request_hash))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->attempt))
-			 return FALSE;
-		 if (!xdr_quad_t (xdrs, &objp->begun_ms))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_bool (xdrs, &objp->finished))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->outcome))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->code))
-				 return FALSE;
-
-		} else {
-		objp->finished = IXDR_GET_BOOL(buf);
-		objp->outcome = IXDR_GET_U_LONG(buf);
-		objp->code = IXDR_GET_U_LONG(buf);
-		}
-		 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, CELL_ANSWER_BYTES))
-			 return FALSE;
-	 return TRUE;
-	}
-
-	 if (!xdr_cell_name (xdrs, &objp->customer))
-		 return FALSE;
-	 if (!xdr_cell_name (xdrs, &objp->key))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->request_hash))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->attempt))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->begun_ms))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->finished))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->outcome))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->code))
-		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, CELL_ANSWER_BYTES))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (xdrs->x_op == XDR_ENCODE)
+    {
+      if (!xdr_cell_name (xdrs, &objp->customer))
+        return FALSE;
+      if (!xdr_cell_name (xdrs, &objp->key))
+        return FALSE;
+      if (!xdr_u_quad_t (xdrs, &objp->request_hash))
+        return FALSE;
+      if (!xdr_u_quad_t (xdrs, &objp->attempt))
+        return FALSE;
+      if (!xdr_quad_t (xdrs, &objp->begun_ms))
+        return FALSE;
+      buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+      if (buf == NULL)
+        {
+          if (!xdr_bool (xdrs, &objp->finished))
+            return FALSE;
+          if (!xdr_u_int (xdrs, &objp->outcome))
+            return FALSE;
+          if (!xdr_u_int (xdrs, &objp->code))
+            return FALSE;
+        }
+      else
+        {
+          IXDR_PUT_BOOL (buf, objp->finished);
+          IXDR_PUT_U_LONG (buf, objp->outcome);
+          IXDR_PUT_U_LONG (buf, objp->code);
+        }
+      if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *)&objp->answer.answer_len,
+                      CELL_ANSWER_BYTES))
+        return FALSE;
+      return TRUE;
+    }
+  else if (xdrs->x_op == XDR_DECODE)
+    {
+      if (!xdr_cell_name (xdrs, &objp->customer))
+        return FALSE;
+      if (!xdr_cell_name (xdrs, &objp->key))
+        return FALSE;
+      if (!xdr_u_quad_t (xdrs, &objp->request_hash))
+        return FALSE;
+      if (!xdr_u_quad_t (xdrs, &objp->attempt))
+        return FALSE;
+      if (!xdr_quad_t (xdrs, &objp->begun_ms))
+        return FALSE;
+      buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+      if (buf == NULL)
+        {
+          if (!xdr_bool (xdrs, &objp->finished))
+            return FALSE;
+          if (!xdr_u_int (xdrs, &objp->outcome))
+            return FALSE;
+          if (!xdr_u_int (xdrs, &objp->code))
+            return FALSE;
+        }
+      else
+        {
+          objp->finished = IXDR_GET_BOOL (buf);
+          objp->outcome = IXDR_GET_U_LONG (buf);
+          objp->code = IXDR_GET_U_LONG (buf);
+        }
+      if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *)&objp->answer.answer_len,
+                      CELL_ANSWER_BYTES))
+        return FALSE;
+      return TRUE;
+    }
+
+  if (!xdr_cell_name (xdrs, &objp->customer))
+    return FALSE;
+  if (!xdr_cell_name (xdrs, &objp->key))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->request_hash))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->attempt))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->begun_ms))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->finished))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->outcome))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->code))
+    return FALSE;
+  if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *)&objp->answer.answer_len,
+                  CELL_ANSWER_BYTES))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_handoff_image (XDR *xdrs, cell_handoff_image *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->task))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->accepted))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->local_task))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->at_ms))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_u_quad_t (xdrs, &objp->task))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->epoch))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->accepted))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->local_task))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->at_ms))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_image (XDR *xdrs, cell_image *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_u_int (xdrs, &objp->format))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->cell))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->next_id))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->now_ms))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->jobs.jobs_val, (u_int *) &objp->jobs.jobs_len, ~0,
-		sizeof (cell_job_image), (xdrproc_t) xdr_cell_job_image))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->intents.intents_val, (u_int *) &objp->intents.intents_len, ~0,
-		sizeof (cell_intent_image), (xdrproc_t) xdr_cell_intent_image))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->handoffs.handoffs_val, (u_int *) &objp->handoffs.handoffs_len, ~0,
-		sizeof (cell_handoff_image), (xdrproc_t) xdr_cell_handoff_image))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_u_int (xdrs, &objp->format))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->cell))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->epoch))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->next_id))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->now_ms))
+    return FALSE;
+  if (!xdr_array (xdrs, (char **)&objp->jobs.jobs_val, (u_int *)&objp->jobs.jobs_len, ~0,
+                  sizeof (cell_job_image), (xdrproc_t)xdr_cell_job_image))
+    return FALSE;
+  if (!xdr_array (xdrs, (char **)&objp->intents.intents_val, (u_int *)&objp->intents.intents_len,
+                  ~0, sizeof (cell_intent_image), (xdrproc_t)xdr_cell_intent_image))
+    return FALSE;
+  if (!xdr_array (xdrs, (char **)&objp->handoffs.handoffs_val,
+                  (u_int *)&objp->handoffs.handoffs_len, ~0, sizeof (cell_handoff_image),
+                  (xdrproc_t)xdr_cell_handoff_image))
+    return FALSE;
+  return TRUE;
 }
--- a/src/gen/peer_proto.h
+++ b/src/gen/peer_proto.h
@@ -8,9 +8,9 @@
 
 #include <rpc/rpc.h>
 
-
 #ifdef __cplusplus
-extern "C" {
+extern "C"
+{
 #endif
 
 #define PEER_NAME_BYTES 64
@@ -24,249 +24,274 @@
 #define PEER_MAX_CUSTOMERS 256
 #define PEER_MESSAGE_BYTES 1200
 
-typedef char *peer_name;
+  typedef char *peer_name;
 
-struct peer_hello {
-	peer_name deployment;
-	peer_name vm;
-	peer_name data_centre;
-	u_quad_t node;
-	u_quad_t incarnation;
-	bool_t initialized;
-};
-typedef struct peer_hello peer_hello;
+  struct peer_hello
+  {
+    peer_name deployment;
+    peer_name vm;
+    peer_name data_centre;
+    u_quad_t node;
+    u_quad_t incarnation;
+    bool_t initialized;
+  };
+  typedef struct peer_hello peer_hello;
 
-enum raft_message_type {
-	RAFT_PRE_VOTE_REQUEST = 1,
-	RAFT_PRE_VOTE_REPLY = 2,
-	RAFT_VOTE_REQUEST = 3,
-	RAFT_VOTE_REPLY = 4,
-	RAFT_APPEND_REQUEST = 5,
-	RAFT_APPEND_REPLY = 6,
-	RAFT_SNAPSHOT_CHUNK = 7,
-	RAFT_SNAPSHOT_REPLY = 8,
-	RAFT_TIMEOUT_NOW = 9,
-};
-typedef enum raft_message_type raft_message_type;
+  enum raft_message_type
+  {
+    RAFT_PRE_VOTE_REQUEST = 1,
+    RAFT_PRE_VOTE_REPLY = 2,
+    RAFT_VOTE_REQUEST = 3,
+    RAFT_VOTE_REPLY = 4,
+    RAFT_APPEND_REQUEST = 5,
+    RAFT_APPEND_REPLY = 6,
+    RAFT_SNAPSHOT_CHUNK = 7,
+    RAFT_SNAPSHOT_REPLY = 8,
+    RAFT_TIMEOUT_NOW = 9,
+  };
+  typedef enum raft_message_type raft_message_type;
 
-enum raft_entry_kind {
-	RAFT_ENTRY_COMMAND = 1,
-	RAFT_ENTRY_NOOP = 2,
-	RAFT_ENTRY_MEMBERS = 3,
-};
-typedef enum raft_entry_kind raft_entry_kind;
+  enum raft_entry_kind
+  {
+    RAFT_ENTRY_COMMAND = 1,
+    RAFT_ENTRY_NOOP = 2,
+    RAFT_ENTRY_MEMBERS = 3,
+  };
+  typedef enum raft_entry_kind raft_entry_kind;
 
-struct raft_member {
-	u_quad_t node;
-	bool_t voter;
-	u_quad_t store;
-};
-typedef struct raft_member raft_member;
+  struct raft_member
+  {
+    u_quad_t node;
+    bool_t voter;
+    u_quad_t store;
+  };
+  typedef struct raft_member raft_member;
 
-struct raft_members {
-	struct {
-		u_int members_len;
-		raft_member *members_val;
-	} members;
-};
-typedef struct raft_members raft_members;
+  struct raft_members
+  {
+    struct
+    {
+      u_int members_len;
+      raft_member *members_val;
+    } members;
+  };
+  typedef struct raft_members raft_members;
 
-struct raft_entry {
-	u_quad_t index;
-	u_quad_t term;
-	raft_entry_kind kind;
-	struct {
-		u_int data_len;
-		char *data_val;
-	} data;
-};
-typedef struct raft_entry raft_entry;
+  struct raft_entry
+  {
+    u_quad_t index;
+    u_quad_t term;
+    raft_entry_kind kind;
+    struct
+    {
+      u_int data_len;
+      char *data_val;
+    } data;
+  };
+  typedef struct raft_entry raft_entry;
 
-struct raft_message {
-	u_quad_t group;
-	raft_message_type type;
-	u_quad_t from;
-	u_quad_t to;
-	u_quad_t term;
-	u_quad_t log_index;
-	u_quad_t log_term;
-	u_quad_t commit;
-	bool_t granted;
-	u_quad_t round;
-	u_int stream;
-	u_quad_t store;
-	struct {
-		u_int entries_len;
-		raft_entry *entries_val;
-	} entries;
-	u_quad_t chunk_offset;
-	u_quad_t chunk_total;
-	raft_members chunk_members;
-	struct {
-		u_int chunk_len;
-		char *chunk_val;
-	} chunk;
-};
-typedef struct raft_message raft_message;
+  struct raft_message
+  {
+    u_quad_t group;
+    raft_message_type type;
+    u_quad_t from;
+    u_quad_t to;
+    u_quad_t term;
+    u_quad_t log_index;
+    u_quad_t log_term;
+    u_quad_t commit;
+    bool_t granted;
+    u_quad_t round;
+    u_int stream;
+    u_quad_t store;
+    struct
+    {
+      u_int entries_len;
+      raft_entry *entries_val;
+    } entries;
+    u_quad_t chunk_offset;
+    u_quad_t chunk_total;
+    raft_members chunk_members;
+    struct
+    {
+      u_int chunk_len;
+      char *chunk_val;
+    } chunk;
+  };
+  typedef struct raft_message raft_message;
 
-struct propose_args {
-	u_quad_t group;
-	struct {
-		u_int command_len;
-		char *command_val;
-	} command;
-};
-typedef struct propose_args propose_args;
+  struct propose_args
+  {
+    u_quad_t group;
+    struct
+    {
+      u_int command_len;
+      char *command_val;
+    } command;
+  };
+  typedef struct propose_args propose_args;
 
-struct propose_reply {
-	u_int status;
-	char *message;
-	u_quad_t leader;
-	struct {
-		u_int result_len;
-		char *result_val;
-	} result;
-};
-typedef struct propose_reply propose_reply;
+  struct propose_reply
+  {
+    u_int status;
+    char *message;
+    u_quad_t leader;
+    struct
+    {
+      u_int result_len;
+      char *result_val;
+    } result;
+  };
+  typedef struct propose_reply propose_reply;
 
-struct cell_capacity {
-	peer_name data_centre;
-	u_quad_t free_millicores;
-	u_quad_t free_memory_mb;
-	u_quad_t free_accelerators;
-	u_int pending_tasks;
-};
-typedef struct cell_capacity cell_capacity;
+  struct cell_capacity
+  {
+    peer_name data_centre;
+    u_quad_t free_millicores;
+    u_quad_t free_memory_mb;
+    u_quad_t free_accelerators;
+    u_int pending_tasks;
+  };
+  typedef struct cell_capacity cell_capacity;
 
-struct permit_request {
-	peer_name data_centre;
-	u_quad_t asked;
-	cell_capacity capacity;
-};
-typedef struct permit_request permit_request;
+  struct permit_request
+  {
+    peer_name data_centre;
+    u_quad_t asked;
+    cell_capacity capacity;
+  };
+  typedef struct permit_request permit_request;
 
-struct permit_grant {
-	bool_t granted;
-	u_quad_t asked;
-	u_int life_ms;
-	u_quad_t cell_epoch;
-	struct {
-		u_int cells_len;
-		cell_capacity *cells_val;
-	} cells;
-};
-typedef struct permit_grant permit_grant;
+  struct permit_grant
+  {
+    bool_t granted;
+    u_quad_t asked;
+    u_int life_ms;
+    u_quad_t cell_epoch;
+    struct
+    {
+      u_int cells_len;
+      cell_capacity *cells_val;
+    } cells;
+  };
+  typedef struct permit_grant permit_grant;
 
-struct runner_entry {
-	peer_name id;
-	peer_name service;
-	peer_name data_centre;
-	peer_name address;
-	u_quad_t incarnation;
-	u_int slots;
-	u_int connections;
-	u_int in_flight;
-	bool_t departing;
-};
-typedef struct runner_entry runner_entry;
+  struct runner_entry
+  {
+    peer_name id;
+    peer_name service;
+    peer_name data_centre;
+    peer_name address;
+    u_quad_t incarnation;
+    u_int slots;
+    u_int connections;
+    u_int in_flight;
+    bool_t departing;
+  };
+  typedef struct runner_entry runner_entry;
 
-struct customer_usage {
-	peer_name customer;
-	u_int lent;
-	u_int lent_rate;
-	bool_t wants;
-	bool_t wants_rate;
-};
-typedef struct customer_usage customer_usage;
+  struct customer_usage
+  {
+    peer_name customer;
+    u_int lent;
+    u_int lent_rate;
+    bool_t wants;
+    bool_t wants_rate;
+  };
+  typedef struct customer_usage customer_usage;
 
-struct runner_digest {
-	u_quad_t table_version;
-	bool_t full;
-	u_quad_t base_version;
-	u_quad_t echo;
-	struct {
-		u_int runners_len;
-		runner_entry *runners_val;
-	} runners;
-	struct {
-		u_int usage_len;
-		customer_usage *usage_val;
-	} usage;
-};
-typedef struct runner_digest runner_digest;
+  struct runner_digest
+  {
+    u_quad_t table_version;
+    bool_t full;
+    u_quad_t base_version;
+    u_quad_t echo;
+    struct
+    {
+      u_int runners_len;
+      runner_entry *runners_val;
+    } runners;
+    struct
+    {
+      u_int usage_len;
+      customer_usage *usage_val;
+    } usage;
+  };
+  typedef struct runner_digest runner_digest;
 
-struct runner_digest_reply {
-	u_quad_t table_version;
-	u_quad_t asked;
-};
-typedef struct runner_digest_reply runner_digest_reply;
+  struct runner_digest_reply
+  {
+    u_quad_t table_version;
+    u_quad_t asked;
+  };
+  typedef struct runner_digest_reply runner_digest_reply;
 
 #define SASSAFRAS_PEER 0x2fa55a01
 #define SASSAFRAS_PEER_V1 1
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define PEER_NULL 0
-extern  void * peer_null_1(void *, CLIENT *);
-extern  void * peer_null_1_svc(void *, struct svc_req *);
+  extern void *peer_null_1 (void *, CLIENT *);
+  extern void *peer_null_1_svc (void *, struct svc_req *);
 #define PEER_HELLO 1
-extern  peer_hello * peer_hello_1(peer_hello *, CLIENT *);
-extern  peer_hello * peer_hello_1_svc(peer_hello *, struct svc_req *);
+  extern peer_hello *peer_hello_1 (peer_hello *, CLIENT *);
+  extern peer_hello *peer_hello_1_svc (peer_hello *, struct svc_req *);
 #define PEER_RAFT 2
-extern  void * peer_raft_1(raft_message *, CLIENT *);
-extern  void * peer_raft_1_svc(raft_message *, struct svc_req *);
+  extern void *peer_raft_1 (raft_message *, CLIENT *);
+  extern void *peer_raft_1_svc (raft_message *, struct svc_req *);
 #define PEER_PROPOSE 3
-extern  propose_reply * peer_propose_1(propose_args *, CLIENT *);
-extern  propose_reply * peer_propose_1_svc(propose_args *, struct svc_req *);
+  extern propose_reply *peer_propose_1 (propose_args *, CLIENT *);
+  extern propose_reply *peer_propose_1_svc (propose_args *, struct svc_req *);
 #define PEER_PERMIT 4
-extern  permit_grant * peer_permit_1(permit_request *, CLIENT *);
-extern  permit_grant * peer_permit_1_svc(permit_request *, struct svc_req *);
+  extern permit_grant *peer_permit_1 (permit_request *, CLIENT *);
+  extern permit_grant *peer_permit_1_svc (permit_request *, struct svc_req *);
 #define PEER_RUNNERS 5
-extern  runner_digest_reply * peer_runners_1(runner_digest *, CLIENT *);
-extern  runner_digest_reply * peer_runners_1_svc(runner_digest *, struct svc_req *);
-extern int sassafras_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+  extern runner_digest_reply *peer_runners_1 (runner_digest *, CLIENT *);
+  extern runner_digest_reply *peer_runners_1_svc (runner_digest *, struct svc_req *);
+  extern int sassafras_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define PEER_NULL 0
-extern  void * peer_null_1();
-extern  void * peer_null_1_svc();
+extern void *peer_null_1 ();
+extern void *peer_null_1_svc ();
 #define PEER_HELLO 1
-extern  peer_hello * peer_hello_1();
-extern  peer_hello * peer_hello_1_svc();
+extern peer_hello *peer_hello_1 ();
+extern peer_hello *peer_hello_1_svc ();
 #define PEER_RAFT 2
-extern  void * peer_raft_1();
-extern  void * peer_raft_1_svc();
+extern void *peer_raft_1 ();
+extern void *peer_raft_1_svc ();
 #define PEER_PROPOSE 3
-extern  propose_reply * peer_propose_1();
-extern  propose_reply * peer_propose_1_svc();
+extern propose_reply *peer_propose_1 ();
+extern propose_reply *peer_propose_1_svc ();
 #define PEER_PERMIT 4
-extern  permit_grant * peer_permit_1();
-extern  permit_grant * peer_permit_1_svc();
+extern permit_grant *peer_permit_1 ();
+extern permit_grant *peer_permit_1_svc ();
 #define PEER_RUNNERS 5
-extern  runner_digest_reply * peer_runners_1();
-extern  runner_digest_reply * peer_runners_1_svc();
+extern runner_digest_reply *peer_runners_1 ();
+extern runner_digest_reply *peer_runners_1_svc ();
 extern int sassafras_peer_1_freeresult ();
 #endif /* K&R C */
 
-/* the xdr functions */
+  /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_peer_name (XDR *, peer_name*);
-extern  bool_t xdr_peer_hello (XDR *, peer_hello*);
-extern  bool_t xdr_raft_message_type (XDR *, raft_message_type*);
-extern  bool_t xdr_raft_entry_kind (XDR *, raft_entry_kind*);
-extern  bool_t xdr_raft_member (XDR *, raft_member*);
-extern  bool_t xdr_raft_members (XDR *, raft_members*);
-extern  bool_t xdr_raft_entry (XDR *, raft_entry*);
-extern  bool_t xdr_raft_message (XDR *, raft_message*);
-extern  bool_t xdr_propose_args (XDR *, propose_args*);
-extern  bool_t xdr_propose_reply (XDR *, propose_reply*);
-extern  bool_t xdr_cell_capacity (XDR *, cell_capacity*);
-extern  bool_t xdr_permit_request (XDR *, permit_request*);
-extern  bool_t xdr_permit_grant (XDR *, permit_grant*);
-extern  bool_t xdr_runner_entry (XDR *, runner_entry*);
-extern  bool_t xdr_customer_usage (XDR *, customer_usage*);
-extern  bool_t xdr_runner_digest (XDR *, runner_digest*);
-extern  bool_t xdr_runner_digest_reply (XDR *, runner_digest_reply*);
+  extern bool_t xdr_peer_name (XDR *, peer_name *);
+  extern bool_t xdr_peer_hello (XDR *, peer_hello *);
+  extern bool_t xdr_raft_message_type (XDR *, raft_message_type *);
+  extern bool_t xdr_raft_entry_kind (XDR *, raft_entry_kind *);
+  extern bool_t xdr_raft_member (XDR *, raft_member *);
+  extern bool_t xdr_raft_members (XDR *, raft_members *);
+  extern bool_t xdr_raft_entry (XDR *, raft_entry *);
+  extern bool_t xdr_raft_message (XDR *, raft_message *);
+  extern bool_t xdr_propose_args (XDR *, propose_args *);
+  extern bool_t xdr_propose_reply (XDR *, propose_reply *);
+  extern bool_t xdr_cell_capacity (XDR *, cell_capacity *);
+  extern bool_t xdr_permit_request (XDR *, permit_request *);
+  extern bool_t xdr_permit_grant (XDR *, permit_grant *);
+  extern bool_t xdr_runner_entry (XDR *, runner_entry *);
+  extern bool_t xdr_customer_usage (XDR *, customer_usage *);
+  extern bool_t xdr_runner_digest (XDR *, runner_digest *);
+  extern bool_t xdr_runner_digest_reply (XDR *, runner_digest_reply *);
 
 #else /* K&R C */
 extern bool_t xdr_peer_name ();
--- a/src/gen/peer_proto_xdr.c
+++ b/src/gen/peer_proto_xdr.c
@@ -8,392 +8,412 @@
 bool_t
 xdr_peer_name (XDR *xdrs, peer_name *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_string (xdrs, objp, PEER_NAME_BYTES))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_string (xdrs, objp, PEER_NAME_BYTES))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_peer_hello (XDR *xdrs, peer_hello *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_peer_name (xdrs, &objp->deployment))
-		 return FALSE;
-	 if (!xdr_peer_name (xdrs, &objp->vm))
-		 return FALSE;
-	 if (!xdr_peer_name (xdrs, &objp->data_centre))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->node))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->initialized))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_peer_name (xdrs, &objp->deployment))
+    return FALSE;
+  if (!xdr_peer_name (xdrs, &objp->vm))
+    return FALSE;
+  if (!xdr_peer_name (xdrs, &objp->data_centre))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->node))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->initialized))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_raft_message_type (XDR *xdrs, raft_message_type *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_enum (xdrs, (enum_t *) objp))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_enum (xdrs, (enum_t *)objp))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_raft_entry_kind (XDR *xdrs, raft_entry_kind *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_enum (xdrs, (enum_t *) objp))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_enum (xdrs, (enum_t *)objp))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_raft_member (XDR *xdrs, raft_member *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_u_quad_t (xdrs, &objp->node))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->voter))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->store))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_u_quad_t (xdrs, &objp->node))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->voter))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->store))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_raft_members (XDR *xdrs, raft_members *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, PEER_MAX_MEMBERS,
-		sizeof (raft_member), (xdrproc_t) xdr_raft_member))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *)&objp->members.members_len,
+                  PEER_MAX_MEMBERS, sizeof (raft_member), (xdrproc_t)xdr_raft_member))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_raft_entry (XDR *xdrs, raft_entry *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_u_quad_t (xdrs, &objp->index))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->term))
-		 return FALSE;
-	 if (!xdr_raft_entry_kind (xdrs, &objp->kind))
-		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, PEER_ENTRY_BYTES))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_u_quad_t (xdrs, &objp->index))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->term))
+    return FALSE;
+  if (!xdr_raft_entry_kind (xdrs, &objp->kind))
+    return FALSE;
+  if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *)&objp->data.data_len,
+                  PEER_ENTRY_BYTES))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_raft_message (XDR *xdrs, raft_message *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_u_quad_t (xdrs, &objp->group))
-		 return FALSE;
-	 if (!xdr_raft_message_type (xdrs, &objp->type))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->from))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->to))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->term))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->log_index))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->log_term))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->commit))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->granted))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->round))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->stream))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->store))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, PEER_MAX_ENTRIES,
-		sizeof (raft_entry), (xdrproc_t) xdr_raft_entry))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->chunk_offset))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->chunk_total))
-		 return FALSE;
-	 if (!xdr_raft_members (xdrs, &objp->chunk_members))
-		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->chunk.chunk_val, (u_int *) &objp->chunk.chunk_len, PEER_CHUNK_BYTES))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_u_quad_t (xdrs, &objp->group))
+    return FALSE;
+  if (!xdr_raft_message_type (xdrs, &objp->type))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->from))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->to))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->term))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->log_index))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->log_term))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->commit))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->granted))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->round))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->stream))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->store))
+    return FALSE;
+  if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *)&objp->entries.entries_len,
+                  PEER_MAX_ENTRIES, sizeof (raft_entry), (xdrproc_t)xdr_raft_entry))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->chunk_offset))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->chunk_total))
+    return FALSE;
+  if (!xdr_raft_members (xdrs, &objp->chunk_members))
+    return FALSE;
+  if (!xdr_bytes (xdrs, (char **)&objp->chunk.chunk_val, (u_int *)&objp->chunk.chunk_len,
+                  PEER_CHUNK_BYTES))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_propose_args (XDR *xdrs, propose_args *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_u_quad_t (xdrs, &objp->group))
-		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->command.command_val, (u_int *) &objp->command.command_len, PEER_COMMAND_BYTES))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_u_quad_t (xdrs, &objp->group))
+    return FALSE;
+  if (!xdr_bytes (xdrs, (char **)&objp->command.command_val, (u_int *)&objp->command.command_len,
+                  PEER_COMMAND_BYTES))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_propose_reply (XDR *xdrs, propose_reply *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_u_int (xdrs, &objp->status))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->message, PEER_MESSAGE_BYTES))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->leader))
-		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->result.result_val, (u_int *) &objp->result.result_len, PEER_COMMAND_BYTES))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_u_int (xdrs, &objp->status))
+    return FALSE;
+  if (!xdr_string (xdrs, &objp->message, PEER_MESSAGE_BYTES))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->leader))
+    return FALSE;
+  if (!xdr_bytes (xdrs, (char **)&objp->result.result_val, (u_int *)&objp->result.result_len,
+                  PEER_COMMAND_BYTES))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_cell_capacity (XDR *xdrs, cell_capacity *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_peer_name (xdrs, &objp->data_centre))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->free_millicores))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->free_memory_mb))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->free_accelerators))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->pending_tasks))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_peer_name (xdrs, &objp->data_centre))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->free_millicores))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->free_memory_mb))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->free_accelerators))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->pending_tasks))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_permit_request (XDR *xdrs, permit_request *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_peer_name (xdrs, &objp->data_centre))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->asked))
-		 return FALSE;
-	 if (!xdr_cell_capacity (xdrs, &objp->capacity))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_peer_name (xdrs, &objp->data_centre))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->asked))
+    return FALSE;
+  if (!xdr_cell_capacity (xdrs, &objp->capacity))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_permit_grant (XDR *xdrs, permit_grant *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_bool (xdrs, &objp->granted))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->asked))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->life_ms))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->cell_epoch))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->cells.cells_val, (u_int *) &objp->cells.cells_len, PEER_MAX_CELLS,
-		sizeof (cell_capacity), (xdrproc_t) xdr_cell_capacity))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_bool (xdrs, &objp->granted))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->asked))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->life_ms))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->cell_epoch))
+    return FALSE;
+  if (!xdr_array (xdrs, (char **)&objp->cells.cells_val, (u_int *)&objp->cells.cells_len,
+                  PEER_MAX_CELLS, sizeof (cell_capacity), (xdrproc_t)xdr_cell_capacity))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_runner_entry (XDR *xdrs, runner_entry *objp)
 {
-	register int32_t *buf;
-
-
-	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_peer_name (xdrs, &objp->id))
-			 return FALSE;
-		 if (!xdr_peer_name (xdrs, &objp->service))
-			 return FALSE;
-		 if (!xdr_peer_name (xdrs, &objp->data_centre))
-			 return FALSE;
-		 if (!xdr_peer_name (xdrs, &objp->address))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->slots))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->connections))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->in_flight))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->departing))
-				 return FALSE;
-		} else {
-			IXDR_PUT_U_LONG(buf, objp->slots);
-			IXDR_PUT_U_LONG(buf, objp->connections);
-			IXDR_PUT_U_LONG(buf, objp->in_flight);
-			IXDR_PUT_BOOL(buf, objp->departing);
-		}
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_peer_name (xdrs, &objp->id))
-			 return FALSE;
-		 if (!xdr_peer_name (xdrs, &objp->service))
-			 return FALSE;
-		 if (!xdr_peer_name (xdrs, &objp->data_centre))
-			 return FALSE;
-		 if (!xdr_peer_name (xdrs, &objp->address))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->slots))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->connections))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->in_flight))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->departing))
-				 return FALSE;
-		} else {
-			objp->slots = IXDR_GET_U_LONG(buf);
-			objp->connections = IXDR_GET_U_LONG(buf);
-			objp->in_flight = IXDR_GET_U_LONG(buf);
-			objp->departing = IXDR_GET_BOOL(buf);
-		}
-	 return TRUE;
-	}
-
-	 if (!xdr_peer_name (xdrs, &objp->id))
-		 return FALSE;
-	 if (!xdr_peer_name (xdrs, &objp->service))
-		 return FALSE;
-	 if (!xdr_peer_name (xdrs, &objp->data_centre))
-		 return FALSE;
-	 if (!xdr_peer_name (xdrs, &objp->address))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->slots))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->connections))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->in_flight))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->departing))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (xdrs->x_op == XDR_ENCODE)
+    {
+      if (!xdr_peer_name (xdrs, &objp->id))
+        return FALSE;
+      if (!xdr_peer_name (xdrs, &objp->service))
+        return FALSE;
+      if (!xdr_peer_name (xdrs, &objp->data_centre))
+        return FALSE;
+      if (!xdr_peer_name (xdrs, &objp->address))
+        return FALSE;
+      if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+        return FALSE;
+      buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+      if (buf == NULL)
+        {
+          if (!xdr_u_int (xdrs, &objp->slots))
+            return FALSE;
+          if (!xdr_u_int (xdrs, &objp->connections))
+            return FALSE;
+          if (!xdr_u_int (xdrs, &objp->in_flight))
+            return FALSE;
+          if (!xdr_bool (xdrs, &objp->departing))
+            return FALSE;
+        }
+      else
+        {
+          IXDR_PUT_U_LONG (buf, objp->slots);
+          IXDR_PUT_U_LONG (buf, objp->connections);
+          IXDR_PUT_U_LONG (buf, objp->in_flight);
+          IXDR_PUT_BOOL (buf, objp->departing);
+        }
+      return TRUE;
+    }
+  else if (xdrs->x_op == XDR_DECODE)
+    {
+      if (!xdr_peer_name (xdrs, &objp->id))
+        return FALSE;
+      if (!xdr_peer_name (xdrs, &objp->service))
+        return FALSE;
+      if (!xdr_peer_name (xdrs, &objp->data_centre))
+        return FALSE;
+      if (!xdr_peer_name (xdrs, &objp->address))
+        return FALSE;
+      if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+        return FALSE;
+      buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+      if (buf == NULL)
+        {
+          if (!xdr_u_int (xdrs, &objp->slots))
+            return FALSE;
+          if (!xdr_u_int (xdrs, &objp->connections))
+            return FALSE;
+          if (!xdr_u_int (xdrs, &objp->in_flight))
+            return FALSE;
+          if (!xdr_bool (xdrs, &objp->departing))
+            return FALSE;
+        }
+      else
+        {
+          objp->slots = IXDR_GET_U_LONG (buf);
+          objp->connections = IXDR_GET_U_LONG (buf);
+          objp->in_flight = IXDR_GET_U_LONG (buf);
+          objp->departing = IXDR_GET_BOOL (buf);
+        }
+      return TRUE;
+    }
+
+  if (!xdr_peer_name (xdrs, &objp->id))
+    return FALSE;
+  if (!xdr_peer_name (xdrs, &objp->service))
+    return FALSE;
+  if (!xdr_peer_name (xdrs, &objp->data_centre))
+    return FALSE;
+  if (!xdr_peer_name (xdrs, &objp->address))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->slots))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->connections))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->in_flight))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->departing))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_customer_usage (XDR *xdrs, customer_usage *objp)
 {
-	register int32_t *buf;
-
-
-	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_peer_name (xdrs, &objp->customer))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->lent))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->lent_rate))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->wants))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->wants_rate))
-				 return FALSE;
-		} else {
-			IXDR_PUT_U_LONG(buf, objp->lent);
-			IXDR_PUT_U_LONG(buf, objp->lent_rate);
-			IXDR_PUT_BOOL(buf, objp->wants);
-			IXDR_PUT_BOOL(buf, objp->wants_rate);
-		}
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_peer_name (xdrs, &objp->customer))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->lent))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->lent_rate))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->wants))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->wants_rate))
-				 return FALSE;
-		} else {
-			objp->lent = IXDR_GET_U_LONG(buf);
-			objp->lent_rate = IXDR_GET_U_LONG(buf);
-			objp->wants = IXDR_GET_BOOL(buf);
-			objp->wants_rate = IXDR_GET_BOOL(buf);
-		}
-	 return TRUE;
-	}
-
-	 if (!xdr_peer_name (xdrs, &objp->customer))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->lent))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->lent_rate))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->wants))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->wants_rate))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (xdrs->x_op == XDR_ENCODE)
+    {
+      if (!xdr_peer_name (xdrs, &objp->customer))
+        return FALSE;
+      buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+      if (buf == NULL)
+        {
+          if (!xdr_u_int (xdrs, &objp->lent))
+            return FALSE;
+          if (!xdr_u_int (xdrs, &objp->lent_rate))
+            return FALSE;
+          if (!xdr_bool (xdrs, &objp->wants))
+            return FALSE;
+          if (!xdr_bool (xdrs, &objp->wants_rate))
+            return FALSE;
+        }
+      else
+        {
+          IXDR_PUT_U_LONG (buf, objp->lent);
+          IXDR_PUT_U_LONG (buf, objp->lent_rate);
+          IXDR_PUT_BOOL (buf, objp->wants);
+          IXDR_PUT_BOOL (buf, objp->wants_rate);
+        }
+      return TRUE;
+    }
+  else if (xdrs->x_op == XDR_DECODE)
+    {
+      if (!xdr_peer_name (xdrs, &objp->customer))
+        return FALSE;
+      buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+      if (buf == NULL)
+        {
+          if (!xdr_u_int (xdrs, &objp->lent))
+            return FALSE;
+          if (!xdr_u_int (xdrs, &objp->lent_rate))
+            return FALSE;
+          if (!xdr_bool (xdrs, &objp->wants))
+            return FALSE;
+          if (!xdr_bool (xdrs, &objp->wants_rate))
+            return FALSE;
+        }
+      else
+        {
+          objp->lent = IXDR_GET_U_LONG (buf);
+          objp->lent_rate = IXDR_GET_U_LONG (buf);
+          objp->wants = IXDR_GET_BOOL (buf);
+          objp->wants_rate = IXDR_GET_BOOL (buf);
+        }
+      return TRUE;
+    }
+
+  if (!xdr_peer_name (xdrs, &objp->customer))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->lent))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->lent_rate))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->wants))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->wants_rate))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_runner_digest (XDR *xdrs, runner_digest *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_u_quad_t (xdrs, &objp->table_version))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->full))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->base_version))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->echo))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->runners.runners_val, (u_int *) &objp->runners.runners_len, PEER_MAX_RUNNERS,
-		sizeof (runner_entry), (xdrproc_t) xdr_runner_entry))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->usage.usage_val, (u_int *) &objp->usage.usage_len, PEER_MAX_CUSTOMERS,
-		sizeof (customer_usage), (xdrproc_t) xdr_customer_usage))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_u_quad_t (xdrs, &objp->table_version))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->full))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->base_version))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->echo))
+    return FALSE;
+  if (!xdr_array (xdrs, (char **)&objp->runners.runners_val, (u_int *)&objp->runners.runners_len,
+                  PEER_MAX_RUNNERS, sizeof (runner_entry), (xdrproc_t)xdr_runner_entry))
+    return FALSE;
+  if (!xdr_array (xdrs, (char **)&objp->usage.usage_val, (u_int *)&objp->usage.usage_len,
+                  PEER_MAX_CUSTOMERS, sizeof (customer_usage), (xdrproc_t)xdr_customer_usage))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_runner_digest_reply (XDR *xdrs, runner_digest_reply *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->table_version))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->asked))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_u_quad_t (xdrs, &objp->table_version))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->asked))
+    return FALSE;
+  return TRUE;
 }
--- a/src/gen/registry_proto.h
+++ b/src/gen/registry_proto.h
@@ -8,9 +8,9 @@
 
 #include <rpc/rpc.h>
 
-
 #ifdef __cplusplus
-extern "C" {
+extern "C"
+{
 #endif
 
 #define REGISTRY_NAME_BYTES 64
@@ -23,203 +23,225 @@
 #define REGISTRY_MAX_ANSWERS 4096
 #define REGISTRY_SNAPSHOT_FORMAT 1
 
-typedef char *registry_name;
-
-typedef char *registry_address;
-
-typedef char *registry_text;
-
-enum registry_kind {
-	REGISTRY_INIT = 1,
-	REGISTRY_SET_LISTS = 2,
-	REGISTRY_DATA_CENTRE = 3,
-	REGISTRY_STOPPED = 4,
-	REGISTRY_IN_FORCE = 5,
-	REGISTRY_MEMBER_ADD = 6,
-	REGISTRY_MEMBER_REPLACE = 7,
-	REGISTRY_MEMBER_REMOVE = 8,
-	REGISTRY_MEMBER_DRAIN = 9,
-	REGISTRY_CLOSE_EPOCH = 10,
-};
-typedef enum registry_kind registry_kind;
-
-struct registry_member {
-	u_quad_t node;
-	registry_name vm;
-	registry_name data_centre;
-	registry_name region;
-	registry_address peer;
-	registry_address backend;
-	registry_address operators;
-	bool_t registry_voter;
-	struct {
-		u_int cells_len;
-		registry_name *cells_val;
-	} cells;
-	bool_t draining;
-	quad_t since_ms;
-};
-typedef struct registry_member registry_member;
-
-struct registry_init {
-	struct {
-		u_int members_len;
-		registry_member *members_val;
-	} members;
-};
-typedef struct registry_init registry_init;
-
-struct registry_set_lists {
-	u_quad_t expected;
-	registry_text plans;
-	registry_text customers;
-};
-typedef struct registry_set_lists registry_set_lists;
-
-struct registry_data_centre_change {
-	registry_name data_centre;
-	bool_t out;
-	bool_t compare;
-	u_quad_t expected;
-};
-typedef struct registry_data_centre_change registry_data_centre_change;
-
-struct registry_stopped {
-	registry_name data_centre;
-	u_quad_t out_version;
-	u_quad_t node;
-};
-typedef struct registry_stopped registry_stopped;
-
-enum registry_in_force_reason {
-	REGISTRY_NOT_IN_FORCE = 0,
-	REGISTRY_ACKNOWLEDGED = 1,
-	REGISTRY_PERMIT_EXPIRED = 2,
-};
-typedef enum registry_in_force_reason registry_in_force_reason;
-
-struct registry_in_force {
-	registry_name data_centre;
-	u_quad_t out_version;
-	registry_in_force_reason reason;
-};
-typedef struct registry_in_force registry_in_force;
-
-struct registry_drain {
-	registry_name vm;
-	bool_t draining;
-};
-typedef struct registry_drain registry_drain;
-
-struct registry_close_epoch {
-	registry_name data_centre;
-	u_quad_t epoch;
-};
-typedef struct registry_close_epoch registry_close_epoch;
-
-struct registry_body {
-	registry_kind kind;
-	union {
-		registry_init init;
-		registry_set_lists lists;
-		registry_data_centre_change data_centre;
-		registry_stopped stopped;
-		registry_in_force in_force;
-		registry_member add;
-		registry_member replace;
-		registry_name remove;
-		registry_drain drain;
-		registry_close_epoch close_epoch;
-	} registry_body_u;
-};
-typedef struct registry_body registry_body;
-
-struct registry_command {
-	quad_t time_ms;
-	registry_name request_id;
-	registry_body body;
-};
-typedef struct registry_command registry_command;
-
-struct registry_result {
-	u_int status;
-	char *message;
-	quad_t accepted_ms;
-	u_quad_t index;
-	u_quad_t current;
-	u_quad_t node;
-	u_quad_t epoch;
-};
-typedef struct registry_result registry_result;
-
-struct registry_data_centre {
-	registry_name name;
-	registry_name region;
-	bool_t out;
-	u_quad_t state_version;
-	quad_t since_ms;
-	u_quad_t epoch;
-	quad_t epoch_since_ms;
-	u_quad_t stopped_version;
-	u_quad_t stopped_node;
-	registry_in_force_reason in_force;
-	quad_t in_force_ms;
-	bool_t home;
-};
-typedef struct registry_data_centre registry_data_centre;
-
-struct registry_answer {
-	registry_name request_id;
-	u_quad_t digest;
-	registry_result result;
-};
-typedef struct registry_answer registry_answer;
-
-struct registry_snapshot {
-	u_int format;
-	u_quad_t applied;
-	u_quad_t lists_version;
-	quad_t lists_since_ms;
-	registry_text plans;
-	registry_text customers;
-	struct {
-		u_int data_centres_len;
-		registry_data_centre *data_centres_val;
-	} data_centres;
-	struct {
-		u_int members_len;
-		registry_member *members_val;
-	} members;
-	u_quad_t next_node;
-	struct {
-		u_int answers_len;
-		registry_answer *answers_val;
-	} answers;
-};
-typedef struct registry_snapshot registry_snapshot;
-
-/* the xdr functions */
+  typedef char *registry_name;
+
+  typedef char *registry_address;
+
+  typedef char *registry_text;
+
+  enum registry_kind
+  {
+    REGISTRY_INIT = 1,
+    REGISTRY_SET_LISTS = 2,
+    REGISTRY_DATA_CENTRE = 3,
+    REGISTRY_STOPPED = 4,
+    REGISTRY_IN_FORCE = 5,
+    REGISTRY_MEMBER_ADD = 6,
+    REGISTRY_MEMBER_REPLACE = 7,
+    REGISTRY_MEMBER_REMOVE = 8,
+    REGISTRY_MEMBER_DRAIN = 9,
+    REGISTRY_CLOSE_EPOCH = 10,
+  };
+  typedef enum registry_kind registry_kind;
+
+  struct registry_member
+  {
+    u_quad_t node;
+    registry_name vm;
+    registry_name data_centre;
+    registry_name region;
+    registry_address peer;
+    registry_address backend;
+    registry_address operators;
+    bool_t registry_voter;
+    struct
+    {
+      u_int cells_len;
+      registry_name *cells_val;
+    } cells;
+    bool_t draining;
+    quad_t since_ms;
+  };
+  typedef struct registry_member registry_member;
+
+  struct registry_init
+  {
+    struct
+    {
+      u_int members_len;
+      registry_member *members_val;
+    } members;
+  };
+  typedef struct registry_init registry_init;
+
+  struct registry_set_lists
+  {
+    u_quad_t expected;
+    registry_text plans;
+    registry_text customers;
+  };
+  typedef struct registry_set_lists registry_set_lists;
+
+  struct registry_data_centre_change
+  {
+    registry_name data_centre;
+    bool_t out;
+    bool_t compare;
+    u_quad_t expected;
+  };
+  typedef struct registry_data_centre_change registry_data_centre_change;
+
+  struct registry_stopped
+  {
+    registry_name data_centre;
+    u_quad_t out_version;
+    u_quad_t node;
+  };
+  typedef struct registry_stopped registry_stopped;
+
+  enum registry_in_force_reason
+  {
+    REGISTRY_NOT_IN_FORCE = 0,
+    REGISTRY_ACKNOWLEDGED = 1,
+    REGISTRY_PERMIT_EXPIRED = 2,
+  };
+  typedef enum registry_in_force_reason registry_in_force_reason;
+
+  struct registry_in_force
+  {
+    registry_name data_centre;
+    u_quad_t out_version;
+    registry_in_force_reason reason;
+  };
+  typedef struct registry_in_force registry_in_force;
+
+  struct registry_drain
+  {
+    registry_name vm;
+    bool_t draining;
+  };
+  typedef struct registry_drain registry_drain;
+
+  struct registry_close_epoch
+  {
+    registry_name data_centre;
+    u_quad_t epoch;
+  };
+  typedef struct registry_close_epoch registry_close_epoch;
+
+  struct registry_body
+  {
+    registry_kind kind;
+    union
+    {
+      registry_init init;
+      registry_set_lists lists;
+      registry_data_centre_change data_centre;
+      registry_stopped stopped;
+      registry_in_force in_force;
+      registry_member add;
+      registry_member replace;
+      registry_name remove;
+      registry_drain drain;
+      registry_close_epoch close_epoch;
+    } registry_body_u;
+  };
+  typedef struct registry_body registry_body;
+
+  struct registry_command
+  {
+    quad_t time_ms;
+    registry_name request_id;
+    registry_body body;
+  };
+  typedef struct registry_command registry_command;
+
+  struct registry_result
+  {
+    u_int status;
+    char *message;
+    quad_t accepted_ms;
+    u_quad_t index;
+    u_quad_t current;
+    u_quad_t node;
+    u_quad_t epoch;
+  };
+  typedef struct registry_result registry_result;
+
+  struct registry_data_centre
+  {
+    registry_name name;
+    registry_name region;
+    bool_t out;
+    u_quad_t state_version;
+    quad_t since_ms;
+    u_quad_t epoch;
+    quad_t epoch_since_ms;
+    u_quad_t stopped_version;
+    u_quad_t stopped_node;
+    registry_in_force_reason in_force;
+    quad_t in_force_ms;
+    bool_t home;
+  };
+  typedef struct registry_data_centre registry_data_centre;
+
+  struct registry_answer
+  {
+    registry_name request_id;
+    u_quad_t digest;
+    registry_result result;
+  };
+  typedef struct registry_answer registry_answer;
+
+  struct registry_snapshot
+  {
+    u_int format;
+    u_quad_t applied;
+    u_quad_t lists_version;
+    quad_t lists_since_ms;
+    registry_text plans;
+    registry_text customers;
+    struct
+    {
+      u_int data_centres_len;
+      registry_data_centre *data_centres_val;
+    } data_centres;
+    struct
+    {
+      u_int members_len;
+      registry_member *members_val;
+    } members;
+    u_quad_t next_node;
+    struct
+    {
+      u_int answers_len;
+      registry_answer *answers_val;
+    } answers;
+  };
+  typedef struct registry_snapshot registry_snapshot;
+
+  /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_registry_name (XDR *, registry_name*);
-extern  bool_t xdr_registry_address (XDR *, registry_address*);
-extern  bool_t xdr_registry_text (XDR *, registry_text*);
-extern  bool_t xdr_registry_kind (XDR *, registry_kind*);
-extern  bool_t xdr_registry_member (XDR *, registry_member*);
-extern  bool_t xdr_registry_init (XDR *, registry_init*);
-extern  bool_t xdr_registry_set_lists (XDR *, registry_set_lists*);
-extern  bool_t xdr_registry_data_centre_change (XDR *, registry_data_centre_change*);
-extern  bool_t xdr_registry_stopped (XDR *, registry_stopped*);
-extern  bool_t xdr_registry_in_force_reason (XDR *, registry_in_force_reason*);
-extern  bool_t xdr_registry_in_force (XDR *, registry_in_force*);
-extern  bool_t xdr_registry_drain (XDR *, registry_drain*);
-extern  bool_t xdr_registry_close_epoch (XDR *, registry_close_epoch*);
-extern  bool_t xdr_registry_body (XDR *, registry_body*);
-extern  bool_t xdr_registry_command (XDR *, registry_command*);
-extern  bool_t xdr_registry_result (XDR *, registry_result*);
-extern  bool_t xdr_registry_data_centre (XDR *, registry_data_centre*);
-extern  bool_t xdr_registry_answer (XDR *, registry_answer*);
-extern  bool_t xdr_registry_snapshot (XDR *, registry_snapshot*);
+  extern bool_t xdr_registry_name (XDR *, registry_name *);
+  extern bool_t xdr_registry_address (XDR *, registry_address *);
+  extern bool_t xdr_registry_text (XDR *, registry_text *);
+  extern bool_t xdr_registry_kind (XDR *, registry_kind *);
+  extern bool_t xdr_registry_member (XDR *, registry_member *);
+  extern bool_t xdr_registry_init (XDR *, registry_init *);
+  extern bool_t xdr_registry_set_lists (XDR *, registry_set_lists *);
+  extern bool_t xdr_registry_data_centre_change (XDR *, registry_data_centre_change *);
+  extern bool_t xdr_registry_stopped (XDR *, registry_stopped *);
+  extern bool_t xdr_registry_in_force_reason (XDR *, registry_in_force_reason *);
+  extern bool_t xdr_registry_in_force (XDR *, registry_in_force *);
+  extern bool_t xdr_registry_drain (XDR *, registry_drain *);
+  extern bool_t xdr_registry_close_epoch (XDR *, registry_close_epoch *);
+  extern bool_t xdr_registry_body (XDR *, registry_body *);
+  extern bool_t xdr_registry_command (XDR *, registry_command *);
+  extern bool_t xdr_registry_result (XDR *, registry_result *);
+  extern bool_t xdr_registry_data_centre (XDR *, registry_data_centre *);
+  extern bool_t xdr_registry_answer (XDR *, registry_answer *);
+  extern bool_t xdr_registry_snapshot (XDR *, registry_snapshot *);
 
 #else /* K&R C */
 extern bool_t xdr_registry_name ();
--- a/src/gen/registry_proto_xdr.c
+++ b/src/gen/registry_proto_xdr.c
@@ -8,340 +8,342 @@
 bool_t
 xdr_registry_name (XDR *xdrs, registry_name *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_string (xdrs, objp, REGISTRY_NAME_BYTES))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_string (xdrs, objp, REGISTRY_NAME_BYTES))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_registry_address (XDR *xdrs, registry_address *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_string (xdrs, objp, REGISTRY_ADDRESS_BYTES))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_string (xdrs, objp, REGISTRY_ADDRESS_BYTES))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_registry_text (XDR *xdrs, registry_text *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_string (xdrs, objp, REGISTRY_LIST_BYTES))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_string (xdrs, objp, REGISTRY_LIST_BYTES))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_registry_kind (XDR *xdrs, registry_kind *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_enum (xdrs, (enum_t *) objp))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_enum (xdrs, (enum_t *)objp))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_registry_member (XDR *xdrs, registry_member *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_u_quad_t (xdrs, &objp->node))
-		 return FALSE;
-	 if (!xdr_registry_name (xdrs, &objp->vm))
-		 return FALSE;
-	 if (!xdr_registry_name (xdrs, &objp->data_centre))
-		 return FALSE;
-	 if (!xdr_registry_name (xdrs, &objp->region))
-		 return FALSE;
-	 if (!xdr_registry_address (xdrs, &objp->peer))
-		 return FALSE;
-	 if (!xdr_registry_address (xdrs, &objp->backend))
-		 return FALSE;
-	 if (!xdr_registry_address (xdrs, &objp->operators))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->registry_voter))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->cells.cells_val, (u_int *) &objp->cells.cells_len, REGISTRY_MAX_CELLS,
-		sizeof (registry_name), (xdrproc_t) xdr_registry_name))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->draining))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->since_ms))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_u_quad_t (xdrs, &objp->node))
+    return FALSE;
+  if (!xdr_registry_name (xdrs, &objp->vm))
+    return FALSE;
+  if (!xdr_registry_name (xdrs, &objp->data_centre))
+    return FALSE;
+  if (!xdr_registry_name (xdrs, &objp->region))
+    return FALSE;
+  if (!xdr_registry_address (xdrs, &objp->peer))
+    return FALSE;
+  if (!xdr_registry_address (xdrs, &objp->backend))
+    return FALSE;
+  if (!xdr_registry_address (xdrs, &objp->operators))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->registry_voter))
+    return FALSE;
+  if (!xdr_array (xdrs, (char **)&objp->cells.cells_val, (u_int *)&objp->cells.cells_len,
+                  REGISTRY_MAX_CELLS, sizeof (registry_name), (xdrproc_t)xdr_registry_name))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->draining))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->since_ms))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_registry_init (XDR *xdrs, registry_init *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, REGISTRY_MAX_MEMBERS,
-		sizeof (registry_member), (xdrproc_t) xdr_registry_member))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *)&objp->members.members_len,
+                  REGISTRY_MAX_MEMBERS, sizeof (registry_member), (xdrproc_t)xdr_registry_member))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_registry_set_lists (XDR *xdrs, registry_set_lists *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_u_quad_t (xdrs, &objp->expected))
-		 return FALSE;
-	 if (!xdr_registry_text (xdrs, &objp->plans))
-		 return FALSE;
-	 if (!xdr_registry_text (xdrs, &objp->customers))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_u_quad_t (xdrs, &objp->expected))
+    return FALSE;
+  if (!xdr_registry_text (xdrs, &objp->plans))
+    return FALSE;
+  if (!xdr_registry_text (xdrs, &objp->customers))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_registry_data_centre_change (XDR *xdrs, registry_data_centre_change *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_registry_name (xdrs, &objp->data_centre))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->out))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->compare))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->expected))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_registry_name (xdrs, &objp->data_centre))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->out))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->compare))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->expected))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_registry_stopped (XDR *xdrs, registry_stopped *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_registry_name (xdrs, &objp->data_centre))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->out_version))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->node))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_registry_name (xdrs, &objp->data_centre))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->out_version))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->node))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_registry_in_force_reason (XDR *xdrs, registry_in_force_reason *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_enum (xdrs, (enum_t *) objp))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_enum (xdrs, (enum_t *)objp))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_registry_in_force (XDR *xdrs, registry_in_force *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_registry_name (xdrs, &objp->data_centre))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->out_version))
-		 return FALSE;
-	 if (!xdr_registry_in_force_reason (xdrs, &objp->reason))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_registry_name (xdrs, &objp->data_centre))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->out_version))
+    return FALSE;
+  if (!xdr_registry_in_force_reason (xdrs, &objp->reason))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_registry_drain (XDR *xdrs, registry_drain *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_registry_name (xdrs, &objp->vm))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->draining))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_registry_name (xdrs, &objp->vm))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->draining))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_registry_close_epoch (XDR *xdrs, registry_close_epoch *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_registry_name (xdrs, &objp->data_centre))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_registry_name (xdrs, &objp->data_centre))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->epoch))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_registry_body (XDR *xdrs, registry_body *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_registry_kind (xdrs, &objp->kind))
-		 return FALSE;
-	switch (objp->kind) {
-	case REGISTRY_INIT:
-		 if (!xdr_registry_init (xdrs, &objp->registry_body_u.init))
-			 return FALSE;
-		break;
-	case REGISTRY_SET_LISTS:
-		 if (!xdr_registry_set_lists (xdrs, &objp->registry_body_u.lists))
-			 return FALSE;
-		break;
-	case REGISTRY_DATA_CENTRE:
-		 if (!xdr_registry_data_centre_change (xdrs, &objp->registry_body_u.data_centre))
-			 return FALSE;
-		break;
-	case REGISTRY_STOPPED:
-		 if (!xdr_registry_stopped (xdrs, &objp->registry_body_u.stopped))
-			 return FALSE;
-		break;
-	case REGISTRY_IN_FORCE:
-		 if (!xdr_registry_in_force (xdrs, &objp->registry_body_u.in_force))
-			 return FALSE;
-		break;
-	case REGISTRY_MEMBER_ADD:
-		 if (!xdr_registry_member (xdrs, &objp->registry_body_u.add))
-			 return FALSE;
-		break;
-	case REGISTRY_MEMBER_REPLACE:
-		 if (!xdr_registry_member (xdrs, &objp->registry_body_u.replace))
-			 return FALSE;
-		break;
-	case REGISTRY_MEMBER_REMOVE:
-		 if (!xdr_registry_name (xdrs, &objp->registry_body_u.remove))
-			 return FALSE;
-		break;
-	case REGISTRY_MEMBER_DRAIN:
-		 if (!xdr_registry_drain (xdrs, &objp->registry_body_u.drain))
-			 return FALSE;
-		break;
-	case REGISTRY_CLOSE_EPOCH:
-		 if (!xdr_registry_close_epoch (xdrs, &objp->registry_body_u.close_epoch))
-			 return FALSE;
-		break;
-	default:
-		return FALSE;
-	}
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_registry_kind (xdrs, &objp->kind))
+    return FALSE;
+  switch (objp->kind)
+    {
+    case REGISTRY_INIT:
+      if (!xdr_registry_init (xdrs, &objp->registry_body_u.init))
+        return FALSE;
+      break;
+    case REGISTRY_SET_LISTS:
+      if (!xdr_registry_set_lists (xdrs, &objp->registry_body_u.lists))
+        return FALSE;
+      break;
+    case REGISTRY_DATA_CENTRE:
+      if (!xdr_registry_data_centre_change (xdrs, &objp->registry_body_u.data_centre))
+        return FALSE;
+      break;
+    case REGISTRY_STOPPED:
+      if (!xdr_registry_stopped (xdrs, &objp->registry_body_u.stopped))
+        return FALSE;
+      break;
+    case REGISTRY_IN_FORCE:
+      if (!xdr_registry_in_force (xdrs, &objp->registry_body_u.in_force))
+        return FALSE;
+      break;
+    case REGISTRY_MEMBER_ADD:
+      if (!xdr_registry_member (xdrs, &objp->registry_body_u.add))
+        return FALSE;
+      break;
+    case REGISTRY_MEMBER_REPLACE:
+      if (!xdr_registry_member (xdrs, &objp->registry_body_u.replace))
+        return FALSE;
+      break;
+    case REGISTRY_MEMBER_REMOVE:
+      if (!xdr_registry_name (xdrs, &objp->registry_body_u.remove))
+        return FALSE;
+      break;
+    case REGISTRY_MEMBER_DRAIN:
+      if (!xdr_registry_drain (xdrs, &objp->registry_body_u.drain))
+        return FALSE;
+      break;
+    case REGISTRY_CLOSE_EPOCH:
+      if (!xdr_registry_close_epoch (xdrs, &objp->registry_body_u.close_epoch))
+        return FALSE;
+      break;
+    default:
+      return FALSE;
+    }
+  return TRUE;
 }
 
 bool_t
 xdr_registry_command (XDR *xdrs, registry_command *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_quad_t (xdrs, &objp->time_ms))
-		 return FALSE;
-	 if (!xdr_registry_name (xdrs, &objp->request_id))
-		 return FALSE;
-	 if (!xdr_registry_body (xdrs, &objp->body))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_quad_t (xdrs, &objp->time_ms))
+    return FALSE;
+  if (!xdr_registry_name (xdrs, &objp->request_id))
+    return FALSE;
+  if (!xdr_registry_body (xdrs, &objp->body))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_registry_result (XDR *xdrs, registry_result *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_u_int (xdrs, &objp->status))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->message, REGISTRY_MESSAGE_BYTES))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->accepted_ms))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->index))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->current))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->node))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_u_int (xdrs, &objp->status))
+    return FALSE;
+  if (!xdr_string (xdrs, &objp->message, REGISTRY_MESSAGE_BYTES))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->accepted_ms))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->index))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->current))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->node))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->epoch))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_registry_data_centre (XDR *xdrs, registry_data_centre *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_registry_name (xdrs, &objp->name))
-		 return FALSE;
-	 if (!xdr_registry_name (xdrs, &objp->region))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->out))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->state_version))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->since_ms))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->epoch_since_ms))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->stopped_version))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->stopped_node))
-		 return FALSE;
-	 if (!xdr_registry_in_force_reason (xdrs, &objp->in_force))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->in_force_ms))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->home))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_registry_name (xdrs, &objp->name))
+    return FALSE;
+  if (!xdr_registry_name (xdrs, &objp->region))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->out))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->state_version))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->since_ms))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->epoch))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->epoch_since_ms))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->stopped_version))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->stopped_node))
+    return FALSE;
+  if (!xdr_registry_in_force_reason (xdrs, &objp->in_force))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->in_force_ms))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->home))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_registry_answer (XDR *xdrs, registry_answer *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_registry_name (xdrs, &objp->request_id))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->digest))
-		 return FALSE;
-	 if (!xdr_registry_result (xdrs, &objp->result))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_registry_name (xdrs, &objp->request_id))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->digest))
+    return FALSE;
+  if (!xdr_registry_result (xdrs, &objp->result))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_registry_snapshot (XDR *xdrs, registry_snapshot *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_u_int (xdrs, &objp->format))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->applied))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->lists_version))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->lists_since_ms))
-		 return FALSE;
-	 if (!xdr_registry_text (xdrs, &objp->plans))
-		 return FALSE;
-	 if (!xdr_registry_text (xdrs, &objp->customers))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->data_centres.data_centres_val, (u_int *) &objp->data_centres.data_centres_len, REGISTRY_MAX_DATA_CENTRES,
-		sizeof (registry_data_centre), (xdrproc_t) xdr_registry_data_centre))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, REGISTRY_MAX_MEMBERS,
-		sizeof (registry_member), (xdrproc_t) xdr_registry_member))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->next_node))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->answers.answers_val, (u_int *) &objp->answers.answers_len, REGISTRY_MAX_ANSWERS,
-		sizeof (registry_answer), (xdrproc_t) xdr_registry_answer))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_u_int (xdrs, &objp->format))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->applied))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->lists_version))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->lists_since_ms))
+    return FALSE;
+  if (!xdr_registry_text (xdrs, &objp->plans))
+    return FALSE;
+  if (!xdr_registry_text (xdrs, &objp->customers))
+    return FALSE;
+  if (!xdr_array (xdrs, (char **)&objp->data_centres.data_centres_val,
+                  (u_int *)&objp->data_centres.data_centres_len, REGISTRY_MAX_DATA_CENTRES,
+                  sizeof (registry_data_centre), (xdrproc_t)xdr_registry_data_centre))
+    return FALSE;
+  if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *)&objp->members.members_len,
+                  REGISTRY_MAX_MEMBERS, sizeof (registry_member), (xdrproc_t)xdr_registry_member))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->next_node))
+    return FALSE;
+  if (!xdr_array (xdrs, (char **)&objp->answers.answers_val, (u_int *)&objp->answers.answers_len,
+                  REGISTRY_MAX_ANSWERS, sizeof (registry_answer), (xdrproc_t)xdr_registry_answer))
+    return FALSE;
+  return TRUE;
 }
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -203,6 +203,9 @@
   curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &code);
   curl_easy_getinfo (easy, CURLINFO_REQUEST_SIZE, &request_bytes);
   curl_easy_getinfo (easy, CURLINFO_REDIRECT_URL, &location);
+  curl_off_t retry_after = 0;
+  curl_easy_getinfo (easy, CURLINFO_RETRY_AFTER, &retry_after);
+  x->answer.retry_after_s = (long)retry_after;
   x->answer.code = (int)code;
   x->answer.sent = request_bytes > 0;
   x->answer.location = location;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -25,6 +25,7 @@
   struct status status; /* OK, TIMEOUT, BACKEND_FAILED or BACKEND_TRUNCATED */
   bool sent;            /* at least one byte of the request may have reached the server */
   const char *location; /* Location header of a redirect, or NULL */
+  long retry_after_s;   /* Retry-After header; 0 without one */
 };
 
 typedef void http_answer_fn (void *arg, const struct http_answer *answer);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -312,14 +312,23 @@
 }
 
 void
-http_reply (struct http_request *req, int code, const char *type, const void *data, size_t len)
+http_reply_with (struct http_request *req, int code, const char *type, const void *data, size_t len,
+                 const char *retry_after_s)
 {
   struct MHD_Response *r
       = MHD_create_response_from_buffer (len, (void *)data, MHD_RESPMEM_MUST_COPY);
   http_add_header (r, "Content-Type", type);
+  if (retry_after_s)
+    http_add_header (r, "Retry-After", retry_after_s);
   answer (req, code, r);
 }
 
+void
+http_reply (struct http_request *req, int code, const char *type, const void *data, size_t len)
+{
+  http_reply_with (req, code, type, data, len, NULL);
+}
+
 void
 http_reply_json (struct http_request *req, int code, json_t *body)
 {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -68,6 +68,8 @@
                       const char *value); /* Adds one header. */
 void http_reply (struct http_request *req, int code, const char *type, const void *data,
                  size_t len); /* Answers with bytes. */
+void http_reply_with (struct http_request *req, int code, const char *type, const void *data,
+                      size_t len, const char *retry_after_s); /* RETRY_AFTER_S may be NULL. */
 void http_reply_json (struct http_request *req, int code,
                       json_t *body); /* Answers; takes over BODY. */
 void http_reply_status (struct http_request *req,
--- /dev/null
+++ b/src/workflow/dispatcher.c
@@ -0,0 +1,389 @@
+/* Leadership, proposals, observers and the tick of the dispatcher.  */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "dispatcher_internal.h"
+
+#define PRUNE_BATCH 256
+
+bool
+dispatch_has_authority (const struct dispatcher *d)
+{
+  return dispatcher_may_act (d, d->now_ms);
+}
+
+uint64_t
+dispatch_send (struct dispatcher *d, const workflow_command *c)
+{
+  uint64_t token = ++d->token;
+  d->config.propose (d->config.propose_arg, c, token);
+  return token;
+}
+
+bool
+dispatcher_may_act (const struct dispatcher *d, int64_t now_ms)
+{
+  return d->leading && now_ms < d->authority_until_ms;
+}
+
+static void
+add_room (struct dispatch_run *r, int sign)
+{
+  struct dispatch_worker *w = r->worker;
+  const workflow_step *s = workflow_step_of (r->task);
+  uint32_t *cores = &w->short_millicores;
+  if (s->flags & WORKFLOW_STEP_FILL)
+    cores = &w->fill_millicores;
+  else if (s->flags & WORKFLOW_STEP_LASTING)
+    cores = &w->lasting_millicores;
+  *cores += (uint32_t)sign * s->millicores;
+  w->used_memory_mb += (uint32_t)sign * s->memory_mb;
+  w->used_accelerators += (uint32_t)sign * s->accelerators;
+}
+
+struct dispatch_run *
+dispatch_add_run (struct dispatcher *d, struct dispatch_worker *w, struct workflow_task *t,
+                  uint32_t number)
+{
+  struct dispatch_run *r = xcalloc (1, sizeof *r);
+  r->worker = w;
+  r->task = t;
+  r->number = number;
+  r->sent_ms = d->now_ms;
+  r->paced = PACING_FULL;
+  TAILQ_INSERT_TAIL (&w->runs, r, link);
+  add_room (r, 1);
+  return r;
+}
+
+void
+dispatch_free_run (struct dispatch_run *r)
+{
+  add_room (r, -1);
+  if (r->run)
+    r->run->dispatch = NULL;
+  if (r->task->placing == r)
+    r->task->placing = NULL;
+  TAILQ_REMOVE (&r->worker->runs, r, link);
+  free (r->checkpoint);
+  free (r);
+}
+
+struct dispatch_run *
+dispatch_find_run (struct dispatcher *d, const char *worker, const workflow_task_ref *task,
+                   uint32_t number)
+{
+  const struct workflow_task *t = workflow_find_task (d->config.workflow, task);
+  struct workflow_run *run = t ? workflow_find_run (t, number) : NULL;
+  struct dispatch_run *r = run ? run->dispatch : NULL;
+  return r && strcmp (r->worker->id, worker) == 0 ? r : NULL;
+}
+
+static const char *
+outcome_name (enum workflow_outcome outcome)
+{
+  static const char *const names[]
+      = { "", "done", "failed", "stopped", "lapsed", "broken", "alone", "not-started" };
+  return names[outcome];
+}
+
+void
+dispatch_end (struct dispatcher *d, struct dispatch_run *r, enum workflow_outcome outcome,
+              const char *checkpoint, const char *why)
+{
+  static char empty[] = "";
+  if (r->state == DISPATCH_ENDING || r->state == DISPATCH_PLACING)
+    return;
+  if (!checkpoint || !checkpoint[0])
+    checkpoint = r->checkpoint ? r->checkpoint : empty;
+  workflow_command c = { .kind = WORKFLOW_END };
+  c.workflow_command_u.end = (workflow_end){ .task = workflow_ref (r->task),
+                                             .run = r->number,
+                                             .outcome = outcome,
+                                             .checkpoint = (char *)checkpoint };
+  log_event (LOG_INFO, "run-ended",
+             "job=%016" PRIx64 " step=%u task=%u run=%u worker=%s outcome=%s reason=\"%s\"",
+             r->task->job->spec.id, r->task->step, r->task->index, r->number, r->worker->id,
+             outcome_name (outcome), why);
+  r->state = DISPATCH_ENDING;
+  r->token = dispatch_send (d, &c);
+}
+
+static void
+want_stops (struct workflow_task *t)
+{
+  for (int i = 0; i < WORKFLOW_MAX_RUNS; i++)
+    {
+      struct dispatch_run *r = t->runs[i] ? t->runs[i]->dispatch : NULL;
+      if (r)
+        r->stop_wanted = true;
+    }
+}
+
+static void
+on_placed (void *arg, struct workflow_run *run)
+{
+  struct dispatcher *d = arg;
+  struct dispatch_run *r = run->task->placing;
+  if (!d->leading || !r || r->number != run->run || strcmp (r->worker->id, run->worker) != 0)
+    return;
+  run->task->placing = NULL;
+  run->dispatch = r;
+  r->run = run;
+  r->token = 0;
+  d->stats.placed++;
+  dispatch_start (d, r);
+}
+
+static void
+note_failure (struct dispatcher *d, struct dispatch_worker *w)
+{
+  w->failures++;
+  if (w->failures < 2)
+    return;
+  int64_t pause_ms = AVOID_FIRST_MS;
+  for (uint32_t i = 2; i < w->failures && pause_ms < AVOID_LAST_MS; i++)
+    pause_ms *= 2;
+  w->avoid_until_ms = d->now_ms + pause_ms;
+  log_event (LOG_INFO, "worker-avoided", "worker=%s failures=%u for_ms=%" PRId64, w->id,
+             w->failures, pause_ms);
+}
+
+static void
+on_ended (void *arg, struct workflow_run *run, enum workflow_outcome outcome)
+{
+  struct dispatcher *d = arg;
+  struct dispatch_run *r = run->dispatch;
+  struct workflow_task *t = run->task;
+  if (outcome == WORKFLOW_DONE && !(workflow_step_of (t)->flags & WORKFLOW_STEP_LASTING))
+    want_stops (t);
+  if (!r)
+    return;
+  if (outcome == WORKFLOW_FAILED)
+    note_failure (d, r->worker);
+  else if (outcome == WORKFLOW_DONE)
+    r->worker->failures = 0;
+  dispatch_free_run (r);
+}
+
+static void
+on_job_ended (void *arg, struct workflow_job *j)
+{
+  struct dispatcher *d = arg;
+  static const char *const names[] = { "open", "completed", "failed", "cancelled" };
+  j->ended_ms = d->now_ms;
+  if (!d->leading)
+    return;
+  log_event (LOG_INFO, "job-ended", "job=%016" PRIx64 " queue=%s state=%s age_ms=%" PRId64,
+             j->spec.id, j->spec.queue, names[j->state], d->now_ms - j->seen_ms);
+  for (uint32_t i = 0; i < j->occurrences * j->spec.steps.steps_len; i++)
+    for (uint32_t k = 0; k < j->spec.steps.steps_val[i % j->spec.steps.steps_len].count; k++)
+      want_stops (&j->stages[i].tasks[k]);
+}
+
+struct dispatcher *
+dispatcher_new (const struct dispatcher_config *config)
+{
+  struct dispatcher *d = xcalloc (1, sizeof *d);
+  d->config = *config;
+  cell_map_init (&d->workers);
+  TAILQ_INIT (&d->worker_list);
+  config->workflow->observer = (struct workflow_observer){
+    .placed = on_placed, .ended = on_ended, .job_ended = on_job_ended, .arg = d
+  };
+  return d;
+}
+
+void
+dispatcher_resign (struct dispatcher *d)
+{
+  struct dispatch_worker *w;
+  d->leading = false;
+  d->prune_token = 0;
+  while ((w = TAILQ_FIRST (&d->worker_list)) != NULL)
+    dispatch_free_worker (d, w);
+}
+
+void
+dispatcher_free (struct dispatcher *d)
+{
+  dispatcher_resign (d);
+  memset (&d->config.workflow->observer, 0, sizeof d->config.workflow->observer);
+  cell_map_close (&d->workers);
+  free (d);
+}
+
+static void
+inherit_run (struct dispatcher *d, struct workflow_run *run)
+{
+  struct dispatch_worker *w = dispatch_find_worker (d, run->worker);
+  if (!w)
+    w = dispatch_add_worker (d, run->worker);
+  struct dispatch_run *r = dispatch_add_run (d, w, run->task, run->run);
+  r->run = run;
+  r->state = DISPATCH_UNCERTAIN;
+  r->inherited = true;
+  r->stop_wanted
+      = run->task->job->state != WORKFLOW_JOB_OPEN || run->task->state == WORKFLOW_TASK_DONE;
+  run->dispatch = r;
+}
+
+void
+dispatcher_lead (struct dispatcher *d, int64_t now_ms, uint64_t fence)
+{
+  struct workflow *w = d->config.workflow;
+  struct workflow_run *run;
+  struct workflow_job *j;
+  dispatcher_resign (d);
+  d->leading = true;
+  d->fence = fence;
+  d->now_ms = now_ms;
+  d->lead_ms = now_ms;
+  TAILQ_FOREACH (run, &w->runs, link)
+  inherit_run (d, run);
+  TAILQ_FOREACH (j, &w->open, link)
+  {
+    j->seen_ms = now_ms;
+    for (uint32_t i = 0; i < j->occurrences * j->spec.steps.steps_len; i++)
+      for (uint32_t k = 0; k < j->spec.steps.steps_val[i % j->spec.steps.steps_len].count; k++)
+        {
+          j->stages[i].tasks[k].placing = NULL;
+          j->stages[i].tasks[k].retry_ms = 0;
+        }
+  }
+  TAILQ_FOREACH (j, &w->finished, link)
+  j->ended_ms = now_ms;
+}
+
+void
+dispatcher_authority (struct dispatcher *d, int64_t until_ms)
+{
+  d->authority_until_ms = until_ms;
+}
+
+/* A refused placement leaves its task waiting; a refused end is proposed again when the worker
+   lists it again, or by the proof that led to it.  */
+void
+dispatcher_proposed (struct dispatcher *d, int64_t now_ms, uint64_t token, bool applied)
+{
+  struct dispatch_worker *w;
+  struct dispatch_run *r;
+  d->now_ms = now_ms;
+  if (token == d->prune_token)
+    d->prune_token = 0;
+  if (applied || !d->leading)
+    return;
+  TAILQ_FOREACH (w, &d->worker_list, link)
+  TAILQ_FOREACH (r, &w->runs, link)
+  {
+    if (r->token != token)
+      continue;
+    r->token = 0;
+    if (r->state == DISPATCH_PLACING)
+      dispatch_free_run (r);
+    else
+      r->state = DISPATCH_UNCERTAIN;
+    return;
+  }
+}
+
+static void
+send_stop (struct dispatcher *d, struct dispatch_run *r)
+{
+  const struct dispatch_worker *w = r->worker;
+  const struct worker_stop order
+      = { .to = { .worker = w->id, .address = w->address, .fence = d->fence },
+          .task = workflow_ref (r->task),
+          .run = r->number };
+  r->stop_open = true;
+  d->stats.stops++;
+  log_event (LOG_INFO, "stop-sent", "job=%016" PRIx64 " step=%u task=%u run=%u worker=%s",
+             r->task->job->spec.id, r->task->step, r->task->index, r->number, w->id);
+  d->config.link->ops->stop (d->config.link, &order);
+}
+
+static void
+send_pace (struct dispatcher *d, struct dispatch_run *r)
+{
+  const struct dispatch_worker *w = r->worker;
+  const struct worker_pace order
+      = { .to = { .worker = w->id, .address = w->address, .fence = d->fence },
+          .task = workflow_ref (r->task),
+          .run = r->number,
+          .percent = w->pacing.percent };
+  r->pace_open = true;
+  d->stats.paces++;
+  d->config.link->ops->pace (d->config.link, &order);
+}
+
+static void
+tick_run (struct dispatcher *d, struct dispatch_run *r)
+{
+  bool may_stop = r->state == DISPATCH_RUNNING || r->state == DISPATCH_UNCERTAIN;
+  if (!r->worker->address || r->worker->gone)
+    return;
+  if (may_stop && r->stop_wanted && !r->stop_settled && !r->stop_open
+      && d->now_ms >= r->stop_next_ms)
+    send_stop (d, r);
+  if (r->state == DISPATCH_RUNNING && !r->pace_open && r->paced != r->worker->pacing.percent
+      && (workflow_step_of (r->task)->flags & WORKFLOW_STEP_FILL))
+    send_pace (d, r);
+}
+
+static void
+prune (struct dispatcher *d)
+{
+  static uint64_t ids[PRUNE_BATCH];
+  const struct workflow_job *j;
+  workflow_command c = { .kind = WORKFLOW_PRUNE };
+  u_int n = 0;
+  TAILQ_FOREACH (j, &d->config.workflow->finished, link)
+  {
+    if (n == PRUNE_BATCH || d->now_ms - j->ended_ms < d->config.status_ms)
+      break;
+    if (j->runs == 0)
+      ids[n++] = j->spec.id;
+  }
+  if (n == 0 || d->prune_token != 0)
+    return;
+  c.workflow_command_u.prune.prune_val = ids;
+  c.workflow_command_u.prune.prune_len = n;
+  d->prune_token = dispatch_send (d, &c);
+}
+
+void
+dispatcher_tick (struct dispatcher *d, int64_t now_ms, int64_t wall_ms)
+{
+  struct dispatch_worker *w;
+  struct dispatch_worker *next;
+  struct dispatch_run *r;
+  d->now_ms = now_ms;
+  if (!dispatch_has_authority (d))
+    return;
+  for (w = TAILQ_FIRST (&d->worker_list); w; w = next)
+    {
+      next = TAILQ_NEXT (w, link);
+      TAILQ_FOREACH (r, &w->runs, link)
+      tick_run (d, r);
+      dispatch_tick_worker (d, w);
+    }
+  dispatch_place_tasks (d, wall_ms);
+  prune (d);
+}
+
+void
+dispatcher_stats (const struct dispatcher *d, struct dispatcher_stats *out)
+{
+  const struct dispatch_worker *w;
+  const struct dispatch_run *r;
+  *out = d->stats;
+  out->workers = 0;
+  out->running = 0;
+  TAILQ_FOREACH (w, &d->worker_list, link)
+  {
+    out->workers += dispatch_usable (d, w);
+    TAILQ_FOREACH (r, &w->runs, link)
+    out->running += r->state == DISPATCH_RUNNING;
+  }
+}
--- /dev/null
+++ b/src/workflow/dispatcher_answer.c
@@ -0,0 +1,286 @@
+/* What became of orders.  */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "dispatcher_internal.h"
+
+static const char *
+result_name (enum worker_call_result result)
+{
+  static const char *const names[] = { "ok",        "fenced",  "old-run",    "late",   "no-room",
+                                       "no-ticket", "refused", "other-life", "unknown" };
+  return names[result];
+}
+
+static void
+note_running (struct dispatcher *d, struct dispatch_run *r)
+{
+  r->state = DISPATCH_RUNNING;
+  r->inherited = false;
+  r->settled = ++d->mark;
+}
+
+/* Nothing is known of the order: the next hold tells, and no stop is needed when it lists the run.
+ */
+static void
+note_uncertain (struct dispatcher *d, struct dispatch_run *r)
+{
+  r->state = DISPATCH_UNCERTAIN;
+  r->settled = ++d->mark;
+  r->worker->hold_now = true;
+  d->stats.uncertain++;
+}
+
+static void
+note_not_started (struct dispatcher *d, struct dispatch_run *r, enum worker_call_result result)
+{
+  d->stats.not_started++;
+  r->task->retry_ms = d->now_ms + TASK_RETRY_MS;
+  if (result == WORKER_CALL_NO_ROOM || result == WORKER_CALL_REFUSED)
+    r->worker->no_room_until_ms = d->now_ms + NO_ROOM_MS;
+  dispatch_end (d, r, WORKFLOW_NOT_STARTED, NULL, result_name (result));
+}
+
+void
+dispatcher_start_answer (struct dispatcher *d, int64_t now_ms, const char *worker,
+                         const workflow_task_ref *task, uint32_t run,
+                         enum worker_call_result result)
+{
+  d->now_ms = now_ms;
+  struct dispatch_run *r = dispatch_find_run (d, worker, task, run);
+  log_event (LOG_INFO, "start-answered",
+             "job=%016" PRIx64 " step=%u task=%u run=%u worker=%s result=%s", task->job, task->step,
+             task->index, run, worker, result_name (result));
+  if (!r || r->state != DISPATCH_SENT)
+    return;
+  switch (result)
+    {
+    case WORKER_CALL_OK:
+      d->stats.started++;
+      note_running (d, r);
+      break;
+    case WORKER_CALL_UNKNOWN:
+      note_uncertain (d, r);
+      break;
+    case WORKER_CALL_OLD_RUN:
+      note_uncertain (d, r);
+      r->stop_settled = true;
+      break;
+    case WORKER_CALL_OTHER_LIFE:
+      note_not_started (d, r, result);
+      dispatch_worker_gone (d, r->worker, "another worker has its address");
+      break;
+    default:
+      note_not_started (d, r, result);
+      break;
+    }
+}
+
+void
+dispatcher_stop_answer (struct dispatcher *d, int64_t now_ms, const char *worker,
+                        const workflow_task_ref *task, uint32_t run, enum worker_call_result result)
+{
+  d->now_ms = now_ms;
+  struct dispatch_run *r = dispatch_find_run (d, worker, task, run);
+  log_event (LOG_INFO, "stop-answered",
+             "job=%016" PRIx64 " step=%u task=%u run=%u worker=%s result=%s", task->job, task->step,
+             task->index, run, worker, result_name (result));
+  if (!r)
+    return;
+  r->stop_open = false;
+  r->stop_next_ms = now_ms + STOP_RETRY_MS;
+  if (result == WORKER_CALL_OTHER_LIFE)
+    dispatch_worker_gone (d, r->worker, "another worker has its address");
+  if (result != WORKER_CALL_OK)
+    return;
+  r->stop_settled = true;
+  r->settled = ++d->mark;
+  r->worker->hold_now = true;
+}
+
+void
+dispatcher_pace_answer (struct dispatcher *d, int64_t now_ms, const char *worker,
+                        const workflow_task_ref *task, uint32_t run, uint32_t percent,
+                        enum worker_call_result result)
+{
+  d->now_ms = now_ms;
+  struct dispatch_run *r = dispatch_find_run (d, worker, task, run);
+  if (!r)
+    return;
+  r->pace_open = false;
+  if (result == WORKER_CALL_OK)
+    r->paced = percent;
+}
+
+static void
+stop_stranger (struct dispatcher *d, const struct dispatch_worker *w, const struct held_run *h)
+{
+  const struct worker_stop order
+      = { .to = { .worker = w->id, .address = w->address, .fence = d->fence },
+          .task = h->task,
+          .run = h->run };
+  log_event (LOG_WARN, "stranger-stopped", "job=%016" PRIx64 " step=%u task=%u run=%u worker=%s",
+             h->task.job, h->task.step, h->task.index, h->run, w->id);
+  d->stats.stops++;
+  d->config.link->ops->stop (d->config.link, &order);
+}
+
+/* True when the last tail of a lasting task is over TARGET; notes the worst of the worker.  */
+static void
+note_measure (struct dispatch_run *r, const struct held_run *h, double *worst)
+{
+  const workflow_step *s = workflow_step_of (r->task);
+  r->measure = h->measure;
+  if (!(s->flags & WORKFLOW_STEP_LASTING) || s->target_ms == 0)
+    return;
+  double tail = (double)h->measure / s->target_ms;
+  if (tail > *worst)
+    *worst = tail;
+}
+
+/* R is in LISTS: it is not absent from them.  */
+static void
+note_listed (struct dispatch_run *r, const struct worker_lists *lists)
+{
+  if (r->settled < lists->mark)
+    r->settled = lists->mark;
+}
+
+static void
+take_running (struct dispatcher *d, struct dispatch_worker *w, const struct worker_lists *lists)
+{
+  double worst = 0;
+  for (size_t i = 0; i < lists->running_len; i++)
+    {
+      const struct held_run *h = &lists->running[i];
+      struct dispatch_run *r = dispatch_find_run (d, w->id, &h->task, h->run);
+      if (!r)
+        {
+          stop_stranger (d, w, h);
+          continue;
+        }
+      note_listed (r, lists);
+      if (r->state == DISPATCH_UNCERTAIN && !r->stop_settled)
+        note_running (d, r);
+      if (h->checkpoint[0] && (!r->checkpoint || strcmp (r->checkpoint, h->checkpoint) != 0))
+        {
+          free (r->checkpoint);
+          r->checkpoint = xstrdup (h->checkpoint);
+        }
+      note_measure (r, h, &worst);
+    }
+  if (pacing_sample (&w->pacing, d->now_ms, worst))
+    log_event (LOG_INFO, "pace-changed", "worker=%s percent=%u worst_tail=%.2f", w->id,
+               w->pacing.percent, worst);
+}
+
+static struct listed_end *
+note_end (struct dispatch_worker *w, uint64_t number)
+{
+  struct listed_end *e;
+  STAILQ_FOREACH (e, &w->ends, link)
+  if (e->number == number)
+    return e;
+  e = xcalloc (1, sizeof *e);
+  e->number = number;
+  STAILQ_INSERT_TAIL (&w->ends, e, link);
+  return e;
+}
+
+/* The cursor passes the ends that are recorded, up to the first that isn't.  */
+static void
+advance_cursor (struct dispatch_worker *w)
+{
+  struct listed_end *e;
+  while ((e = STAILQ_FIRST (&w->ends)) != NULL && e->recorded)
+    {
+      w->acknowledged = e->number;
+      STAILQ_REMOVE_HEAD (&w->ends, link);
+      free (e);
+    }
+}
+
+static void
+take_ends (struct dispatcher *d, struct dispatch_worker *w, const struct worker_lists *lists)
+{
+  for (size_t i = 0; i < lists->ended_len; i++)
+    {
+      const struct held_end *h = &lists->ended[i];
+      if (h->number <= w->acknowledged)
+        continue;
+      struct listed_end *e = note_end (w, h->number);
+      struct dispatch_run *r = dispatch_find_run (d, w->id, &h->task, h->run);
+      e->recorded = r == NULL;
+      if (!r)
+        continue;
+      note_listed (r, lists);
+      dispatch_end (d, r, h->outcome, h->checkpoint, "the worker listed its end");
+    }
+  advance_cursor (w);
+}
+
+/* Runs that the lists should have and don't.  */
+static void
+take_absent (struct dispatcher *d, struct dispatch_worker *w, const struct worker_lists *lists)
+{
+  struct dispatch_run *r;
+  if (!lists->complete)
+    return;
+  TAILQ_FOREACH (r, &w->runs, link)
+  {
+    if (r->settled >= lists->mark)
+      continue;
+    if (r->state == DISPATCH_RUNNING)
+      dispatch_end (d, r, WORKFLOW_LAPSED, NULL, "the worker no longer lists it");
+    else if (r->state == DISPATCH_UNCERTAIN && r->inherited)
+      dispatch_end (d, r, WORKFLOW_LAPSED, NULL, "not listed after the fence was raised");
+    else if (r->state == DISPATCH_UNCERTAIN && r->stop_settled)
+      dispatch_end (d, r, WORKFLOW_NOT_STARTED, NULL, "not listed after a stop");
+    else if (r->state == DISPATCH_UNCERTAIN)
+      r->stop_wanted = true;
+  }
+}
+
+static void
+take_lists (struct dispatcher *d, struct dispatch_worker *w, const struct worker_lists *lists)
+{
+  if (lists->born_ms > 0 && lists->born_ms < w->born_ms)
+    return;
+  dispatch_note_life (d, w, lists->born_ms);
+  dispatch_note_clock (d, w, lists->clock_ms);
+  if (lists->clock_ms < w->listed_clock_ms)
+    return;
+  if (!w->fenced)
+    log_event (LOG_INFO, "worker-heard", "worker=%s running=%zu ended=%zu", w->id,
+               lists->running_len, lists->ended_len);
+  w->listed_clock_ms = lists->clock_ms;
+  w->heard_ms = d->now_ms;
+  w->fenced = true;
+  take_running (d, w, lists);
+  take_ends (d, w, lists);
+  take_absent (d, w, lists);
+}
+
+void
+dispatcher_hold_answer (struct dispatcher *d, int64_t now_ms, const char *worker,
+                        enum worker_call_result result, const struct worker_lists *lists)
+{
+  d->now_ms = now_ms;
+  struct dispatch_worker *w = dispatch_find_worker (d, worker);
+  if (!w)
+    return;
+  if (w->holds > 0)
+    w->holds--;
+  w->hold_next_ms = now_ms;
+  if (result == WORKER_CALL_OK)
+    {
+      take_lists (d, w, lists);
+      return;
+    }
+  w->hold_next_ms = now_ms + HOLD_RETRY_MS;
+  log_event (LOG_INFO, "hold-failed", "worker=%s result=%s silent_ms=%" PRId64, worker,
+             result_name (result), w->fenced ? now_ms - w->heard_ms : 0);
+  if (result == WORKER_CALL_OTHER_LIFE)
+    dispatch_worker_gone (d, w, "another worker has its address");
+}
--- /dev/null
+++ b/src/workflow/dispatcher_internal.h
@@ -0,0 +1,162 @@
+/* dispatcher_internal: shared by the dispatcher*.c files only.  */
+
+#ifndef SASSAFRAS_DISPATCHER_INTERNAL_H
+#define SASSAFRAS_DISPATCHER_INTERNAL_H
+
+#include <sys/queue.h>
+
+#include "buffer.h"
+#include "dispatcher.h"
+#include "log.h"
+#include "pacing.h"
+#include "spread.h"
+
+#define HOLD_WAIT_MS 500  /* samples of tails come each half second */
+#define HOLD_RETRY_MS 200 /* after a hold without an answer */
+#define SILENT_MS 2500 /* no answer to holds for this long: no new tasks; two holds and a retry */
+#define LATE_ORDER_MS 15000    /* an order may be carried out 12 s late; with margin */
+#define LEASE_MARGIN_MS 300    /* rounding and delays of the worker's own timer */
+#define CLOCK_SLOWEST 0.98     /* a worker's clock may be 2% slow */
+#define STOP_RETRY_MS 300      /* between two stop orders for one run */
+#define NO_ROOM_MS 400         /* a worker that refused for want of room gets nothing this long */
+#define TASK_RETRY_MS 100      /* a task whose start was refused waits this long */
+#define FORGET_WORKER_MS 60000 /* a worker that left is remembered against late reports */
+#define AVOID_FIRST_MS 1000    /* after the second failure in a row; doubles */
+#define AVOID_LAST_MS 16000
+#define CLOCK_SKEW_MS 4000 /* a report whose clock is this far behind the last answer is late */
+
+enum dispatch_state
+{
+  DISPATCH_PLACING,
+  DISPATCH_SENT,
+  DISPATCH_UNCERTAIN,
+  DISPATCH_RUNNING,
+  DISPATCH_ENDING,
+};
+
+struct dispatch_worker;
+
+/* One run of a task on one worker.  */
+struct dispatch_run
+{
+  TAILQ_ENTRY (dispatch_run) link; /* in worker->runs */
+  struct dispatch_worker *worker;
+  struct workflow_task *task;
+  struct workflow_run *run; /* NULL while PLACING */
+  uint32_t number;          /* run number */
+  enum dispatch_state state;
+  uint64_t token;       /* of its open proposal; 0 is none */
+  uint64_t settled;     /* a hold with a higher mark is final on whether it is there */
+  bool inherited;       /* an earlier leader gave the order */
+  bool stop_wanted;     /* the job has ended, another copy is done, or to settle the order */
+  bool stop_settled;    /* the worker has acknowledged a stop: it never starts from now on */
+  bool stop_open;       /* a stop order is on its way */
+  int64_t stop_next_ms; /* next stop order */
+  int64_t sent_ms;      /* the last start order, or when leadership began */
+  uint32_t paced;       /* percent that the worker has acknowledged */
+  bool pace_open;
+  uint32_t measure;
+  char *checkpoint; /* latest that the worker listed; NULL is none */
+};
+
+TAILQ_HEAD (dispatch_runs, dispatch_run);
+
+/* An end that a worker listed.  */
+struct listed_end
+{
+  STAILQ_ENTRY (listed_end) link;
+  uint64_t number;
+  bool recorded;
+};
+
+STAILQ_HEAD (listed_ends, listed_end);
+
+struct dispatch_worker
+{
+  struct cell_node node; /* in workers, by hash of the id */
+  TAILQ_ENTRY (dispatch_worker) link;
+  char *id;
+  char *address; /* NULL until it reported */
+  char *zone;
+  char *pool;
+  char *labels[4];
+  size_t label_count;
+  int64_t born_ms;
+  uint64_t sequence;
+  bool reported; /* to this leader */
+  bool draining;
+  bool gone; /* it left, or another life has its address */
+  int64_t gone_ms;
+  uint32_t millicores, memory_mb, accelerators;
+
+  int64_t clock_ms;    /* of the worker, read not later than clock_at_ms */
+  int64_t clock_at_ms; /* our time */
+  bool clock_known;
+  int64_t deadline_ms;     /* largest lease given to this life, on its clock */
+  int64_t lease_over_ms;   /* on our clock: for leases that an earlier leader gave */
+  int64_t heard_ms;        /* last answer to a hold */
+  int64_t listed_clock_ms; /* worker's time of the newest lists */
+  bool fenced;             /* has answered a hold of this leader */
+  unsigned holds;          /* on their way */
+  bool hold_now;           /* do not wait for the usual time */
+  int64_t hold_next_ms;
+  uint64_t acknowledged; /* ends up to this number are recorded */
+  struct listed_ends ends;
+
+  uint32_t lasting_millicores, short_millicores, fill_millicores, used_memory_mb, used_accelerators;
+  struct dispatch_runs runs;
+  struct pacing pacing;
+  int64_t no_room_until_ms;
+  uint32_t failures; /* in a row */
+  int64_t avoid_until_ms;
+};
+
+TAILQ_HEAD (dispatch_workers, dispatch_worker);
+
+struct dispatcher
+{
+  struct dispatcher_config config;
+  bool leading;
+  uint64_t fence;
+  int64_t lead_ms;
+  int64_t authority_until_ms;
+  int64_t now_ms;
+  uint64_t mark;  /* counts holds and settled orders */
+  uint64_t token; /* of the last proposal */
+  struct cell_map workers;
+  struct dispatch_workers worker_list;
+  uint64_t prune_token; /* of the open PRUNE; 0 is none */
+  struct dispatcher_stats stats;
+};
+
+/* dispatcher.c */
+bool dispatch_has_authority (const struct dispatcher *d);
+uint64_t dispatch_send (struct dispatcher *d, const workflow_command *c); /* Proposes; the token. */
+void dispatch_end (struct dispatcher *d, struct dispatch_run *r, enum workflow_outcome outcome,
+                   const char *checkpoint, const char *why); /* Proposes the end of R. */
+struct dispatch_run *dispatch_add_run (struct dispatcher *d, struct dispatch_worker *w,
+                                       struct workflow_task *t, uint32_t number);
+void dispatch_free_run (struct dispatch_run *r);
+struct dispatch_run *dispatch_find_run (struct dispatcher *d, const char *worker,
+                                        const workflow_task_ref *task,
+                                        uint32_t number); /* NULL: not ours any more. */
+
+/* dispatcher_worker.c */
+struct dispatch_worker *dispatch_find_worker (const struct dispatcher *d, const char *id);
+struct dispatch_worker *dispatch_add_worker (struct dispatcher *d, const char *id);
+void dispatch_free_worker (struct dispatcher *d, struct dispatch_worker *w);
+void dispatch_worker_gone (struct dispatcher *d, struct dispatch_worker *w,
+                           const char *why); /* That life is over, with all that ran there. */
+void dispatch_note_clock (struct dispatcher *d, struct dispatch_worker *w, int64_t clock_ms);
+int64_t dispatch_lease_deadline (struct dispatcher *d,
+                                 struct dispatch_worker *w); /* For the next order; noted. */
+void dispatch_note_life (struct dispatcher *d, struct dispatch_worker *w, int64_t born_ms);
+void dispatch_tick_worker (struct dispatcher *d, struct dispatch_worker *w);
+bool dispatch_usable (const struct dispatcher *d, const struct dispatch_worker *w);
+
+/* dispatcher_place.c */
+void dispatch_place_tasks (struct dispatcher *d, int64_t wall_ms);
+void dispatch_start (struct dispatcher *d,
+                     struct dispatch_run *r); /* Its placement is committed. */
+
+#endif
--- /dev/null
+++ b/src/workflow/dispatcher_place.c
@@ -0,0 +1,275 @@
+/* Order and placement of the tasks that may run.  */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "dispatcher_internal.h"
+
+#define MAX_PLACED 256 /* placements of one tick: bounds the time that a tick takes */
+#define MILLI 1000
+#define LATE_FACTOR 3 /* a job earns nothing after this many objectives */
+
+struct waiting_task
+{
+  struct workflow_task *task;
+  const workflow_queue *queue;
+  int rank;       /* smaller goes first */
+  int64_t key_ms; /* latest start; smaller goes first */
+};
+
+struct candidates
+{
+  struct dispatch_worker **workers;
+  struct spread_row *rows;
+  size_t count;
+};
+
+static bool
+is_due (const struct workflow_task *t, int64_t wall_ms)
+{
+  const workflow_spec *s = &t->job->spec;
+  return s->repetitions == 0 || wall_ms >= s->first_start_ms + t->occurrence * s->period_ms;
+}
+
+static int64_t
+objective_ms (const struct workflow_job *j, const workflow_queue *q)
+{
+  return (int64_t)j->chain_ms * q->stretch_milli / MILLI + q->target_ms;
+}
+
+/* Lasting tasks first: their absence costs all the time.  A job past its last worth goes last.  */
+static void
+rank_task (const struct dispatcher *d, struct waiting_task *w)
+{
+  const struct workflow_job *j = w->task->job;
+  const workflow_step *s = workflow_step_of (w->task);
+  int64_t due_ms = j->seen_ms + objective_ms (j, w->queue);
+  int64_t end_ms = j->seen_ms + LATE_FACTOR * objective_ms (j, w->queue);
+  w->key_ms = due_ms - s->estimate_ms;
+  if (s->flags & WORKFLOW_STEP_LASTING)
+    w->rank = 0;
+  else if (d->now_ms > end_ms)
+    w->rank = 3;
+  else
+    w->rank = d->now_ms + s->estimate_ms > due_ms ? 2 : 1;
+}
+
+static int
+compare_waiting (const void *a, const void *b)
+{
+  const struct waiting_task *x = a;
+  const struct waiting_task *y = b;
+  if (x->rank != y->rank)
+    return x->rank - y->rank;
+  if (x->queue->priority != y->queue->priority)
+    return x->queue->priority < y->queue->priority ? -1 : 1;
+  if (x->key_ms != y->key_ms)
+    return x->key_ms < y->key_ms ? -1 : 1;
+  return 0;
+}
+
+static size_t
+list_waiting (struct dispatcher *d, int64_t wall_ms, struct waiting_task **out)
+{
+  struct workflow *w = d->config.workflow;
+  struct workflow_task *t;
+  size_t n = 0;
+  size_t capacity = 0;
+  *out = NULL;
+  TAILQ_FOREACH (t, &w->ready, link)
+  {
+    if (t->job->seen_ms == 0)
+      t->job->seen_ms = d->now_ms;
+    if (t->placing || d->now_ms < t->retry_ms || !is_due (t, wall_ms))
+      continue;
+    const workflow_queue *q = workflow_find_queue (w, t->job->spec.queue);
+    if (!q || q->needs_advice)
+      continue;
+    if (n == capacity)
+      {
+        capacity = capacity ? 2 * capacity : 256;
+        *out = xrealloc (*out, capacity * sizeof **out);
+      }
+    (*out)[n] = (struct waiting_task){ .task = t, .queue = q };
+    rank_task (d, &(*out)[n++]);
+  }
+  if (n > 0)
+    qsort (*out, n, sizeof **out, compare_waiting);
+  return n;
+}
+
+static void
+fill_row (const struct dispatch_worker *w, struct spread_row *row)
+{
+  uint32_t memory = w->used_memory_mb < w->memory_mb ? w->memory_mb - w->used_memory_mb : 0;
+  uint32_t accelerators
+      = w->used_accelerators < w->accelerators ? w->accelerators - w->used_accelerators : 0;
+  row->millicores = w->millicores;
+  row->lasting_millicores = w->lasting_millicores;
+  row->short_millicores = w->short_millicores;
+  row->fill_millicores = w->fill_millicores;
+  row->free_memory_mb = memory;
+  row->free_accelerators = accelerators;
+  row->tail = w->pacing.percent < PACING_FULL ? 1.0 : w->pacing.worst;
+}
+
+static bool
+list_candidates (struct dispatcher *d, struct candidates *c)
+{
+  struct dispatch_worker *w;
+  c->workers = xcalloc (d->workers.count + 1, sizeof (struct dispatch_worker *));
+  c->rows = xcalloc (d->workers.count + 1, sizeof *c->rows);
+  c->count = 0;
+  TAILQ_FOREACH (w, &d->worker_list, link)
+  {
+    if (!dispatch_usable (d, w))
+      continue;
+    fill_row (w, &c->rows[c->count]);
+    c->workers[c->count++] = w;
+  }
+  return c->count > 0;
+}
+
+static bool
+has_label (const struct dispatch_worker *w, const char *label)
+{
+  for (size_t i = 0; i < w->label_count; i++)
+    if (strcmp (w->labels[i], label) == 0)
+      return true;
+  return false;
+}
+
+static uint32_t
+count_same_step (const struct dispatch_worker *w, const struct workflow_task *t)
+{
+  const struct dispatch_run *r;
+  uint32_t n = 0;
+  TAILQ_FOREACH (r, &w->runs, link)
+  n += r->task->job == t->job && r->task->step == t->step && r->task->occurrence == t->occurrence;
+  return n;
+}
+
+static size_t
+choose (const struct candidates *c, const struct waiting_task *t)
+{
+  const workflow_step *s = workflow_step_of (t->task);
+  const struct spread_request q = { .millicores = s->millicores,
+                                    .memory_mb = s->memory_mb,
+                                    .accelerators = s->accelerators,
+                                    .max_per_worker = s->max_per_worker,
+                                    .fills = s->flags & WORKFLOW_STEP_FILL };
+  for (size_t i = 0; i < c->count; i++)
+    {
+      const struct dispatch_worker *w = c->workers[i];
+      struct spread_row *row = &c->rows[i];
+      row->usable = strcmp (w->pool, t->queue->pool) == 0
+                    && (!s->required_label[0] || has_label (w, s->required_label));
+      row->near_data = !s->data_rack[0] || has_label (w, s->data_rack);
+      if (s->max_per_worker > 0 && row->usable)
+        row->same_step = count_same_step (w, t->task);
+    }
+  return spread_choose (c->rows, c->count, &q);
+}
+
+static void
+propose_place (struct dispatcher *d, struct dispatch_worker *w, struct workflow_task *t)
+{
+  workflow_command c = { .kind = WORKFLOW_PLACE };
+  struct dispatch_run *r = dispatch_add_run (d, w, t, t->last_run + 1);
+  t->placing = r;
+  c.workflow_command_u.place
+      = (workflow_place){ .task = workflow_ref (t), .run = r->number, .worker = w->id };
+  log_event (LOG_INFO, "placed",
+             "job=%016" PRIx64 " step=%u task=%u run=%u worker=%s waited_ms=%" PRId64
+             " lasting=%u short=%u fill=%u tail=%.2f heard_ms_ago=%" PRId64,
+             t->job->spec.id, t->step, t->index, r->number, w->id, d->now_ms - t->job->seen_ms,
+             w->lasting_millicores, w->short_millicores, w->fill_millicores, w->pacing.worst,
+             d->now_ms - w->heard_ms);
+  r->token = dispatch_send (d, &c);
+}
+
+/* Equal tasks find no room either once one of them has found none.  */
+static bool
+same_demand (const struct waiting_task *a, const struct waiting_task *b)
+{
+  return a->task->job == b->task->job && a->task->step == b->task->step
+         && a->task->occurrence == b->task->occurrence;
+}
+
+void
+dispatch_place_tasks (struct dispatcher *d, int64_t wall_ms)
+{
+  struct waiting_task *waiting;
+  struct candidates c;
+  size_t n = list_waiting (d, wall_ms, &waiting);
+  size_t placed = 0;
+  const struct waiting_task *no_room = NULL;
+  d->stats.waiting = (uint32_t)n;
+  if (n > 0 && list_candidates (d, &c))
+    for (size_t i = 0; i < n && placed < MAX_PLACED; i++)
+      {
+        if (no_room && same_demand (no_room, &waiting[i]))
+          continue;
+        size_t row = choose (&c, &waiting[i]);
+        if (row == SPREAD_NONE)
+          {
+            no_room = &waiting[i];
+            continue;
+          }
+        propose_place (d, c.workers[row], waiting[i].task);
+        fill_row (c.workers[row], &c.rows[row]);
+        placed++;
+        d->stats.waiting--;
+      }
+  if (n > 0)
+    {
+      free (c.workers);
+      free (c.rows);
+    }
+  free (waiting);
+}
+
+void
+dispatch_start (struct dispatcher *d, struct dispatch_run *r)
+{
+  struct dispatch_worker *w = r->worker;
+  struct workflow_task *t = r->task;
+  r->state = DISPATCH_SENT;
+  bool unwanted = t->job->state != WORKFLOW_JOB_OPEN || t->state == WORKFLOW_TASK_DONE;
+  bool unusable = w->draining || w->gone || !w->fenced || !w->address
+                  || workflow_zone_is_out (d->config.workflow, w->zone);
+  if (unwanted || unusable || !dispatch_has_authority (d))
+    {
+      dispatch_end (d, r, WORKFLOW_NOT_STARTED, NULL,
+                    unwanted ? "the job has ended" : "the worker is no longer usable");
+      return;
+    }
+  const struct worker_start order
+      = { .to = { .worker = w->id, .address = w->address, .fence = d->fence },
+          .task = workflow_ref (t),
+          .run = r->number,
+          .payload = t->job->spec.payload,
+          .checkpoint = t->checkpoint ? t->checkpoint : "",
+          .deadline_ms = dispatch_lease_deadline (d, w) };
+  r->sent_ms = d->now_ms;
+  d->config.link->ops->start (d->config.link, &order);
+}
+
+bool
+dispatcher_can_ever_fit (const struct dispatcher *d, const workflow_spec *spec, const char *pool)
+{
+  const struct dispatch_worker *w;
+  for (u_int i = 0; i < spec->steps.steps_len; i++)
+    {
+      const workflow_step *s = &spec->steps.steps_val[i];
+      bool fits = false;
+      TAILQ_FOREACH (w, &d->worker_list, link)
+      fits = fits
+             || (w->address && strcmp (w->pool, pool) == 0 && w->millicores >= s->millicores
+                 && w->memory_mb >= s->memory_mb && w->accelerators >= s->accelerators
+                 && (!s->required_label[0] || has_label (w, s->required_label)));
+      if (!fits)
+        return false;
+    }
+  return true;
+}
--- /dev/null
+++ b/src/workflow/dispatcher_worker.c
@@ -0,0 +1,318 @@
+/* Workers: reports, lives, clocks, leases and holds.  */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "dispatcher_internal.h"
+
+struct dispatch_worker *
+dispatch_find_worker (const struct dispatcher *d, const char *id)
+{
+  uint64_t hash = cell_hash_names (id, "");
+  for (struct cell_node *n = cell_map_first (&d->workers, hash); n; n = cell_map_next (n))
+    {
+      struct dispatch_worker *w = CELL_CONTAINER (n, struct dispatch_worker, node);
+      if (strcmp (w->id, id) == 0)
+        return w;
+    }
+  return NULL;
+}
+
+struct dispatch_worker *
+dispatch_add_worker (struct dispatcher *d, const char *id)
+{
+  struct dispatch_worker *w = xcalloc (1, sizeof *w);
+  w->id = xstrdup (id);
+  /* The leader before this one gave leases until it lost its authority, which ended before ours
+     began.  */
+  w->lease_over_ms
+      = d->lead_ms + (int64_t)((double)d->config.lease_ms / CLOCK_SLOWEST) + LEASE_MARGIN_MS;
+  w->heard_ms = INT64_MIN / 2;
+  TAILQ_INIT (&w->runs);
+  STAILQ_INIT (&w->ends);
+  pacing_init (&w->pacing);
+  cell_map_add (&d->workers, &w->node, cell_hash_names (id, ""));
+  TAILQ_INSERT_TAIL (&d->worker_list, w, link);
+  return w;
+}
+
+static void
+drop_ends (struct dispatch_worker *w)
+{
+  struct listed_end *e;
+  while ((e = STAILQ_FIRST (&w->ends)) != NULL)
+    {
+      STAILQ_REMOVE_HEAD (&w->ends, link);
+      free (e);
+    }
+}
+
+static void
+drop_labels (struct dispatch_worker *w)
+{
+  while (w->label_count > 0)
+    free (w->labels[--w->label_count]);
+}
+
+void
+dispatch_free_worker (struct dispatcher *d, struct dispatch_worker *w)
+{
+  struct dispatch_run *r;
+  while ((r = TAILQ_FIRST (&w->runs)) != NULL)
+    dispatch_free_run (r);
+  drop_ends (w);
+  drop_labels (w);
+  cell_map_remove (&d->workers, &w->node);
+  TAILQ_REMOVE (&d->worker_list, w, link);
+  free (w->id);
+  free (w->address);
+  free (w->zone);
+  free (w->pool);
+  free (w);
+}
+
+/* The worker's clock now, at its slowest.  */
+static int64_t
+least_clock (const struct dispatcher *d, const struct dispatch_worker *w)
+{
+  return w->clock_ms + (int64_t)((double)(d->now_ms - w->clock_at_ms) * CLOCK_SLOWEST);
+}
+
+void
+dispatch_note_clock (struct dispatcher *d, struct dispatch_worker *w, int64_t clock_ms)
+{
+  if (w->clock_known && clock_ms < least_clock (d, w))
+    return;
+  w->clock_known = true;
+  w->clock_ms = clock_ms;
+  w->clock_at_ms = d->now_ms;
+}
+
+int64_t
+dispatch_lease_deadline (struct dispatcher *d, struct dispatch_worker *w)
+{
+  if (!w->clock_known)
+    return 0;
+  int64_t deadline_ms = w->clock_ms + (d->now_ms - w->clock_at_ms) + d->config.lease_ms;
+  if (deadline_ms > w->deadline_ms)
+    w->deadline_ms = deadline_ms;
+  return deadline_ms;
+}
+
+/* Neither a lease of ours nor one of an earlier leader can hold any more.  */
+static bool
+lease_is_over (const struct dispatcher *d, const struct dispatch_worker *w)
+{
+  if (d->now_ms < w->lease_over_ms)
+    return false;
+  return !w->clock_known || least_clock (d, w) > w->deadline_ms + LEASE_MARGIN_MS;
+}
+
+void
+dispatch_worker_gone (struct dispatcher *d, struct dispatch_worker *w, const char *why)
+{
+  struct dispatch_run *r;
+  if (w->gone)
+    return;
+  log_event (LOG_INFO, "worker-gone", "worker=%s address=%s born=%" PRId64 " reason=\"%s\"", w->id,
+             w->address ? w->address : "", w->born_ms, why);
+  w->gone = true;
+  w->gone_ms = d->now_ms;
+  TAILQ_FOREACH (r, &w->runs, link)
+  dispatch_end (
+      d, r, r->inherited || r->state == DISPATCH_RUNNING ? WORKFLOW_LAPSED : WORKFLOW_NOT_STARTED,
+      NULL, why);
+}
+
+/* The worker began again under its id: it runs nothing of before, has a new clock and has seen no
+   fence.  An order to its earlier life that got no answer may still reach the new one, so such runs
+   stay uncertain and are settled there.  */
+static void
+begin_life (struct dispatcher *d, struct dispatch_worker *w, int64_t born_ms)
+{
+  struct dispatch_run *r;
+  log_event (LOG_INFO, "worker-restarted", "worker=%s born=%" PRId64 " before=%" PRId64, w->id,
+             born_ms, w->born_ms);
+  w->born_ms = born_ms;
+  w->sequence = 0;
+  w->clock_known = false;
+  w->deadline_ms = 0;
+  w->listed_clock_ms = 0;
+  w->fenced = false;
+  w->lease_over_ms
+      = d->now_ms + (int64_t)((double)d->config.lease_ms / CLOCK_SLOWEST) + LEASE_MARGIN_MS;
+  w->acknowledged = 0;
+  w->hold_now = true;
+  drop_ends (w);
+  pacing_init (&w->pacing);
+  TAILQ_FOREACH (r, &w->runs, link)
+  if (r->state == DISPATCH_RUNNING)
+    dispatch_end (d, r, WORKFLOW_LAPSED, NULL, "the worker was restarted");
+}
+
+void
+dispatch_note_life (struct dispatcher *d, struct dispatch_worker *w, int64_t born_ms)
+{
+  if (born_ms <= w->born_ms)
+    return;
+  if (w->born_ms > 0)
+    begin_life (d, w, born_ms);
+  else
+    w->born_ms = born_ms;
+}
+
+static void
+set_text (char **to, const char *text)
+{
+  if (*to && strcmp (*to, text) == 0)
+    return;
+  free (*to);
+  *to = xstrdup (text);
+}
+
+static void
+take_labels (struct dispatch_worker *w, const struct worker_report *r)
+{
+  drop_labels (w);
+  for (size_t i = 0; i < r->labels_len && i < sizeof w->labels / sizeof *w->labels; i++)
+    w->labels[w->label_count++] = xstrdup (r->labels[i]);
+}
+
+/* Two ids at one address are two lives of it: the younger one is alive.  */
+static int
+check_address (struct dispatcher *d, const struct worker_report *r, struct status *st)
+{
+  struct dispatch_worker *w;
+  TAILQ_FOREACH (w, &d->worker_list, link)
+  {
+    if (!w->address || w->gone || strcmp (w->address, r->address) != 0
+        || strcmp (w->id, r->id) == 0)
+      continue;
+    if (r->born_ms < w->born_ms)
+      return status_set (st, STATUS_STALE_INCARNATION, "worker %s took the address of %s", w->id,
+                         r->id);
+    dispatch_worker_gone (d, w, "a younger worker has its address");
+  }
+  return 0;
+}
+
+/* The report is not newer than what is known: its sender's life or an earlier report of it.  */
+static int
+check_age (struct dispatcher *d, const struct dispatch_worker *w, const struct worker_report *r,
+           struct status *st)
+{
+  if (r->born_ms < w->born_ms || (w->gone && r->born_ms == w->born_ms))
+    return status_set (st, STATUS_STALE_INCARNATION, "that life of worker %s is over", r->id);
+  if (r->born_ms > w->born_ms || !w->address)
+    return 0;
+  if (w->reported && r->sequence <= w->sequence)
+    return status_set (st, STATUS_STALE_EPOCH, "report %llu of worker %s came after report %llu",
+                       (unsigned long long)r->sequence, r->id, (unsigned long long)w->sequence);
+  if (w->clock_known && r->clock_ms < least_clock (d, w) - CLOCK_SKEW_MS)
+    return status_set (st, STATUS_STALE_EPOCH, "report of worker %s is over %d ms old", r->id,
+                       CLOCK_SKEW_MS);
+  return 0;
+}
+
+int
+dispatcher_report (struct dispatcher *d, int64_t now_ms, const struct worker_report *r,
+                   struct status *st)
+{
+  d->now_ms = now_ms;
+  if (!d->leading)
+    return status_set (st, STATUS_NOT_LEADER, "this VM does not lead");
+  struct dispatch_worker *w = dispatch_find_worker (d, r->id);
+  if (w && check_age (d, w, r, st) < 0)
+    return -1;
+  if (check_address (d, r, st) < 0)
+    return -1;
+  if (!w)
+    w = dispatch_add_worker (d, r->id);
+  dispatch_note_life (d, w, r->born_ms);
+  if (!w->address || w->draining != r->draining)
+    log_event (LOG_INFO, "worker-reported",
+               "worker=%s address=%s data_centre=%s pool=%s draining=%d sequence=%" PRIu64, r->id,
+               r->address, r->zone, r->pool, r->draining, r->sequence);
+  set_text (&w->address, r->address);
+  set_text (&w->zone, r->zone);
+  set_text (&w->pool, r->pool);
+  take_labels (w, r);
+  w->gone = false;
+  w->reported = true;
+  w->draining = r->draining;
+  w->sequence = r->sequence;
+  w->millicores = r->millicores;
+  w->memory_mb = r->memory_mb;
+  w->accelerators = r->accelerators;
+  dispatch_note_clock (d, w, r->clock_ms);
+  return 0;
+}
+
+void
+dispatcher_left (struct dispatcher *d, int64_t now_ms, const char *worker)
+{
+  struct dispatch_worker *w = dispatch_find_worker (d, worker);
+  d->now_ms = now_ms;
+  if (w)
+    dispatch_worker_gone (d, w, "it left");
+}
+
+bool
+dispatch_usable (const struct dispatcher *d, const struct dispatch_worker *w)
+{
+  return w->address && w->reported && w->fenced && !w->draining && !w->gone
+         && d->now_ms - w->heard_ms < SILENT_MS && d->now_ms >= w->no_room_until_ms
+         && d->now_ms >= w->avoid_until_ms && !workflow_zone_is_out (d->config.workflow, w->zone);
+}
+
+static void
+send_hold (struct dispatcher *d, struct dispatch_worker *w)
+{
+  const struct worker_hold order
+      = { .to = { .worker = w->id, .address = w->address, .fence = d->fence },
+          .mark = ++d->mark,
+          .acknowledged = w->acknowledged,
+          .deadline_ms = dispatch_lease_deadline (d, w),
+          .wait_ms = w->hold_now || !w->fenced ? 0 : HOLD_WAIT_MS };
+  w->hold_now = false;
+  w->holds++;
+  d->config.link->ops->hold (d->config.link, &order);
+}
+
+static void
+lapse_runs (struct dispatcher *d, struct dispatch_worker *w)
+{
+  struct dispatch_run *r;
+  TAILQ_FOREACH (r, &w->runs, link)
+  {
+    bool late
+        = r->state == DISPATCH_UNCERTAIN && d->now_ms - r->sent_ms < LATE_ORDER_MS && !r->inherited;
+    if ((r->state != DISPATCH_RUNNING && r->state != DISPATCH_UNCERTAIN) || late)
+      continue;
+    d->stats.lapsed++;
+    dispatch_end (d, r, WORKFLOW_LAPSED, NULL, "the worker is silent and its lease is over");
+  }
+}
+
+void
+dispatch_tick_worker (struct dispatcher *d, struct dispatch_worker *w)
+{
+  bool idle = TAILQ_EMPTY (&w->runs);
+  if (w->gone)
+    {
+      if (idle && w->holds == 0 && d->now_ms - w->gone_ms > FORGET_WORKER_MS)
+        dispatch_free_worker (d, w);
+      return;
+    }
+  if (d->now_ms - w->heard_ms >= SILENT_MS && !idle && lease_is_over (d, w))
+    lapse_runs (d, w);
+  if (!w->address)
+    {
+      if (idle)
+        dispatch_free_worker (d, w);
+      return;
+    }
+  bool probe = w->hold_now && w->holds == 1;
+  if (probe || (w->holds == 0 && (w->hold_now || d->now_ms >= w->hold_next_ms)))
+    send_hold (d, w);
+}
--- /dev/null
+++ b/src/workflow/leader_relay.c
@@ -0,0 +1,373 @@
+#include "leader_relay.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "counters.h"
+#include "log.h"
+
+#define CODE_OK 200
+#define CODE_REDIRECT 307
+#define CODE_MISDIRECTED 421
+#define CODE_GATEWAY_TIMEOUT 504
+#define LEAST_ATTEMPT_MS                                                                           \
+  30 /* an attempt needs one round trip between regions at least half of the time */
+#define ANSWER_SLACK_MS 60 /* for the answer to reach the caller in time */
+#define MS_PER_S 1000.0
+#define URL_BYTES 2048
+#define HEADER_BYTES 512
+
+static struct counter relayed
+    = { .name = "sassafras_relay_requests_total", .help = "Requests relayed to the leader." };
+static struct counter repeated
+    = { .name = "sassafras_relay_repeats_total", .help = "Attempts after the first." };
+static struct counter given_up
+    = { .name = "sassafras_relay_given_up_total", .help = "Requests without a leader's answer." };
+static struct histogram relay_times
+    = { .name = "sassafras_relay_ms", .help = "Time until the answer of a relayed request." };
+
+struct candidate
+{
+  char ip[SEEDED_GROUP_IP_BYTES];
+  int64_t avoid_until_ms;
+};
+
+struct relay_call
+{
+  LIST_ENTRY (relay_call) link;
+  struct leader_relay *relay;
+  struct http_request *request;
+  int64_t began_ms;
+  int64_t deadline_ms;
+  unsigned attempts;
+  bool uncertain; /* an attempt may have been carried out */
+  char target[SEEDED_GROUP_IP_BYTES];
+  char headers[RELAY_MAX_HEADERS + 1][HEADER_BYTES];
+  const char *header_list[RELAY_MAX_HEADERS + 2];
+  ev_timer pause;
+};
+
+LIST_HEAD (relay_calls, relay_call);
+
+struct leader_relay
+{
+  struct leader_relay_config config;
+  struct http_client *client;
+  struct candidate candidates[RELAY_MAX_CANDIDATES];
+  size_t count;
+  bool probing;
+  char probed[SEEDED_GROUP_IP_BYTES];
+  size_t next;                        /* candidate to try when no leader is known */
+  char leader[SEEDED_GROUP_IP_BYTES]; /* "": not known */
+  int64_t heard_ms;
+  struct relay_calls calls;
+};
+
+static void attempt (struct relay_call *c);
+
+static struct candidate *
+find_candidate (struct leader_relay *r, const char *ip)
+{
+  for (size_t i = 0; i < r->count; i++)
+    if (strcmp (r->candidates[i].ip, ip) == 0)
+      return &r->candidates[i];
+  return NULL;
+}
+
+static struct candidate *
+add_candidate (struct leader_relay *r, const char *ip)
+{
+  struct candidate *c = find_candidate (r, ip);
+  if (c || strcmp (ip, r->config.own_ip) == 0 || r->count == RELAY_MAX_CANDIDATES)
+    return c;
+  c = &r->candidates[r->count++];
+  snprintf (c->ip, sizeof c->ip, "%s", ip);
+  return c;
+}
+
+struct leader_relay *
+leader_relay_open (const struct leader_relay_config *config)
+{
+  struct leader_relay *r = xcalloc (1, sizeof *r);
+  r->config = *config;
+  r->client = http_client_open (config->loop, 0);
+  r->heard_ms = INT64_MIN / 2;
+  LIST_INIT (&r->calls);
+  for (size_t i = 0; i < config->seed_count; i++)
+    add_candidate (r, config->seeds[i]);
+  return r;
+}
+
+static void
+free_call (struct relay_call *c)
+{
+  ev_timer_stop (c->relay->config.loop, &c->pause);
+  LIST_REMOVE (c, link);
+  free (c);
+}
+
+void
+leader_relay_close (struct leader_relay *r)
+{
+  struct relay_call *c;
+  http_client_close (r->client);
+  while ((c = LIST_FIRST (&r->calls)) != NULL)
+    free_call (c);
+  free (r);
+}
+
+int64_t
+leader_relay_heard_ms (const struct leader_relay *r)
+{
+  return r->heard_ms;
+}
+
+void
+leader_relay_refuse (struct http_request *req, const char *leader_ip, int port)
+{
+  char url[URL_BYTES];
+  if (!leader_ip)
+    {
+      http_reply (req, CODE_MISDIRECTED, "text/plain", "", 0);
+      return;
+    }
+  snprintf (url, sizeof url, "http://%s:%d/", leader_ip, port);
+  http_reply_redirect (req, url);
+}
+
+/* The believed leader unless it has just failed, else the next candidate that hasn't.  */
+static const char *
+choose_target (struct leader_relay *r, int64_t now_ms)
+{
+  char ip[SEEDED_GROUP_IP_BYTES];
+  if (r->config.leader && r->config.leader (r->config.arg, ip)
+      && strcmp (ip, r->config.own_ip) != 0)
+    snprintf (r->leader, sizeof r->leader, "%s", ip);
+  const struct candidate *known = r->leader[0] ? add_candidate (r, r->leader) : NULL;
+  if (known && now_ms >= known->avoid_until_ms)
+    return known->ip;
+  for (size_t i = 0; i < r->count; i++)
+    {
+      const struct candidate *c = &r->candidates[r->next++ % r->count];
+      if (now_ms >= c->avoid_until_ms)
+        return c->ip;
+    }
+  return r->count > 0 ? r->candidates[r->next++ % r->count].ip : NULL;
+}
+
+static const char *
+ran_text (const struct relay_call *c)
+{
+  return c->uncertain ? "unknown" : "no";
+}
+
+static void
+give_up (struct relay_call *c, int64_t now_ms)
+{
+  counter_add (&given_up, 1);
+  log_event (LOG_WARN, "relay-given-up", "path=%s attempts=%u after_ms=%lld last_target=%s ran=%s",
+             c->request->path, c->attempts, (long long)(now_ms - c->began_ms), c->target,
+             ran_text (c));
+  http_reply_error (c->request, c->uncertain ? STATUS_OUTCOME_UNKNOWN : STATUS_NO_QUORUM,
+                    "no answer of a leader after %u attempts", c->attempts);
+  free_call (c);
+}
+
+static void
+on_pause (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void)loop;
+  (void)events;
+  attempt (w->data);
+}
+
+static void
+try_again (struct relay_call *c, int64_t pause_ms)
+{
+  ev_timer_init (&c->pause, on_pause, (double)pause_ms / MS_PER_S, 0.0);
+  c->pause.data = c;
+  ev_timer_start (c->relay->config.loop, &c->pause);
+}
+
+static void
+note_redirect (struct leader_relay *r, const char *location)
+{
+  char ip[SEEDED_GROUP_IP_BYTES];
+  if (sscanf (location, "http://%15[0-9.]:", ip) == 1)
+    snprintf (r->leader, sizeof r->leader, "%s", ip);
+}
+
+static void
+pass_answer (struct relay_call *c, const struct http_answer *a, int64_t now_ms)
+{
+  struct leader_relay *r = c->relay;
+  char seconds[24];
+  r->heard_ms = now_ms;
+  snprintf (r->leader, sizeof r->leader, "%s", c->target);
+  histogram_add (&relay_times, (double)(now_ms - c->began_ms));
+  snprintf (seconds, sizeof seconds, "%ld", a->retry_after_s);
+  http_reply_with (c->request, a->code, "application/json", a->body.data, a->body.len,
+                   a->retry_after_s > 0 ? seconds : NULL);
+  free_call (c);
+}
+
+/* IP did not answer.  */
+static void
+avoid (struct leader_relay *r, const char *ip, int64_t now_ms)
+{
+  struct candidate *target = find_candidate (r, ip);
+  if (target)
+    target->avoid_until_ms = now_ms + RELAY_AVOID_MS;
+  if (strcmp (r->leader, ip) == 0)
+    r->leader[0] = '\0';
+}
+
+static void
+note_failure (struct relay_call *c, const struct http_answer *a, int64_t now_ms)
+{
+  c->uncertain = c->uncertain || a->sent;
+  avoid (c->relay, c->target, now_ms);
+  log_event (LOG_INFO, "relay-attempt-failed", "path=%s target=%s attempt=%u sent=%d reason=\"%s\"",
+             c->request->path, c->target, c->attempts, a->sent, a->status.message);
+}
+
+static void
+on_answer (void *arg, const struct http_answer *a)
+{
+  struct relay_call *c = arg;
+  struct leader_relay *r = c->relay;
+  int64_t now_ms = clock_now_ms (r->config.clock);
+  if (a->code == CODE_REDIRECT && a->location)
+    {
+      note_redirect (r, a->location);
+      try_again (c, c->attempts > 2 ? RELAY_PAUSE_MS : 0);
+    }
+  else if (a->code == CODE_MISDIRECTED)
+    {
+      if (strcmp (r->leader, c->target) == 0)
+        r->leader[0] = '\0';
+      try_again (c, RELAY_PAUSE_MS);
+    }
+  else if (a->code == 0 || !status_ok (&a->status) || a->code == CODE_GATEWAY_TIMEOUT)
+    {
+      /* A leader that lost its place says 504: the request may have been carried out.  */
+      note_failure (c, a, now_ms);
+      try_again (c, RELAY_PAUSE_MS);
+    }
+  else
+    pass_answer (c, a, now_ms);
+}
+
+/* Escapes what a path may not hold; the server gave it decoded.  */
+static void
+append_path (char *url, size_t size, const char *path)
+{
+  size_t used = strlen (url);
+  for (; *path && used + 4 < size; path++)
+    {
+      unsigned char byte = (unsigned char)*path;
+      bool plain = byte > ' ' && byte < 0x7f && !strchr ("\"#%<>?\\^`{|}", byte);
+      used += (size_t)snprintf (url + used, size - used, plain ? "%c" : "%%%02X", byte);
+    }
+}
+
+static void
+attempt (struct relay_call *c)
+{
+  struct leader_relay *r = c->relay;
+  char url[URL_BYTES];
+  int64_t now_ms = clock_now_ms (r->config.clock);
+  int64_t left_ms = c->deadline_ms - now_ms;
+  const char *target = choose_target (r, now_ms);
+  if (left_ms < LEAST_ATTEMPT_MS || !target)
+    {
+      give_up (c, now_ms);
+      return;
+    }
+  counter_add (c->attempts == 0 ? &relayed : &repeated, 1);
+  c->attempts++;
+  snprintf (c->target, sizeof c->target, "%s", target);
+  snprintf (url, sizeof url, "http://%s:%d", target, r->config.port);
+  append_path (url, sizeof url, c->request->path);
+  const struct http_call call
+      = { .method = c->request->method,
+          .url = url,
+          .headers = c->header_list,
+          .body = c->request->body.data,
+          .body_len = c->request->body.len,
+          .timeout_ms = left_ms < RELAY_ATTEMPT_MS ? left_ms : RELAY_ATTEMPT_MS,
+          .done = on_answer,
+          .done_arg = c };
+  http_client_send (r->client, &call);
+}
+
+static void
+copy_headers (struct relay_call *c)
+{
+  const char *const *names = c->relay->config.headers;
+  size_t n = 0;
+  snprintf (c->headers[n], HEADER_BYTES, "%s: 1", RELAY_HEADER);
+  c->header_list[n] = c->headers[n];
+  n++;
+  for (size_t i = 0; names[i] && n <= RELAY_MAX_HEADERS; i++)
+    {
+      const char *value = http_header (c->request, names[i]);
+      if (!value)
+        continue;
+      snprintf (c->headers[n], HEADER_BYTES, "%s: %s", names[i], value);
+      c->header_list[n] = c->headers[n];
+      n++;
+    }
+}
+
+void
+leader_relay_send (struct leader_relay *r, struct http_request *req, int64_t budget_ms)
+{
+  struct relay_call *c = xcalloc (1, sizeof *c);
+  c->relay = r;
+  c->request = req;
+  c->began_ms = clock_now_ms (r->config.clock);
+  c->deadline_ms = c->began_ms + budget_ms - ANSWER_SLACK_MS;
+  copy_headers (c);
+  LIST_INSERT_HEAD (&r->calls, c, link);
+  attempt (c);
+}
+
+static void
+on_probed (void *arg, const struct http_answer *a)
+{
+  struct leader_relay *r = arg;
+  int64_t now_ms = clock_now_ms (r->config.clock);
+  r->probing = false;
+  if (a->code == CODE_REDIRECT && a->location)
+    note_redirect (r, a->location);
+  else if (a->code == 0)
+    avoid (r, r->probed, now_ms);
+  else if (a->code == CODE_OK)
+    {
+      r->heard_ms = now_ms;
+      snprintf (r->leader, sizeof r->leader, "%s", r->probed);
+    }
+}
+
+void
+leader_relay_probe (struct leader_relay *r)
+{
+  static const char *const headers[] = { RELAY_HEADER ": 1", NULL };
+  char url[URL_BYTES];
+  const char *target = choose_target (r, clock_now_ms (r->config.clock));
+  if (r->probing || !target)
+    return;
+  r->probing = true;
+  snprintf (r->probed, sizeof r->probed, "%s", target);
+  snprintf (url, sizeof url, "http://%s:%d" RELAY_PROBE_PATH, target, r->config.port);
+  const struct http_call call = { .method = "GET",
+                                  .url = url,
+                                  .headers = headers,
+                                  .timeout_ms = RELAY_ATTEMPT_MS,
+                                  .done = on_probed,
+                                  .done_arg = r };
+  http_client_send (r->client, &call);
+}
--- /dev/null
+++ b/src/workflow/leader_relay.h
@@ -0,0 +1,61 @@
+/* leader_relay: brings HTTP requests to the VM that leads, wherever that is, and its answers back.
+
+   The relay sends a request to the VM it believes to lead, else to the candidates in turn.  A VM
+   that does not lead answers 307 with the leader's address, or 421 when it knows none; neither has
+   done anything.  Every relayed request must be safe to repeat: an attempt without an answer is
+   made again until the time is up.
+
+   When the time is up the answer says what is known: 503 with Retry-After when no attempt can have
+   reached a leader, else 504, because the request may have been carried out.
+
+   A candidate that did not answer is tried last for RELAY_AVOID_MS.  */
+
+#ifndef SASSAFRAS_LEADER_RELAY_H
+#define SASSAFRAS_LEADER_RELAY_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <ev.h>
+
+#include "clock.h"
+#include "http_client.h"
+#include "http_server.h"
+#include "seeded_group.h"
+
+#define RELAY_HEADER "Sassafras-Relayed" /* on relayed requests: answer 307 or 421, don't relay */
+#define RELAY_ATTEMPT_MS                                                                           \
+  1000                    /* a leader across regions answers in 150 ms; the rest is for its load */
+#define RELAY_PAUSE_MS 40 /* between attempts when nobody leads: an election takes about 1.5 s */
+#define RELAY_AVOID_MS 1500           /* a candidate that didn't answer */
+#define RELAY_PROBE_PATH "/v1/leader" /* answered 200 by the leader */
+#define RELAY_MAX_CANDIDATES 32
+#define RELAY_MAX_HEADERS 4 /* passed on from the request */
+
+struct leader_relay;
+
+struct leader_relay_config
+{
+  struct ev_loop *loop;
+  struct clock *clock;
+  const char *own_ip; /* never a target */
+  int port;           /* of the relayed interface on every candidate */
+  char seeds[SEEDED_GROUP_MAX_SEEDS][SEEDED_GROUP_IP_BYTES];
+  size_t seed_count;
+  const char *const *headers; /* names passed on, ended by NULL */
+  /* Fills IP with the leader as this VM knows it; NULL for a VM outside the group.  */
+  bool (*leader) (void *arg, char ip[SEEDED_GROUP_IP_BYTES]);
+  void *arg;
+};
+
+struct leader_relay *leader_relay_open (const struct leader_relay_config *config);
+void leader_relay_close (struct leader_relay *r); /* Open requests get no answer. */
+void leader_relay_send (struct leader_relay *r, struct http_request *req,
+                        int64_t budget_ms);       /* Answers REQ within BUDGET_MS. */
+void leader_relay_probe (struct leader_relay *r); /* Asks a candidate whether it leads. */
+int64_t leader_relay_heard_ms (const struct leader_relay *r); /* Last answer of a leader. */
+void leader_relay_refuse (struct http_request *req, const char *leader_ip,
+                          int port); /* 307 to LEADER_IP, or 421 when it is NULL. */
+
+#endif
--- /dev/null
+++ b/src/workflow/seeded_group.c
@@ -0,0 +1,266 @@
+#include "seeded_group.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+#include <sys/stat.h>
+
+#include "incarnation.h"
+#include "log.h"
+#include "member_sync.h"
+#include "peer_net.h"
+
+#define GROUP_ID 1
+#define GROUP_NAME "workflow"
+#define ADDRESS_BYTES 32
+#define PATH_BYTES 4200
+#define MAX_FLUSH_ROUNDS 8 /* results of one flush often cause another proposal */
+
+struct seeded_group
+{
+  struct seeded_group_config config;
+  uint64_t node;
+  uint64_t incarnation;
+  struct rng rng;
+  struct peer_net *net;
+  struct group *group;
+  struct member_sync sync;
+};
+
+static uint64_t
+node_of_ip (const char *ip)
+{
+  struct in_addr address;
+  return inet_pton (AF_INET, ip, &address) == 1 ? ntohl (address.s_addr) : 0;
+}
+
+static void
+ip_of_node (uint64_t node, char ip[SEEDED_GROUP_IP_BYTES])
+{
+  struct in_addr address = { .s_addr = htonl ((uint32_t)node) };
+  inet_ntop (AF_INET, &address, ip, SEEDED_GROUP_IP_BYTES);
+}
+
+static void
+on_raft (void *arg, const struct peer_info *from, const raft_message *m)
+{
+  struct seeded_group *s = arg;
+  if (s->group && m->group == GROUP_ID && m->from == from->node)
+    group_receive (s->group, m);
+}
+
+static void
+on_hello (void *arg, const struct peer_info *peer)
+{
+  struct seeded_group *s = arg;
+  log_event (LOG_INFO, "peer-connected", "peer=%s incarnation=%llu", peer->name,
+             (unsigned long long)peer->incarnation);
+  if (s->group)
+    group_peer_connected (s->group, peer->node);
+}
+
+static void
+on_lost (void *arg, const struct peer_info *peer)
+{
+  (void)arg;
+  log_event (LOG_WARN, "peer-lost", "peer=%s", peer->name);
+}
+
+static void
+send_raft (void *arg, const raft_message *m)
+{
+  struct seeded_group *s = arg;
+  peer_send_raft (s->net, m);
+}
+
+static void
+on_leader_changed (void *arg, struct group *g)
+{
+  struct seeded_group *s = arg;
+  char ip[SEEDED_GROUP_IP_BYTES] = "";
+  if (!s->group)
+    return;
+  seeded_group_leader (s, ip);
+  log_event (LOG_INFO, "leader-changed", "term=%llu leader=%s", (unsigned long long)group_term (g),
+             ip);
+  s->config.leader_changed (s->config.arg);
+}
+
+static void
+add_peer (struct seeded_group *s, const char *ip)
+{
+  struct status st;
+  char address[ADDRESS_BYTES];
+  snprintf (address, sizeof address, "%s:%d", ip, s->config.peer_port);
+  const struct peer_config peer = { .name = ip, .node = node_of_ip (ip), .address = address };
+  if (strcmp (ip, s->config.ip) != 0 && peer_net_set_peer (s->net, &peer, &st) < 0)
+    log_event (LOG_WARN, "peer-refused", "peer=%s reason=\"%s\"", ip, st.message);
+}
+
+static int
+open_net (struct seeded_group *s, struct status *st)
+{
+  char listen[ADDRESS_BYTES];
+  snprintf (listen, sizeof listen, "%s:%d", s->config.ip, s->config.peer_port);
+  const struct peer_net_config config
+      = { .deployment = s->config.deployment,
+          .vm = s->config.ip,
+          .data_centre = s->config.data_centre,
+          .node = s->node,
+          .incarnation = s->incarnation,
+          .initialized = true,
+          .listen_address = listen,
+          .clock = s->config.clock,
+          .seed = rng_next (&s->rng),
+          .handlers = { .raft = on_raft, .hello = on_hello, .lost = on_lost },
+          .handler_arg = s };
+  s->net = peer_net_open (s->config.loop, &config, st);
+  if (!s->net)
+    return -1;
+  for (size_t i = 0; i < s->config.seed_count; i++)
+    add_peer (s, s->config.seeds[i]);
+  return 0;
+}
+
+static struct store *
+open_store (struct seeded_group *s, struct status *st)
+{
+  char path[PATH_BYTES];
+  snprintf (path, sizeof path, "%s/%s", s->config.data_dir, GROUP_NAME);
+  struct journal_io *io = journal_folder_io (path, st);
+  return io ? journal_open (io, GROUP_NAME, st) : NULL;
+}
+
+static int
+open_group (struct seeded_group *s, struct status *st)
+{
+  raft_member list[SEEDED_GROUP_MAX_SEEDS];
+  for (size_t i = 0; i < s->config.seed_count; i++)
+    list[i] = (raft_member){ .node = node_of_ip (s->config.seeds[i]), .voter = true };
+  const raft_members members = { { (u_int)s->config.seed_count, list } };
+  struct store *store = open_store (s, st);
+  if (!store)
+    return -1;
+  const struct group_config config
+      = { .id = GROUP_ID,
+          .node = s->node,
+          .name = GROUP_NAME,
+          .initialized = !s->config.first_start,
+          .members = &members,
+          .store = store,
+          .machine = s->config.machine,
+          .rng = &s->rng,
+          .events = { .send = send_raft, .leader_changed = on_leader_changed, .arg = s } };
+  s->group = group_open (&config, clock_now_ms (s->config.clock), st);
+  return s->group ? 0 : -1;
+}
+
+static int
+make_folder (const char *path, struct status *st)
+{
+  if (mkdir (path, 0700) == 0 || errno == EEXIST)
+    return 0;
+  return status_set (st, STATUS_DISK_FAILED, "cannot create %s: %s", path, strerror (errno));
+}
+
+struct seeded_group *
+seeded_group_open (const struct seeded_group_config *config, struct status *st)
+{
+  struct seeded_group *s = xcalloc (1, sizeof *s);
+  uint64_t seed;
+  s->config = *config;
+  s->node = node_of_ip (config->ip);
+  if (getrandom (&seed, sizeof seed, 0) != (ssize_t)sizeof seed)
+    seed = (uint64_t)clock_wall_ms () ^ s->node;
+  rng_init (&s->rng, seed);
+  if (make_folder (config->data_dir, st) < 0
+      || incarnation_take (config->data_dir, &s->incarnation, st) < 0 || open_net (s, st) < 0
+      || open_group (s, st) < 0)
+    {
+      seeded_group_close (s);
+      return NULL;
+    }
+  member_sync_init (&s->sync, s->group, GROUP_NAME);
+  return s;
+}
+
+void
+seeded_group_close (struct seeded_group *s)
+{
+  if (s->group)
+    group_close (s->group);
+  if (s->net)
+    peer_net_close (s->net);
+  free (s);
+}
+
+struct group *
+seeded_group_group (struct seeded_group *s)
+{
+  return s->group;
+}
+
+/* Peers that the log names and the transport does not know yet.  */
+static void
+follow_members (struct seeded_group *s)
+{
+  const raft_members *members = group_members (s->group);
+  for (u_int i = 0; i < members->members.members_len; i++)
+    {
+      struct peer_info info;
+      char ip[SEEDED_GROUP_IP_BYTES];
+      uint64_t node = members->members.members_val[i].node;
+      if (node == s->node || peer_net_peer (s->net, node, &info))
+        continue;
+      ip_of_node (node, ip);
+      add_peer (s, ip);
+    }
+}
+
+static void
+sync_members (struct seeded_group *s, int64_t now_ms)
+{
+  raft_member target[PEER_MAX_MEMBERS];
+  const raft_members *members = group_members (s->group);
+  size_t n = members->members.members_len;
+  if (!group_is_leader (s->group))
+    return;
+  memcpy (target, members->members.members_val, n * sizeof *target);
+  for (size_t i = 0; i < n; i++)
+    target[i].voter = true;
+  member_sync_tick (&s->sync, target, n, now_ms);
+}
+
+void
+seeded_group_tick (struct seeded_group *s)
+{
+  int64_t now_ms = clock_now_ms (s->config.clock);
+  group_tick (s->group, now_ms);
+  follow_members (s);
+  sync_members (s, now_ms);
+}
+
+bool
+seeded_group_flush (struct seeded_group *s)
+{
+  for (int round = 0; round < MAX_FLUSH_ROUNDS; round++)
+    {
+      if (!group_needs_flush (s->group))
+        return false;
+      group_flush (s->group);
+    }
+  return true;
+}
+
+bool
+seeded_group_leader (const struct seeded_group *s, char ip[SEEDED_GROUP_IP_BYTES])
+{
+  uint64_t node = group_leader_node (s->group);
+  if (node == 0)
+    return false;
+  ip_of_node (node, ip);
+  return true;
+}
--- /dev/null
+++ b/src/workflow/spread.c
@@ -0,0 +1,60 @@
+#include "spread.h"
+
+#include <math.h>
+
+#define FAR_PENALTY                                                                                \
+  1e6 /* data on another rack doubles the run time: any near worker goes first                     \
+       */
+
+static double
+unused_millicores (const struct spread_row *r)
+{
+  return (double)r->millicores - SPREAD_LASTING_USE * r->lasting_millicores - r->short_millicores
+         - r->fill_millicores;
+}
+
+static double
+undeclared_millicores (const struct spread_row *r)
+{
+  return (double)r->millicores - r->lasting_millicores - r->short_millicores;
+}
+
+bool
+spread_fits (const struct spread_row *r, const struct spread_request *q)
+{
+  if (!r->usable || r->free_memory_mb < q->memory_mb || r->free_accelerators < q->accelerators)
+    return false;
+  if (q->max_per_worker > 0 && r->same_step >= q->max_per_worker)
+    return false;
+  if (!q->fills)
+    return undeclared_millicores (r) >= q->millicores;
+  return r->tail <= SPREAD_CALM && unused_millicores (r) >= SPREAD_FILL_SHARE * q->millicores;
+}
+
+double
+spread_score (const struct spread_row *r, const struct spread_request *q)
+{
+  double far = r->near_data ? 0 : FAR_PENALTY;
+  if (q->fills)
+    return far - unused_millicores (r);
+  return far + undeclared_millicores (r) - q->millicores;
+}
+
+size_t
+spread_choose (const struct spread_row *rows, size_t count, const struct spread_request *q)
+{
+  size_t best = SPREAD_NONE;
+  double best_score = INFINITY;
+  for (size_t i = 0; i < count; i++)
+    {
+      if (!spread_fits (&rows[i], q))
+        continue;
+      double score = spread_score (&rows[i], q);
+      if (score < best_score)
+        {
+          best = i;
+          best_score = score;
+        }
+    }
+  return best;
+}
--- /dev/null
+++ b/src/workflow/spread.h
@@ -0,0 +1,51 @@
+/* spread: which worker gets a task.  Pure.
+
+   Load pattern: lasting tasks declare about four fifths of all processors and use less than half of
+   that; fill-in tasks bring most of the worth and run in what is unused.  So a task that fills is
+   placed by estimated use, where most is unused and where no lasting task is close to its target;
+   any other task is placed by declared size into the smallest gap that holds it, which keeps gaps
+   for large tasks.  */
+
+#ifndef SASSAFRAS_SPREAD_H
+#define SASSAFRAS_SPREAD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define SPREAD_NONE SIZE_MAX
+#define SPREAD_LASTING_USE 0.5 /* part of its declared processors that a lasting task uses */
+#define SPREAD_FILL_SHARE 0.7  /* a task that fills needs this part of its processors unused */
+#define SPREAD_CALM 0.75       /* tails over target above this take no more tasks that fill */
+
+/* One worker that may be used for the task.  */
+struct spread_row
+{
+  uint32_t millicores;         /* of the worker */
+  uint32_t lasting_millicores; /* declared by lasting tasks */
+  uint32_t short_millicores;   /* declared by other tasks that do not fill */
+  uint32_t fill_millicores;    /* wanted by tasks that fill */
+  uint32_t free_memory_mb;
+  uint32_t free_accelerators;
+  uint32_t same_step; /* tasks of the same step and occurrence there */
+  bool usable;        /* alive, of the pool, with the label, not avoided */
+  bool near_data;     /* holds the rack that the step's data is on */
+  double tail;        /* largest tail over target; 0 without a sample */
+};
+
+struct spread_request
+{
+  uint32_t millicores;
+  uint32_t memory_mb;
+  uint32_t accelerators;
+  uint32_t max_per_worker; /* 0 is no limit */
+  bool fills;
+};
+
+bool spread_fits (const struct spread_row *r, const struct spread_request *q); /* Room there. */
+double spread_score (const struct spread_row *r,
+                     const struct spread_request *q); /* Smaller is better. */
+size_t spread_choose (const struct spread_row *rows, size_t count,
+                      const struct spread_request *q); /* Row, or SPREAD_NONE. */
+
+#endif
