--- /dev/null
+++ b/src/workflow/worker_link.h
@@ -0,0 +1,138 @@
+/* worker_link: orders to workers that are called.
+
+   The dispatcher gives orders through this interface and gets each outcome by the matching
+   dispatcher_..._answer function, later and exactly once.  Strings in an order are valid during the
+   call only.  An implementation must not call back into the dispatcher from an order.  */
+
+#ifndef SASSAFRAS_WORKER_LINK_H
+#define SASSAFRAS_WORKER_LINK_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "workflow_proto.h"
+
+/* What is known after an order.  */
+enum worker_call_result
+{
+  WORKER_CALL_OK,
+  WORKER_CALL_FENCED,     /* a newer leader has called this worker; nothing was done */
+  WORKER_CALL_OLD_RUN,    /* this or a later run was stopped or ended there; nothing was done */
+  WORKER_CALL_LATE,       /* the deadline had passed; nothing was done */
+  WORKER_CALL_NO_ROOM,    /* nothing was done */
+  WORKER_CALL_NO_TICKET,  /* the advice that allows this worker is missing; nothing was done */
+  WORKER_CALL_REFUSED,    /* malformed, or the worker is unhealthy; nothing was done */
+  WORKER_CALL_OTHER_LIFE, /* another worker has the address; the one that was meant is gone */
+  WORKER_CALL_UNKNOWN,    /* no answer: it may have been done, or may be done later */
+};
+
+struct worker_address
+{
+  const char *worker;  /* id of the life that is meant */
+  const char *address; /* ip:port */
+  uint64_t fence;      /* the worker ignores orders with a lower fence than it has seen */
+};
+
+struct worker_start
+{
+  struct worker_address to;
+  workflow_task_ref task;
+  uint32_t run;
+  const char *payload;
+  const char *checkpoint; /* "" is none */
+  int64_t deadline_ms;    /* lease, on the worker's clock */
+};
+
+struct worker_stop
+{
+  struct worker_address to;
+  workflow_task_ref task;
+  uint32_t run;
+};
+
+struct worker_pace
+{
+  struct worker_address to;
+  workflow_task_ref task;
+  uint32_t run;
+  uint32_t percent; /* share of its work that the task may do */
+};
+
+/* Renews the lease and asks for both lists.  */
+struct worker_hold
+{
+  struct worker_address to;
+  uint64_t mark;         /* returned with the answer */
+  uint64_t acknowledged; /* ends up to this number are recorded */
+  int64_t deadline_ms;   /* lease, on the worker's clock; 0 renews nothing */
+  uint32_t wait_ms;      /* the answer waits this long for an end */
+};
+
+struct worker_link;
+
+struct worker_link_ops
+{
+  void (*start) (struct worker_link *l, const struct worker_start *order);
+  void (*stop) (struct worker_link *l, const struct worker_stop *order);
+  void (*pace) (struct worker_link *l, const struct worker_pace *order);
+  void (*hold) (struct worker_link *l, const struct worker_hold *order);
+};
+
+struct worker_link
+{
+  const struct worker_link_ops *ops;
+};
+
+/* One run as a worker lists it.  */
+struct held_run
+{
+  workflow_task_ref task;
+  uint32_t run;
+  const char *checkpoint;
+  uint32_t percent; /* of its work; a lasting task is at work at 100 */
+  uint32_t measure; /* lasting: tail of its response times in ms; else millicores in use */
+};
+
+/* One end as a worker lists it.  */
+struct held_end
+{
+  uint64_t number; /* counted by this life of the worker, from 1 */
+  workflow_task_ref task;
+  uint32_t run;
+  enum workflow_outcome outcome;
+  const char *checkpoint;
+};
+
+/* Answer to a hold.  */
+struct worker_lists
+{
+  uint64_t mark;
+  int64_t clock_ms; /* of the worker */
+  int64_t born_ms;  /* Unix time of the start of this life; 0 when not told */
+  const struct held_run *running;
+  size_t running_len;
+  const struct held_end *ended;
+  size_t ended_len;
+  bool complete; /* no end was left out */
+};
+
+/* What a worker says of itself.  */
+struct worker_report
+{
+  const char *id;
+  const char *address;
+  const char *zone;
+  const char *pool;
+  const char *const *labels; /* kind and rack */
+  size_t labels_len;
+  bool draining;
+  uint32_t millicores;
+  uint32_t memory_mb;
+  uint32_t accelerators;
+  int64_t clock_ms; /* of the worker */
+  int64_t born_ms;  /* 0 when not told */
+  uint64_t sequence;
+};
+
+#endif
--- /dev/null
+++ b/src/workflow/workflow.c
@@ -0,0 +1,231 @@
+/* Lookups, checks and commands of a workflow.  */
+#include "workflow.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "workflow_internal.h"
+
+struct workflow_job *
+workflow_find_job (const struct workflow *w, uint64_t id)
+{
+  for (struct cell_node *n = cell_map_first (&w->jobs, cell_hash_id (id)); n; n = cell_map_next (n))
+    {
+      struct workflow_job *j = CELL_CONTAINER (n, struct workflow_job, node);
+      if (j->spec.id == id)
+        return j;
+    }
+  return NULL;
+}
+
+const workflow_queue *
+workflow_find_queue (const struct workflow *w, const char *name)
+{
+  const workflow_configuration *c = &w->configuration;
+  for (u_int i = 0; i < c->queues.queues_len; i++)
+    if (strcmp (c->queues.queues_val[i].name, name) == 0)
+      return &c->queues.queues_val[i];
+  return NULL;
+}
+
+const workflow_queue *
+workflow_match_queue (const struct workflow *w, const char *host, const char *path)
+{
+  const workflow_configuration *c = &w->configuration;
+  const workflow_queue *best = NULL;
+  size_t best_len = 0;
+  for (u_int i = 0; i < c->queues.queues_len; i++)
+    {
+      const workflow_queue *q = &c->queues.queues_val[i];
+      size_t len = strlen (q->path_prefix);
+      if (strcmp (q->host, host) != 0 || strncmp (path, q->path_prefix, len) != 0)
+        continue;
+      if (best && len <= best_len)
+        continue;
+      best = q;
+      best_len = len;
+    }
+  return best;
+}
+
+const workflow_pool *
+workflow_find_pool (const struct workflow *w, const char *name)
+{
+  const workflow_configuration *c = &w->configuration;
+  for (u_int i = 0; i < c->pools.pools_len; i++)
+    if (strcmp (c->pools.pools_val[i].name, name) == 0)
+      return &c->pools.pools_val[i];
+  return NULL;
+}
+
+bool
+workflow_zone_is_out (const struct workflow *w, const char *zone)
+{
+  for (size_t i = 0; i < w->zone_count; i++)
+    if (strcmp (w->zones_out[i], zone) == 0)
+      return true;
+  return false;
+}
+
+struct workflow_task *
+workflow_find_task (const struct workflow *w, const workflow_task_ref *ref)
+{
+  const struct workflow_job *j = workflow_find_job (w, ref->job);
+  if (!j || ref->occurrence >= j->occurrences || ref->step >= j->spec.steps.steps_len
+      || ref->index >= j->spec.steps.steps_val[ref->step].count)
+    return NULL;
+  return &j->stages[(size_t)ref->occurrence * j->spec.steps.steps_len + ref->step]
+              .tasks[ref->index];
+}
+
+workflow_task_ref
+workflow_ref (const struct workflow_task *t)
+{
+  return (workflow_task_ref){
+    .job = t->job->spec.id, .occurrence = t->occurrence, .step = t->step, .index = t->index
+  };
+}
+
+const workflow_step *
+workflow_step_of (const struct workflow_task *t)
+{
+  return &t->job->spec.steps.steps_val[t->step];
+}
+
+struct workflow_stage *
+workflow_stage_of (const struct workflow_task *t)
+{
+  return &t->job->stages[(size_t)t->occurrence * t->job->spec.steps.steps_len + t->step];
+}
+
+struct workflow_run *
+workflow_find_run (const struct workflow_task *t, uint32_t run)
+{
+  for (int i = 0; i < WORKFLOW_MAX_RUNS; i++)
+    if (t->runs[i] && t->runs[i]->run == run)
+      return t->runs[i];
+  return NULL;
+}
+
+bool
+workflow_job_started (const struct workflow_job *j)
+{
+  return j->started > 0;
+}
+
+static int
+check_step (const workflow_spec *spec, u_int i, struct status *st)
+{
+  const workflow_step *s = &spec->steps.steps_val[i];
+  if (s->count == 0)
+    return status_set (st, STATUS_BAD_REQUEST, "step %u has no tasks", i);
+  for (u_int k = 0; k < s->after.after_len; k++)
+    if (s->after.after_val[k] >= i)
+      return status_set (st, STATUS_BAD_REQUEST, "step %u waits for step %u, which is not earlier",
+                         i, s->after.after_val[k]);
+  return 0;
+}
+
+int
+workflow_check_spec (const workflow_spec *spec, struct status *st)
+{
+  uint64_t tasks = 0;
+  if (spec->steps.steps_len == 0 || spec->steps.steps_len > WORKFLOW_MAX_STEPS)
+    return status_set (st, STATUS_BAD_REQUEST, "%u steps, allowed are 1 to %d",
+                       spec->steps.steps_len, WORKFLOW_MAX_STEPS);
+  for (u_int i = 0; i < spec->steps.steps_len; i++)
+    {
+      if (check_step (spec, i, st) < 0)
+        return -1;
+      tasks += spec->steps.steps_val[i].count;
+    }
+  tasks *= spec->repetitions > 0 ? spec->repetitions : 1;
+  if (tasks > WORKFLOW_MAX_TASKS)
+    return status_set (st, STATUS_BAD_REQUEST, "%llu tasks, limit %d", (unsigned long long)tasks,
+                       WORKFLOW_MAX_TASKS);
+  return 0;
+}
+
+static bool
+has_pool (const workflow_configuration *c, const char *name)
+{
+  for (u_int i = 0; i < c->pools.pools_len; i++)
+    if (strcmp (c->pools.pools_val[i].name, name) == 0)
+      return true;
+  return false;
+}
+
+static int
+compare_places (const void *a, const void *b)
+{
+  const workflow_queue *x = *(const workflow_queue *const *)a;
+  const workflow_queue *y = *(const workflow_queue *const *)b;
+  int hosts = strcmp (x->host, y->host);
+  return hosts ? hosts : strcmp (x->path_prefix, y->path_prefix);
+}
+
+static int
+compare_queue_names (const void *a, const void *b)
+{
+  const workflow_queue *x = *(const workflow_queue *const *)a;
+  const workflow_queue *y = *(const workflow_queue *const *)b;
+  return strcmp (x->name, y->name);
+}
+
+static int
+check_unique (const workflow_configuration *c, const char *what,
+              int (*compare) (const void *, const void *), struct status *st)
+{
+  u_int n = c->queues.queues_len;
+  const workflow_queue **sorted = xcalloc (n + 1, sizeof (const workflow_queue *));
+  int result = 0;
+  for (u_int i = 0; i < n; i++)
+    sorted[i] = &c->queues.queues_val[i];
+  qsort (sorted, n, sizeof (const workflow_queue *), compare);
+  for (u_int i = 1; i < n && result == 0; i++)
+    if (compare (&sorted[i - 1], &sorted[i]) == 0)
+      result = status_set (st, STATUS_INVALID_LIST, "queues '%s' and '%s' have the same %s",
+                           sorted[i - 1]->name, sorted[i]->name, what);
+  free (sorted);
+  return result;
+}
+
+int
+workflow_check_configuration (const workflow_configuration *c, struct status *st)
+{
+  for (u_int i = 0; i < c->queues.queues_len; i++)
+    {
+      const workflow_queue *q = &c->queues.queues_val[i];
+      if (!has_pool (c, q->pool))
+        return status_set (st, STATUS_INVALID_LIST, "queue '%s' names unknown pool '%s'", q->name,
+                           q->pool);
+      if (q->timeout_ms == 0)
+        return status_set (st, STATUS_INVALID_LIST, "queue '%s' has a timeout of 0 ms", q->name);
+    }
+  if (check_unique (c, "host and path", compare_places, st) < 0)
+    return -1;
+  return check_unique (c, "name", compare_queue_names, st);
+}
+
+void
+workflow_encode (const workflow_command *c, struct buffer *out)
+{
+  XDR xdr;
+  u_int size = (u_int)xdr_sizeof ((xdrproc_t)xdr_workflow_command, (void *)c);
+  buffer_reserve (out, size);
+  xdrmem_create (&xdr, out->data + out->len, size, XDR_ENCODE);
+  xdr_workflow_command (&xdr, (workflow_command *)c);
+  xdr_destroy (&xdr);
+  out->len += size;
+}
+
+bool
+workflow_decode_result (const void *data, size_t len, workflow_result *out)
+{
+  XDR xdr;
+  memset (out, 0, sizeof *out);
+  xdrmem_create (&xdr, (char *)data, (u_int)len, XDR_DECODE);
+  bool ok = xdr_workflow_result (&xdr, out);
+  xdr_destroy (&xdr);
+  return ok;
+}
--- /dev/null
+++ b/src/workflow/workflow_apply.c
@@ -0,0 +1,487 @@
+/* Applying committed commands.  */
+#include <stdlib.h>
+#include <string.h>
+
+#include "workflow_internal.h"
+
+static bool
+is_lasting (const struct workflow_task *t)
+{
+  return workflow_step_of (t)->flags & WORKFLOW_STEP_LASTING;
+}
+
+static bool
+stage_may_run (const struct workflow_job *j, uint32_t occurrence, uint32_t step)
+{
+  const workflow_step *s = &j->spec.steps.steps_val[step];
+  const struct workflow_stage *stages = &j->stages[(size_t)occurrence * j->spec.steps.steps_len];
+  for (u_int i = 0; i < s->after.after_len; i++)
+    {
+      uint32_t before = s->after.after_val[i];
+      if (stages[before].done < j->spec.steps.steps_val[before].count)
+        return false;
+    }
+  return true;
+}
+
+static void
+set_ready (struct workflow *w, struct workflow_task *t, bool ready)
+{
+  if (t->ready == ready)
+    return;
+  t->ready = ready;
+  if (ready)
+    TAILQ_INSERT_TAIL (&w->ready, t, link);
+  else
+    TAILQ_REMOVE (&w->ready, t, link);
+}
+
+static void
+update_stage (struct workflow *w, struct workflow_job *j, uint32_t occurrence, uint32_t step)
+{
+  struct workflow_stage *stage = &j->stages[(size_t)occurrence * j->spec.steps.steps_len + step];
+  bool may_run = j->state == WORKFLOW_JOB_OPEN && stage_may_run (j, occurrence, step);
+  for (uint32_t i = 0; i < j->spec.steps.steps_val[step].count; i++)
+    {
+      struct workflow_task *t = &stage->tasks[i];
+      set_ready (w, t, may_run && t->state == WORKFLOW_TASK_WAITING);
+    }
+}
+
+void
+workflow_update_ready (struct workflow *w, struct workflow_job *j)
+{
+  for (uint32_t k = 0; k < j->occurrences; k++)
+    for (uint32_t s = 0; s < j->spec.steps.steps_len; s++)
+      update_stage (w, j, k, s);
+}
+
+/* Steps that wait for the one that has just been done.  */
+static void
+update_dependents (struct workflow *w, struct workflow_job *j, uint32_t occurrence, uint32_t step)
+{
+  for (uint32_t s = step + 1; s < j->spec.steps.steps_len; s++)
+    update_stage (w, j, occurrence, s);
+}
+
+void
+workflow_set_job_state (struct workflow *w, struct workflow_job *j, enum workflow_job_state state)
+{
+  if (j->state != WORKFLOW_JOB_OPEN || state == WORKFLOW_JOB_OPEN)
+    return;
+  j->state = state;
+  TAILQ_REMOVE (&w->open, j, link);
+  TAILQ_INSERT_TAIL (&w->finished, j, link);
+  workflow_update_ready (w, j);
+  if (w->observer.job_ended)
+    w->observer.job_ended (w->observer.arg, j);
+}
+
+struct workflow_run *
+workflow_add_run (struct workflow *w, struct workflow_task *t, uint32_t run, const char *worker)
+{
+  for (int i = 0; i < WORKFLOW_MAX_RUNS; i++)
+    {
+      if (t->runs[i])
+        continue;
+      struct workflow_run *r = xcalloc (1, sizeof *r);
+      r->task = t;
+      r->run = run;
+      r->worker = xstrdup (worker);
+      t->runs[i] = r;
+      t->job->runs++;
+      TAILQ_INSERT_TAIL (&w->runs, r, link);
+      return r;
+    }
+  return NULL;
+}
+
+static void
+remove_run (struct workflow *w, struct workflow_run *r)
+{
+  struct workflow_task *t = r->task;
+  for (int i = 0; i < WORKFLOW_MAX_RUNS; i++)
+    if (t->runs[i] == r)
+      t->runs[i] = NULL;
+  t->job->runs--;
+  TAILQ_REMOVE (&w->runs, r, link);
+  free (r->worker);
+  free (r);
+}
+
+static bool
+has_runs (const struct workflow_task *t)
+{
+  for (int i = 0; i < WORKFLOW_MAX_RUNS; i++)
+    if (t->runs[i])
+      return true;
+  return false;
+}
+
+static void
+apply_configure (struct workflow *w, workflow_configuration *c, workflow_result *r)
+{
+  struct status st;
+  if (c->revision <= w->configuration.revision)
+    {
+      r->status = STATUS_VERSION_CONFLICT;
+      return;
+    }
+  if (workflow_check_configuration (c, &st) < 0)
+    {
+      r->status = STATUS_INVALID_LIST;
+      return;
+    }
+  xdr_free ((xdrproc_t)xdr_workflow_configuration, (char *)&w->configuration);
+  w->configuration = *c;
+  memset (c, 0, sizeof *c);
+  if (w->observer.configured)
+    w->observer.configured (w->observer.arg);
+}
+
+void
+workflow_set_zone (struct workflow *w, const char *zone, bool out)
+{
+  for (size_t i = 0; i < w->zone_count; i++)
+    {
+      if (strcmp (w->zones_out[i], zone) != 0)
+        continue;
+      if (out)
+        return;
+      free (w->zones_out[i]);
+      w->zones_out[i] = w->zones_out[--w->zone_count];
+      return;
+    }
+  if (out && w->zone_count < WORKFLOW_MAX_ZONES)
+    w->zones_out[w->zone_count++] = xstrdup (zone);
+}
+
+static void
+apply_submit (struct workflow *w, workflow_spec *spec, workflow_result *r)
+{
+  struct status st;
+  const struct workflow_job *known = workflow_find_job (w, spec->id);
+  if (known)
+    {
+      r->known = true;
+      return;
+    }
+  if (workflow_check_spec (spec, &st) < 0)
+    {
+      r->status = STATUS_BAD_REQUEST;
+      return;
+    }
+  if (!workflow_find_queue (w, spec->queue))
+    {
+      r->status = STATUS_NOT_FOUND;
+      return;
+    }
+  workflow_update_ready (w, workflow_add_job (w, spec));
+}
+
+static void
+apply_cancel (struct workflow *w, uint64_t id, workflow_result *r)
+{
+  struct workflow_job *j = workflow_find_job (w, id);
+  if (!j)
+    r->status = STATUS_NOT_FOUND;
+  else
+    workflow_set_job_state (w, j, WORKFLOW_JOB_CANCELLED);
+}
+
+static bool
+may_place (const struct workflow_task *t)
+{
+  if (t->job->state != WORKFLOW_JOB_OPEN)
+    return false;
+  if (t->state == WORKFLOW_TASK_WAITING)
+    return t->ready;
+  return t->state == WORKFLOW_TASK_PLACED
+         && (workflow_step_of (t)->flags & WORKFLOW_STEP_SPECULATIVE);
+}
+
+static void
+apply_place (struct workflow *w, const workflow_place *p, workflow_result *r)
+{
+  struct workflow_task *t = workflow_find_task (w, &p->task);
+  if (!t)
+    {
+      r->status = STATUS_NOT_FOUND;
+      return;
+    }
+  struct workflow_run *run = NULL;
+  if (p->run == t->last_run + 1 && may_place (t))
+    run = workflow_add_run (w, t, p->run, p->worker);
+  if (!run)
+    {
+      r->status = STATUS_STALE_EPOCH;
+      return;
+    }
+  t->last_run = p->run;
+  t->state = WORKFLOW_TASK_PLACED;
+  t->job->started++;
+  set_ready (w, t, false);
+  if (w->observer.placed)
+    w->observer.placed (w->observer.arg, run);
+}
+
+static void
+finish_task (struct workflow *w, struct workflow_task *t)
+{
+  struct workflow_job *j = t->job;
+  struct workflow_stage *stage = workflow_stage_of (t);
+  t->state = WORKFLOW_TASK_DONE;
+  if (++stage->done < workflow_step_of (t)->count)
+    return;
+  j->stages_done++;
+  if (j->stages_done == j->occurrences * j->spec.steps.steps_len)
+    workflow_set_job_state (w, j, WORKFLOW_JOB_COMPLETED);
+  else
+    update_dependents (w, j, t->occurrence, t->step);
+}
+
+static uint32_t
+attempts_of (const struct workflow *w, const struct workflow_job *j)
+{
+  const workflow_queue *q = workflow_find_queue (w, j->spec.queue);
+  return q && q->max_attempts > 0 ? q->max_attempts : 1;
+}
+
+/* The task after a run of it ended and was removed.  */
+static void
+settle_task (struct workflow *w, struct workflow_task *t, enum workflow_outcome outcome)
+{
+  if (t->state == WORKFLOW_TASK_DONE || t->state == WORKFLOW_TASK_FAILED)
+    return;
+  if (outcome == WORKFLOW_DONE && !is_lasting (t))
+    {
+      finish_task (w, t);
+      return;
+    }
+  if (outcome == WORKFLOW_FAILED)
+    t->failures++;
+  if (outcome == WORKFLOW_FAILED && !is_lasting (t) && t->failures >= attempts_of (w, t->job))
+    {
+      t->state = WORKFLOW_TASK_FAILED;
+      workflow_set_job_state (w, t->job, WORKFLOW_JOB_FAILED);
+      return;
+    }
+  if (has_runs (t))
+    return;
+  t->state = WORKFLOW_TASK_WAITING;
+  set_ready (w, t, t->job->state == WORKFLOW_JOB_OPEN);
+}
+
+static void
+apply_end (struct workflow *w, const workflow_end *e, workflow_result *r)
+{
+  struct workflow_task *t = workflow_find_task (w, &e->task);
+  struct workflow_run *run = t ? workflow_find_run (t, e->run) : NULL;
+  if (!run)
+    {
+      r->status = t ? STATUS_STALE_EPOCH : STATUS_NOT_FOUND;
+      return;
+    }
+  if (e->checkpoint[0])
+    {
+      free (t->checkpoint);
+      t->checkpoint = xstrdup (e->checkpoint);
+    }
+  if (e->outcome == WORKFLOW_NOT_STARTED)
+    t->job->started--;
+  if (w->observer.ended)
+    w->observer.ended (w->observer.arg, run, e->outcome);
+  remove_run (w, run);
+  settle_task (w, t, e->outcome);
+}
+
+static void
+apply_prune (struct workflow *w, const uint64_t *ids, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      struct workflow_job *j = workflow_find_job (w, ids[i]);
+      if (j && j->state != WORKFLOW_JOB_OPEN && j->runs == 0)
+        workflow_free_job (w, j);
+    }
+}
+
+static void
+apply_command (struct workflow *w, workflow_command *c, workflow_result *r)
+{
+  switch (c->kind)
+    {
+    case WORKFLOW_CONFIGURE:
+      apply_configure (w, &c->workflow_command_u.configuration, r);
+      break;
+    case WORKFLOW_ZONE:
+      workflow_set_zone (w, c->workflow_command_u.zone.zone, c->workflow_command_u.zone.out);
+      break;
+    case WORKFLOW_SUBMIT:
+      apply_submit (w, &c->workflow_command_u.spec, r);
+      break;
+    case WORKFLOW_CANCEL:
+      apply_cancel (w, c->workflow_command_u.cancel, r);
+      break;
+    case WORKFLOW_PLACE:
+      apply_place (w, &c->workflow_command_u.place, r);
+      break;
+    case WORKFLOW_END:
+      apply_end (w, &c->workflow_command_u.end, r);
+      break;
+    case WORKFLOW_PRUNE:
+      apply_prune (w, c->workflow_command_u.prune.prune_val, c->workflow_command_u.prune.prune_len);
+      break;
+    }
+}
+
+static void
+append_result (workflow_result *r, struct buffer *out)
+{
+  XDR xdr;
+  u_int size = (u_int)xdr_sizeof ((xdrproc_t)xdr_workflow_result, r);
+  buffer_reserve (out, size);
+  xdrmem_create (&xdr, out->data + out->len, size, XDR_ENCODE);
+  xdr_workflow_result (&xdr, r);
+  xdr_destroy (&xdr);
+  out->len += size;
+}
+
+static void
+workflow_apply (struct machine *m, uint64_t index, const void *command, size_t len,
+                struct buffer *result)
+{
+  struct workflow *w = (struct workflow *)m;
+  workflow_command c;
+  workflow_result r = { .status = STATUS_OK };
+  XDR xdr;
+  (void)index;
+  memset (&c, 0, sizeof c);
+  xdrmem_create (&xdr, (char *)command, (u_int)len, XDR_DECODE);
+  if (xdr_workflow_command (&xdr, &c))
+    apply_command (w, &c, &r);
+  else
+    r.status = STATUS_BAD_REQUEST;
+  xdr_destroy (&xdr);
+  xdr_free ((xdrproc_t)xdr_workflow_command, (char *)&c);
+  append_result (&r, result);
+}
+
+static const struct machine_ops ops
+    = { .apply = workflow_apply, .save = workflow_save, .load = workflow_load };
+
+void
+workflow_init (struct workflow *w)
+{
+  memset (w, 0, sizeof *w);
+  w->machine.ops = &ops;
+  cell_map_init (&w->jobs);
+  TAILQ_INIT (&w->open);
+  TAILQ_INIT (&w->finished);
+  TAILQ_INIT (&w->ready);
+  TAILQ_INIT (&w->runs);
+}
+
+static uint32_t
+stage_count (const struct workflow_job *j)
+{
+  return j->occurrences * j->spec.steps.steps_len;
+}
+
+static uint64_t
+longest_chain (const workflow_spec *spec)
+{
+  uint64_t ends[WORKFLOW_MAX_STEPS];
+  uint64_t longest = 0;
+  for (u_int i = 0; i < spec->steps.steps_len; i++)
+    {
+      const workflow_step *s = &spec->steps.steps_val[i];
+      uint64_t begin = 0;
+      for (u_int k = 0; k < s->after.after_len; k++)
+        if (ends[s->after.after_val[k]] > begin)
+          begin = ends[s->after.after_val[k]];
+      ends[i] = begin + s->estimate_ms;
+      if (ends[i] > longest)
+        longest = ends[i];
+    }
+  return longest;
+}
+
+struct workflow_job *
+workflow_add_job (struct workflow *w, workflow_spec *spec)
+{
+  struct workflow_job *j = xcalloc (1, sizeof *j);
+  j->spec = *spec;
+  memset (spec, 0, sizeof *spec);
+  j->occurrences = j->spec.repetitions > 0 ? j->spec.repetitions : 1;
+  j->chain_ms = longest_chain (&j->spec);
+  j->stages = xcalloc (stage_count (j), sizeof *j->stages);
+  for (uint32_t i = 0; i < stage_count (j); i++)
+    {
+      uint32_t step = i % j->spec.steps.steps_len;
+      uint32_t count = j->spec.steps.steps_val[step].count;
+      j->stages[i].tasks = xcalloc (count, sizeof (struct workflow_task));
+      for (uint32_t k = 0; k < count; k++)
+        {
+          struct workflow_task *t = &j->stages[i].tasks[k];
+          t->job = j;
+          t->occurrence = i / j->spec.steps.steps_len;
+          t->step = step;
+          t->index = k;
+        }
+    }
+  cell_map_add (&w->jobs, &j->node, cell_hash_id (j->spec.id));
+  TAILQ_INSERT_TAIL (&w->open, j, link);
+  return j;
+}
+
+static void
+free_task (struct workflow *w, struct workflow_task *t)
+{
+  for (int i = 0; i < WORKFLOW_MAX_RUNS; i++)
+    if (t->runs[i])
+      remove_run (w, t->runs[i]);
+  set_ready (w, t, false);
+  free (t->checkpoint);
+}
+
+void
+workflow_free_job (struct workflow *w, struct workflow_job *j)
+{
+  for (uint32_t i = 0; i < stage_count (j); i++)
+    {
+      uint32_t count = j->spec.steps.steps_val[i % j->spec.steps.steps_len].count;
+      for (uint32_t k = 0; k < count; k++)
+        free_task (w, &j->stages[i].tasks[k]);
+      free (j->stages[i].tasks);
+    }
+  free (j->stages);
+  cell_map_remove (&w->jobs, &j->node);
+  if (j->state == WORKFLOW_JOB_OPEN)
+    TAILQ_REMOVE (&w->open, j, link);
+  else
+    TAILQ_REMOVE (&w->finished, j, link);
+  xdr_free ((xdrproc_t)xdr_workflow_spec, (char *)&j->spec);
+  free (j);
+}
+
+void
+workflow_free_all (struct workflow *w)
+{
+  struct workflow_job *j;
+  while ((j = TAILQ_FIRST (&w->open)) != NULL)
+    workflow_free_job (w, j);
+  while ((j = TAILQ_FIRST (&w->finished)) != NULL)
+    workflow_free_job (w, j);
+  while (w->zone_count > 0)
+    free (w->zones_out[--w->zone_count]);
+  xdr_free ((xdrproc_t)xdr_workflow_configuration, (char *)&w->configuration);
+  memset (&w->configuration, 0, sizeof w->configuration);
+}
+
+void
+workflow_close (struct workflow *w)
+{
+  workflow_free_all (w);
+  cell_map_close (&w->jobs);
+}
--- /dev/null
+++ b/src/workflow/workflow_internal.h
@@ -0,0 +1,21 @@
+/* workflow_internal: shared by the workflow*.c files of the state machine only.  */
+
+#ifndef SASSAFRAS_WORKFLOW_INTERNAL_H
+#define SASSAFRAS_WORKFLOW_INTERNAL_H
+
+#include "workflow.h"
+
+struct workflow_job *workflow_add_job (struct workflow *w,
+                                       workflow_spec *spec); /* Takes SPEC's content. */
+void workflow_free_job (struct workflow *w, struct workflow_job *j);
+void workflow_free_all (struct workflow *w); /* Jobs, zones and configuration. */
+struct workflow_run *workflow_add_run (struct workflow *w, struct workflow_task *t, uint32_t run,
+                                       const char *worker);
+void workflow_update_ready (struct workflow *w, struct workflow_job *j); /* After a change of J. */
+void workflow_set_job_state (struct workflow *w, struct workflow_job *j,
+                             enum workflow_job_state state);
+void workflow_set_zone (struct workflow *w, const char *zone, bool out);
+void workflow_save (struct machine *m, struct buffer *out);
+int workflow_load (struct machine *m, const void *data, size_t len, struct status *st);
+
+#endif
--- /dev/null
+++ b/src/workflow/workflow_service.c
@@ -0,0 +1,278 @@
+#include "workflow_service.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include "counters.h"
+#include "log.h"
+
+#define ROUND_EVERY_MS 300 /* quorum rounds while leading: three fit into the authority */
+#define AUTHORITY_MS                                                                               \
+  1100 /* no voter elects another leader this soon after a round began: 1.3 s                      \
+        */
+#define AUTHORITY_MARGIN_MS 100 /* timers of voters and of this VM run late */
+
+static struct histogram change_times
+    = { .name = "sassafras_workflow_change_ms", .help = "Time from a change to its outcome." };
+static struct histogram read_times
+    = { .name = "sassafras_workflow_read_ms", .help = "Time to confirm leadership for a read." };
+static struct counter gained
+    = { .name = "sassafras_workflow_leaderships_total", .help = "Times this VM became leader." };
+
+/* A command of the dispatcher until its outcome is known.  */
+struct proposal
+{
+  STAILQ_ENTRY (proposal) link; /* in outcomes */
+  struct workflow_service *service;
+  uint64_t token;
+  bool applied;
+};
+
+STAILQ_HEAD (proposals, proposal);
+
+struct change
+{
+  struct workflow_service *service;
+  workflow_change_done *done;
+  void *arg;
+  int64_t began_ms;
+};
+
+struct reader
+{
+  struct workflow_service *service;
+  workflow_read_done *done;
+  void *arg;
+  int64_t began_ms;
+};
+
+struct workflow_service
+{
+  struct workflow_service_config config;
+  struct workflow workflow;
+  struct dispatcher *dispatcher;
+  struct group *group;
+  struct proposals outcomes; /* the dispatcher must not be told inside its own call */
+  bool leading;
+  bool handing_over;
+  bool round_open;
+  int64_t round_began_ms;
+  int64_t next_round_ms;
+};
+
+static void
+on_proposed (void *arg, const struct status *st, const void *result, size_t len)
+{
+  struct proposal *p = arg;
+  workflow_result r;
+  p->applied = status_ok (st) && workflow_decode_result (result, len, &r) && r.status == STATUS_OK;
+  STAILQ_INSERT_TAIL (&p->service->outcomes, p, link);
+}
+
+static void
+propose (void *arg, const workflow_command *command, uint64_t token)
+{
+  struct workflow_service *s = arg;
+  struct proposal *p = xcalloc (1, sizeof *p);
+  struct buffer entry;
+  p->service = s;
+  p->token = token;
+  buffer_init (&entry);
+  workflow_encode (command, &entry);
+  group_propose (s->group, entry.data, entry.len, on_proposed, p);
+  buffer_close (&entry);
+}
+
+static void
+tell_outcomes (struct workflow_service *s)
+{
+  struct proposal *p;
+  while ((p = STAILQ_FIRST (&s->outcomes)) != NULL)
+    {
+      STAILQ_REMOVE_HEAD (&s->outcomes, link);
+      dispatcher_proposed (s->dispatcher, clock_now_ms (s->config.clock), p->token, p->applied);
+      free (p);
+    }
+}
+
+struct workflow_service *
+workflow_service_open (const struct workflow_service_config *config)
+{
+  struct workflow_service *s = xcalloc (1, sizeof *s);
+  s->config = *config;
+  STAILQ_INIT (&s->outcomes);
+  workflow_init (&s->workflow);
+  const struct dispatcher_config dispatcher = { .workflow = &s->workflow,
+                                                .link = config->link,
+                                                .propose = propose,
+                                                .propose_arg = s,
+                                                .lease_ms = config->lease_ms,
+                                                .status_ms = config->status_ms,
+                                                .stop_grace_ms = config->stop_grace_ms };
+  s->dispatcher = dispatcher_new (&dispatcher);
+  return s;
+}
+
+void
+workflow_service_close (struct workflow_service *s)
+{
+  struct proposal *p;
+  while ((p = STAILQ_FIRST (&s->outcomes)) != NULL)
+    {
+      STAILQ_REMOVE_HEAD (&s->outcomes, link);
+      free (p);
+    }
+  dispatcher_free (s->dispatcher);
+  workflow_close (&s->workflow);
+  free (s);
+}
+
+struct machine *
+workflow_service_machine (struct workflow_service *s)
+{
+  return &s->workflow.machine;
+}
+
+struct workflow *
+workflow_service_state (struct workflow_service *s)
+{
+  return &s->workflow;
+}
+
+struct dispatcher *
+workflow_service_dispatcher (struct workflow_service *s)
+{
+  return s->dispatcher;
+}
+
+void
+workflow_service_set_group (struct workflow_service *s, struct group *g)
+{
+  s->group = g;
+}
+
+bool
+workflow_service_leads (const struct workflow_service *s)
+{
+  return s->leading && !s->handing_over;
+}
+
+void
+workflow_service_leader_changed (struct workflow_service *s)
+{
+  if (!s->leading || group_is_leader (s->group))
+    return;
+  s->leading = false;
+  dispatcher_resign (s->dispatcher);
+  log_event (LOG_WARN, "leadership-lost", "term=%llu", (unsigned long long)group_term (s->group));
+}
+
+static void
+gain (struct workflow_service *s, int64_t now_ms)
+{
+  s->leading = true;
+  counter_add (&gained, 1);
+  log_event (LOG_INFO, "leadership-gained", "term=%llu applied=%llu",
+             (unsigned long long)group_term (s->group),
+             (unsigned long long)group_applied_index (s->group));
+  dispatcher_lead (s->dispatcher, now_ms, group_term (s->group));
+}
+
+static void
+on_round (void *arg, const struct status *st, const void *result, size_t len)
+{
+  struct workflow_service *s = arg;
+  (void)result;
+  (void)len;
+  s->round_open = false;
+  if (!status_ok (st) || s->handing_over)
+    return;
+  if (!s->leading)
+    gain (s, clock_now_ms (s->config.clock));
+  dispatcher_authority (s->dispatcher, s->round_began_ms + AUTHORITY_MS - AUTHORITY_MARGIN_MS);
+}
+
+static void
+renew_authority (struct workflow_service *s, int64_t now_ms)
+{
+  if (s->round_open || s->handing_over || now_ms < s->next_round_ms || !group_is_leader (s->group))
+    return;
+  s->round_open = true;
+  s->round_began_ms = now_ms;
+  s->next_round_ms = now_ms + ROUND_EVERY_MS;
+  group_confirm_leader (s->group, on_round, s);
+}
+
+void
+workflow_service_tick (struct workflow_service *s)
+{
+  int64_t now_ms = clock_now_ms (s->config.clock);
+  if (!s->group)
+    return;
+  tell_outcomes (s);
+  renew_authority (s, now_ms);
+  if (s->leading)
+    dispatcher_tick (s->dispatcher, now_ms, clock_wall_ms ());
+}
+
+void
+workflow_service_hand_over (struct workflow_service *s)
+{
+  struct status st;
+  s->handing_over = true;
+  dispatcher_authority (s->dispatcher, 0);
+  if (s->group && group_is_leader (s->group) && group_transfer (s->group, 0, &st) < 0)
+    log_event (LOG_WARN, "no-hand-over", "reason=\"%s\"", st.message);
+}
+
+static void
+on_changed (void *arg, const struct status *st, const void *result, size_t len)
+{
+  struct change *c = arg;
+  struct status outcome = *st;
+  workflow_result r = { 0 };
+  if (status_ok (st) && !workflow_decode_result (result, len, &r))
+    status_set (&outcome, STATUS_INTERNAL, "the result of a change cannot be decoded");
+  else if (status_ok (st) && r.status != STATUS_OK)
+    status_set (&outcome, (enum status_kind)r.status, "refused by the state of the jobs");
+  histogram_add (&change_times, (double)(clock_now_ms (c->service->config.clock) - c->began_ms));
+  c->done (c->arg, &outcome, r.known);
+  free (c);
+}
+
+void
+workflow_service_change (struct workflow_service *s, const workflow_command *command,
+                         workflow_change_done *done, void *arg)
+{
+  struct change *c = xcalloc (1, sizeof *c);
+  struct buffer entry;
+  *c = (struct change){
+    .service = s, .done = done, .arg = arg, .began_ms = clock_now_ms (s->config.clock)
+  };
+  buffer_init (&entry);
+  workflow_encode (command, &entry);
+  group_propose (s->group, entry.data, entry.len, on_changed, c);
+  buffer_close (&entry);
+}
+
+static void
+on_confirmed (void *arg, const struct status *st, const void *result, size_t len)
+{
+  struct reader *r = arg;
+  (void)result;
+  (void)len;
+  histogram_add (&read_times, (double)(clock_now_ms (r->service->config.clock) - r->began_ms));
+  r->done (r->arg, st);
+  free (r);
+}
+
+void
+workflow_service_read (struct workflow_service *s, workflow_read_done *done, void *arg)
+{
+  struct reader *r = xcalloc (1, sizeof *r);
+  *r = (struct reader){
+    .service = s, .done = done, .arg = arg, .began_ms = clock_now_ms (s->config.clock)
+  };
+  group_confirm_leader (s->group, on_confirmed, r);
+}
--- /dev/null
+++ b/src/workflow/workflow_snapshot.c
@@ -0,0 +1,152 @@
+/* Snapshot of a workflow.  */
+#include <stdlib.h>
+#include <string.h>
+
+#include "workflow_internal.h"
+
+static char empty_string[] = "";
+
+static uint32_t
+task_count (const struct workflow_job *j)
+{
+  uint32_t count = 0;
+  for (u_int i = 0; i < j->spec.steps.steps_len; i++)
+    count += j->spec.steps.steps_val[i].count;
+  return count * j->occurrences;
+}
+
+/* The I-th task of J, counted over occurrences, then steps.  */
+static struct workflow_task *
+task_at (const struct workflow_job *j, uint32_t i)
+{
+  uint32_t stage = 0;
+  uint32_t count;
+  while (i >= (count = j->spec.steps.steps_val[stage % j->spec.steps.steps_len].count))
+    {
+      i -= count;
+      stage++;
+    }
+  return &j->stages[stage].tasks[i];
+}
+
+static void
+save_task (const struct workflow_task *t, workflow_task_image *out)
+{
+  out->state = t->state;
+  out->last_run = t->last_run;
+  out->failures = t->failures;
+  out->checkpoint = t->checkpoint ? t->checkpoint : empty_string;
+  out->runs.runs_val = xcalloc (WORKFLOW_MAX_RUNS, sizeof (workflow_run_image));
+  for (int i = 0; i < WORKFLOW_MAX_RUNS; i++)
+    if (t->runs[i])
+      out->runs.runs_val[out->runs.runs_len++]
+          = (workflow_run_image){ .run = t->runs[i]->run, .worker = t->runs[i]->worker };
+}
+
+static void
+save_job (const struct workflow_job *j, workflow_job_image *out)
+{
+  uint32_t count = task_count (j);
+  out->spec = j->spec;
+  out->state = j->state;
+  out->started = j->started;
+  out->tasks.tasks_len = count;
+  out->tasks.tasks_val = xcalloc (count, sizeof (workflow_task_image));
+  for (uint32_t i = 0; i < count; i++)
+    save_task (task_at (j, i), &out->tasks.tasks_val[i]);
+}
+
+static void
+free_job_image (workflow_job_image *image)
+{
+  for (u_int i = 0; i < image->tasks.tasks_len; i++)
+    free (image->tasks.tasks_val[i].runs.runs_val);
+  free (image->tasks.tasks_val);
+}
+
+void
+workflow_save (struct machine *m, struct buffer *out)
+{
+  struct workflow *w = (struct workflow *)m;
+  workflow_image image = { .format = WORKFLOW_SNAPSHOT_FORMAT, .configuration = w->configuration };
+  const struct workflow_job *j;
+  XDR xdr;
+  image.zones_out.zones_out_val = w->zones_out;
+  image.zones_out.zones_out_len = (u_int)w->zone_count;
+  image.jobs.jobs_val = xcalloc (w->jobs.count + 1, sizeof (workflow_job_image));
+  TAILQ_FOREACH (j, &w->open, link)
+  save_job (j, &image.jobs.jobs_val[image.jobs.jobs_len++]);
+  TAILQ_FOREACH (j, &w->finished, link)
+  save_job (j, &image.jobs.jobs_val[image.jobs.jobs_len++]);
+  u_int size = (u_int)xdr_sizeof ((xdrproc_t)xdr_workflow_image, &image);
+  buffer_reserve (out, size);
+  xdrmem_create (&xdr, out->data + out->len, size, XDR_ENCODE);
+  xdr_workflow_image (&xdr, &image);
+  xdr_destroy (&xdr);
+  out->len += size;
+  for (u_int i = 0; i < image.jobs.jobs_len; i++)
+    free_job_image (&image.jobs.jobs_val[i]);
+  free (image.jobs.jobs_val);
+}
+
+static void
+load_task (struct workflow *w, struct workflow_task *t, const workflow_task_image *in)
+{
+  t->state = in->state;
+  t->last_run = in->last_run;
+  t->failures = in->failures;
+  t->checkpoint = in->checkpoint[0] ? xstrdup (in->checkpoint) : NULL;
+  for (u_int i = 0; i < in->runs.runs_len; i++)
+    workflow_add_run (w, t, in->runs.runs_val[i].run, in->runs.runs_val[i].worker);
+  if (t->state == WORKFLOW_TASK_DONE)
+    workflow_stage_of (t)->done++;
+}
+
+static bool
+load_job (struct workflow *w, workflow_job_image *in)
+{
+  struct status st;
+  if (workflow_check_spec (&in->spec, &st) < 0 || in->state > WORKFLOW_JOB_CANCELLED)
+    return false;
+  struct workflow_job *j = workflow_add_job (w, &in->spec);
+  if (in->tasks.tasks_len != task_count (j))
+    return false;
+  for (u_int i = 0; i < in->tasks.tasks_len; i++)
+    load_task (w, task_at (j, i), &in->tasks.tasks_val[i]);
+  for (uint32_t i = 0; i < j->occurrences * j->spec.steps.steps_len; i++)
+    if (j->stages[i].done == j->spec.steps.steps_val[i % j->spec.steps.steps_len].count)
+      j->stages_done++;
+  j->started = in->started;
+  workflow_update_ready (w, j);
+  workflow_set_job_state (w, j, in->state);
+  return true;
+}
+
+static bool
+load_image (struct workflow *w, workflow_image *image)
+{
+  if (image->format != WORKFLOW_SNAPSHOT_FORMAT)
+    return false;
+  workflow_free_all (w);
+  w->configuration = image->configuration;
+  memset (&image->configuration, 0, sizeof image->configuration);
+  for (u_int i = 0; i < image->zones_out.zones_out_len; i++)
+    workflow_set_zone (w, image->zones_out.zones_out_val[i], true);
+  for (u_int i = 0; i < image->jobs.jobs_len; i++)
+    if (!load_job (w, &image->jobs.jobs_val[i]))
+      return false;
+  return true;
+}
+
+int
+workflow_load (struct machine *m, const void *data, size_t len, struct status *st)
+{
+  workflow_image image;
+  XDR xdr;
+  memset (&image, 0, sizeof image);
+  xdrmem_create (&xdr, (char *)data, (u_int)len, XDR_DECODE);
+  bool ok = xdr_workflow_image (&xdr, &image) && load_image ((struct workflow *)m, &image);
+  xdr_destroy (&xdr);
+  xdr_free ((xdrproc_t)xdr_workflow_image, (char *)&image);
+  return ok ? 0 : status_set (st, STATUS_JOURNAL_DAMAGED, "the snapshot of the jobs is malformed");
+}
--- a/tests/test_daemon_identity.c
+++ b/tests/test_incarnation.c
@@ -11,35 +11,33 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "daemon_internal.h"
+#include "incarnation.h"
 
 #define FUTURE_MS 4102444800000 /* a wall clock in the year 2100 */
 
 static void
 test_incarnation_grows_when_the_clock_steps_back (void **state)
 {
-  static struct settings settings;
-  struct daemon d = { .settings = &settings, .disk = true };
+  uint64_t incarnation;
   struct status st;
-  char path[SETTINGS_PATH_BYTES + 16];
+  char path[64];
   char folder[] = "/tmp/incarnation-XXXXXX";
   (void)state;
   assert_non_null (mkdtemp (folder));
-  snprintf (settings.data_dir, sizeof settings.data_dir, "%s", folder);
   snprintf (path, sizeof path, "%s/incarnation", folder);
   FILE *f = fopen (path, "w");
   fprintf (f, "%lld\n", (long long)FUTURE_MS);
   fclose (f);
-  assert_int_equal (daemon_take_incarnation (&d, &st), 0);
-  assert_int_equal (d.incarnation, FUTURE_MS + 1);
-  assert_int_equal (daemon_take_incarnation (&d, &st), 0);
-  assert_int_equal (d.incarnation, FUTURE_MS + 2);
+  assert_int_equal (incarnation_take (folder, &incarnation, &st), 0);
+  assert_int_equal (incarnation, FUTURE_MS + 1);
+  assert_int_equal (incarnation_take (folder, &incarnation, &st), 0);
+  assert_int_equal (incarnation, FUTURE_MS + 2);
   unlink (path);
-  assert_int_equal (daemon_take_incarnation (&d, &st), 0);
-  assert_true (d.incarnation < FUTURE_MS);
+  assert_int_equal (incarnation_take (folder, &incarnation, &st), 0);
+  assert_true (incarnation < FUTURE_MS);
   unlink (path);
   rmdir (folder);
-  assert_int_equal (daemon_take_incarnation (&d, &st), -1);
+  assert_int_equal (incarnation_take (folder, &incarnation, &st), -1);
   assert_int_equal (st.kind, STATUS_DISK_FAILED);
 }
 
