--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -268,11 +268,13 @@
 static void
 send_hold (struct dispatcher *d, struct dispatch_worker *w)
 {
+  /* A worker that can't answer may still hear: its lease is renewed only while it answers.  */
+  bool answers = d->now_ms - w->heard_ms < RENEW_SILENT_MS;
   const struct worker_hold order
       = { .to = { .worker = w->id, .address = w->address, .fence = d->fence },
           .mark = ++d->mark,
           .acknowledged = w->acknowledged,
-          .deadline_ms = dispatch_lease_deadline (d, w),
+          .deadline_ms = answers ? dispatch_lease_deadline (d, w) : 0,
           .wait_ms = w->hold_now || !w->fenced ? 0 : HOLD_WAIT_MS };
   w->hold_now = false;
   w->holds++;
--- /dev/null
+++ b/tests/test_dispatcher.c
@@ -0,0 +1,372 @@
+/* Guards against tasks that run twice, run after their end, or are never started again, when orders
+   get no answer, workers are silent or restarted, and leaders change.  */
+#include "workflow_fixture.h"
+
+/* A task that is told done before its end is in the log would be lost with the leader.  */
+static void
+test_ends_are_acknowledged_after_their_commit (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 2, 1, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  fixture_tick (f, 20);
+  const struct held_end end = fixture_ended (&f->starts[0], 1, WORKFLOW_DONE);
+  struct sent_hold h = fixture_last_hold (f, "w1");
+  const struct worker_lists lists = { .mark = h.mark,
+                                      .clock_ms = f->now_ms,
+                                      .born_ms = 1000,
+                                      .ended = &end,
+                                      .ended_len = 1,
+                                      .complete = true };
+  dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_OK, &lists);
+  dispatcher_tick (f->dispatcher, f->now_ms + 20, 0);
+  assert_int_equal (fixture_last_hold (f, "w1").acknowledged, 0);
+  assert_int_equal (f->start_count, 1);
+  fixture_commit (f);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 2);
+  assert_int_equal (f->starts[1].task.step, 1);
+  fixture_answer_hold (f, "w1", NULL, 0, &end, 1);
+  fixture_tick (f, 20);
+  assert_int_equal (fixture_last_hold (f, "w1").acknowledged, 1);
+}
+
+/* An order without an answer may be carried out seconds later: the task must not start elsewhere
+   before a stop for that run was acknowledged and a later hold doesn't list it.  */
+static void
+test_an_unanswered_start_is_settled_before_the_next (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_tick (f, 20);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_UNKNOWN);
+  fixture_tick (f, 20);
+  fixture_answer_hold (f, "w1", NULL, 0, NULL, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->stop_count, 1);
+  fixture_answer_hold (f, "w1", NULL, 0, NULL, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+  dispatcher_stop_answer (f->dispatcher, f->now_ms, "w1", &f->stops[0].task, f->stops[0].run,
+                          WORKER_CALL_OK);
+  fixture_answer_hold (f, "w1", NULL, 0, NULL, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+  fixture_answer_hold (f, "w1", NULL, 0, NULL, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 2);
+  assert_int_equal (f->starts[1].run, 2);
+}
+
+/* Stopping a run whose answer was lost would throw its work away.  */
+static void
+test_an_unanswered_start_that_is_listed_runs_on (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_tick (f, 20);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_UNKNOWN);
+  fixture_tick (f, 20);
+  const struct held_run run = fixture_running (&f->starts[0]);
+  fixture_answer_hold (f, "w1", &run, 1, NULL, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->stop_count, 0);
+  const struct held_end end = fixture_ended (&f->starts[0], 1, WORKFLOW_DONE);
+  fixture_answer_hold (f, "w1", NULL, 0, &end, 1);
+  assert_int_equal (workflow_find_job (&f->workflow, 1)->state, WORKFLOW_JOB_COMPLETED);
+}
+
+/* A worker that is cut off runs on until its lease is over; holds that it may still hear must not
+   renew that lease for ever.  */
+static void
+test_a_silent_worker_lapses_once_and_in_time (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, WORKFLOW_STEP_LASTING);
+  fixture_tick (f, 20);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  fixture_tick (f, 20);
+  const struct held_run run = fixture_running (&f->starts[0]);
+  fixture_answer_hold (f, "w1", &run, 1, NULL, 0);
+  fixture_join (f, "w2", "10.0.0.2:1");
+  int64_t silent_ms = f->now_ms;
+  int64_t last_deadline_ms = 0;
+  while (f->start_count == 1 && f->now_ms < silent_ms + 20000)
+    {
+      fixture_tick (f, 20);
+      if (f->hold_count > 0 && strcmp (f->holds[f->hold_count - 1].worker, "w2") == 0)
+        fixture_answer_hold (f, "w2", NULL, 0, NULL, 0);
+      struct sent_hold h = fixture_last_hold (f, "w1");
+      if (h.deadline_ms > last_deadline_ms)
+        last_deadline_ms = h.deadline_ms;
+      if ((f->now_ms - silent_ms) % 1200 == 0)
+        dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_UNKNOWN, NULL);
+    }
+  assert_int_equal (f->start_count, 2);
+  assert_string_equal (f->starts[1].worker, "w2");
+  assert_true (f->now_ms >= last_deadline_ms);
+  assert_true (f->now_ms < silent_ms + FIXTURE_LEASE_MS + 3000);
+}
+
+/* What an earlier leader ordered is known from the log only: the first hold under the new fence
+   tells what runs, and nothing is started again before it.  */
+static void
+test_a_new_leader_learns_before_it_starts (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 2, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 2);
+  dispatcher_resign (f->dispatcher);
+  dispatcher_lead (f->dispatcher, f->now_ms, 8);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 2);
+  struct status st;
+  struct worker_report r = fixture_worker (f, "w1", "10.0.0.1:1");
+  dispatcher_report (f->dispatcher, f->now_ms, &r, &st);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 2);
+  assert_int_equal (fixture_last_hold (f, "w1").fence, 8);
+  const struct held_run run = fixture_running (&f->starts[0]);
+  fixture_answer_hold (f, "w1", &run, 1, NULL, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 3);
+  assert_int_equal (f->starts[2].task.index, f->starts[1].task.index);
+  assert_int_equal (f->starts[2].run, 2);
+}
+
+/* A run on a worker that the new leader can't reach may go on until the lease that the old leader
+   gave is over.  */
+static void
+test_a_new_leader_waits_for_leases_it_did_not_give (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_tick (f, 20);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  dispatcher_resign (f->dispatcher);
+  dispatcher_lead (f->dispatcher, f->now_ms, 8);
+  int64_t lead_ms = f->now_ms;
+  fixture_join (f, "w2", "10.0.0.2:1");
+  while (f->start_count == 1 && f->now_ms < lead_ms + 20000)
+    {
+      fixture_tick (f, 20);
+      fixture_answer_hold (f, "w2", NULL, 0, NULL, 0);
+    }
+  assert_int_equal (f->start_count, 2);
+  assert_true (f->now_ms >= lead_ms + FIXTURE_LEASE_MS);
+  assert_true (f->now_ms < lead_ms + FIXTURE_LEASE_MS + 1000);
+}
+
+/* Under its old id a worker that crashed runs nothing of before.  */
+static void
+test_a_restarted_worker_has_lost_its_runs (void **state)
+{
+  struct fixture *f = *state;
+  struct status st;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_tick (f, 20);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  struct worker_report r = fixture_worker (f, "w1", "10.0.0.1:1");
+  r.born_ms = 2000;
+  r.sequence = 1;
+  r.clock_ms = 5;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+  fixture_commit (f);
+  fixture_tick (f, 20);
+  struct sent_hold h = fixture_last_hold (f, "w1");
+  assert_int_equal (h.acknowledged, 0);
+  const struct worker_lists lists
+      = { .mark = h.mark, .clock_ms = 30, .born_ms = 2000, .complete = true };
+  dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_OK, &lists);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 2);
+  /* A report of the earlier life that comes late changes nothing.  */
+  struct worker_report late = fixture_worker (f, "w1", "10.0.0.1:1");
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &late, &st), -1);
+}
+
+static void
+test_a_younger_worker_at_the_address_ends_the_older (void **state)
+{
+  struct fixture *f = *state;
+  struct status st;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_tick (f, 20);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  struct worker_report young = fixture_worker (f, "w2", "10.0.0.1:1");
+  young.born_ms = 3000;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &young, &st), 0);
+  fixture_commit (f);
+  assert_true (TAILQ_EMPTY (&f->workflow.runs));
+  struct worker_report old = fixture_worker (f, "w1", "10.0.0.1:1");
+  old.sequence = 999999999;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &old, &st), -1);
+}
+
+static void
+test_a_draining_worker_gets_nothing (void **state)
+{
+  struct fixture *f = *state;
+  struct status st;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  f->now_ms++;
+  struct worker_report r = fixture_worker (f, "w1", "10.0.0.1:1");
+  r.draining = true;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 0);
+  /* An earlier report that comes late must not bring it back.  */
+  r.draining = false;
+  r.sequence--;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), -1);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 0);
+}
+
+/* The worker starts to drain while the placement is on its way to the log.  */
+static void
+test_a_placement_on_a_worker_that_drains_is_not_started (void **state)
+{
+  struct fixture *f = *state;
+  struct status st;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  f->now_ms += 20;
+  dispatcher_tick (f->dispatcher, f->now_ms, 0);
+  assert_int_equal (f->log_count, 1);
+  struct worker_report r = fixture_worker (f, "w1", "10.0.0.1:1");
+  r.draining = true;
+  dispatcher_report (f->dispatcher, f->now_ms, &r, &st);
+  fixture_commit (f);
+  assert_int_equal (f->start_count, 0);
+  assert_true (TAILQ_EMPTY (&f->workflow.runs));
+}
+
+static void
+test_a_zone_that_is_out_gets_nothing (void **state)
+{
+  struct fixture *f = *state;
+  workflow_command c = { .kind = WORKFLOW_ZONE };
+  fixture_join (f, "w1", "10.0.0.1:1");
+  c.workflow_command_u.zone = (workflow_zone_change){ .zone = "a", .out = true };
+  fixture_change (f, &c);
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 0);
+  c.workflow_command_u.zone.out = false;
+  fixture_change (f, &c);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+}
+
+static void
+test_a_cancelled_job_is_stopped_until_acknowledged (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, WORKFLOW_STEP_LASTING);
+  fixture_tick (f, 20);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  fixture_cancel (f, 1);
+  fixture_tick (f, 20);
+  assert_int_equal (f->stop_count, 1);
+  dispatcher_stop_answer (f->dispatcher, f->now_ms, "w1", &f->stops[0].task, 1,
+                          WORKER_CALL_UNKNOWN);
+  fixture_tick (f, 400);
+  assert_int_equal (f->stop_count, 2);
+  dispatcher_stop_answer (f->dispatcher, f->now_ms, "w1", &f->stops[0].task, 1, WORKER_CALL_OK);
+  fixture_tick (f, 400);
+  assert_int_equal (f->stop_count, 2);
+  const struct held_end end = fixture_ended (&f->starts[0], 1, WORKFLOW_STOPPED);
+  fixture_answer_hold (f, "w1", NULL, 0, &end, 1);
+  assert_true (TAILQ_EMPTY (&f->workflow.runs));
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+}
+
+static void
+test_without_authority_nothing_is_ordered (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  size_t holds = f->hold_count;
+  f->now_ms += 2000;
+  dispatcher_tick (f->dispatcher, f->now_ms, 0);
+  assert_int_equal (f->log_count, 0);
+  assert_int_equal (f->hold_count, holds);
+}
+
+/* A task that the worker runs although nobody placed it is a late order: it is stopped.  */
+static void
+test_a_stranger_is_stopped (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_tick (f, 20);
+  const struct held_run run = { .task = { .job = 99 }, .run = 1, .checkpoint = "" };
+  fixture_answer_hold (f, "w1", &run, 1, NULL, 0);
+  assert_int_equal (f->stop_count, 1);
+  assert_int_equal (f->stops[0].task.job, 99);
+}
+
+static void
+test_a_job_fails_after_its_attempts (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_join (f, "w2", "10.0.0.2:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  for (uint64_t attempt = 0; attempt < 2; attempt++)
+    {
+      for (int i = 0; i < 200 && f->start_count == attempt; i++)
+        {
+          fixture_tick (f, 20);
+          fixture_answer_hold (f, "w1", NULL, 0, NULL, 0);
+          fixture_answer_hold (f, "w2", NULL, 0, NULL, 0);
+        }
+      assert_int_equal (f->start_count, attempt + 1);
+      const struct sent_start *s = &f->starts[attempt];
+      fixture_answer_start (f, s, WORKER_CALL_OK);
+      fixture_tick (f, 20);
+      const struct held_end end = fixture_ended (s, attempt + 1, WORKFLOW_FAILED);
+      fixture_answer_hold (f, s->worker, NULL, 0, &end, 1);
+    }
+  assert_int_equal (workflow_find_job (&f->workflow, 1)->state, WORKFLOW_JOB_FAILED);
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown (name, fixture_open, fixture_close)
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { TEST (test_ends_are_acknowledged_after_their_commit),
+          TEST (test_an_unanswered_start_is_settled_before_the_next),
+          TEST (test_an_unanswered_start_that_is_listed_runs_on),
+          TEST (test_a_silent_worker_lapses_once_and_in_time),
+          TEST (test_a_new_leader_learns_before_it_starts),
+          TEST (test_a_new_leader_waits_for_leases_it_did_not_give),
+          TEST (test_a_restarted_worker_has_lost_its_runs),
+          TEST (test_a_younger_worker_at_the_address_ends_the_older),
+          TEST (test_a_draining_worker_gets_nothing),
+          TEST (test_a_placement_on_a_worker_that_drains_is_not_started),
+          TEST (test_a_zone_that_is_out_gets_nothing),
+          TEST (test_a_cancelled_job_is_stopped_until_acknowledged),
+          TEST (test_without_authority_nothing_is_ordered),
+          TEST (test_a_stranger_is_stopped),
+          TEST (test_a_job_fails_after_its_attempts) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
