Let empty VMs join the group and replace lost voters

A VM without a leader asks to join; voter_plan (pure) replaces silent voters by learners that answer; member_sync replaces a change whose target is out of date, which could wait for a dead learner for ever. Ruled out: keeping the lost voter beside its successor (four voters need three).

--- a/src/log/member_sync.c
+++ b/src/log/member_sync.c
@@ -5,8 +5,8 @@
 
 #include "log.h"
 
-#define CHECK_EVERY_MS 1000
-#define RETRY_MS 1000
+#define CHECK_EVERY_MS 200 /* a lost voter is replaced within 4 s, in up to three changes */
+#define RETRY_MS 400
 
 static int
 compare_members (const void *a, const void *b)
@@ -48,7 +48,7 @@
   struct member_sync *m = arg;
   (void)result;
   (void)len;
-  m->changing = false;
+  m->open--;
   log_line (LOG_INFO, "group %s: change of members ended: %s", m->name,
             status_ok (st) ? "done" : st->message);
 }
@@ -61,19 +61,33 @@
   m->name = name;
 }
 
+static bool
+is_requested (const struct member_sync *m, const raft_member *target, size_t count)
+{
+  if (m->open == 0 || m->requested_count != count)
+    return false;
+  for (size_t i = 0; i < count; i++)
+    if (m->requested[i].node != target[i].node || m->requested[i].voter != target[i].voter)
+      return false;
+  return true;
+}
+
 void
 member_sync_tick (struct member_sync *m, raft_member *target, size_t count, int64_t now_ms)
 {
-  if (m->changing || count == 0 || now_ms < m->next_ms)
+  if (count == 0 || count > PEER_MAX_MEMBERS || now_ms < m->next_ms)
     return;
   m->next_ms = now_ms + CHECK_EVERY_MS;
   qsort (target, count, sizeof *target, compare_members);
   demote_replaced_stores (m->group, target, count);
-  if (same_members (group_members (m->group), target, count))
+  if (is_requested (m, target, count)
+      || (m->open == 0 && same_members (group_members (m->group), target, count)))
     return;
   const raft_members list = { { (u_int)count, target } };
   log_line (LOG_INFO, "group %s: changing members", m->name);
-  m->changing = true;
+  memcpy (m->requested, target, count * sizeof *target);
+  m->requested_count = count;
+  m->open++;
   m->next_ms = now_ms + RETRY_MS;
   group_change_members (m->group, &list, on_changed, m);
 }
--- a/src/log/member_sync.h
+++ b/src/log/member_sync.h
@@ -3,7 +3,8 @@
    A change of members is asked for when the log's members differ from the target.  A voter that
    answers from another store than the one that may vote has lost its disk: it becomes a learner
    first, and the next change promotes its new store once it has caught up.  One change at a time; a
-   change that ends without success is asked for again.  */
+   change that ends without success is asked for again, and one whose target is out of date is
+   replaced, since it may wait for a member that is gone.  */
 
 #ifndef SASSAFRAS_MEMBER_SYNC_H
 #define SASSAFRAS_MEMBER_SYNC_H
@@ -17,7 +18,9 @@
 {
   struct group *group;
   const char *name; /* of the group, for log lines */
-  bool changing;
+  unsigned open;    /* changes without an outcome; a newer target replaces the one before */
+  raft_member requested[PEER_MAX_MEMBERS]; /* of the last change, sorted */
+  size_t requested_count;
   int64_t next_ms;
 };
 
--- a/src/workflow/leader_relay.c
+++ b/src/workflow/leader_relay.c
@@ -343,7 +343,7 @@
   r->probing = false;
   if (a->code == CODE_REDIRECT && a->location)
     note_redirect (r, a->location);
-  else if (a->code == 0)
+  else if (a->code == 0 || a->code == CODE_MISDIRECTED)
     avoid (r, r->probed, now_ms);
   else if (a->code == CODE_OK)
     {
@@ -353,7 +353,7 @@
 }
 
 void
-leader_relay_probe (struct leader_relay *r)
+leader_relay_probe (struct leader_relay *r, const char *method, const char *path)
 {
   static const char *const headers[] = { RELAY_HEADER ": 1", NULL };
   char url[URL_BYTES];
@@ -362,8 +362,8 @@
     return;
   r->probing = true;
   snprintf (r->probed, sizeof r->probed, "%s", target);
-  snprintf (url, sizeof url, "http://%s:%d" RELAY_PROBE_PATH, target, r->config.port);
-  const struct http_call call = { .method = "GET",
+  snprintf (url, sizeof url, "http://%s:%d%s", target, r->config.port, path);
+  const struct http_call call = { .method = method,
                                   .url = url,
                                   .headers = headers,
                                   .timeout_ms = RELAY_ATTEMPT_MS,
--- a/src/workflow/leader_relay.h
+++ b/src/workflow/leader_relay.h
@@ -29,6 +29,7 @@
   1000                    /* a leader across regions answers in 150 ms; the rest is for its load */
 #define RELAY_PAUSE_MS 40 /* between attempts when nobody leads: an election takes about 1.5 s */
 #define RELAY_AVOID_MS 1500           /* a candidate that didn't answer */
+#define RELAY_JOIN_PATH "/v1/join/"   /* and the IP of the VM that asks */
 #define RELAY_PROBE_PATH "/v1/leader" /* answered 200 by the leader */
 #define RELAY_MAX_CANDIDATES 32
 #define RELAY_MAX_HEADERS 4 /* passed on from the request */
@@ -52,8 +53,9 @@
 struct leader_relay *leader_relay_open (const struct leader_relay_config *config);
 void leader_relay_close (struct leader_relay *r); /* Open requests get no answer. */
 void leader_relay_send (struct leader_relay *r, struct http_request *req,
-                        int64_t budget_ms);       /* Answers REQ within BUDGET_MS. */
-void leader_relay_probe (struct leader_relay *r); /* Asks a candidate whether it leads. */
+                        int64_t budget_ms); /* Answers REQ within BUDGET_MS. */
+void leader_relay_probe (struct leader_relay *r, const char *method,
+                         const char *path); /* A request of this VM's own to the leader. */
 int64_t leader_relay_heard_ms (const struct leader_relay *r); /* Last answer of a leader. */
 void leader_relay_refuse (struct http_request *req, const char *leader_ip,
                           int port); /* 307 to LEADER_IP, or 421 when it is NULL. */
--- a/src/workflow/seeded_group.c
+++ b/src/workflow/seeded_group.c
@@ -12,13 +12,25 @@
 #include "log.h"
 #include "member_sync.h"
 #include "peer_net.h"
+#include "voter_plan.h"
 
 #define GROUP_ID 1
 #define GROUP_NAME "workflow"
 #define ADDRESS_BYTES 32
 #define PATH_BYTES 4200
+#define PLAN_TEXT_BYTES 512
+#define JOIN_AFTER_MS                                                                              \
+  1000 /* without a leader: an election among members takes longer, but asking does no harm */
+#define JOINING_MS 1500    /* a VM that wants to join asks several times a second */
 #define MAX_FLUSH_ROUNDS 8 /* results of one flush often cause another proposal */
 
+struct seen_vm
+{
+  uint64_t node;
+  int64_t heard_ms;  /* last time that it counted as answering */
+  int64_t joined_ms; /* its last request to join; 0 for none */
+};
+
 struct seeded_group
 {
   struct seeded_group_config config;
@@ -28,6 +40,11 @@
   struct peer_net *net;
   struct group *group;
   struct member_sync sync;
+  struct seen_vm seen[PEER_MAX_MEMBERS];
+  size_t seen_count;
+  char last_plan[PLAN_TEXT_BYTES]; /* as logged */
+  int64_t led_ms;                  /* since when this VM leads; 0 while it doesn't */
+  int64_t leader_ms;               /* when a leader was last known */
 };
 
 static uint64_t
@@ -144,8 +161,12 @@
   struct store *store = open_store (s, st);
   if (!store)
     return -1;
+  struct raft_timing timing = raft_default_timing ();
+  /* Learners are few here, and spares: a leader must know which of them answer.  */
+  timing.learner_heartbeat_ms = timing.heartbeat_ms;
   const struct group_config config
       = { .id = GROUP_ID,
+          .timing = timing,
           .node = s->node,
           .name = GROUP_NAME,
           .initialized = !s->config.first_start,
@@ -220,18 +241,119 @@
     }
 }
 
+/* What is known of NODE; added when it is new.  */
+static struct seen_vm *
+find_seen (struct seeded_group *s, uint64_t node, int64_t first_ms)
+{
+  for (size_t i = 0; i < s->seen_count; i++)
+    if (s->seen[i].node == node)
+      return &s->seen[i];
+  size_t i = s->seen_count < PEER_MAX_MEMBERS ? s->seen_count++ : PEER_MAX_MEMBERS - 1;
+  s->seen[i] = (struct seen_vm){ .node = node, .heard_ms = first_ms };
+  return &s->seen[i];
+}
+
+static void
+note_answers (struct seeded_group *s, int64_t now_ms)
+{
+  struct group_stats stats;
+  group_stats (s->group, &stats);
+  for (size_t i = 0; i < stats.peers_len; i++)
+    {
+      struct seen_vm *seen = find_seen (s, stats.peers[i].node, s->led_ms);
+      if (stats.peers[i].active)
+        seen->heard_ms = now_ms;
+    }
+}
+
+/* Members in the log and VMs that have asked to join.  */
+static size_t
+list_members (struct seeded_group *s, int64_t now_ms, struct plan_member *out)
+{
+  const raft_members *members = group_members (s->group);
+  size_t n = 0;
+  for (u_int i = 0; i < members->members.members_len; i++)
+    {
+      const raft_member *m = &members->members.members_val[i];
+      int64_t heard_ms = m->node == s->node ? now_ms : find_seen (s, m->node, s->led_ms)->heard_ms;
+      out[n++] = (struct plan_member){ .node = m->node,
+                                       .voter = m->voter,
+                                       .silent_ms = now_ms - heard_ms };
+    }
+  for (size_t i = 0; i < s->seen_count && n < PEER_MAX_MEMBERS; i++)
+    if (!raft_members_find (members, s->seen[i].node) && s->seen[i].node != s->node
+        && now_ms - s->seen[i].joined_ms < JOINING_MS)
+      out[n++] = (struct plan_member){ .node = s->seen[i].node };
+  return n;
+}
+
+/* One line for each plan that differs from the last one.  */
+static void
+log_plan (struct seeded_group *s, const struct plan_member *plan, size_t count)
+{
+  char text[PLAN_TEXT_BYTES] = "";
+  size_t used = 0;
+  for (size_t i = 0; i < count && used + 64 < sizeof text; i++)
+    {
+      char ip[SEEDED_GROUP_IP_BYTES];
+      const char *role = plan[i].voter ? "voter" : "learner";
+      ip_of_node (plan[i].node, ip);
+      used += (size_t)snprintf (text + used, sizeof text - used, " %s=%s", ip,
+                                plan[i].dropped ? "dropped" : role);
+    }
+  if (strcmp (text, s->last_plan) == 0)
+    return;
+  snprintf (s->last_plan, sizeof s->last_plan, "%s", text);
+  log_event (LOG_INFO, "members-planned", "%s", text);
+}
+
 static void
 sync_members (struct seeded_group *s, int64_t now_ms)
 {
+  struct plan_member plan[PEER_MAX_MEMBERS];
   raft_member target[PEER_MAX_MEMBERS];
-  const raft_members *members = group_members (s->group);
-  size_t n = members->members.members_len;
+  size_t count = 0;
   if (!group_is_leader (s->group))
-    return;
-  memcpy (target, members->members.members_val, n * sizeof *target);
+    {
+      s->led_ms = 0;
+      return;
+    }
+  if (s->led_ms == 0)
+    {
+      s->led_ms = now_ms;
+      s->seen_count = 0;
+    }
+  note_answers (s, now_ms);
+  size_t n = list_members (s, now_ms, plan);
+  voter_plan (plan, n);
+  log_plan (s, plan, n);
   for (size_t i = 0; i < n; i++)
-    target[i].voter = true;
-  member_sync_tick (&s->sync, target, n, now_ms);
+    if (!plan[i].dropped)
+      target[count++] = (raft_member){ .node = plan[i].node, .voter = plan[i].voter };
+  member_sync_tick (&s->sync, target, count, now_ms);
+}
+
+int
+seeded_group_join (struct seeded_group *s, const char *ip, struct status *st)
+{
+  uint64_t node = node_of_ip (ip);
+  int64_t now_ms = clock_now_ms (s->config.clock);
+  if (node == 0)
+    return status_set (st, STATUS_BAD_REQUEST, "'%s' is not an IPv4 address", ip);
+  if (!group_is_leader (s->group))
+    return status_set (st, STATUS_NOT_LEADER, "this VM does not lead");
+  if (raft_members_find (group_members (s->group), node))
+    return 0;
+  log_event (LOG_INFO, "join-requested", "peer=%s", ip);
+  add_peer (s, ip);
+  find_seen (s, node, now_ms)->joined_ms = now_ms;
+  return 0;
+}
+
+bool
+seeded_group_wants_to_join (const struct seeded_group *s)
+{
+  return clock_now_ms (s->config.clock) - s->leader_ms >= JOIN_AFTER_MS;
 }
 
 void
@@ -241,6 +363,8 @@
   group_tick (s->group, now_ms);
   follow_members (s);
   sync_members (s, now_ms);
+  if (group_leader_node (s->group) != 0)
+    s->leader_ms = now_ms;
 }
 
 bool
--- a/src/workflow/seeded_group.h
+++ b/src/workflow/seeded_group.h
@@ -52,6 +52,9 @@
 struct group *seeded_group_group (struct seeded_group *s);
 void seeded_group_tick (struct seeded_group *s);  /* Every 10 to 50 ms. */
 bool seeded_group_flush (struct seeded_group *s); /* True: flush again before blocking. */
+bool seeded_group_wants_to_join (const struct seeded_group *s); /* No leader was heard lately. */
+int seeded_group_join (struct seeded_group *s, const char *ip,
+                       struct status *st); /* On the leader: IP becomes a learner. */
 bool seeded_group_leader (const struct seeded_group *s,
                           char ip[SEEDED_GROUP_IP_BYTES]); /* False: not known. */
 
--- /dev/null
+++ b/src/workflow/voter_plan.c
@@ -0,0 +1,75 @@
+#include "voter_plan.h"
+
+#define ANSWERS_MS                                                                                 \
+  1900 /* the leader's own limit for a follower that answers: raft_timing.quorum_ms */
+
+static struct plan_member *
+find_spare (struct plan_member *members, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (!members[i].voter && !members[i].dropped && members[i].silent_ms < ANSWERS_MS)
+      return &members[i];
+  return NULL;
+}
+
+static size_t
+count_voters (const struct plan_member *members, size_t count)
+{
+  size_t n = 0;
+  for (size_t i = 0; i < count; i++)
+    n += members[i].voter;
+  return n;
+}
+
+static void
+replace_lost (struct plan_member *members, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      struct plan_member *m = &members[i];
+      struct plan_member *spare = find_spare (members, count);
+      if (!spare || !m->voter || m->silent_ms < VOTER_LOST_MS)
+        continue;
+      spare->voter = true;
+      m->voter = false;
+      m->dropped = true;
+    }
+}
+
+static void
+drop_lost_learners (struct plan_member *members, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (!members[i].voter && members[i].silent_ms >= LEARNER_LOST_MS)
+      members[i].dropped = true;
+}
+
+/* Makes a voter of one learner that answers.  */
+static bool
+promote (struct plan_member *members, size_t count)
+{
+  struct plan_member *spare = find_spare (members, count);
+  if (spare)
+    spare->voter = true;
+  return spare != NULL;
+}
+
+void
+voter_plan (struct plan_member *members, size_t count)
+{
+  size_t spares = 0;
+  for (size_t i = 0; i < count; i++)
+    members[i].dropped = false;
+  replace_lost (members, count);
+  drop_lost_learners (members, count);
+  if (count_voters (members, count) % 2 == 0)
+    promote (members, count);
+  for (size_t i = 0; i < count; i++)
+    spares += !members[i].voter && members[i].silent_ms < ANSWERS_MS;
+  if (spares >= 2 && count_voters (members, count) + 2 <= VOTER_MOST
+      && count_voters (members, count) % 2 == 1)
+    {
+      promote (members, count);
+      promote (members, count);
+    }
+}
