--- a/src/workflow/leader_relay.c
+++ b/src/workflow/leader_relay.c
@@ -349,6 +349,8 @@
     {
       r->heard_ms = now_ms;
       snprintf (r->leader, sizeof r->leader, "%s", r->probed);
+      if (r->config.answered)
+        r->config.answered (r->config.arg, r->probed);
     }
 }
 
--- a/src/workflow/leader_relay.h
+++ b/src/workflow/leader_relay.h
@@ -47,6 +47,7 @@
   const char *const *headers; /* names passed on, ended by NULL */
   /* Fills IP with the leader as this VM knows it; NULL for a VM outside the group.  */
   bool (*leader) (void *arg, char ip[SEEDED_GROUP_IP_BYTES]);
+  void (*answered) (void *arg, const char *ip); /* IP took a probe, so it leads; may be NULL */
   void *arg;
 };
 
--- a/src/workflow/seeded_group.c
+++ b/src/workflow/seeded_group.c
@@ -350,6 +350,14 @@
   return 0;
 }
 
+void
+seeded_group_meet (struct seeded_group *s, const char *ip)
+{
+  struct peer_info info;
+  if (!peer_net_peer (s->net, node_of_ip (ip), &info))
+    add_peer (s, ip);
+}
+
 bool
 seeded_group_wants_to_join (const struct seeded_group *s)
 {
--- a/src/workflow/seeded_group.h
+++ b/src/workflow/seeded_group.h
@@ -55,6 +55,8 @@
 bool seeded_group_wants_to_join (const struct seeded_group *s); /* No leader was heard lately. */
 int seeded_group_join (struct seeded_group *s, const char *ip,
                        struct status *st); /* On the leader: IP becomes a learner. */
+void seeded_group_meet (struct seeded_group *s,
+                        const char *ip); /* IP took our request to join: no stranger. */
 bool seeded_group_leader (const struct seeded_group *s,
                           char ip[SEEDED_GROUP_IP_BYTES]); /* False: not known. */
 
--- a/tests/test_seeded_group.c
+++ b/tests/test_seeded_group.c
@@ -101,7 +101,10 @@
   struct vm *leader = find_leader (s);
   for (int i = 0; leader && i < VMS; i++)
     if (s->vms[i].group && seeded_group_wants_to_join (s->vms[i].group))
-      seeded_group_join (leader->group, s->vms[i].ip, &st);
+      {
+        if (seeded_group_join (leader->group, s->vms[i].ip, &st) == 0)
+          seeded_group_meet (s->vms[i].group, leader->ip);
+      }
 }
 
 static void
