Keep lasting tasks of one image together, and empty workers for tasks that fill

Cause: with four serving images on a worker nearly every fill-in image disturbs one of them. Test: test_spread.

--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -5,7 +5,8 @@
 
 #include "dispatcher_internal.h"
 
-#define MAX_PLACED 256 /* placements of one tick: bounds the time that a tick takes */
+#define EMPTY_FOREIGN 1.1 /* empty workers go last: tasks that fill disturb nobody there */
+#define MAX_PLACED 256    /* placements of one tick: bounds the time that a tick takes */
 #define MILLI 1000
 #define LATE_FACTOR 3 /* a job earns nothing after this many objectives */
 
@@ -149,6 +150,21 @@
   return n;
 }
 
+/* Part of the lasting processors on W that serve another image than IMAGE.  */
+static double
+foreign_part (const struct dispatch_worker *w, const char *image)
+{
+  const struct dispatch_run *r;
+  uint32_t foreign = 0;
+  TAILQ_FOREACH (r, &w->runs, link)
+  {
+    const workflow_step *s = workflow_step_of (r->task);
+    if ((s->flags & WORKFLOW_STEP_LASTING) && strcmp (s->image, image) != 0)
+      foreign += s->millicores;
+  }
+  return w->lasting_millicores > 0 ? (double)foreign / w->lasting_millicores : EMPTY_FOREIGN;
+}
+
 static size_t
 choose (struct dispatcher *d, const struct candidates *c, const struct waiting_task *t)
 {
@@ -157,7 +173,8 @@
                                     .memory_mb = s->memory_mb,
                                     .accelerators = s->accelerators,
                                     .max_per_worker = s->max_per_worker,
-                                    .fills = s->flags & WORKFLOW_STEP_FILL };
+                                    .fills = s->flags & WORKFLOW_STEP_FILL,
+                                    .lasts = s->flags & WORKFLOW_STEP_LASTING };
   for (size_t i = 0; i < c->count; i++)
     {
       const struct dispatch_worker *w = c->workers[i];
@@ -165,6 +182,8 @@
       row->usable = strcmp (w->pool, t->queue->pool) == 0
                     && (!s->required_label[0] || has_label (w, s->required_label));
       row->near_data = !s->data_rack[0] || has_label (w, s->data_rack);
+      if (q.lasts && row->usable)
+        row->foreign = foreign_part (w, s->image);
       if (q.fills && row->usable)
         row->harm = dispatch_harm_after (d, w, s);
       if (s->max_per_worker > 0 && row->usable)
--- a/src/workflow/spread.h
+++ b/src/workflow/spread.h
@@ -31,6 +31,7 @@
   bool usable;        /* alive, of the pool, with the label, not avoided */
   bool near_data;     /* holds the rack that the step's data is on */
   double tail;        /* largest tail over target; 0 without a sample */
+  double foreign;     /* part of its lasting processors that serve other images than the task's */
   double harm;        /* predicted loss of slack with the task, over what is allowed */
 };
 
@@ -41,6 +42,7 @@
   uint32_t accelerators;
   uint32_t max_per_worker; /* 0 is no limit */
   bool fills;
+  bool lasts;
 };
 
 bool spread_fits (const struct spread_row *r, const struct spread_request *q); /* Room there. */
