--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -6,6 +6,7 @@
 #include "dispatcher_internal.h"
 
 #define PRUNE_BATCH 256
+#define PACE_ALL_BELOW 13 /* percent: three cuts in a row */
 #define LOAD_EVERY_MS 1000
 
 bool
@@ -306,6 +307,20 @@
   d->config.link->ops->stop (d->config.link, &order);
 }
 
+/* Only what harms is held back, and all of it once the share has fallen low: the model may be
+ * wrong.  */
+static uint32_t
+wanted_pace (struct dispatcher *d, const struct dispatch_run *r)
+{
+  const struct dispatch_worker *w = r->worker;
+  const workflow_step *s = workflow_step_of (r->task);
+  if (!(s->flags & WORKFLOW_STEP_FILL) || w->pacing.percent == PACING_FULL)
+    return PACING_FULL;
+  if (w->pacing.percent >= PACE_ALL_BELOW && !dispatch_is_harmful (d, w, s))
+    return PACING_FULL;
+  return w->pacing.percent;
+}
+
 static void
 send_pace (struct dispatcher *d, struct dispatch_run *r)
 {
@@ -314,7 +329,7 @@
       = { .to = { .worker = w->id, .address = w->address, .fence = d->fence },
           .task = workflow_ref (r->task),
           .run = r->number,
-          .percent = w->pacing.percent };
+          .percent = wanted_pace (d, r) };
   r->pace_open = true;
   d->stats.paces++;
   d->config.link->ops->pace (d->config.link, &order);
@@ -329,8 +344,7 @@
   if (may_stop && r->stop_wanted && !r->stop_settled && !r->stop_open
       && d->now_ms >= r->stop_next_ms)
     send_stop (d, r);
-  if (r->state == DISPATCH_RUNNING && !r->pace_open && r->paced != r->worker->pacing.percent
-      && (workflow_step_of (r->task)->flags & WORKFLOW_STEP_FILL))
+  if (r->state == DISPATCH_RUNNING && !r->pace_open && r->paced != wanted_pace (d, r))
     send_pace (d, r);
 }
 
