--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -6,7 +6,9 @@
 #include "dispatcher_internal.h"
 
 #define PRUNE_BATCH 256
-#define PACE_ALL_BELOW 13 /* percent: three cuts in a row */
+#define PACE_ALL_BELOW 13  /* percent: three cuts in a row */
+#define SLOWNESS_STEP 0.02 /* the last 50 runs count */
+#define MAX_SLOWNESS 5.0   /* one stuck run must not shift the mean far */
 #define LOAD_EVERY_MS 1000
 
 bool
@@ -152,6 +154,20 @@
              w->failures, pause_ms);
 }
 
+/* Run times are known for whole runs only: a checkpoint or a change of leader cuts them.  */
+static void
+note_slowness (struct dispatcher *d, const struct dispatch_run *r)
+{
+  const workflow_step *s = workflow_step_of (r->task);
+  if (!(s->flags & WORKFLOW_STEP_FILL) || r->running_ms == 0 || r->task->checkpoint
+      || s->estimate_ms == 0)
+    return;
+  double slowness = (double)(d->now_ms - r->running_ms) / s->estimate_ms;
+  if (slowness > MAX_SLOWNESS)
+    slowness = MAX_SLOWNESS;
+  d->fill_slowness += SLOWNESS_STEP * (slowness - d->fill_slowness);
+}
+
 static void
 on_ended (void *arg, struct workflow_run *run, enum workflow_outcome outcome)
 {
@@ -165,7 +181,10 @@
   if (outcome == WORKFLOW_FAILED)
     note_failure (d, r->worker);
   else if (outcome == WORKFLOW_DONE)
-    r->worker->failures = 0;
+    {
+      r->worker->failures = 0;
+      note_slowness (d, r);
+    }
   dispatch_free_run (r);
 }
 
@@ -192,6 +211,7 @@
   cell_map_init (&d->workers);
   TAILQ_INIT (&d->worker_list);
   d->harm = harm_model_new ();
+  d->fill_slowness = 1;
   config->workflow->observer = (struct workflow_observer){
     .placed = on_placed, .ended = on_ended, .job_ended = on_job_ended, .arg = d
   };
--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -17,6 +17,7 @@
 note_running (struct dispatcher *d, struct dispatch_run *r)
 {
   r->state = DISPATCH_RUNNING;
+  r->running_ms = d->now_ms;
   r->inherited = false;
   r->settled = ++d->mark;
 }
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -59,6 +59,7 @@
   bool stop_settled;    /* the worker has acknowledged a stop: it never starts from now on */
   bool stop_open;       /* a stop order is on its way */
   int64_t stop_next_ms; /* next stop order */
+  int64_t running_ms;   /* since when it is known to run; 0 while it isn't */
   int64_t sent_ms;      /* the last start order, or when leadership began */
   uint32_t paced;       /* percent that the worker has acknowledged */
   bool pace_open;
@@ -138,6 +139,7 @@
   uint64_t prune_token; /* of the open PRUNE; 0 is none */
   int64_t load_next_ms;
   struct harm_model *harm;
+  double fill_slowness; /* run time of tasks that fill over their estimate, smoothed */
   struct dispatcher_stats stats;
 };
 
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -14,7 +14,7 @@
 {
   struct workflow_task *task;
   const workflow_queue *queue;
-  int rank;       /* smaller goes first */
+  int rank;       /* enum task_rank; smaller goes first */
   int64_t key_ms; /* latest start; smaller goes first */
 };
 
@@ -38,7 +38,18 @@
   return (int64_t)j->chain_ms * q->stretch_milli / MILLI + q->target_ms;
 }
 
-/* Lasting tasks first: their absence costs all the time.  A job past its last worth goes last.  */
+/* Load pattern: lasting tasks declare nearly all processors, so whoever goes first gets the gaps
+   that short tasks leave.  Worth per processor second falls in this order: short tasks in time,
+   lasting tasks, tasks that fill in time, what is late.  A job past its last worth goes last.  */
+enum task_rank
+{
+  RANK_SHORT,
+  RANK_LASTING,
+  RANK_FILL,
+  RANK_LATE,
+  RANK_HOPELESS,
+};
+
 static void
 rank_task (const struct dispatcher *d, struct waiting_task *w)
 {
@@ -46,13 +57,17 @@
   const workflow_step *s = workflow_step_of (w->task);
   int64_t due_ms = j->seen_ms + objective_ms (j, w->queue);
   int64_t end_ms = j->seen_ms + LATE_FACTOR * objective_ms (j, w->queue);
-  w->key_ms = due_ms - s->estimate_ms;
+  bool fills = s->flags & WORKFLOW_STEP_FILL;
+  int64_t remain_ms = (int64_t)(j->remain_ms[w->task->step] * (fills ? d->fill_slowness : 1));
+  w->key_ms = due_ms - remain_ms;
   if (s->flags & WORKFLOW_STEP_LASTING)
-    w->rank = 0;
+    w->rank = RANK_LASTING;
   else if (d->now_ms > end_ms)
-    w->rank = 3;
+    w->rank = RANK_HOPELESS;
+  else if (d->now_ms > w->key_ms)
+    w->rank = RANK_LATE;
   else
-    w->rank = d->now_ms + s->estimate_ms > due_ms ? 2 : 1;
+    w->rank = fills ? RANK_FILL : RANK_SHORT;
 }
 
 static int
--- a/src/workflow/workflow.h
+++ b/src/workflow/workflow.h
@@ -101,8 +101,9 @@
   uint32_t runs;                 /* runs without an end */
   struct workflow_stage *stages; /* [occurrence * steps + step] */
   int64_t seen_ms;               /* the leader's: when it first saw the job */
-  int64_t ended_ms;  /* the leader's: when it first saw that the job had ended; 0 while open */
-  uint64_t chain_ms; /* longest chain of estimates, from the spec */
+  int64_t ended_ms;    /* the leader's: when it first saw that the job had ended; 0 while open */
+  uint64_t chain_ms;   /* longest chain of estimates, from the spec */
+  uint32_t *remain_ms; /* longest chain from each step to the end of the job, that step included */
 };
 
 TAILQ_HEAD (workflow_jobs, workflow_job);
--- a/src/workflow/workflow_apply.c
+++ b/src/workflow/workflow_apply.c
@@ -388,23 +388,25 @@
   return j->occurrences * j->spec.steps.steps_len;
 }
 
-static uint64_t
-longest_chain (const workflow_spec *spec)
+/* Steps wait for earlier ones only, so one pass from the last step is enough.  */
+static void
+measure_chains (struct workflow_job *j)
 {
-  uint64_t ends[WORKFLOW_MAX_STEPS];
-  uint64_t longest = 0;
-  for (u_int i = 0; i < spec->steps.steps_len; i++)
+  u_int count = j->spec.steps.steps_len;
+  j->remain_ms = xcalloc (count, sizeof *j->remain_ms);
+  for (u_int i = count; i-- > 0;)
     {
-      const workflow_step *s = &spec->steps.steps_val[i];
-      uint64_t begin = 0;
+      const workflow_step *s = &j->spec.steps.steps_val[i];
+      j->remain_ms[i] += s->estimate_ms;
+      if (j->remain_ms[i] > j->chain_ms)
+        j->chain_ms = j->remain_ms[i];
       for (u_int k = 0; k < s->after.after_len; k++)
-        if (ends[s->after.after_val[k]] > begin)
-          begin = ends[s->after.after_val[k]];
-      ends[i] = begin + s->estimate_ms;
-      if (ends[i] > longest)
-        longest = ends[i];
+        {
+          uint32_t *before = &j->remain_ms[s->after.after_val[k]];
+          if (j->remain_ms[i] > *before)
+            *before = j->remain_ms[i];
+        }
     }
-  return longest;
 }
 
 struct workflow_job *
@@ -414,7 +416,7 @@
   j->spec = *spec;
   memset (spec, 0, sizeof *spec);
   j->occurrences = j->spec.repetitions > 0 ? j->spec.repetitions : 1;
-  j->chain_ms = longest_chain (&j->spec);
+  measure_chains (j);
   j->stages = xcalloc (stage_count (j), sizeof *j->stages);
   for (uint32_t i = 0; i < stage_count (j); i++)
     {
@@ -456,6 +458,7 @@
       free (j->stages[i].tasks);
     }
   free (j->stages);
+  free (j->remain_ms);
   cell_map_remove (&w->jobs, &j->node);
   if (j->state == WORKFLOW_JOB_OPEN)
     TAILQ_REMOVE (&w->open, j, link);
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -347,6 +347,35 @@
   assert_int_equal (workflow_find_job (&f->workflow, 1)->state, WORKFLOW_JOB_FAILED);
 }
 
+/* The gap that a short task leaves must not go to a lasting task while short tasks wait: on a full
+   system the short ones would starve.  */
+static void
+test_short_tasks_go_before_lasting_ones (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 15, WORKFLOW_STEP_LASTING);
+  fixture_submit (f, 2, 1, 1, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 16);
+  fixture_submit (f, 3, 1, 1, WORKFLOW_STEP_LASTING);
+  fixture_submit (f, 4, 1, 1, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 16);
+  const struct sent_start *s = NULL;
+  for (size_t i = 0; i < f->start_count; i++)
+    if (f->starts[i].task.job == 2)
+      s = &f->starts[i];
+  assert_non_null (s);
+  fixture_answer_start (f, s, WORKER_CALL_OK);
+  fixture_tick (f, 20);
+  const struct held_end end = fixture_ended (s, 1, WORKFLOW_DONE);
+  fixture_answer_hold (f, "w1", NULL, 0, &end, 1);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 17);
+  assert_int_equal (f->starts[16].task.job, 4);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown (name, fixture_open, fixture_close)
 
 int
@@ -367,6 +396,7 @@
           TEST (test_a_cancelled_job_is_stopped_until_acknowledged),
           TEST (test_without_authority_nothing_is_ordered),
           TEST (test_a_stranger_is_stopped),
+          TEST (test_short_tasks_go_before_lasting_ones),
           TEST (test_a_job_fails_after_its_attempts) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
