--- /dev/null
+++ b/tests/test_pacing.c
@@ -0,0 +1,90 @@
+/* Guards against fill-in tasks that keep lasting tasks over their target, and against holding them
+   back for ever.  The replay: a tail that follows the share with half a second of delay and swings
+   with the serving load over ten seconds.  */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <math.h>
+
+#include "pacing.h"
+
+#define HARM_MS 4000 /* stated bound: over the target for this long on end breaks a promise */
+
+static double
+tail (double at_s, double share, double harm)
+{
+  double load = 0.42 * (1 + 0.5 * sin (at_s / 10 * 2 * M_PI));
+  double left = 1 - load - harm * share;
+  return (left < 0.05 ? 1 / 0.05 : 1 / left) / 4.5;
+}
+
+static void
+replay (double harm, int64_t *longest_ms, double *mean_share)
+{
+  struct pacing p;
+  double shares[2] = { 1, 1 };
+  int64_t over_ms = 0;
+  *longest_ms = 0;
+  *mean_share = 0;
+  pacing_init (&p);
+  for (int i = 0; i < 240; i++)
+    {
+      double at_s = i * 0.5;
+      double seen = tail (at_s, shares[1], harm);
+      over_ms = seen > 1 ? over_ms + 500 : 0;
+      *longest_ms = over_ms > *longest_ms ? over_ms : *longest_ms;
+      pacing_sample (&p, i * 500, seen);
+      shares[1] = shares[0];
+      shares[0] = p.percent / 100.0;
+      *mean_share += shares[0] / 240;
+    }
+}
+
+static void
+test_harm_ends_in_time (void **state)
+{
+  (void)state;
+  for (double harm = 0.2; harm <= 3; harm += 0.2)
+    {
+      int64_t longest_ms;
+      double share;
+      replay (harm, &longest_ms, &share);
+      assert_true (longest_ms < HARM_MS);
+    }
+}
+
+static void
+test_harmless_work_is_not_held_back (void **state)
+{
+  int64_t longest_ms;
+  double share;
+  (void)state;
+  replay (0.05, &longest_ms, &share);
+  assert_true (share > 0.9);
+}
+
+static void
+test_work_comes_back_after_harm (void **state)
+{
+  struct pacing p;
+  (void)state;
+  pacing_init (&p);
+  for (int64_t ms = 1000; ms < 6000; ms += 500)
+    pacing_sample (&p, ms, 3.0);
+  assert_int_equal (p.percent, 0);
+  for (int64_t ms = 6000; ms < 10000; ms += 500)
+    pacing_sample (&p, ms, 0.4);
+  assert_int_equal (p.percent, PACING_FULL);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_harm_ends_in_time),
+                                      cmocka_unit_test (test_harmless_work_is_not_held_back),
+                                      cmocka_unit_test (test_work_comes_back_after_harm) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
