--- a/src/workflow/harm_model.h
+++ b/src/workflow/harm_model.h
@@ -24,7 +24,7 @@
 
 #define HARM_IMAGES 32  /* of each kind; further ones share the last place */
 #define HARM_PRIOR 2.0  /* a tenth of a worker takes a fifth of the target from the slack */
-#define HARM_SLACK 1.1 /* slack that placement keeps: tails at nine tenths of the target */
+#define HARM_SLACK 1.25 /* slack that placement keeps: tails at four fifths of the target */
 
 struct harm_model;
 
--- a/src/workflow/spread.h
+++ b/src/workflow/spread.h
@@ -16,7 +16,7 @@
 #define SPREAD_NONE SIZE_MAX
 #define SPREAD_LASTING_USE 0.5 /* part of its declared processors that a lasting task uses */
 #define SPREAD_FILL_SHARE 0.7  /* a task that fills needs this part of its processors unused */
-#define SPREAD_CALM 0.9 /* tails over target above this take no more tasks that fill */
+#define SPREAD_CALM 0.75       /* tails over target above this take no more tasks that fill */
 
 /* One worker that may be used for the task.  */
 struct spread_row
