--- a/src/workflow/spread.c
+++ b/src/workflow/spread.c
@@ -4,6 +4,7 @@
 
 #define HARM_WEIGHT 2.0 /* a full allowance of harm against a worker without unused processors */
 #define FOREIGN_PENALTY 1e5 /* above any gap in millicores */
+#define EMPTY_COST 1.5 /* workers without lasting tasks are for images that disturb all others */
 #define FAR_PENALTY                                                                                \
   1e6 /* data on another rack doubles the run time: any near worker goes first                     \
        */
@@ -39,7 +40,8 @@
 {
   double far = r->near_data ? 0 : FAR_PENALTY;
   if (q->fills)
-    return far + HARM_WEIGHT * r->harm - unused_millicores (r) / r->millicores;
+    return far + HARM_WEIGHT * r->harm + (r->lasting_millicores == 0 ? EMPTY_COST : 0)
+           - unused_millicores (r) / r->millicores;
   if (q->lasts)
     far += FOREIGN_PENALTY * r->foreign;
   return far + undeclared_millicores (r) - q->millicores;
--- a/tests/test_spread.c
+++ b/tests/test_spread.c
@@ -63,6 +63,20 @@
   assert_int_equal (spread_choose (rows, 3, &q), SPREAD_NONE);
 }
 
+/* Some fill-in images disturb every serving image: they starve if others take the workers that
+   serve nobody.  */
+static void
+test_harmless_fill_leaves_the_empty_workers (void **state)
+{
+  struct spread_row rows[] = { worker (0, 0), worker (12000, 0) };
+  const struct spread_request q = { .millicores = 2000, .memory_mb = 100, .fills = true };
+  (void)state;
+  rows[1].harm = 0.2;
+  assert_int_equal (spread_choose (rows, 2, &q), 1);
+  rows[1].harm = 1.1;
+  assert_int_equal (spread_choose (rows, 2, &q), 0);
+}
+
 static void
 test_limits_hold (void **state)
 {
@@ -87,6 +101,7 @@
       = { cmocka_unit_test (test_small_tasks_take_the_smallest_gap),
           cmocka_unit_test (test_lasting_tasks_of_one_image_stay_together),
           cmocka_unit_test (test_fill_goes_where_it_does_no_harm),
+          cmocka_unit_test (test_harmless_fill_leaves_the_empty_workers),
           cmocka_unit_test (test_limits_hold) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
