--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -275,7 +275,7 @@
     return;
   if (w->holds > 0)
     w->holds--;
-  w->hold_next_ms = now_ms;
+  w->hold_next_ms = now_ms + HOLD_GAP_MS;
   if (result == WORKER_CALL_OK)
     {
       take_lists (d, w, lists);
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -12,17 +12,21 @@
 #include "pacing.h"
 #include "spread.h"
 
+#define HOLD_IDLE_MS 1300 /* where no tail must be watched; silence is noticed in time */
+#define HOLD_GAP_MS 30    /* ends that come within it share one look */
 #define HOLD_WAIT_MS 500  /* samples of tails come each half second */
 #define HOLD_RETRY_MS 200 /* after a hold without an answer */
-#define SILENT_MS 2500 /* no answer to holds for this long: no new tasks; two holds and a retry */
+#define SILENT_MS                                                                                  \
+  2800 /* no answer to holds for this long: no new tasks; an idle hold, a retry and the call's own \
+          limit */
 #define RENEW_SILENT_MS                                                                            \
-  1500                      /* leases are renewed this long after an answer: one hold and a retry */
-#define LATE_ORDER_MS 15000 /* an order may be carried out 12 s late; with margin */
-#define LEASE_MARGIN_MS 300 /* rounding and delays of the worker's own timer */
-#define CLOCK_SLOWEST 0.98  /* a worker's clock may be 2% slow */
-#define STOP_RETRY_MS 300   /* between two stop orders for one run */
-#define NO_ROOM_MS 400      /* a worker that refused for want of room gets nothing this long */
-#define TASK_RETRY_MS 100   /* a task whose start was refused waits this long */
+  1500 /* leases are renewed this long after an answer: an idle hold and the call's own limit */
+#define LATE_ORDER_MS 15000    /* an order may be carried out 12 s late; with margin */
+#define LEASE_MARGIN_MS 300    /* rounding and delays of the worker's own timer */
+#define CLOCK_SLOWEST 0.98     /* a worker's clock may be 2% slow */
+#define STOP_RETRY_MS 300      /* between two stop orders for one run */
+#define NO_ROOM_MS 400         /* a worker that refused for want of room gets nothing this long */
+#define TASK_RETRY_MS 100      /* a task whose start was refused waits this long */
 #define FORGET_WORKER_MS 60000 /* a worker that left is remembered against late reports */
 #define AVOID_FIRST_MS 1000    /* after the second failure in a row; doubles */
 #define AVOID_LAST_MS 16000
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -265,6 +265,13 @@
          && d->now_ms >= w->avoid_until_ms && !workflow_zone_is_out (d->config.workflow, w->zone);
 }
 
+/* Tails matter where tasks that fill run beside lasting ones.  */
+static uint32_t
+hold_wait_ms (const struct dispatch_worker *w)
+{
+  return w->fill_millicores > 0 && w->lasting_millicores > 0 ? HOLD_WAIT_MS : HOLD_IDLE_MS;
+}
+
 static void
 send_hold (struct dispatcher *d, struct dispatch_worker *w)
 {
@@ -275,7 +282,7 @@
           .mark = ++d->mark,
           .acknowledged = w->acknowledged,
           .deadline_ms = answers ? dispatch_lease_deadline (d, w) : 0,
-          .wait_ms = w->hold_now || !w->fenced ? 0 : HOLD_WAIT_MS };
+          .wait_ms = w->hold_now || !w->fenced ? 0 : hold_wait_ms (w) };
   w->hold_now = false;
   w->holds++;
   d->config.link->ops->hold (d->config.link, &order);
--- a/src/workflow/pacing.h
+++ b/src/workflow/pacing.h
@@ -14,9 +14,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define PACING_FULL 100  /* percent */
+#define PACING_FULL 100 /* percent */
 #define PACING_HIGH 1.0 /* of the target: harm counts from there on, after four seconds */
-#define PACING_LOW 0.88   /* of the target: below it there is room for more */
+#define PACING_LOW 0.88 /* of the target: below it there is room for more */
 #define PACING_CUT_MS                                                                              \
   700                      /* a cut shows in samples after 100 ms of delay and 500 ms of averaging \
                             */
