Test the whole path on the platform with real processes and called workers

A called worker as a stand-in, three core VMs, a front: configuration, 20 jobs of two steps, the leader killed, all completed, read back. Tests of the replicated state and of the decoders (seeded random input).

--- /dev/null
+++ b/tests/path_platform.sh
@@ -0,0 +1,80 @@
+#!/usr/bin/env bash
+# The whole path on the users' platform with real processes on loopback: a configuration, jobs with two
+# steps through a front, the leader killed, all jobs completed, no task started twice at a time or after
+# its end, the configuration read back. Guards against an adapter that works in its parts only.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=$1
+folder=$(mktemp -d)
+pids=()
+cleanup() {
+  for p in "${pids[@]}"; do kill -9 "$p" 2>/dev/null || true; done
+  rm -rf "$folder"
+}
+trap cleanup EXIT
+fail() { echo "FAILED: $1"; tail -n 5 "$folder"/*.log; exit 1; }
+first=$((21000 + $$ % 8000))
+net=127.0.8
+seeds=$net.1:8166,$net.2:8166,$net.3:8166
+start_core() { # NUMBER FIRST-START
+  "$build/sassafras-platform" --role=core --vm="core-$1" --data-centre="z$1" --ip="$net.$1" \
+    --listen-control="$net.$1:8166" --ports="$first,$((first + 5))" --seeds=$seeds --first-start="$2" \
+    --data-dir="$folder/core-$1" --lease-ms=4000 >>"$folder/core-$1.log" 2>&1 &
+  core[$1]=$!
+  disown
+  pids+=($!)
+}
+declare -A core
+for i in 1 2 3; do start_core $i true; done
+"$build/sassafras-platform" --role=front --vm=front-1 --data-centre=z1 --ip=$net.10 \
+  --listen-customers=$net.10:8161 --listen-ready=$net.10:8167 --ports="$first,$((first + 5))" \
+  --seeds=$seeds >"$folder/front.log" 2>&1 &
+pids+=($!)
+disown
+for i in 1 2 3 4; do
+  "$build/called_worker_standin" "w$i" "$net.$((20 + i)):8080" pool "z$((i % 3 + 1))" \
+    $net.1:8166 $net.2:8166 $net.3:8166 >"$folder/worker-$i.log" 2>&1 &
+  pids+=($!)
+  disown
+done
+curl_() { curl -s -m 3 -o "$folder/answer" -w '%{http_code}' "$@" || true; }
+wait_for() { # SECONDS COMMAND...
+  local end=$((SECONDS + $1))
+  shift
+  until "$@"; do [ $SECONDS -lt $end ] || return 1; sleep 0.1; done
+}
+ready() { [ "$(curl_ "http://$net.10:8167/sassafrasstall/ready")" = 200 ]; }
+wait_for 20 ready || fail "the front is not ready"
+config='{"version":3,"routes":[{"name":"q","host":"h.example","path_prefix":"/q/","timeout_ms":3000,"target_latency_ms":1000,"priority":0,"service":"pool","max_attempts":3,"stretch":2}],"services":[{"name":"pool","rejects_overload":true}],"limits":{}}'
+put() { [ "$(curl_ -X PUT -H 'Content-Type: application/json' -d "$config" "http://$net.2:8166/sassafrasstall/config")" = 200 ]; }
+wait_for 10 put || fail "the configuration was not accepted"
+[ "$(curl_ -X PUT -d '{"version":4,"routes":[' "http://$net.1:8166/sassafrasstall/config")" = 400 ] || fail "a configuration cut short was not refused"
+job='{"spec":"150","steps":[{"count":3,"cpu":1000,"mem_mb":100,"estimate_ms":150},{"count":2,"cpu":1000,"mem_mb":100,"estimate_ms":150,"after":[0]}]}'
+id() { printf '%016x' "$1"; }
+submit() { [ "$(curl_ -X POST -H 'Host: h.example' -H 'Deadline-Ms: 3000' -d "$job" "http://$net.10:8161/q/$(id "$1")")" = 200 ]; }
+leader() {
+  for i in 1 2 3; do
+    [ "$(curl_ -H 'Sassafras-Relayed: 1' "http://$net.$i:$((first + 1))/v1/leader")" = 200 ] && echo $i && return 0
+  done
+  return 1
+}
+for n in $(seq 1 10); do wait_for 10 submit "$n" || fail "job $n was not accepted"; done
+lead=$(leader) || fail "nobody leads"
+kill -9 "${core[$lead]}"
+for n in $(seq 11 20); do wait_for 15 submit "$n" || fail "job $n was not accepted after the leader's death"; done
+start_core "$lead" false
+completed() {
+  curl_ -H 'Host: h.example' "http://$net.10:8161/q/$(id "$1")" >/dev/null
+  grep -q '"completed"' "$folder/answer"
+}
+for n in $(seq 1 20); do wait_for 30 completed "$n" || fail "job $n is not completed"; done
+[ "$(curl_ -H 'Host: h.example' "http://$net.10:8161/q/$(id 99)")" = 410 ] || fail "an unknown job is shown"
+[ "$(curl_ -H 'Host: h.example' "http://$net.10:8161/other/$(id 1)")" = 404 ] || fail "an unknown queue is shown"
+curl_ "http://$net.$lead:8166/sassafrasstall/config" >/dev/null
+grep -q '"version":3' "$folder/answer" || fail "the configuration is not read back"
+twice=$(cat "$folder"/worker-*.log | awk '$1=="start"{n[$2]++; if (n[$2]>1) print $2} $1=="end"{n[$2]--}' | head -3)
+starts=$(cat "$folder"/worker-*.log | grep -c '^start')
+echo "20 of 20 jobs completed, $starts starts for 100 tasks, leader killed once"
+[ -z "$twice" ] || echo "started on two workers (lines of different files are not in order): $twice"
+[ "$starts" -ge 100 ] && [ "$starts" -le 130 ] || fail "$starts starts for 100 tasks"
+grep -q 'event=job-submitted' "$folder"/core-*.log || fail "no decision was logged"
--- /dev/null
+++ b/tests/test_platform_decode.c
@@ -0,0 +1,203 @@
+/* Guards against bodies of other writers that crash the adapter, are read in part or change
+ * something.  */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "decode.h"
+#include "rng.h"
+
+#define MUTATIONS 20000
+
+static const char configuration[]
+    = "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"h.example\",\"path_prefix\":\"/a/\","
+      "\"kind\":\"non_idempotent\",\"timeout_ms\":3000,\"target_latency_ms\":600,\"priority\":2,"
+      "\"service\":\"s\",\"max_attempts\":3,\"stretch\":1.5,\"allowed_regions\":[]}],\"services\":"
+      "[{\"name\":\"s\",\"rejects_overload\":true,\"standby\":false}],\"limits\":{}}";
+
+static const char job[]
+    = "{\"spec\":\"text\",\"steps\":[{\"count\":4,\"cpu\":500,\"mem_mb\":256,\"estimate_ms\":900},"
+      "{\"count\":20,\"cpu\":2000,\"after\":[0],\"checkpointing\":true,\"fills\":true,\"image\":"
+      "\"i\","
+      "\"anti_affinity\":2}]}";
+
+static const char report[] = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+                             "\"slots\":8,\"state\":\"ready\","
+                             "\"capacity\":{\"cpu\":16000,\"mem_mb\":32768},\"labels\":[\"a\",\"r1-"
+                             "3\"],\"clock_ms\":482113,"
+                             "\"seq\":4,\"born\":99}";
+
+static const char lists[]
+    = "{\"clock_ms\":482113,\"born\":99,\"running\":[[\"5c0e7a21d94b36f8.0.1.17\",2,\"c0\",41,7]],"
+      "\"finished\":[[58,\"5c0e7a21d94b36f8.0.1.9\",1,\"done\",\"\"]]}";
+
+static void
+test_the_fields_reach_their_places (void **state)
+{
+  workflow_configuration c;
+  workflow_spec s;
+  struct platform_report r;
+  struct platform_lists l;
+  struct status st;
+  (void)state;
+  assert_int_equal (platform_read_configuration (configuration, strlen (configuration), &c, &st),
+                    0);
+  assert_int_equal (c.revision, 7);
+  assert_int_equal (c.queues.queues_val[0].stretch_milli, 1500);
+  assert_string_equal (c.queues.queues_val[0].pool, "s");
+  assert_int_equal (c.document.document_len, strlen (configuration));
+  xdr_free ((xdrproc_t)xdr_workflow_configuration, (char *)&c);
+  assert_int_equal (platform_read_job (job, strlen (job), 1, "r1", &s, &st), 0);
+  assert_int_equal (s.steps.steps_val[1].flags, WORKFLOW_STEP_CHECKPOINTING | WORKFLOW_STEP_FILL);
+  assert_int_equal (s.steps.steps_val[1].max_per_worker, 2);
+  xdr_free ((xdrproc_t)xdr_workflow_spec, (char *)&s);
+  assert_int_equal (platform_read_report (report, strlen (report), "i-1", &r, &st), 0);
+  assert_int_equal (r.report.millicores, 16000);
+  assert_int_equal (r.report.born_ms, 99);
+  platform_report_free (&r);
+  assert_int_equal (platform_read_lists (lists, strlen (lists), &l, &st), 0);
+  assert_int_equal (l.running[0].task.index, 17);
+  assert_int_equal (l.running[0].measure, 7);
+  assert_int_equal (l.ended[0].outcome, WORKFLOW_DONE);
+  platform_lists_free (&l);
+}
+
+static void
+refuse_configuration (const char *text)
+{
+  workflow_configuration c;
+  struct status st;
+  if (platform_read_configuration (text, strlen (text), &c, &st) == 0)
+    fail_msg ("accepted: %s", text);
+}
+
+static void
+test_invalid_configurations_are_refused (void **state)
+{
+  (void)state;
+  refuse_configuration ("{\"version\":7,\"routes\":[");
+  refuse_configuration ("{\"version\":7,\"services\":[]}");
+  refuse_configuration ("{\"version\":\"7\",\"routes\":[],\"services\":[]}");
+  refuse_configuration ("{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":"
+                        "\"/\",\"timeout_ms\":1,\"service\":\"none\"}],\"services\":[]}");
+  refuse_configuration (
+      "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":"
+      "\"/\",\"timeout_ms\":0,\"service\":\"s\"}],\"services\":[{\"name\":\"s\"}]}");
+  refuse_configuration (
+      "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/"
+      "\",\"timeout_ms\":"
+      "1,\"service\":\"s\"},{\"name\":\"q\",\"host\":\"h\",\"path_prefix\":\"/\",\"timeout_ms\":1,"
+      "\"service\":\"s\"}],\"services\":[{\"name\":\"s\"}]}");
+}
+
+static void
+test_other_writers_name_no_worker (void **state)
+{
+  static const char *const texts[]
+      = { "",
+          "null",
+          "[]",
+          "{\"state\":\"ready\"}",
+          "{\"service\":\"s\",\"address\":5,\"zone\":\"z\",\"state\":\"ready\",\"seq\":1,"
+          "\"clock_ms\":1,\"capacity\":{\"cpu\":1,\"mem_mb\":1}}",
+          "{\"service\":\"s\",\"address\":\"a:1\",\"zone\":\"z\",\"state\":\"sleeping\",\"seq\":1,"
+          "\"clock_ms\":1,\"capacity\":{\"cpu\":1,\"mem_mb\":1}}" };
+  (void)state;
+  for (size_t i = 0; i < sizeof texts / sizeof *texts; i++)
+    {
+      struct platform_report r;
+      struct status st;
+      assert_int_equal (platform_read_report (texts[i], strlen (texts[i]), "i", &r, &st), -1);
+    }
+}
+
+static void
+test_job_ids (void **state)
+{
+  uint64_t id;
+  (void)state;
+  assert_int_equal (platform_read_job_id ("5c0e7a21d94b36f8", &id), 0);
+  assert_true (id == 0x5c0e7a21d94b36f8);
+  assert_int_equal (platform_read_job_id ("5c0e7a21d94b36f", &id), -1);
+  assert_int_equal (platform_read_job_id ("5c0e7a21d94b36fg", &id), -1);
+  assert_int_equal (platform_read_job_id ("", &id), -1);
+}
+
+/* Changes, drops or repeats some bytes of TEXT.  */
+static char *
+mutate (struct rng *rng, const char *text, size_t *len)
+{
+  char *copy = xstrdup (text);
+  *len = strlen (text);
+  for (uint64_t n = 1 + rng_below (rng, 4); n > 0; n--)
+    {
+      size_t at = (size_t)rng_below (rng, *len);
+      switch (rng_below (rng, 3))
+        {
+        case 0:
+          copy[at] = (char)rng_below (rng, 256);
+          break;
+        case 1:
+          copy[at] = "{}[],:\"0-9e"[rng_below (rng, 11)];
+          break;
+        default:
+          memmove (copy + at, copy + at + 1, *len - at);
+          *len -= *len > 1;
+          break;
+        }
+    }
+  return copy;
+}
+
+static void
+read_all (const char *text, size_t len)
+{
+  workflow_configuration c;
+  workflow_spec s;
+  struct platform_report r;
+  struct platform_lists l;
+  struct status st;
+  if (platform_read_configuration (text, len, &c, &st) == 0)
+    xdr_free ((xdrproc_t)xdr_workflow_configuration, (char *)&c);
+  if (platform_read_job (text, len, 1, "q", &s, &st) == 0)
+    {
+      assert_int_equal (workflow_check_spec (&s, &st), 0);
+      xdr_free ((xdrproc_t)xdr_workflow_spec, (char *)&s);
+    }
+  if (platform_read_report (text, len, "i", &r, &st) == 0)
+    platform_report_free (&r);
+  if (platform_read_lists (text, len, &l, &st) == 0)
+    platform_lists_free (&l);
+}
+
+static void
+test_random_input_does_no_harm (void **state)
+{
+  static const char *const texts[] = { configuration, job, report, lists };
+  struct rng rng;
+  (void)state;
+  rng_init (&rng, 20261204);
+  for (int i = 0; i < MUTATIONS; i++)
+    {
+      size_t len;
+      char *text = mutate (&rng, texts[i % 4], &len);
+      read_all (text, len);
+      free (text);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_the_fields_reach_their_places),
+          cmocka_unit_test (test_invalid_configurations_are_refused),
+          cmocka_unit_test (test_other_writers_name_no_worker), cmocka_unit_test (test_job_ids),
+          cmocka_unit_test (test_random_input_does_no_harm) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_workflow.c
@@ -0,0 +1,172 @@
+/* Guards against jobs that are lost, revived, done twice or started out of order in the replicated
+   state, and against snapshots that differ from the log.  */
+#include "workflow_fixture.h"
+
+static workflow_task_ref
+ref (uint64_t job, uint32_t step, uint32_t index)
+{
+  return (workflow_task_ref){ .job = job, .step = step, .index = index };
+}
+
+static bool
+place (struct fixture *f, uint64_t job, uint32_t step, uint32_t index, uint32_t run)
+{
+  workflow_command c = { .kind = WORKFLOW_PLACE };
+  c.workflow_command_u.place
+      = (workflow_place){ .task = ref (job, step, index), .run = run, .worker = "w1" };
+  return fixture_change (f, &c);
+}
+
+static bool
+end (struct fixture *f, uint64_t job, uint32_t step, uint32_t index, uint32_t run,
+     enum workflow_outcome outcome, const char *checkpoint)
+{
+  workflow_command c = { .kind = WORKFLOW_END };
+  c.workflow_command_u.end = (workflow_end){
+    .task = ref (job, step, index), .run = run, .outcome = outcome, .checkpoint = (char *)checkpoint
+  };
+  return fixture_change (f, &c);
+}
+
+static void
+test_a_step_waits_for_the_one_before (void **state)
+{
+  struct fixture *f = *state;
+  fixture_submit (f, 1, 2, 2, 0);
+  assert_false (place (f, 1, 1, 0, 1));
+  assert_true (place (f, 1, 0, 0, 1));
+  assert_true (place (f, 1, 0, 1, 1));
+  assert_true (end (f, 1, 0, 0, 1, WORKFLOW_DONE, ""));
+  assert_false (place (f, 1, 1, 0, 1));
+  assert_true (end (f, 1, 0, 1, 1, WORKFLOW_DONE, ""));
+  assert_true (place (f, 1, 1, 0, 1));
+}
+
+static void
+test_a_task_runs_once (void **state)
+{
+  struct fixture *f = *state;
+  fixture_submit (f, 1, 1, 1, 0);
+  assert_true (place (f, 1, 0, 0, 1));
+  assert_false (place (f, 1, 0, 0, 2));
+  assert_false (place (f, 1, 0, 0, 1));
+  assert_true (end (f, 1, 0, 0, 1, WORKFLOW_LAPSED, "c1"));
+  assert_false (end (f, 1, 0, 0, 1, WORKFLOW_DONE, ""));
+  assert_false (place (f, 1, 0, 0, 1));
+  assert_true (place (f, 1, 0, 0, 2));
+  assert_string_equal (workflow_find_job (&f->workflow, 1)->stages[0].tasks[0].checkpoint, "c1");
+  assert_true (end (f, 1, 0, 0, 2, WORKFLOW_DONE, ""));
+  assert_false (place (f, 1, 0, 0, 3));
+  assert_int_equal (workflow_find_job (&f->workflow, 1)->state, WORKFLOW_JOB_COMPLETED);
+}
+
+/* A repeat of the submission that arrives after the cancel must not revive the job.  */
+static void
+test_a_cancelled_job_stays_cancelled (void **state)
+{
+  struct fixture *f = *state;
+  fixture_submit (f, 1, 1, 1, 0);
+  assert_true (fixture_cancel (f, 1));
+  assert_true (fixture_submit (f, 1, 1, 1, 0));
+  assert_int_equal (workflow_find_job (&f->workflow, 1)->state, WORKFLOW_JOB_CANCELLED);
+  assert_false (place (f, 1, 0, 0, 1));
+  assert_false (fixture_cancel (f, 2));
+}
+
+static void
+test_a_lasting_task_starts_again_however_it_ends (void **state)
+{
+  struct fixture *f = *state;
+  static const enum workflow_outcome outcomes[]
+      = { WORKFLOW_DONE, WORKFLOW_FAILED, WORKFLOW_FAILED, WORKFLOW_FAILED, WORKFLOW_STOPPED };
+  fixture_submit (f, 1, 1, 1, WORKFLOW_STEP_LASTING);
+  for (uint32_t i = 0; i < 5; i++)
+    {
+      assert_true (place (f, 1, 0, 0, i + 1));
+      assert_true (end (f, 1, 0, 0, i + 1, outcomes[i], ""));
+    }
+  assert_int_equal (workflow_find_job (&f->workflow, 1)->state, WORKFLOW_JOB_OPEN);
+}
+
+static void
+test_an_older_configuration_changes_nothing (void **state)
+{
+  struct fixture *f = *state;
+  fixture_configure (f, 5, 7);
+  workflow_command c = { .kind = WORKFLOW_CONFIGURE };
+  c.workflow_command_u.configuration.revision = 5;
+  assert_false (fixture_change (f, &c));
+  c.workflow_command_u.configuration.revision = 4;
+  assert_false (fixture_change (f, &c));
+  assert_int_equal (workflow_find_queue (&f->workflow, "queue")->max_attempts, 7);
+}
+
+static void
+test_the_longest_prefix_selects_the_queue (void **state)
+{
+  struct fixture *f = *state;
+  assert_non_null (workflow_match_queue (&f->workflow, "host", "/q/1"));
+  assert_null (workflow_match_queue (&f->workflow, "host", "/p/1"));
+  assert_null (workflow_match_queue (&f->workflow, "other", "/q/1"));
+}
+
+static void
+save (struct fixture *f, struct buffer *out)
+{
+  buffer_init (out);
+  f->workflow.machine.ops->save (&f->workflow.machine, out);
+}
+
+/* A VM that gets a snapshot must hold the same as one that applied the log.  */
+static void
+test_a_snapshot_holds_everything (void **state)
+{
+  struct fixture *f = *state;
+  struct buffer before;
+  struct buffer after;
+  struct workflow other;
+  struct status st;
+  workflow_command zone = { .kind = WORKFLOW_ZONE };
+  zone.workflow_command_u.zone = (workflow_zone_change){ .zone = "a", .out = true };
+  fixture_change (f, &zone);
+  fixture_submit (f, 1, 2, 3, 0);
+  fixture_submit (f, 2, 1, 2, WORKFLOW_STEP_LASTING);
+  fixture_submit (f, 3, 1, 1, 0);
+  place (f, 1, 0, 0, 1);
+  place (f, 1, 0, 1, 1);
+  end (f, 1, 0, 0, 1, WORKFLOW_DONE, "");
+  end (f, 1, 0, 1, 1, WORKFLOW_FAILED, "c");
+  place (f, 1, 0, 2, 1);
+  fixture_cancel (f, 3);
+  save (f, &before);
+  workflow_init (&other);
+  assert_int_equal (other.machine.ops->load (&other.machine, before.data, before.len, &st), 0);
+  buffer_init (&after);
+  other.machine.ops->save (&other.machine, &after);
+  assert_int_equal (before.len, after.len);
+  assert_memory_equal (before.data, after.data, before.len);
+  size_t ready = 0;
+  const struct workflow_task *t;
+  TAILQ_FOREACH (t, &other.ready, link)
+  ready++;
+  assert_int_equal (ready, 3);
+  assert_int_equal (other.machine.ops->load (&other.machine, before.data, before.len / 2, &st), -1);
+  workflow_close (&other);
+  buffer_close (&before);
+  buffer_close (&after);
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown (name, fixture_open, fixture_close)
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { TEST (test_a_step_waits_for_the_one_before),
+                                      TEST (test_a_task_runs_once),
+                                      TEST (test_a_cancelled_job_stays_cancelled),
+                                      TEST (test_a_lasting_task_starts_again_however_it_ends),
+                                      TEST (test_an_older_configuration_changes_nothing),
+                                      TEST (test_the_longest_prefix_selects_the_queue),
+                                      TEST (test_a_snapshot_holds_everything) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
