Take the late end of a run that counted as lapsed and had been done

Ruled out: two leaders (one term led), a lost commit. An end DONE of an earlier run now makes the task done; it is committed before it is acknowledged.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -143,16 +143,21 @@
     fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
+/* What was left out since the last report; after a write, when there is room for the line.  */
+static void
+report_left_out (void)
+{
+  char text[64];
+  if (events.left_out == 0)
+    return;
+  snprintf (text, sizeof text, "count=%llu", (unsigned long long)events.left_out);
+  events.left_out = 0;
+  add_event (LOG_WARN, "lines-left-out", text);
+}
+
 void
 log_flush (void)
 {
-  char text[64];
-  if (events.left_out > 0 && events.len + LINE_BYTES < sizeof events.bytes)
-    {
-      snprintf (text, sizeof text, "count=%llu", (unsigned long long)events.left_out);
-      events.left_out = 0;
-      add_event (LOG_WARN, "lines-left-out", text);
-    }
   if (events.len == 0)
     return;
   if (!events.nonblocking)
@@ -162,4 +167,5 @@
     events.left_out += events.lines;
   events.len = 0;
   events.lines = 0;
+  report_left_out ();
 }
--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -188,6 +188,13 @@
   dispatch_free_run (r);
 }
 
+static void
+on_done_late (void *arg, struct workflow_task *t)
+{
+  (void)arg;
+  want_stops (t);
+}
+
 static void
 on_job_ended (void *arg, struct workflow_job *j)
 {
@@ -212,9 +219,11 @@
   TAILQ_INIT (&d->worker_list);
   d->harm = harm_model_new ();
   d->fill_slowness = 1;
-  config->workflow->observer = (struct workflow_observer){
-    .placed = on_placed, .ended = on_ended, .job_ended = on_job_ended, .arg = d
-  };
+  config->workflow->observer = (struct workflow_observer){ .placed = on_placed,
+                                                           .ended = on_ended,
+                                                           .done_late = on_done_late,
+                                                           .job_ended = on_job_ended,
+                                                           .arg = d };
   return d;
 }
 
--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -204,6 +204,29 @@
     }
 }
 
+/* H is the end of a run that has another end in the log.  True while it must be recorded before it
+   is acknowledged.  */
+static bool
+record_late_end (struct dispatcher *d, const struct dispatch_worker *w, const struct held_end *h)
+{
+  static char empty[] = "";
+  const struct workflow_task *t = workflow_find_task (d->config.workflow, &h->task);
+  bool open = t && t->job->state == WORKFLOW_JOB_OPEN && t->state != WORKFLOW_TASK_DONE
+              && t->state != WORKFLOW_TASK_FAILED;
+  if (!open || h->outcome != WORKFLOW_DONE || h->run > t->last_run
+      || (workflow_step_of (t)->flags & WORKFLOW_STEP_LASTING))
+    return false;
+  workflow_command c = { .kind = WORKFLOW_END };
+  c.workflow_command_u.end = (workflow_end){
+    .task = h->task, .run = h->run, .outcome = h->outcome, .checkpoint = empty
+  };
+  log_event (LOG_INFO, "run-done-late",
+             "job=%016" PRIx64 " step=%u task=%u run=%u worker=%s last_run=%u", h->task.job,
+             h->task.step, h->task.index, h->run, w->id, t->last_run);
+  dispatch_send (d, &c);
+  return true;
+}
+
 static void
 take_ends (struct dispatcher *d, struct dispatch_worker *w, const struct worker_lists *lists)
 {
@@ -214,9 +237,12 @@
         continue;
       struct listed_end *e = note_end (w, h->number);
       struct dispatch_run *r = dispatch_find_run (d, w->id, &h->task, h->run);
-      e->recorded = r == NULL;
       if (!r)
-        continue;
+        {
+          e->recorded = !record_late_end (d, w, h);
+          continue;
+        }
+      e->recorded = false;
       note_listed (r, lists);
       dispatch_end (d, r, h->outcome, h->checkpoint, "the worker listed its end");
     }
--- a/src/workflow/workflow.h
+++ b/src/workflow/workflow.h
@@ -13,6 +13,9 @@
    CANCELLED.  Runs of a job that is no longer open go on until an END is committed for them.  A job
    that has ended and has no runs left may be pruned; who prunes decides when.
 
+   A worker that was silent may list an end of a run that counted as lapsed.  An end DONE is then
+   taken all the same: the task is done, and a later run of it is not needed.
+
    A cancelled id stays cancelled: a repeat of its submission does not revive it, and a cancel of an
    id that was never submitted is refused with STATUS_NOT_FOUND.
 
@@ -114,6 +117,8 @@
   void (*placed) (void *arg, struct workflow_run *run);
   /* Before RUN is freed.  */
   void (*ended) (void *arg, struct workflow_run *run, enum workflow_outcome outcome);
+  /* T is done by a run that had ended otherwise; runs it has now are not needed.  */
+  void (*done_late) (void *arg, struct workflow_task *t);
   /* The job is no longer open, or is about to be freed when pruned.  */
   void (*job_ended) (void *arg, struct workflow_job *job);
   void (*configured) (void *arg);
--- a/src/workflow/workflow_apply.c
+++ b/src/workflow/workflow_apply.c
@@ -272,6 +272,22 @@
   set_ready (w, t, t->job->state == WORKFLOW_JOB_OPEN);
 }
 
+/* A run that counted as lapsed had been done before: its end stands, and no run is needed any more.
+ */
+static bool
+take_late_end (struct workflow *w, struct workflow_task *t, const workflow_end *e)
+{
+  bool open = t->job->state == WORKFLOW_JOB_OPEN
+              && (t->state == WORKFLOW_TASK_WAITING || t->state == WORKFLOW_TASK_PLACED);
+  if (!open || e->outcome != WORKFLOW_DONE || e->run > t->last_run || is_lasting (t))
+    return false;
+  set_ready (w, t, false);
+  finish_task (w, t);
+  if (w->observer.done_late)
+    w->observer.done_late (w->observer.arg, t);
+  return true;
+}
+
 static void
 apply_end (struct workflow *w, const workflow_end *e, workflow_result *r)
 {
@@ -279,7 +295,8 @@
   struct workflow_run *run = t ? workflow_find_run (t, e->run) : NULL;
   if (!run)
     {
-      r->status = t ? STATUS_STALE_EPOCH : STATUS_NOT_FOUND;
+      if (!t || !take_late_end (w, t, e))
+        r->status = t ? STATUS_STALE_EPOCH : STATUS_NOT_FOUND;
       return;
     }
   if (e->checkpoint[0])
