--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -5,6 +5,9 @@
 
 #include "dispatcher_internal.h"
 
+#define MOSTLY_FREE                                                                                \
+  0.6 /* with half of a pool free no job may wait with nothing running; with margin */
+#define STARVED_MS 1500   /* of the 3 s that such a job may wait */
 #define EMPTY_FOREIGN 1.1 /* empty workers go last: tasks that fill disturb nobody there */
 #define MAX_PLACED 256    /* placements of one tick: bounds the time that a tick takes */
 #define MILLI 1000
@@ -23,6 +26,7 @@
   struct dispatch_worker **workers;
   struct spread_row *rows;
   size_t count;
+  bool mostly_free; /* tasks that do not fill declare less than MOSTLY_FREE of the processors */
 };
 
 static bool
@@ -133,6 +137,8 @@
 list_candidates (struct dispatcher *d, struct candidates *c)
 {
   struct dispatch_worker *w;
+  uint64_t declared = 0;
+  uint64_t total = 0;
   c->workers = xcalloc (d->workers.count + 1, sizeof (struct dispatch_worker *));
   c->rows = xcalloc (d->workers.count + 1, sizeof *c->rows);
   c->count = 0;
@@ -141,8 +147,11 @@
     if (!dispatch_usable (d, w))
       continue;
     fill_row (w, &c->rows[c->count]);
+    declared += w->lasting_millicores + w->short_millicores;
+    total += w->millicores;
     c->workers[c->count++] = w;
   }
+  c->mostly_free = (double)declared < MOSTLY_FREE * (double)total;
   return c->count > 0;
 }
 
@@ -184,12 +193,15 @@
 choose (struct dispatcher *d, const struct candidates *c, const struct waiting_task *t)
 {
   const workflow_step *s = workflow_step_of (t->task);
-  const struct spread_request q = { .millicores = s->millicores,
-                                    .memory_mb = s->memory_mb,
-                                    .accelerators = s->accelerators,
-                                    .max_per_worker = s->max_per_worker,
-                                    .fills = s->flags & WORKFLOW_STEP_FILL,
-                                    .lasts = s->flags & WORKFLOW_STEP_LASTING };
+  const struct spread_request q
+      = { .millicores = s->millicores,
+          .memory_mb = s->memory_mb,
+          .accelerators = s->accelerators,
+          .max_per_worker = s->max_per_worker,
+          .fills = s->flags & WORKFLOW_STEP_FILL,
+          .despite_harm = c->mostly_free && t->task->job->runs == 0
+                          && d->now_ms - t->task->job->seen_ms > STARVED_MS,
+          .lasts = s->flags & WORKFLOW_STEP_LASTING };
   for (size_t i = 0; i < c->count; i++)
     {
       const struct dispatch_worker *w = c->workers[i];
--- a/src/workflow/spread.c
+++ b/src/workflow/spread.c
@@ -31,8 +31,8 @@
     return false;
   if (!q->fills)
     return undeclared_millicores (r) >= q->millicores;
-  return r->tail <= SPREAD_CALM && r->harm <= 1
-         && unused_millicores (r) >= SPREAD_FILL_SHARE * q->millicores;
+  bool calm = r->tail <= SPREAD_CALM && r->harm <= 1;
+  return (calm || q->despite_harm) && unused_millicores (r) >= SPREAD_FILL_SHARE * q->millicores;
 }
 
 double
--- a/src/workflow/spread.h
+++ b/src/workflow/spread.h
@@ -43,6 +43,7 @@
   uint32_t max_per_worker; /* 0 is no limit */
   bool fills;
   bool lasts;
+  bool despite_harm; /* fills: waited long while most of the pool is free; pacing limits the harm */
 };
 
 bool spread_fits (const struct spread_row *r, const struct spread_request *q); /* Room there. */
--- a/tests/test_spread.c
+++ b/tests/test_spread.c
@@ -77,6 +77,20 @@
   assert_int_equal (spread_choose (rows, 2, &q), 0);
 }
 
+/* A job whose image disturbs everything must not wait for ever beside free workers.  */
+static void
+test_a_starved_job_runs_despite_harm (void **state)
+{
+  struct spread_row rows[] = { worker (4000, 0), worker (4000, 0) };
+  struct spread_request q = { .millicores = 2000, .memory_mb = 100, .fills = true };
+  (void)state;
+  rows[0].harm = 3;
+  rows[1].harm = 2;
+  assert_int_equal (spread_choose (rows, 2, &q), SPREAD_NONE);
+  q.despite_harm = true;
+  assert_int_equal (spread_choose (rows, 2, &q), 1);
+}
+
 static void
 test_limits_hold (void **state)
 {
@@ -102,6 +116,7 @@
           cmocka_unit_test (test_lasting_tasks_of_one_image_stay_together),
           cmocka_unit_test (test_fill_goes_where_it_does_no_harm),
           cmocka_unit_test (test_harmless_fill_leaves_the_empty_workers),
+          cmocka_unit_test (test_a_starved_job_runs_despite_harm),
           cmocka_unit_test (test_limits_hold) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
