Let two relay attempts fit into a control call

An attempt now takes 450 ms. Ruled out: avoiding a silent candidate (that came after its first attempt).

--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -19,8 +19,8 @@
 #define SILENT_MS                                                                                  \
   2800 /* no answer to holds for this long: no new tasks; an idle hold, a retry and the call's own \
           limit */
-#define RENEW_SILENT_MS                                                                            \
-  1500 /* leases are renewed this long after an answer: an idle hold and the call's own limit */
+/* Leases are renewed this long after an answer: an idle hold and the call's own limit.  */
+#define RENEW_SILENT_MS 1500
 #define LATE_ORDER_MS 15000    /* an order may be carried out 12 s late; with margin */
 #define LEASE_MARGIN_MS 300    /* rounding and delays of the worker's own timer */
 #define CLOCK_SLOWEST 0.98     /* a worker's clock may be 2% slow */
@@ -30,9 +30,9 @@
 #define FORGET_WORKER_MS 60000 /* a worker that left is remembered against late reports */
 #define AVOID_FIRST_MS 1000    /* after the second failure in a row; doubles */
 #define AVOID_LAST_MS 16000
-#define MIX_LAG_MS                                                                                 \
-  300.0            /* tails are averages over half a second: so is the mix they are matched with */
-#define MAX_MIX 16 /* fill-in images on one worker that are told apart */
+/* Tails are averages over half a second: so is the mix they are matched with.  */
+#define MIX_LAG_MS 300.0
+#define MAX_MIX 16         /* fill-in images on one worker that are told apart */
 #define MAX_SERVING 8      /* serving images on one worker that are told apart */
 #define CLOCK_SKEW_MS 4000 /* a report whose clock is this far behind the last answer is late */
 
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -5,8 +5,8 @@
 
 #include "dispatcher_internal.h"
 
-#define MOSTLY_FREE                                                                                \
-  0.6 /* with half of a pool free no job may wait with nothing running; with margin */
+/* With half of a pool free no job may wait with nothing running; with margin.  */
+#define MOSTLY_FREE 0.6
 #define STARVED_MS 1500   /* of the 3 s that such a job may wait */
 #define EMPTY_FOREIGN 1.1 /* empty workers go last: tasks that fill disturb nobody there */
 #define MAX_PLACED 256    /* placements of one tick: bounds the time that a tick takes */
--- a/src/workflow/leader_relay.c
+++ b/src/workflow/leader_relay.c
@@ -12,8 +12,8 @@
 #define CODE_REDIRECT 307
 #define CODE_MISDIRECTED 421
 #define CODE_GATEWAY_TIMEOUT 504
-#define LEAST_ATTEMPT_MS                                                                           \
-  30 /* an attempt needs one round trip between regions at least half of the time */
+/* An attempt needs one round trip between regions at least half of the time.  */
+#define LEAST_ATTEMPT_MS 30
 #define ANSWER_SLACK_MS 60 /* for the answer to reach the caller in time */
 #define MS_PER_S 1000.0
 #define URL_BYTES 2048
--- a/src/workflow/leader_relay.h
+++ b/src/workflow/leader_relay.h
@@ -25,10 +25,10 @@
 #include "seeded_group.h"
 
 #define RELAY_HEADER "Sassafras-Relayed" /* on relayed requests: answer 307 or 421, don't relay */
-#define RELAY_ATTEMPT_MS                                                                           \
-  1000                    /* a leader across regions answers in 150 ms; the rest is for its load */
-#define RELAY_PAUSE_MS 40 /* between attempts when nobody leads: an election takes about 1.5 s */
-#define RELAY_AVOID_MS 1500           /* a candidate that didn't answer */
+/* A leader across regions answers in 150 ms; two attempts fit into the second of a control call. */
+#define RELAY_ATTEMPT_MS 450
+#define RELAY_PAUSE_MS 40   /* between attempts when nobody leads: an election takes about 1.5 s */
+#define RELAY_AVOID_MS 1500 /* a candidate that didn't answer */
 #define RELAY_JOIN_PATH "/v1/join/"   /* and the IP of the VM that asks */
 #define RELAY_PROBE_PATH "/v1/leader" /* answered 200 by the leader */
 #define RELAY_MAX_CANDIDATES 32
--- a/src/workflow/seeded_group.c
+++ b/src/workflow/seeded_group.c
@@ -19,8 +19,8 @@
 #define ADDRESS_BYTES 32
 #define PATH_BYTES 4200
 #define PLAN_TEXT_BYTES 512
-#define JOIN_AFTER_MS                                                                              \
-  1000 /* without a leader: an election among members takes longer, but asking does no harm */
+/* Without a leader: an election among members takes longer, but asking does no harm.  */
+#define JOIN_AFTER_MS 1000
 #define JOINING_MS 1500    /* a VM that wants to join asks several times a second */
 #define MAX_FLUSH_ROUNDS 8 /* results of one flush often cause another proposal */
 
--- a/src/workflow/voter_plan.c
+++ b/src/workflow/voter_plan.c
@@ -1,7 +1,7 @@
 #include "voter_plan.h"
 
-#define ANSWERS_MS                                                                                 \
-  1900 /* the leader's own limit for a follower that answers: raft_timing.quorum_ms */
+/* The leader's own limit for a follower that answers: raft_timing.quorum_ms.  */
+#define ANSWERS_MS 1900
 
 static struct plan_member *
 find_spare (struct plan_member *members, size_t count)
--- a/src/workflow/voter_plan.h
+++ b/src/workflow/voter_plan.h
@@ -16,8 +16,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define VOTER_LOST_MS                                                                              \
-  900 /* beyond the 1.9 s after which a follower counts as silent: a successor has 4 s */
+/* Beyond the 1.9 s after which a follower counts as silent: a successor has 4 s.  */
+#define VOTER_LOST_MS 900
 #define LEARNER_LOST_MS 30000
 #define VOTER_MOST 5 /* two of five may be lost; more voters only make commits slower */
 
