--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -16,9 +16,9 @@
 #define HOLD_GAP_MS 30    /* ends that come within it share one look */
 #define HOLD_WAIT_MS 500  /* samples of tails come each half second */
 #define HOLD_RETRY_MS 200 /* after a hold without an answer */
-#define SILENT_MS                                                                                  \
-  2800 /* no answer to holds for this long: no new tasks; an idle hold, a retry and the call's own \
-          limit */
+/* No answer to holds for this long: no new tasks.  An idle hold, a retry and the limit of a call.
+ */
+#define SILENT_MS 2800
 /* Leases are renewed this long after an answer: an idle hold and the call's own limit.  */
 #define RENEW_SILENT_MS 1500
 #define LATE_ORDER_MS 15000    /* an order may be carried out 12 s late; with margin */
--- a/src/workflow/pacing.h
+++ b/src/workflow/pacing.h
@@ -17,9 +17,8 @@
 #define PACING_FULL 100 /* percent */
 #define PACING_HIGH 1.0 /* of the target: harm counts from there on, after four seconds */
 #define PACING_LOW 0.88 /* of the target: below it there is room for more */
-#define PACING_CUT_MS                                                                              \
-  700                      /* a cut shows in samples after 100 ms of delay and 500 ms of averaging \
-                            */
+/* A cut shows in samples after 100 ms of delay and 500 ms of averaging.  */
+#define PACING_CUT_MS 700
 #define PACING_GROW_MS 500 /* between two steps up */
 #define PACING_STEP 15     /* percent a step up */
 #define PACING_FLOOR 6     /* percent; a cut below it stops the work */
--- a/src/workflow/spread.c
+++ b/src/workflow/spread.c
@@ -5,9 +5,8 @@
 #define HARM_WEIGHT 2.0 /* a full allowance of harm against a worker without unused processors */
 #define FOREIGN_PENALTY 1e5 /* above any gap in millicores */
 #define EMPTY_COST 1.5 /* workers without lasting tasks are for images that disturb all others */
-#define FAR_PENALTY                                                                                \
-  1e6 /* data on another rack doubles the run time: any near worker goes first                     \
-       */
+/* Data on another rack doubles the run time: any near worker goes first.  */
+#define FAR_PENALTY 1e6
 
 static double
 unused_millicores (const struct spread_row *r)
--- a/src/workflow/workflow_service.c
+++ b/src/workflow/workflow_service.c
@@ -8,9 +8,8 @@
 #include "log.h"
 
 #define ROUND_EVERY_MS 300 /* quorum rounds while leading: three fit into the authority */
-#define AUTHORITY_MS                                                                               \
-  1100 /* no voter elects another leader this soon after a round began: 1.3 s                      \
-        */
+/* No voter elects another leader this soon after a round began: 1.3 s, less a margin.  */
+#define AUTHORITY_MS 1100
 #define AUTHORITY_MARGIN_MS 100 /* timers of voters and of this VM run late */
 
 static struct histogram change_times
--- a/tests/path_platform.sh
+++ b/tests/path_platform.sh
@@ -32,7 +32,7 @@
 pids+=($!)
 disown
 for i in 1 2 3 4; do
-  "$build/called_worker_standin" "w$i" "$net.$((20 + i)):8080" pool "z$((i % 3 + 1))" \
+  "$build/called_worker" "w$i" "$net.$((20 + i)):8080" pool "z$((i % 3 + 1))" \
     $net.1:8166 $net.2:8166 $net.3:8166 >"$folder/worker-$i.log" 2>&1 &
   pids+=($!)
   disown
