Remember in a tick which demands found no room; look a job's queue up once a configuration

Cause: each of thousands of waiting tasks was tried on each worker, and its queue found by name among all queues, 50 times a second. Sanitizer build: a buffer of test_seeded_group was too short for the compiler's bound.

--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -9,6 +9,7 @@
 #define MOSTLY_FREE 0.6
 #define STARVED_MS 1500   /* of the 3 s that such a job may wait */
 #define EMPTY_FOREIGN 1.1 /* empty workers go last: tasks that fill disturb nobody there */
+#define MAX_NO_ROOM 64    /* images times a few sizes */
 #define MAX_PLACED 256    /* placements of one tick: bounds the time that a tick takes */
 #define MILLI 1000
 #define LATE_FACTOR 3 /* a job earns nothing after this many objectives */
@@ -102,7 +103,7 @@
       t->job->seen_ms = d->now_ms;
     if (t->placing || d->now_ms < t->retry_ms || !is_due (t, wall_ms))
       continue;
-    const workflow_queue *q = workflow_find_queue (w, t->job->spec.queue);
+    const workflow_queue *q = workflow_queue_of (w, t->job);
     if (!q || q->needs_advice)
       continue;
     if (n == capacity)
@@ -236,12 +237,39 @@
   r->token = dispatch_send (d, &c);
 }
 
-/* Equal tasks find no room either once one of them has found none.  */
+/* Demands that found no room in this tick.  Load pattern: thousands of waiting tasks of a few
+   images, beside hundreds of workers; looking at every worker for each of them takes longer than a
+   tick.  */
+struct no_room
+{
+  const struct waiting_task *tasks[MAX_NO_ROOM];
+  size_t count;
+  bool mostly_free; /* a job with nothing running is looked at by itself */
+};
+
+/* A task finds no room where one of the same image that needs no more has found none.  */
+static bool
+needs_no_less (const struct waiting_task *a, const struct waiting_task *b, bool mostly_free)
+{
+  const workflow_step *x = workflow_step_of (a->task);
+  const workflow_step *y = workflow_step_of (b->task);
+  bool simple
+      = x->max_per_worker == 0 && !x->data_rack[0] && (!mostly_free || a->task->job->runs > 0);
+  if (a->task->job == b->task->job && x == y && a->task->occurrence == b->task->occurrence)
+    return true;
+  return simple && x->flags == y->flags && x->millicores >= y->millicores
+         && x->memory_mb >= y->memory_mb && x->accelerators >= y->accelerators
+         && strcmp (x->image, y->image) == 0 && strcmp (x->required_label, y->required_label) == 0
+         && strcmp (a->queue->pool, b->queue->pool) == 0;
+}
+
 static bool
-same_demand (const struct waiting_task *a, const struct waiting_task *b)
+found_no_room (const struct no_room *n, const struct waiting_task *w)
 {
-  return a->task->job == b->task->job && a->task->step == b->task->step
-         && a->task->occurrence == b->task->occurrence;
+  for (size_t i = n->count; i > 0; i--)
+    if (needs_no_less (w, n->tasks[i - 1], n->mostly_free))
+      return true;
+  return false;
 }
 
 static void
@@ -259,13 +287,15 @@
   struct candidates c;
   size_t n = list_waiting (d, wall_ms, &waiting);
   size_t placed = 0;
-  const struct waiting_task *no_room = NULL;
+  struct no_room no_room = { .count = 0 };
   d->stats.waiting = (uint32_t)n;
   d->stats.waiting_fill = 0;
-  if (n > 0 && list_candidates (d, &c))
+  bool some = n > 0 && list_candidates (d, &c);
+  no_room.mostly_free = some && c.mostly_free;
+  if (some)
     for (size_t i = 0; i < n && placed < MAX_PLACED; i++)
       {
-        if (no_room && same_demand (no_room, &waiting[i]))
+        if (found_no_room (&no_room, &waiting[i]))
           {
             note_waiting (d, &waiting[i]);
             continue;
@@ -273,7 +303,8 @@
         size_t row = choose (d, &c, &waiting[i]);
         if (row == SPREAD_NONE)
           {
-            no_room = &waiting[i];
+            if (no_room.count < MAX_NO_ROOM)
+              no_room.tasks[no_room.count++] = &waiting[i];
             note_waiting (d, &waiting[i]);
             continue;
           }
--- a/src/workflow/workflow.c
+++ b/src/workflow/workflow.c
@@ -28,6 +28,17 @@
   return NULL;
 }
 
+const workflow_queue *
+workflow_queue_of (const struct workflow *w, struct workflow_job *j)
+{
+  if (j->queue_revision != w->configuration.revision)
+    {
+      j->queue = workflow_find_queue (w, j->spec.queue);
+      j->queue_revision = w->configuration.revision;
+    }
+  return j->queue;
+}
+
 const workflow_queue *
 workflow_match_queue (const struct workflow *w, const char *host, const char *path)
 {
--- a/src/workflow/workflow.h
+++ b/src/workflow/workflow.h
@@ -103,7 +103,9 @@
   uint32_t started;              /* runs placed, less those that never started */
   uint32_t runs;                 /* runs without an end */
   struct workflow_stage *stages; /* [occurrence * steps + step] */
-  int64_t seen_ms;               /* the leader's: when it first saw the job */
+  const workflow_queue *queue;   /* as of QUEUE_REVISION; use workflow_queue_of */
+  uint64_t queue_revision;
+  int64_t seen_ms;     /* the leader's: when it first saw the job */
   int64_t ended_ms;    /* the leader's: when it first saw that the job had ended; 0 while open */
   uint64_t chain_ms;   /* longest chain of estimates, from the spec */
   uint32_t *remain_ms; /* longest chain from each step to the end of the job, that step included */
@@ -144,6 +146,8 @@
 struct workflow_job *workflow_find_job (const struct workflow *w, uint64_t id); /* Or NULL. */
 const workflow_queue *workflow_find_queue (const struct workflow *w,
                                            const char *name); /* By name, or NULL. */
+const workflow_queue *workflow_queue_of (const struct workflow *w,
+                                         struct workflow_job *j); /* Looked up once a revision. */
 const workflow_queue *
 workflow_match_queue (const struct workflow *w, const char *host,
                       const char *path); /* Longest prefix of PATH at HOST, or NULL. */
--- a/src/workflow/workflow_apply.c
+++ b/src/workflow/workflow_apply.c
@@ -241,9 +241,9 @@
 }
 
 static uint32_t
-attempts_of (const struct workflow *w, const struct workflow_job *j)
+attempts_of (const struct workflow *w, struct workflow_job *j)
 {
-  const workflow_queue *q = workflow_find_queue (w, j->spec.queue);
+  const workflow_queue *q = workflow_queue_of (w, j);
   return q && q->max_attempts > 0 ? q->max_attempts : 1;
 }
 
--- a/tests/test_seeded_group.c
+++ b/tests/test_seeded_group.c
@@ -23,7 +23,7 @@
 {
   struct workflow workflow;
   struct seeded_group *group;
-  char ip[SEEDED_GROUP_IP_BYTES];
+  char ip[32];
   char folder[80];
 };
 
