Keep the image ids of the harm model with runs and workers

Cause: each look at a worker compared image names of all its runs; at 350 workers that took most of the leader's processor.

--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -42,6 +42,10 @@
   else if (s->flags & WORKFLOW_STEP_LASTING)
     cores = &w->lasting_millicores;
   *cores += (uint32_t)sign * s->millicores;
+  if (r->image >= 0 && (s->flags & WORKFLOW_STEP_FILL))
+    w->filling_of[r->image] += (uint32_t)sign * s->millicores;
+  else if (r->image >= 0)
+    w->serving_of[r->image] = (uint16_t)(w->serving_of[r->image] + sign);
   w->used_memory_mb += (uint32_t)sign * s->memory_mb;
   w->used_accelerators += (uint32_t)sign * s->accelerators;
 }
@@ -56,6 +60,7 @@
   r->number = number;
   r->sent_ms = d->now_ms;
   r->paced = PACING_FULL;
+  r->image = dispatch_image (d, workflow_step_of (t));
   TAILQ_INSERT_TAIL (&w->runs, r, link);
   add_room (r, 1);
   return r;
@@ -345,7 +350,7 @@
   const workflow_step *s = workflow_step_of (r->task);
   if (!(s->flags & WORKFLOW_STEP_FILL) || w->pacing.percent == PACING_FULL)
     return PACING_FULL;
-  if (w->pacing.percent >= PACE_ALL_BELOW && !dispatch_is_harmful (d, w, s))
+  if (w->pacing.percent >= PACE_ALL_BELOW && !dispatch_is_harmful (d, w, r->image))
     return PACING_FULL;
   return w->pacing.percent;
 }
--- a/src/workflow/dispatcher_harm.c
+++ b/src/workflow/dispatcher_harm.c
@@ -14,11 +14,13 @@
   return workflow_step_of (r->task)->flags & WORKFLOW_STEP_FILL;
 }
 
-static bool
-serves (const struct dispatch_run *r)
+int
+dispatch_image (struct dispatcher *d, const workflow_step *s)
 {
-  const workflow_step *s = workflow_step_of (r->task);
-  return (s->flags & WORKFLOW_STEP_LASTING) && s->target_ms > 0;
+  if (s->flags & WORKFLOW_STEP_FILL)
+    return harm_model_filling (d->harm, s->image);
+  bool serves = (s->flags & WORKFLOW_STEP_LASTING) && s->target_ms > 0;
+  return serves ? harm_model_serving (d->harm, s->image) : -1;
 }
 
 static void
@@ -34,30 +36,39 @@
     mix[(*count)++] = (struct harm_share){ .filling = filling, .share = share };
 }
 
-/* What fills on W now; PACED counts it at its present pace.  */
+/* What fills on W at its present pace.  */
 static size_t
-present_mix (struct dispatcher *d, const struct dispatch_worker *w, bool paced,
-             struct harm_share *mix)
+paced_mix (const struct dispatch_worker *w, struct harm_share *mix)
 {
   const struct dispatch_run *r;
   size_t count = 0;
   TAILQ_FOREACH (r, &w->runs, link)
   {
-    if (!fills (r) || w->millicores == 0 || (paced && r->state != DISPATCH_RUNNING))
+    if (!fills (r) || w->millicores == 0 || r->state != DISPATCH_RUNNING)
       continue;
-    const workflow_step *s = workflow_step_of (r->task);
-    double share = (double)s->millicores / w->millicores;
-    add_share (mix, &count, harm_model_filling (d->harm, s->image),
-               paced ? share * r->paced / PACING_FULL : share);
+    double share = (double)workflow_step_of (r->task)->millicores / w->millicores;
+    add_share (mix, &count, r->image, share * r->paced / PACING_FULL);
   }
   return count;
 }
 
+/* What fills on W, or was placed there, at full pace; with room for one more.  */
+static size_t
+present_mix (const struct dispatch_worker *w, struct harm_share *mix)
+{
+  size_t count = 0;
+  for (int i = 0; i < HARM_IMAGES && count < MAX_MIX && w->millicores > 0; i++)
+    if (w->filling_of[i] > 0)
+      mix[count++]
+          = (struct harm_share){ .filling = i, .share = (double)w->filling_of[i] / w->millicores };
+  return count;
+}
+
 void
 dispatch_note_mix (struct dispatcher *d, struct dispatch_worker *w)
 {
   struct harm_share now[MAX_MIX];
-  size_t count = present_mix (d, w, true, now);
+  size_t count = paced_mix (w, now);
   double keep = exp (-(double)(d->now_ms - w->mix_ms) / MIX_LAG_MS);
   size_t kept = 0;
   for (size_t i = 0; i < w->mix_count; i++)
@@ -75,66 +86,42 @@
 void
 dispatch_learn_tail (struct dispatcher *d, struct dispatch_worker *w, const struct dispatch_run *r)
 {
-  const workflow_step *s = workflow_step_of (r->task);
-  if (!serves (r) || r->measure == 0)
+  if (fills (r) || r->image < 0 || r->measure == 0)
     return;
-  harm_model_learn (d->harm, harm_model_serving (d->harm, s->image), w->mix, w->mix_count,
-                    (double)s->target_ms / r->measure);
-}
-
-/* Ids of the images that serve on W, each once.  */
-static size_t
-list_serving (struct dispatcher *d, const struct dispatch_worker *w, int serving[MAX_SERVING])
-{
-  const struct dispatch_run *r;
-  size_t count = 0;
-  TAILQ_FOREACH (r, &w->runs, link)
-  {
-    size_t i = 0;
-    if (!serves (r))
-      continue;
-    int id = harm_model_serving (d->harm, workflow_step_of (r->task)->image);
-    while (i < count && serving[i] != id)
-      i++;
-    if (i == count && count < MAX_SERVING)
-      serving[count++] = id;
-  }
-  return count;
+  harm_model_learn (d->harm, r->image, w->mix, w->mix_count,
+                    (double)workflow_step_of (r->task)->target_ms / r->measure);
 }
 
 double
-dispatch_harm_after (struct dispatcher *d, const struct dispatch_worker *w, const workflow_step *s)
+dispatch_harm_after (struct dispatcher *d, const struct dispatch_worker *w, int filling,
+                     uint32_t millicores)
 {
   struct harm_share mix[MAX_MIX + 1];
-  int serving[MAX_SERVING];
   double worst = 0;
-  size_t n = list_serving (d, w, serving);
-  if (n == 0 || w->millicores == 0)
+  size_t count = present_mix (w, mix);
+  if (w->millicores == 0)
     return 0;
-  size_t count = present_mix (d, w, false, mix);
-  mix[count++] = (struct harm_share){ .filling = harm_model_filling (d->harm, s->image),
-                                      .share = (double)s->millicores / w->millicores };
-  for (size_t i = 0; i < n; i++)
-    worst = fmax (worst, harm_model_loss (d->harm, serving[i], mix, count)
-                             / harm_model_allowed (d->harm, serving[i]));
+  mix[count++]
+      = (struct harm_share){ .filling = filling, .share = (double)millicores / w->millicores };
+  for (int i = 0; i < HARM_IMAGES; i++)
+    if (w->serving_of[i] > 0)
+      worst = fmax (worst,
+                    harm_model_loss (d->harm, i, mix, count) / harm_model_allowed (d->harm, i));
   return worst;
 }
 
 bool
-dispatch_is_harmful (struct dispatcher *d, const struct dispatch_worker *w, const workflow_step *s)
+dispatch_is_harmful (struct dispatcher *d, const struct dispatch_worker *w, int filling)
 {
-  int serving[MAX_SERVING];
-  struct harm_share mix[MAX_MIX];
-  int filling = harm_model_filling (d->harm, s->image);
-  size_t n = list_serving (d, w, serving);
-  size_t count = present_mix (d, w, false, mix);
-  for (size_t i = 0; i < n; i++)
+  for (int i = 0; i < HARM_IMAGES; i++)
     {
-      double own = harm_model_coefficient (d->harm, serving[i], filling);
       double most = 0;
-      for (size_t k = 0; k < count; k++)
-        most = fmax (most, harm_model_coefficient (d->harm, serving[i], mix[k].filling));
-      if (own >= HARMFUL_PART * most)
+      if (w->serving_of[i] == 0)
+        continue;
+      for (int k = 0; k < HARM_IMAGES; k++)
+        if (w->filling_of[k] > 0)
+          most = fmax (most, harm_model_coefficient (d->harm, i, k));
+      if (harm_model_coefficient (d->harm, i, filling) >= HARMFUL_PART * most)
         return true;
     }
   return false;
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -33,7 +33,6 @@
 /* Tails are averages over half a second: so is the mix they are matched with.  */
 #define MIX_LAG_MS 300.0
 #define MAX_MIX 16         /* fill-in images on one worker that are told apart */
-#define MAX_SERVING 8      /* serving images on one worker that are told apart */
 #define CLOCK_SKEW_MS 4000 /* a report whose clock is this far behind the last answer is late */
 
 enum dispatch_state
@@ -68,6 +67,7 @@
   uint32_t paced;       /* percent that the worker has acknowledged */
   bool pace_open;
   uint32_t measure;
+  int image;        /* id of what fills or serves, in the harm model; -1: neither */
   char *checkpoint; /* latest that the worker listed; NULL is none */
 };
 
@@ -127,7 +127,9 @@
   int64_t no_room_until_ms;
   int64_t avoid_until_ms;
   struct pacing pacing;
-  struct harm_share mix[MAX_MIX]; /* what filled lately, smoothed */
+  uint32_t filling_of[HARM_IMAGES]; /* millicores by fill-in image */
+  uint16_t serving_of[HARM_IMAGES]; /* tasks by serving image */
+  struct harm_share mix[MAX_MIX];   /* what filled lately, smoothed */
   size_t mix_count;
   int64_t mix_ms; /* time of the last change of MIX */
 };
@@ -183,10 +185,12 @@
                         struct dispatch_worker *w); /* Before samples are learned. */
 void dispatch_learn_tail (struct dispatcher *d, struct dispatch_worker *w,
                           const struct dispatch_run *r); /* A lasting run's new measure. */
-double dispatch_harm_after (struct dispatcher *d, const struct dispatch_worker *w,
-                            const workflow_step *s); /* Predicted loss over what is allowed. */
+int dispatch_image (struct dispatcher *d,
+                    const workflow_step *s); /* Id in the harm model, or -1. */
+double dispatch_harm_after (struct dispatcher *d, const struct dispatch_worker *w, int filling,
+                            uint32_t millicores); /* Predicted loss over what is allowed. */
 bool dispatch_is_harmful (struct dispatcher *d, const struct dispatch_worker *w,
-                          const workflow_step *s); /* A fill-in step to be paced there. */
+                          int filling); /* A fill-in image to be paced there. */
 
 /* dispatcher_place.c */
 void dispatch_place_tasks (struct dispatcher *d, int64_t wall_ms);
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -203,6 +203,7 @@
           .despite_harm = c->mostly_free && t->task->job->runs == 0
                           && d->now_ms - t->task->job->seen_ms > STARVED_MS,
           .lasts = s->flags & WORKFLOW_STEP_LASTING };
+  int image = dispatch_image (d, s);
   for (size_t i = 0; i < c->count; i++)
     {
       const struct dispatch_worker *w = c->workers[i];
@@ -213,7 +214,7 @@
       if (q.lasts && row->usable)
         row->foreign = foreign_part (w, s->image);
       if (q.fills && row->usable)
-        row->harm = dispatch_harm_after (d, w, s);
+        row->harm = dispatch_harm_after (d, w, image, s->millicores);
       if (s->max_per_worker > 0 && row->usable)
         row->same_step = count_same_step (w, t->task);
     }
