--- a/src/workflow/dispatcher.h
+++ b/src/workflow/dispatcher.h
@@ -104,7 +104,7 @@
 
 void dispatcher_tick (struct dispatcher *d, int64_t now_ms, int64_t wall_ms); /* Time passes. */
 bool dispatcher_can_ever_fit (const struct dispatcher *d, const workflow_spec *spec,
-                              const char *pool); /* False: no worker that is known could. */
+                              const char *pool); /* False: no worker of POOL could. */
 void dispatcher_stats (const struct dispatcher *d, struct dispatcher_stats *out);
 
 #endif
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -7,10 +7,11 @@
 
 /* With half of a pool free no job may wait with nothing running; with margin.  */
 #define MOSTLY_FREE 0.6
-#define STARVED_MS 1500   /* of the 3 s that such a job may wait */
-#define EMPTY_FOREIGN 1.1 /* empty workers go last: tasks that fill disturb nobody there */
-#define MAX_NO_ROOM 64    /* images times a few sizes */
-#define MAX_PLACED 256    /* placements of one tick: bounds the time that a tick takes */
+#define STARVED_MS 1500       /* of the 3 s that such a job may wait */
+#define EMPTY_FOREIGN 1.1     /* empty workers go last: tasks that fill disturb nobody there */
+#define KNOWS_WORKERS_MS 5000 /* of leadership: three heartbeats of every worker */
+#define MAX_NO_ROOM 64        /* images times a few sizes */
+#define MAX_PLACED 256        /* placements of one tick: bounds the time that a tick takes */
 #define MILLI 1000
 #define LATE_FACTOR 3 /* a job earns nothing after this many objectives */
 
@@ -348,20 +349,31 @@
   d->config.link->ops->start (d->config.link, &order);
 }
 
+static bool
+could_hold (const struct dispatch_worker *w, const workflow_step *s)
+{
+  return w->millicores >= s->millicores && w->memory_mb >= s->memory_mb
+         && w->accelerators >= s->accelerators
+         && (!s->required_label[0] || has_label (w, s->required_label));
+}
+
 bool
 dispatcher_can_ever_fit (const struct dispatcher *d, const workflow_spec *spec, const char *pool)
 {
   const struct dispatch_worker *w;
+  if (d->now_ms - d->lead_ms < KNOWS_WORKERS_MS)
+    return true;
   for (u_int i = 0; i < spec->steps.steps_len; i++)
     {
-      const workflow_step *s = &spec->steps.steps_val[i];
+      size_t known = 0;
       bool fits = false;
       TAILQ_FOREACH (w, &d->worker_list, link)
-      fits = fits
-             || (w->address && strcmp (w->pool, pool) == 0 && w->millicores >= s->millicores
-                 && w->memory_mb >= s->memory_mb && w->accelerators >= s->accelerators
-                 && (!s->required_label[0] || has_label (w, s->required_label)));
-      if (!fits)
+      {
+        bool counts = w->address && !w->gone && strcmp (w->pool, pool) == 0;
+        known += counts;
+        fits = fits || (counts && could_hold (w, &spec->steps.steps_val[i]));
+      }
+      if (known > 0 && !fits)
         return false;
     }
   return true;
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -397,6 +397,26 @@
   assert_int_equal (f->starts[16].task.job, 4);
 }
 
+/* A job that no worker could hold would wait until its deadline; after a change of leader not all
+   workers are known, and nothing may be refused for that.  */
+static void
+test_a_job_that_fits_nowhere_is_known (void **state)
+{
+  struct fixture *f = *state;
+  workflow_step step = { .count = 1, .millicores = 17000, .required_label = "" };
+  workflow_spec spec = { .steps = { 1, &step } };
+  fixture_join (f, "w1", "10.0.0.1:1");
+  assert_true (dispatcher_can_ever_fit (f->dispatcher, &spec, "pool"));
+  f->now_ms += 6000;
+  fixture_tick (f, 20);
+  assert_false (dispatcher_can_ever_fit (f->dispatcher, &spec, "pool"));
+  assert_true (dispatcher_can_ever_fit (f->dispatcher, &spec, "other"));
+  step.millicores = 16000;
+  assert_true (dispatcher_can_ever_fit (f->dispatcher, &spec, "pool"));
+  step.required_label = "none";
+  assert_false (dispatcher_can_ever_fit (f->dispatcher, &spec, "pool"));
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown (name, fixture_open, fixture_close)
 
 int
@@ -418,6 +438,7 @@
           TEST (test_a_cancelled_job_is_stopped_until_acknowledged),
           TEST (test_without_authority_nothing_is_ordered),
           TEST (test_a_stranger_is_stopped),
+          TEST (test_a_job_that_fits_nowhere_is_known),
           TEST (test_short_tasks_go_before_lasting_ones),
           TEST (test_a_job_fails_after_its_attempts) };
   return cmocka_run_group_tests (tests, NULL, NULL);
