--- a/src/sassafras.h
+++ b/src/sassafras.h
@@ -7,6 +7,7 @@
 /* Base.  */
 #include "buffer.h"      /* growable byte string */
 #include "clock.h"       /* real and manual clock, milliseconds */
+#include "incarnation.h" /* a number that grows with every start */
 #include "counters.h"    /* counters, histograms, Prometheus text */
 #include "json_check.h"  /* files that people edit, every fault reported */
 #include "json_fields.h" /* fields of a JSON object, the first fault named */
@@ -41,6 +42,18 @@
 #include "scheduler.h"      /* pure: what runs where */
 #include "worker_health.h"  /* pure: bad workers and bad jobs */
 
+/* Workflow: jobs with steps on called workers.  */
+#include "dispatcher.h"       /* pure: what runs where, leases, settled orders */
+#include "harm_model.h"       /* pure: how fill-in images slow serving ones */
+#include "leader_relay.h"     /* requests to the leader */
+#include "pacing.h"           /* pure: share of fill-in work on a worker */
+#include "seeded_group.h"     /* a group that bootstraps from seeds */
+#include "spread.h"           /* pure: which worker */
+#include "voter_plan.h"       /* pure: which members vote */
+#include "worker_link.h"      /* interface: orders to workers */
+#include "workflow.h"         /* pure: state machine */
+#include "workflow_service.h" /* the group at work */
+
 /* Requests of callers.  */
 #include "admission.h"    /* pure: bounded queue */
 #include "intent_log.h"   /* intents over the replicated log */
