--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -141,7 +141,6 @@
   run->dispatch = r;
   r->run = run;
   r->token = 0;
-  d->stats.placed++;
   dispatch_start (d, r);
 }
 
@@ -335,7 +334,6 @@
           .task = workflow_ref (r->task),
           .run = r->number };
   r->stop_open = true;
-  d->stats.stops++;
   log_event (LOG_INFO, "stop-sent", "job=%016" PRIx64 " step=%u task=%u run=%u worker=%s",
              r->task->job->spec.id, r->task->step, r->task->index, r->number, w->id);
   d->config.link->ops->stop (d->config.link, &order);
@@ -365,7 +363,6 @@
           .run = r->number,
           .percent = wanted_pace (d, r) };
   r->pace_open = true;
-  d->stats.paces++;
   d->config.link->ops->pace (d->config.link, &order);
 }
 
@@ -430,7 +427,7 @@
   log_event (LOG_INFO, "load",
              "usable=%u held_back=%u waiting=%u waiting_fill=%" PRIu64 " fill=%" PRIu64
              " fill_paced=%" PRIu64 " fill_used=%" PRIu64,
-             usable, held, d->stats.waiting, d->stats.waiting_fill, fill, paced, used);
+             usable, held, d->waiting, d->waiting_fill, fill, paced, used);
 }
 
 void
@@ -453,19 +450,3 @@
   prune (d);
   log_load (d);
 }
-
-void
-dispatcher_stats (const struct dispatcher *d, struct dispatcher_stats *out)
-{
-  const struct dispatch_worker *w;
-  const struct dispatch_run *r;
-  *out = d->stats;
-  out->workers = 0;
-  out->running = 0;
-  TAILQ_FOREACH (w, &d->worker_list, link)
-  {
-    out->workers += dispatch_usable (d, w);
-    TAILQ_FOREACH (r, &w->runs, link)
-    out->running += r->state == DISPATCH_RUNNING;
-  }
-}
--- a/src/workflow/dispatcher.h
+++ b/src/workflow/dispatcher.h
@@ -50,24 +50,8 @@
   struct worker_link *link;
   dispatcher_propose *propose;
   void *propose_arg;
-  int64_t lease_ms;      /* longest lease that workers accept */
-  int64_t status_ms;     /* ended jobs stay known this long */
-  int64_t stop_grace_ms; /* a stop takes at most this long */
-};
-
-struct dispatcher_stats
-{
-  uint64_t placed;
-  uint64_t started;
-  uint64_t not_started;
-  uint64_t uncertain;
-  uint64_t lapsed;
-  uint64_t stops;
-  uint64_t paces;
-  uint64_t waiting_fill; /* millicores of waiting tasks that fill */
-  uint32_t workers;      /* usable now */
-  uint32_t waiting;      /* tasks that could run now and have no worker */
-  uint32_t running;
+  int64_t lease_ms;  /* longest lease that workers accept */
+  int64_t status_ms; /* ended jobs stay known this long */
 };
 
 struct dispatcher *dispatcher_new (const struct dispatcher_config *config); /* Not leading. */
@@ -105,6 +89,5 @@
 void dispatcher_tick (struct dispatcher *d, int64_t now_ms, int64_t wall_ms); /* Time passes. */
 bool dispatcher_can_ever_fit (const struct dispatcher *d, const workflow_spec *spec,
                               const char *pool); /* False: no worker of POOL could. */
-void dispatcher_stats (const struct dispatcher *d, struct dispatcher_stats *out);
 
 #endif
--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -30,13 +30,11 @@
   r->state = DISPATCH_UNCERTAIN;
   r->settled = ++d->mark;
   r->worker->hold_now = true;
-  d->stats.uncertain++;
 }
 
 static void
 note_not_started (struct dispatcher *d, struct dispatch_run *r, enum worker_call_result result)
 {
-  d->stats.not_started++;
   r->task->retry_ms = d->now_ms + TASK_RETRY_MS;
   if (result == WORKER_CALL_NO_ROOM || result == WORKER_CALL_REFUSED)
     r->worker->no_room_until_ms = d->now_ms + NO_ROOM_MS;
@@ -58,7 +56,6 @@
   switch (result)
     {
     case WORKER_CALL_OK:
-      d->stats.started++;
       note_running (d, r);
       break;
     case WORKER_CALL_UNKNOWN:
@@ -123,7 +120,6 @@
           .run = h->run };
   log_event (LOG_WARN, "stranger-stopped", "job=%016" PRIx64 " step=%u task=%u run=%u worker=%s",
              h->task.job, h->task.step, h->task.index, h->run, w->id);
-  d->stats.stops++;
   d->config.link->ops->stop (d->config.link, &order);
 }
 
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -19,7 +19,7 @@
 /* No answer to holds for this long: no new tasks.  An idle hold, a retry and the limit of a call.
  */
 #define SILENT_MS 2800
-/* Leases are renewed this long after an answer: an idle hold and the call's own limit.  */
+/* Leases are renewed this long after an answer: an idle hold and a margin.  */
 #define RENEW_SILENT_MS 1500
 #define LATE_ORDER_MS 15000    /* an order may be carried out 12 s late; with margin */
 #define LEASE_MARGIN_MS 300    /* rounding and delays of the worker's own timer */
@@ -151,8 +151,9 @@
   uint64_t prune_token; /* of the open PRUNE; 0 is none */
   int64_t load_next_ms;
   struct harm_model *harm;
-  double fill_slowness; /* run time of tasks that fill over their estimate, smoothed */
-  struct dispatcher_stats stats;
+  double fill_slowness;  /* run time of tasks that fill over their estimate, smoothed */
+  uint64_t waiting_fill; /* millicores of waiting tasks that fill */
+  uint32_t waiting;      /* tasks that could run now and have no worker */
 };
 
 /* dispatcher.c */
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -279,7 +279,7 @@
 {
   const workflow_step *s = workflow_step_of (w->task);
   if (s->flags & WORKFLOW_STEP_FILL)
-    d->stats.waiting_fill += s->millicores;
+    d->waiting_fill += s->millicores;
 }
 
 void
@@ -290,8 +290,8 @@
   size_t n = list_waiting (d, wall_ms, &waiting);
   size_t placed = 0;
   struct no_room no_room = { .count = 0 };
-  d->stats.waiting = (uint32_t)n;
-  d->stats.waiting_fill = 0;
+  d->waiting = (uint32_t)n;
+  d->waiting_fill = 0;
   bool some = n > 0 && list_candidates (d, &c);
   no_room.mostly_free = some && c.mostly_free;
   if (some)
@@ -313,7 +313,7 @@
         propose_place (d, c.workers[row], waiting[i].task);
         fill_row (c.workers[row], &c.rows[row]);
         placed++;
-        d->stats.waiting--;
+        d->waiting--;
       }
   if (n > 0)
     {
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -298,7 +298,6 @@
         = r->state == DISPATCH_UNCERTAIN && d->now_ms - r->sent_ms < LATE_ORDER_MS && !r->inherited;
     if ((r->state != DISPATCH_RUNNING && r->state != DISPATCH_UNCERTAIN) || late)
       continue;
-    d->stats.lapsed++;
     dispatch_end (d, r, WORKFLOW_LAPSED, NULL, "the worker is silent and its lease is over");
   }
 }
--- a/src/workflow/workflow.h
+++ b/src/workflow/workflow.h
@@ -123,7 +123,6 @@
   void (*done_late) (void *arg, struct workflow_task *t);
   /* The job is no longer open, or is about to be freed when pruned.  */
   void (*job_ended) (void *arg, struct workflow_job *job);
-  void (*configured) (void *arg);
   void *arg;
 };
 
--- a/src/workflow/workflow_apply.c
+++ b/src/workflow/workflow_apply.c
@@ -135,8 +135,6 @@
   xdr_free ((xdrproc_t)xdr_workflow_configuration, (char *)&w->configuration);
   w->configuration = *c;
   memset (c, 0, sizeof *c);
-  if (w->observer.configured)
-    w->observer.configured (w->observer.arg);
 }
 
 void
--- a/src/workflow/workflow_service.c
+++ b/src/workflow/workflow_service.c
@@ -107,8 +107,7 @@
                                                 .propose = propose,
                                                 .propose_arg = s,
                                                 .lease_ms = config->lease_ms,
-                                                .status_ms = config->status_ms,
-                                                .stop_grace_ms = config->stop_grace_ms };
+                                                .status_ms = config->status_ms };
   s->dispatcher = dispatcher_new (&dispatcher);
   return s;
 }
--- a/src/workflow/workflow_service.h
+++ b/src/workflow/workflow_service.h
@@ -26,7 +26,6 @@
   struct worker_link *link;
   int64_t lease_ms; /* see dispatcher_config */
   int64_t status_ms;
-  int64_t stop_grace_ms;
 };
 
 /* KNOWN: the job of a submission was known before.  */
--- a/tests/workflow_fixture.h
+++ b/tests/workflow_fixture.h
@@ -316,8 +316,7 @@
                                             .propose = fixture_propose,
                                             .propose_arg = f,
                                             .lease_ms = FIXTURE_LEASE_MS,
-                                            .status_ms = 120000,
-                                            .stop_grace_ms = 400 };
+                                            .status_ms = 120000 };
   f->dispatcher = dispatcher_new (&config);
   dispatcher_lead (f->dispatcher, f->now_ms, 7);
   dispatcher_authority (f->dispatcher, f->now_ms + 1000);
