End the runner stand-in once its last answer is written

The stand-in checked whether it may end only when its linger time was over and when a connection closed. With a request in service at the end of the linger time and no connection closed afterwards (the proxies keep theirs open), it ran on. In path_stop a connection of the stopping VM usually closes last; when it closed some milliseconds before the last answer of another VM, nothing ended the stand-in.

Ruled out: the daemon.

Test: tests/path_standin_stop.sh holds a connection open. Before: 'still runs 5 s after its last answer'. An answer that is still being written now also holds the end back.

--- a/standins/runner.c
+++ b/standins/runner.c
@@ -70,6 +70,7 @@
   const char *mode;
   unsigned in_service;
   unsigned waiting;
+  unsigned busy; /* connections whose request is being executed or answered */
   unsigned long executed;
   unsigned open;
   bool departing;
@@ -111,10 +112,22 @@
 static void
 check_exit (struct standin *s)
 {
-  if (s->departing && s->lingered && s->in_service + s->waiting == 0)
+  if (s->departing && s->lingered && s->busy == 0)
     ev_break (s->loop, EVBREAK_ALL);
 }
 
+static void
+set_busy (struct conn *c, bool busy)
+{
+  if (c->busy == busy)
+    return;
+  c->busy = busy;
+  if (busy)
+    c->s->busy++;
+  else
+    c->s->busy--;
+}
+
 static void start_waiting (struct standin *s);
 
 static void
@@ -143,6 +156,7 @@
   close (c->fd);
   LIST_REMOVE (c, conn_link);
   leave_service (c);
+  set_busy (c, false);
   buffer_close (&c->in);
   buffer_close (&c->out);
   buffer_close (&c->body);
@@ -393,7 +407,7 @@
 static void
 run_request (struct conn *c)
 {
-  c->busy = true;
+  set_busy (c, true);
   if (strncmp (c->head, "GET /standin/", 13) == 0)
     {
       answer_control (c);
@@ -470,6 +484,7 @@
 static void
 end_answer (struct conn *c)
 {
+  struct standin *s = c->s;
   if (c->close_after)
     {
       close_conn (c);
@@ -478,9 +493,10 @@
   free (c->head);
   c->head = NULL;
   buffer_close (&c->body);
-  c->busy = false;
+  set_busy (c, false);
   watch (c, EV_READ);
   next_request (c);
+  check_exit (s);
 }
 
 static void
