Do not count the end of a backend server's stream as excess data

Cause: the proxy compares the bytes that the kernel received with the length that the answer announces. The kernel counts the end of the stream (FIN) as one byte, so a backend server that closes right behind its answer got 'the answer is longer than announced' and its caller a 502 for a request that had run.

Ruled out: a read of the connection state alone.

Test: test_proxy, 200 answers with the close right behind.

--- a/src/request/proxy_try.c
+++ b/src/request/proxy_try.c
@@ -10,16 +10,52 @@
 
 #define URL_PREFIX "http://"
 
-/* Payload bytes that FD has received since it was opened, read or not; 0 when unknown.  */
+/* tcpi_state of connections whose peer has not ended the stream; <netinet/tcp.h>, which names them,
+   has another struct tcp_info.  */
+enum
+{
+  STATE_ESTABLISHED = 1,
+  STATE_FIN_WAIT1 = 4,
+  STATE_FIN_WAIT2 = 5,
+};
+
+/* The kernel counts the end of the stream as one received byte (RFC 9293: FIN takes a sequence
+   number).  */
+static bool
+end_was_received (const struct tcp_info *info)
+{
+  return info->tcpi_state != STATE_ESTABLISHED && info->tcpi_state != STATE_FIN_WAIT1
+         && info->tcpi_state != STATE_FIN_WAIT2;
+}
+
+static bool
+read_info (int fd, struct tcp_info *info)
+{
+  socklen_t len = sizeof *info;
+  memset (info, 0, sizeof *info);
+  return getsockopt (fd, IPPROTO_TCP, TCP_INFO, info, &len) == 0;
+}
+
+/* Payload bytes that FD has received since it was opened, read or not; 0 when unknown.  The kernel
+   reads the state before the count, so both belong together only when a second look agrees.  */
 static uint64_t
 bytes_received (int fd)
 {
   struct tcp_info info;
-  socklen_t len = sizeof info;
-  memset (&info, 0, sizeof info);
-  if (getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &len) < 0)
+  struct tcp_info again;
+  if (!read_info (fd, &again))
+    return 0;
+  do
+    {
+      info = again;
+      if (!read_info (fd, &again))
+        return 0;
+    }
+  while (info.tcpi_state != again.tcpi_state
+         || info.tcpi_bytes_received != again.tcpi_bytes_received);
+  if (info.tcpi_bytes_received == 0)
     return 0;
-  return info.tcpi_bytes_received;
+  return info.tcpi_bytes_received - end_was_received (&info);
 }
 
 static void
--- a/standins/runner.c
+++ b/standins/runner.c
@@ -1,10 +1,10 @@
 /* runner_standin: a small HTTP backend server for tests.
 
    Serves any path.  Query parameters of a request override the flags: ms (service time), bytes
-   (length of the answer), tag (text the answer repeats), code, mode.  Modes: normal, echo, chunked,
-   chunked-truncated, truncated, overlong, overlong-close, garbage, two-lengths, no-length, not-run,
-   reset, hang, trickle.  GET /standin/executions?key=K answers how often requests with
-   Idempotency-Key K were executed; GET /standin/stats answers totals.
+   (length of the answer), tag (text the answer repeats), code, mode.  Modes: normal, normal-close,
+   echo, chunked, chunked-truncated, truncated, overlong, overlong-close, garbage, two-lengths,
+   no-length, not-run, reset, hang, trickle.  GET /standin/executions?key=K answers how often
+   requests with Idempotency-Key K were executed; GET /standin/stats answers totals.
 
    Announces itself every 500 ms to the first entry address that answers, the next one when it does
    not.  SIGTERM: departs, serves what comes within 2.5 s, finishes what is in flight and exits.  */
@@ -293,8 +293,8 @@
   struct buffer body;
   buffer_init (&body);
   fill_body (c, &body);
-  static const char *const closing[]
-      = { "truncated", "chunked-truncated", "overlong-close", "no-length", "garbage" };
+  static const char *const closing[] = { "truncated", "chunked-truncated", "overlong-close",
+                                         "no-length", "garbage",           "normal-close" };
   for (size_t i = 0; i < sizeof closing / sizeof *closing; i++)
     c->close_after |= strcmp (c->mode, closing[i]) == 0;
   c->trickle = strcmp (c->mode, "trickle") == 0;
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -153,6 +153,22 @@
       }
 }
 
+/* A backend server that closes its connection right behind a whole answer has answered: the end of
+   the connection must not count as excess data.  */
+static void
+test_a_close_behind_the_answer_is_not_excess (void **state)
+{
+  (void)state;
+  for (int i = 0; i < 200; i++)
+    {
+      struct reply r = post_call ("/v1/call/echo/x?mode=normal-close&bytes=300", "", "");
+      assert_int_equal (r.code, 200);
+      assert_true (r.whole);
+      assert_int_equal (r.body.len, 300);
+      free_reply (&r);
+    }
+}
+
 static void
 test_answers_without_body (void **state)
 {
@@ -612,6 +628,7 @@
     cmocka_unit_test (test_streams_uploads_both_ways),
     cmocka_unit_test (test_caller_gone_frees_the_runner),
     cmocka_unit_test (test_broken_answers_never_look_complete),
+    cmocka_unit_test (test_a_close_behind_the_answer_is_not_excess),
     cmocka_unit_test (test_answers_without_body),
     cmocka_unit_test (test_refuses_ambiguous_requests),
     cmocka_unit_test (test_unrepeatable_runs_once),
