Order fill-in work by what has started, then the newest of the size that goes short

Cause: under overload fill-in tasks waited by latest start only.

Ruled out: started first and newest first alone. A started job that fell behind all new ones when it became late lost its work: it keeps its place.

--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -221,6 +221,7 @@
   d->config = *config;
   cell_map_init (&d->workers);
   TAILQ_INIT (&d->worker_list);
+  SLIST_INIT (&d->sizes);
   d->harm = harm_model_new ();
   d->fill_slowness = 1;
   config->workflow->observer = (struct workflow_observer){ .placed = on_placed,
@@ -239,6 +240,7 @@
   d->prune_token = 0;
   while ((w = TAILQ_FIRST (&d->worker_list)) != NULL)
     dispatch_free_worker (d, w);
+  dispatch_forget_sizes (d);
 }
 
 void
@@ -281,7 +283,7 @@
   inherit_run (d, run);
   TAILQ_FOREACH (j, &w->open, link)
   {
-    j->seen_ms = now_ms;
+    dispatch_see_job (d, j);
     for (uint32_t i = 0; i < j->occurrences * j->spec.steps.steps_len; i++)
       for (uint32_t k = 0; k < j->spec.steps.steps_val[i % j->spec.steps.steps_len].count; k++)
         {
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -10,6 +10,7 @@
 #include "harm_model.h"
 #include "log.h"
 #include "pacing.h"
+#include "size_share.h"
 #include "spread.h"
 
 #define HOLD_IDLE_MS 1300 /* where no tail must be watched; silence is noticed in time */
@@ -136,6 +137,14 @@
 
 TAILQ_HEAD (dispatch_workers, dispatch_worker);
 
+/* Sizes of the jobs of one queue.  */
+struct queue_sizes
+{
+  SLIST_ENTRY (queue_sizes) link;
+  char *queue;
+  struct size_share share;
+};
+
 struct dispatcher
 {
   struct dispatcher_config config;
@@ -151,9 +160,10 @@
   uint64_t prune_token; /* of the open PRUNE; 0 is none */
   int64_t load_next_ms;
   struct harm_model *harm;
-  double fill_slowness;  /* run time of tasks that fill over their estimate, smoothed */
-  uint64_t waiting_fill; /* millicores of waiting tasks that fill */
-  uint32_t waiting;      /* tasks that could run now and have no worker */
+  SLIST_HEAD (, queue_sizes) sizes; /* of each queue that had a job under this leader */
+  double fill_slowness;             /* run time of tasks that fill over their estimate, smoothed */
+  uint64_t waiting_fill;            /* millicores of waiting tasks that fill */
+  uint32_t waiting;                 /* tasks that could run now and have no worker */
 };
 
 /* dispatcher.c */
@@ -193,6 +203,15 @@
 bool dispatch_is_harmful (struct dispatcher *d, const struct dispatch_worker *w,
                           int filling); /* A fill-in image to be paced there. */
 
+/* dispatcher_sizes.c */
+void dispatch_see_job (struct dispatcher *d,
+                       struct workflow_job *j); /* This leader's first look. */
+void dispatch_count_start (struct dispatcher *d,
+                           struct workflow_job *j); /* A task of J was placed. */
+double dispatch_size_share (struct dispatcher *d,
+                            const struct workflow_job *j); /* Of the jobs of about its size. */
+void dispatch_forget_sizes (struct dispatcher *d);
+
 /* dispatcher_place.c */
 void dispatch_place_tasks (struct dispatcher *d, int64_t wall_ms);
 void dispatch_start (struct dispatcher *d,
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "dispatcher_internal.h"
+#include "waiting_order.h"
 
 /* With half of a pool free no job may wait with nothing running; with margin.  */
 #define MOSTLY_FREE 0.6
@@ -13,14 +14,12 @@
 #define MAX_NO_ROOM 64        /* images times a few sizes */
 #define MAX_PLACED 256        /* placements of one tick: bounds the time that a tick takes */
 #define MILLI 1000
-#define LATE_FACTOR 3 /* a job earns nothing after this many objectives */
 
 struct waiting_task
 {
   struct workflow_task *task;
   const workflow_queue *queue;
-  int rank;       /* enum task_rank; smaller goes first */
-  int64_t key_ms; /* latest start; smaller goes first */
+  struct waiting_key key;
 };
 
 struct candidates
@@ -44,36 +43,23 @@
   return (int64_t)j->chain_ms * q->stretch_milli / MILLI + q->target_ms;
 }
 
-/* Load pattern: lasting tasks declare nearly all processors, so whoever goes first gets the gaps
-   that short tasks leave.  Worth per processor second falls in this order: short tasks in time,
-   lasting tasks, tasks that fill in time, what is late.  A job past its last worth goes last.  */
-enum task_rank
-{
-  RANK_SHORT,
-  RANK_LASTING,
-  RANK_FILL,
-  RANK_LATE,
-  RANK_HOPELESS,
-};
-
 static void
-rank_task (const struct dispatcher *d, struct waiting_task *w)
+set_key (struct dispatcher *d, struct waiting_task *w)
 {
   const struct workflow_job *j = w->task->job;
   const workflow_step *s = workflow_step_of (w->task);
-  int64_t due_ms = j->seen_ms + objective_ms (j, w->queue);
-  int64_t end_ms = j->seen_ms + LATE_FACTOR * objective_ms (j, w->queue);
   bool fills = s->flags & WORKFLOW_STEP_FILL;
-  int64_t remain_ms = (int64_t)(j->remain_ms[w->task->step] * (fills ? d->fill_slowness : 1));
-  w->key_ms = due_ms - remain_ms;
-  if (s->flags & WORKFLOW_STEP_LASTING)
-    w->rank = RANK_LASTING;
-  else if (d->now_ms > end_ms)
-    w->rank = RANK_HOPELESS;
-  else if (d->now_ms > w->key_ms)
-    w->rank = RANK_LATE;
-  else
-    w->rank = fills ? RANK_FILL : RANK_SHORT;
+  const struct waiting_facts facts = { .now_ms = d->now_ms,
+                                       .seen_ms = j->seen_ms,
+                                       .objective_ms = objective_ms (j, w->queue),
+                                       .remain_ms = (int64_t)((double)j->remain_ms[w->task->step]
+                                                              * (fills ? d->fill_slowness : 1)),
+                                       .priority = w->queue->priority,
+                                       .lasts = s->flags & WORKFLOW_STEP_LASTING,
+                                       .fills = fills,
+                                       .started = workflow_job_started (j),
+                                       .share = fills ? dispatch_size_share (d, j) : 0 };
+  w->key = waiting_key_of (&facts);
 }
 
 static int
@@ -81,13 +67,7 @@
 {
   const struct waiting_task *x = a;
   const struct waiting_task *y = b;
-  if (x->rank != y->rank)
-    return x->rank - y->rank;
-  if (x->queue->priority != y->queue->priority)
-    return x->queue->priority < y->queue->priority ? -1 : 1;
-  if (x->key_ms != y->key_ms)
-    return x->key_ms < y->key_ms ? -1 : 1;
-  return 0;
+  return waiting_compare (&x->key, &y->key);
 }
 
 static size_t
@@ -101,7 +81,7 @@
   TAILQ_FOREACH (t, &w->ready, link)
   {
     if (t->job->seen_ms == 0)
-      t->job->seen_ms = d->now_ms;
+      dispatch_see_job (d, t->job);
     if (t->placing || d->now_ms < t->retry_ms || !is_due (t, wall_ms))
       continue;
     const workflow_queue *q = workflow_queue_of (w, t->job);
@@ -113,7 +93,7 @@
         *out = xrealloc (*out, capacity * sizeof **out);
       }
     (*out)[n] = (struct waiting_task){ .task = t, .queue = q };
-    rank_task (d, &(*out)[n++]);
+    set_key (d, &(*out)[n++]);
   }
   if (n > 0)
     qsort (*out, n, sizeof **out, compare_waiting);
@@ -228,6 +208,7 @@
   workflow_command c = { .kind = WORKFLOW_PLACE };
   struct dispatch_run *r = dispatch_add_run (d, w, t, t->last_run + 1);
   t->placing = r;
+  dispatch_count_start (d, t->job);
   c.workflow_command_u.place
       = (workflow_place){ .task = workflow_ref (t), .run = r->number, .worker = w->id };
   log_event (LOG_INFO, "placed",
--- /dev/null
+++ b/tests/test_size_share.c
@@ -0,0 +1,82 @@
+/* Guards against sizes of jobs that are told apart wrongly, so that large jobs go short.  */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include "rng.h"
+#include "size_share.h"
+
+#define STEP_MS 100
+
+/* Works of 1 to 100: a tenth is above 90, a fifth between 70 and 90.  */
+static void
+test_classes_follow_the_recent_sizes (void **state)
+{
+  struct size_share s;
+  struct rng rng;
+  int right = 0;
+  int counted = 0;
+  (void)state;
+  rng_init (&rng, 7);
+  size_share_init (&s, 0);
+  for (int i = 0; i < 1000; i++)
+    {
+      int work = 1 + (int)rng_below (&rng, 100);
+      enum size_class want = SIZE_OTHER;
+      if (work > 90)
+        want = SIZE_LARGEST_TENTH;
+      else if (work > 70)
+        want = SIZE_NEXT_FIFTH;
+      enum size_class class = size_share_arrive (&s, i * STEP_MS, work);
+      counted += i >= SIZE_SHARE_RECENT;
+      right += i >= SIZE_SHARE_RECENT && class == want;
+    }
+  assert_true (right >= counted * 9 / 10);
+}
+
+/* Jobs of one size are all in the largest tenth; that must not divide by zero or lose a start.  */
+static void
+test_jobs_of_one_size_share_one_class (void **state)
+{
+  struct size_share s;
+  (void)state;
+  size_share_init (&s, 0);
+  for (int i = 0; i < 200; i++)
+    {
+      enum size_class class = size_share_arrive (&s, i * STEP_MS, 5);
+      if (i % 2 == 0)
+        size_share_start (&s, i * STEP_MS, class);
+    }
+  double share = 0;
+  for (int i = 0; i < SIZE_CLASSES; i++)
+    share += size_share_of (&s, (enum size_class)i);
+  assert_true (share > 0.4 && share < 0.6);
+}
+
+/* What was served long ago must not stand for what is served now.  */
+static void
+test_old_starts_count_less (void **state)
+{
+  struct size_share s;
+  (void)state;
+  size_share_init (&s, 0);
+  enum size_class class = size_share_arrive (&s, 0, 5);
+  size_share_start (&s, 0, class);
+  assert_true (size_share_of (&s, class) == 1.0);
+  for (int i = 0; i < 10; i++)
+    size_share_arrive (&s, (int64_t)(4 * SIZE_SHARE_HALF_MS), 5);
+  assert_true (size_share_of (&s, class) < 0.1);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_classes_follow_the_recent_sizes),
+    cmocka_unit_test (test_jobs_of_one_size_share_one_class),
+    cmocka_unit_test (test_old_starts_count_less),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
