Place a lasting task on an empty worker rather than beside other images

An empty worker ranked behind one that served only other images, so tasks of all images were mixed from the first second.

Changed: the former test demanded an empty worker to come last; that choice was the fault. Its order is now same image, empty, other images.

--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -9,7 +9,6 @@
 /* With half of a pool free no job may wait with nothing running; with margin.  */
 #define MOSTLY_FREE 0.6
 #define STARVED_MS 1500       /* of the 3 s that such a job may wait */
-#define EMPTY_FOREIGN 1.1     /* empty workers go last: tasks that fill disturb nobody there */
 #define KNOWS_WORKERS_MS 5000 /* of leadership: three heartbeats of every worker */
 #define MAX_NO_ROOM 64        /* images times a few sizes */
 #define MAX_PLACED 256        /* placements of one tick: bounds the time that a tick takes */
@@ -156,7 +155,6 @@
   return n;
 }
 
-/* Part of the lasting processors on W that serve another image than IMAGE.  */
 static double
 foreign_part (const struct dispatch_worker *w, const char *image)
 {
@@ -168,7 +166,7 @@
     if ((s->flags & WORKFLOW_STEP_LASTING) && strcmp (s->image, image) != 0)
       foreign += s->millicores;
   }
-  return w->lasting_millicores > 0 ? (double)foreign / w->lasting_millicores : EMPTY_FOREIGN;
+  return spread_foreign (w->lasting_millicores, foreign);
 }
 
 static size_t
--- a/src/workflow/spread.c
+++ b/src/workflow/spread.c
@@ -4,6 +4,7 @@
 
 #define HARM_WEIGHT 2.0 /* a full allowance of harm against a worker without unused processors */
 #define FOREIGN_PENALTY 1e5 /* above any gap in millicores */
+#define EMPTY_FOREIGN 0.3   /* an empty worker goes before one that serves more of other images */
 #define EMPTY_COST 1.5 /* workers without lasting tasks are for images that disturb all others */
 /* Data on another rack doubles the run time: any near worker goes first.  */
 #define FAR_PENALTY 1e6
@@ -21,6 +22,14 @@
   return (double)r->millicores - r->lasting_millicores - r->short_millicores;
 }
 
+double
+spread_foreign (uint32_t lasting_millicores, uint32_t foreign_millicores)
+{
+  if (lasting_millicores == 0)
+    return EMPTY_FOREIGN;
+  return (double)foreign_millicores / lasting_millicores;
+}
+
 bool
 spread_fits (const struct spread_row *r, const struct spread_request *q)
 {
--- a/src/workflow/spread.h
+++ b/src/workflow/spread.h
@@ -4,7 +4,11 @@
    that; fill-in tasks bring most of the worth and run in what is unused.  So a task that fills is
    placed by estimated use, where most is unused and where no lasting task is close to its target;
    any other task is placed by declared size into the smallest gap that holds it, which keeps gaps
-   for large tasks.  */
+   for large tasks.
+
+   Each fill-in image disturbs some serving images heavily and others hardly.  On a worker that
+   serves several images nearly every fill-in image disturbs one of them; so lasting tasks of one
+   image share workers, and an empty worker is rather taken than one that serves other images.  */
 
 #ifndef SASSAFRAS_SPREAD_H
 #define SASSAFRAS_SPREAD_H
@@ -31,7 +35,7 @@
   bool usable;        /* alive, of the pool, with the label, not avoided */
   bool near_data;     /* holds the rack that the step's data is on */
   double tail;        /* largest tail over target; 0 without a sample */
-  double foreign;     /* part of its lasting processors that serve other images than the task's */
+  double foreign;     /* a lasting task: what the worker serves of other images (spread_foreign) */
   double harm;        /* predicted loss of slack with the task, over what is allowed */
 };
 
@@ -46,6 +50,9 @@
   bool despite_harm; /* fills: waited long while most of the pool is free; pacing limits the harm */
 };
 
+double
+spread_foreign (uint32_t lasting_millicores,
+                uint32_t foreign_millicores); /* For spread_row.foreign, from declared sizes. */
 bool spread_fits (const struct spread_row *r, const struct spread_request *q); /* Room there. */
 double spread_score (const struct spread_row *r,
                      const struct spread_request *q); /* Smaller is better. */
