Do not pass a refusal on after an attempt that may have been carried out

Cause: the relay repeats a request to the next candidate when an attempt gets no answer. When the repeat was refused (429 or 503: it never runs), the refusal went to the customer, though the first attempt could still commit.

Test: test_leader_relay, a silent leader and a refusing successor. After: 504 with outcome unknown, and a refusal without an earlier attempt is still passed on with its Retry-After.

--- a/src/workflow/leader_relay.c
+++ b/src/workflow/leader_relay.c
@@ -11,6 +11,8 @@
 #define CODE_OK 200
 #define CODE_REDIRECT 307
 #define CODE_MISDIRECTED 421
+#define CODE_TOO_MANY 429
+#define CODE_UNAVAILABLE 503
 #define CODE_GATEWAY_TIMEOUT 504
 /* An attempt needs one round trip between regions at least half of the time.  */
 #define LEAST_ATTEMPT_MS 30
@@ -256,6 +258,9 @@
       note_failure (c, a, now_ms);
       try_again (c, RELAY_PAUSE_MS);
     }
+  else if (c->uncertain && (a->code == CODE_TOO_MANY || a->code == CODE_UNAVAILABLE))
+    /* The refusal holds for its own attempt only: an earlier one may still be carried out.  */
+    give_up (c, now_ms);
   else
     pass_answer (c, a, now_ms);
 }
--- a/tests/test_leader_relay.c
+++ b/tests/test_leader_relay.c
@@ -25,6 +25,7 @@
   SILENT,
   REDIRECTS, /* to the second candidate */
   KNOWS_NOBODY,
+  REFUSES, /* leads, and takes no more work */
 };
 
 struct vm
@@ -55,6 +56,8 @@
   v->requests++;
   if (v->behaviour == ANSWERS)
     http_reply (req, 200, "text/plain", "done", 4);
+  else if (v->behaviour == REFUSES)
+    http_reply_error (req, STATUS_OVERLOADED, "no room");
   else if (v->behaviour != SILENT)
     leader_relay_refuse (req, v->behaviour == REDIRECTS ? "127.0.9.2" : NULL, v->fixture->port);
 }
@@ -186,6 +189,28 @@
   assert_int_equal (ask (f), 504);
 }
 
+/* The attempt before the refusal may still be carried out: the refusal must not be passed on, which
+   would say that the request never runs.  */
+static void
+test_a_refusal_after_an_unanswered_attempt_is_not_passed_on (void **state)
+{
+  struct fixture *f = *state;
+  assert_int_equal (ask (f), 200);
+  for (int i = 0; i < CANDIDATES; i++)
+    f->vms[i].behaviour = f->vms[i].requests > 0 ? SILENT : REFUSES;
+  assert_int_equal (ask (f), 504);
+}
+
+static void
+test_a_refusal_of_the_only_attempt_is_passed_on (void **state)
+{
+  struct fixture *f = *state;
+  for (int i = 0; i < CANDIDATES; i++)
+    f->vms[i].behaviour = REFUSES;
+  assert_int_equal (ask (f), 503);
+  assert_true (f->retry_after_s > 0);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown (name, open_fixture, close_fixture)
 
 int
@@ -193,8 +218,11 @@
 {
   const struct CMUnitTest tests[]
       = { TEST (test_a_silent_leader_leaves_time_for_the_next),
-          TEST (test_redirects_lead_to_the_leader), TEST (test_without_a_leader_it_has_not_run),
-          TEST (test_an_unanswered_attempt_is_not_called_refused) };
+          TEST (test_redirects_lead_to_the_leader),
+          TEST (test_without_a_leader_it_has_not_run),
+          TEST (test_an_unanswered_attempt_is_not_called_refused),
+          TEST (test_a_refusal_after_an_unanswered_attempt_is_not_passed_on),
+          TEST (test_a_refusal_of_the_only_attempt_is_passed_on) };
   curl_global_init (CURL_GLOBAL_DEFAULT);
   int failed = cmocka_run_group_tests (tests, NULL, NULL);
   curl_global_cleanup ();
