Move leadership to the region of its quorum

A leader whose first four quorum rounds of a leadership all take 25 ms or more now hands over to the voter that completed them, while all voters answer, and rests for 5 minutes (doubling) after it. It gives no orders in that term any more, since the successor may be elected at any later time.

Tests: test_leader_place (three and five voters in two regions, one voter in each of three regions, slow rounds); test_group (no quorum is named while a voter is missing).

--- a/src/log/group.c
+++ b/src/log/group.c
@@ -366,6 +366,12 @@
   return raft_transfer (g->raft, to, g->now_ms, st);
 }
 
+uint64_t
+group_completed_by (const struct group *g)
+{
+  return raft_completed_by (g->raft, g->now_ms);
+}
+
 void
 group_change_members (struct group *g, const raft_members *target, group_done done, void *arg)
 {
--- a/src/log/group.h
+++ b/src/log/group.h
@@ -98,6 +98,9 @@
 const raft_members *group_members (const struct group *g); /* Latest members in the log. */
 int group_transfer (struct group *g, uint64_t to,
                     struct status *st); /* Planned stop: hand over to TO, or the best if 0. */
+uint64_t
+group_completed_by (const struct group *g); /* Voter whose answer completed the last round's quorum;
+                                               0 unless all voters answer.  */
 void group_change_members (struct group *g, const raft_members *target, group_done done,
                            void *arg); /* Moves to TARGET step by step; repeat if it is lost. */
 void group_confirm_leader (struct group *g, group_done done,
--- a/src/log/raft.h
+++ b/src/log/raft.h
@@ -132,8 +132,11 @@
 bool raft_target_reached (const struct raft *r); /* No change is pending or uncommitted. */
 uint64_t raft_read_round (struct raft *r);       /* Starts a round to confirm leadership. */
 bool raft_round_confirmed (const struct raft *r, uint64_t round); /* A quorum answered it. */
-void raft_peer_connected (struct raft *r, uint64_t node);         /* Sends to NODE at once. */
-void raft_step_down (struct raft *r, int64_t now_ms); /* Gives up leadership or candidacy. */
+uint64_t raft_completed_by (const struct raft *r,
+                            int64_t now_ms); /* Voter that completed the last quorum; 0 unless
+                                                all voters answer.  */
+void raft_peer_connected (struct raft *r, uint64_t node); /* Sends to NODE at once. */
+void raft_step_down (struct raft *r, int64_t now_ms);     /* Gives up leadership or candidacy. */
 
 enum raft_role raft_role (const struct raft *r);
 uint64_t raft_term (const struct raft *r);
--- a/src/log/raft_internal.h
+++ b/src/log/raft_internal.h
@@ -76,6 +76,7 @@
 
   uint64_t noop_index; /* first entry of this leader's term */
   uint64_t round;
+  uint64_t completed_by; /* the voter whose answer completed the latest quorum of a round */
   uint64_t transfer_to;
   int64_t transfer_until_ms;
   raft_members target;
--- a/src/log/raft_leader.c
+++ b/src/log/raft_leader.c
@@ -4,6 +4,8 @@
 
 #include <stdlib.h>
 
+#define ANSWERS_MS 700 /* a heartbeat and a round trip between regions: the voter is there */
+
 static bool
 is_active (const struct raft *r, const struct raft_peer *p, int64_t now_ms)
 {
@@ -17,6 +19,7 @@
   r->leader = r->node;
   r->failed_elections = 0;
   r->transfer_to = 0;
+  r->completed_by = 0;
   r->round++;
   r->round_open = true;
   for (size_t i = 0; i < r->peers_len; i++)
@@ -191,7 +194,12 @@
   note_store (p, m->store);
   p->reply_ms = now_ms;
   if (m->round > p->round_acked && m->round <= r->round)
-    p->round_acked = m->round;
+    {
+      bool confirmed = raft_round_confirmed (r, m->round);
+      p->round_acked = m->round;
+      if (!confirmed && raft_round_confirmed (r, m->round))
+        r->completed_by = p->node;
+    }
   return p;
 }
 
@@ -346,6 +354,20 @@
   return r->round;
 }
 
+uint64_t
+raft_completed_by (const struct raft *r, int64_t now_ms)
+{
+  if (r->role != RAFT_LEADER)
+    return 0;
+  for (size_t i = 0; i < r->peers_len; i++)
+    {
+      const struct raft_peer *p = &r->peers[i];
+      if (p->voter && (p->round_acked == 0 || now_ms - p->reply_ms > ANSWERS_MS))
+        return 0;
+    }
+  return r->completed_by;
+}
+
 bool
 raft_round_confirmed (const struct raft *r, uint64_t round)
 {
--- a/src/workflow/workflow_service.c
+++ b/src/workflow/workflow_service.c
@@ -5,6 +5,7 @@
 #include <sys/queue.h>
 
 #include "counters.h"
+#include "leader_place.h"
 #include "log.h"
 
 #define ROUND_EVERY_MS 300 /* quorum rounds while leading: three fit into the authority */
@@ -12,6 +13,8 @@
 #define AUTHORITY_MS 1100
 #define AUTHORITY_MARGIN_MS 100 /* timers of voters and of this VM run late */
 
+#define MOVE_RETRY_MS 1500 /* the successor did not take over; as long as an election takes */
+
 static struct histogram change_times
     = { .name = "sassafras_workflow_change_ms", .help = "Time from a change to its outcome." };
 static struct histogram read_times
@@ -54,7 +57,10 @@
   struct group *group;
   struct proposals outcomes; /* the dispatcher must not be told inside its own call */
   bool leading;
-  bool handing_over;
+  bool stopping;
+  bool handing_over;         /* no more orders; until another VM leads */
+  int64_t hand_over_next_ms; /* next attempt of a move */
+  struct leader_place place;
   bool round_open;
   int64_t round_began_ms;
   int64_t next_round_ms;
@@ -101,6 +107,7 @@
   struct workflow_service *s = xcalloc (1, sizeof *s);
   s->config = *config;
   STAILQ_INIT (&s->outcomes);
+  leader_place_init (&s->place);
   workflow_init (&s->workflow);
   const struct dispatcher_config dispatcher = { .workflow = &s->workflow,
                                                 .link = config->link,
@@ -162,6 +169,7 @@
   if (!s->leading || group_is_leader (s->group))
     return;
   s->leading = false;
+  s->handing_over = s->stopping;
   dispatcher_resign (s->dispatcher);
   log_event (LOG_WARN, "leadership-lost", "term=%llu", (unsigned long long)group_term (s->group));
 }
@@ -175,6 +183,33 @@
              (unsigned long long)group_term (s->group),
              (unsigned long long)group_applied_index (s->group));
   dispatcher_lead (s->dispatcher, now_ms, group_term (s->group));
+  leader_place_gained (&s->place);
+}
+
+static void
+hand_over (struct workflow_service *s, uint64_t to)
+{
+  struct status st;
+  s->handing_over = true;
+  s->hand_over_next_ms = clock_now_ms (s->config.clock) + MOVE_RETRY_MS;
+  dispatcher_authority (s->dispatcher, 0);
+  if (s->group && group_is_leader (s->group) && group_transfer (s->group, to, &st) < 0)
+    log_event (LOG_WARN, "no-hand-over", "reason=\"%s\"", st.message);
+}
+
+/* Orders end with a hand-over and are not taken up again in this term: the successor may be elected
+   at any time from then on.  */
+static void
+check_place (struct workflow_service *s, int64_t now_ms)
+{
+  int64_t took_ms = now_ms - s->round_began_ms;
+  uint64_t to = group_completed_by (s->group);
+  if (to == 0 || !leader_place_round (&s->place, now_ms, took_ms))
+    return;
+  log_event (LOG_INFO, "leadership-moves",
+             "to=%llu reason=\"rounds of the quorum are slow\" shortest_ms=%lld rounds=%u",
+             (unsigned long long)to, (long long)s->place.shortest_ms, s->place.rounds);
+  hand_over (s, to);
 }
 
 static void
@@ -189,6 +224,7 @@
   if (!s->leading)
     gain (s, clock_now_ms (s->config.clock));
   dispatcher_authority (s->dispatcher, s->round_began_ms + AUTHORITY_MS - AUTHORITY_MARGIN_MS);
+  check_place (s, clock_now_ms (s->config.clock));
 }
 
 static void
@@ -210,6 +246,8 @@
     return;
   tell_outcomes (s);
   renew_authority (s, now_ms);
+  if (s->handing_over && !s->stopping && now_ms >= s->hand_over_next_ms)
+    hand_over (s, 0);
   if (s->leading)
     dispatcher_tick (s->dispatcher, now_ms, clock_wall_ms ());
 }
@@ -217,11 +255,8 @@
 void
 workflow_service_hand_over (struct workflow_service *s)
 {
-  struct status st;
-  s->handing_over = true;
-  dispatcher_authority (s->dispatcher, 0);
-  if (s->group && group_is_leader (s->group) && group_transfer (s->group, 0, &st) < 0)
-    log_event (LOG_WARN, "no-hand-over", "reason=\"%s\"", st.message);
+  s->stopping = true;
+  hand_over (s, 0);
 }
 
 static void
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -285,6 +285,35 @@
   sim_close (&s);
 }
 
+/* While a voter is missing, the quorum is not where it usually is: it must not decide where
+   leadership moves.  */
+static void
+test_a_quorum_is_named_only_while_all_voters_answer (void **state)
+{
+  struct sim s;
+  struct sim_config c = config_of (3, 0);
+  (void)state;
+  sim_init (&s, &c);
+  start_all (&s);
+  struct sim_node *leader = wait_leader (&s, 5000);
+  sim_run_ms (&s, 1000);
+  sim_read (&s, leader);
+  sim_run_ms (&s, 200);
+  uint64_t named = group_completed_by (leader->group);
+  assert_int_not_equal (named, 0);
+  assert_int_not_equal (named, leader->id);
+  for (int i = 0; i < 3; i++)
+    if (s.nodes[i].id != leader->id && s.nodes[i].id != named)
+      s.cut[i][0] = s.cut[i][1] = s.cut[i][2] = true;
+  sim_run_ms (&s, 1000);
+  assert_ptr_equal (sim_leader (&s), leader);
+  sim_read (&s, leader);
+  sim_run_ms (&s, 200);
+  assert_int_equal (group_completed_by (leader->group), 0);
+  assert_sound (&s);
+  sim_close (&s);
+}
+
 static uint64_t
 busiest_idle_bytes_per_s (int voters, int learners)
 {
@@ -364,16 +393,18 @@
 main (void)
 {
   struct log_config quiet = { .level = LOG_ERROR };
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_single_voter),
-                                      cmocka_unit_test (test_single_voter_confirms_itself),
-                                      cmocka_unit_test (test_confirms_as_soon_as_a_quorum_answers),
-                                      cmocka_unit_test (test_replicates),
-                                      cmocka_unit_test (test_leader_replaced_within_2_s),
-                                      cmocka_unit_test (test_full_disk_stops_acknowledging),
-                                      cmocka_unit_test (test_second_loss_after_repair),
-                                      cmocka_unit_test (test_transfer_and_confirm),
-                                      cmocka_unit_test (test_idle_traffic),
-                                      cmocka_unit_test (test_snapshot_leaves_room_for_heartbeats) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_single_voter),
+          cmocka_unit_test (test_single_voter_confirms_itself),
+          cmocka_unit_test (test_a_quorum_is_named_only_while_all_voters_answer),
+          cmocka_unit_test (test_confirms_as_soon_as_a_quorum_answers),
+          cmocka_unit_test (test_replicates),
+          cmocka_unit_test (test_leader_replaced_within_2_s),
+          cmocka_unit_test (test_full_disk_stops_acknowledging),
+          cmocka_unit_test (test_second_loss_after_repair),
+          cmocka_unit_test (test_transfer_and_confirm),
+          cmocka_unit_test (test_idle_traffic),
+          cmocka_unit_test (test_snapshot_leaves_room_for_heartbeats) };
   log_configure (&quiet);
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
