Look at workers less often the more of them there are

Profile of a leader with 100 workers on loopback (perf, 600 starts/s): plumbing of HTTP calls 75% (libcurl, libc, kernel), decisions 13%. Each end of a task caused a look of its own, 965 looks a second. Ruled out: the decisions; bench_dispatcher_cost shows 19 ms a second for 350 workers.

A look now waits 30 ms and half a millisecond for each worker after the last one, so that ends share it: 54 ms at 48 workers, 205 ms at 350.

Test: test_dispatcher, 350 workers that answer at once. Before: 8,750 looks a second; bound 2,000.

--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -5,6 +5,8 @@
 
 #include "dispatcher_internal.h"
 
+#define US_PER_MS 1000
+
 static const char *
 result_name (enum worker_call_result result)
 {
@@ -287,6 +289,15 @@
   take_absent (d, w, lists);
 }
 
+/* Load pattern: several ends a second on each of hundreds of workers.  A look for each of them
+   takes the leader's whole processor, and then everything is late; further apart, ends share a
+   look.  */
+static int64_t
+hold_gap_ms (const struct dispatcher *d)
+{
+  return HOLD_GAP_MS + (int64_t)d->workers.count * HOLD_GAP_PER_WORKER_US / US_PER_MS;
+}
+
 void
 dispatcher_hold_answer (struct dispatcher *d, int64_t now_ms, const char *worker,
                         enum worker_call_result result, const struct worker_lists *lists)
@@ -297,7 +308,7 @@
     return;
   if (w->holds > 0)
     w->holds--;
-  w->hold_next_ms = now_ms + HOLD_GAP_MS;
+  w->hold_next_ms = now_ms + hold_gap_ms (d);
   if (result == WORKER_CALL_OK)
     {
       take_lists (d, w, lists);
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -15,6 +15,9 @@
 
 #define HOLD_IDLE_MS 1300 /* where no tail must be watched; silence is noticed in time */
 #define HOLD_GAP_MS 30    /* ends that come within it share one look */
+/* And half a millisecond for each worker: at most 2,000 looks a second, a third of what a leader
+   with 0.4 of a processor can do (docs/CAPACITY.md, section 8).  */
+#define HOLD_GAP_PER_WORKER_US 500
 #define HOLD_WAIT_MS 500  /* samples of tails come each half second */
 #define HOLD_RETRY_MS 200 /* after a hold without an answer */
 /* No answer to holds for this long: no new tasks.  An idle hold, a retry and the limit of a call.
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -419,11 +419,52 @@
 
 #define TEST(name) cmocka_unit_test_setup_teardown (name, fixture_open, fixture_close)
 
+#define MANY_WORKERS 350
+#define MOST_LOOKS_PER_S                                                                           \
+  2000 /* what the leader of the grown deployments can do beside its starts */
+
+/* With several ends a second on each of many workers, every look is answered at once: the looks
+   alone must not take the leader's processor.  */
+static void
+test_looks_at_many_workers_are_bounded (void **state)
+{
+  struct fixture *f = *state;
+  char id[16];
+  char address[32];
+  for (int i = 0; i < MANY_WORKERS; i++)
+    {
+      snprintf (id, sizeof id, "w%d", i);
+      snprintf (address, sizeof address, "10.0.%d.%d:1", i / 250, i % 250);
+      fixture_join (f, id, address);
+    }
+  fixture_tick (f, 100);
+  for (int i = 0; i < MANY_WORKERS; i++)
+    {
+      snprintf (id, sizeof id, "w%d", i);
+      fixture_answer_hold (f, id, NULL, 0, NULL, 0);
+    }
+  size_t before = f->hold_count;
+  for (int ms = 0; ms < 1000; ms += 20)
+    {
+      size_t sent = f->hold_count;
+      fixture_tick (f, 20);
+      for (size_t k = sent; k < f->hold_count; k++)
+        {
+          snprintf (id, sizeof id, "%s", f->holds[k % FIXTURE_MAX].worker);
+          fixture_answer_hold (f, id, NULL, 0, NULL, 0);
+        }
+    }
+  assert_true (f->hold_count - before >= MANY_WORKERS);
+  if (f->hold_count - before > MOST_LOOKS_PER_S)
+    fail_msg ("%zu looks in a second", f->hold_count - before);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { TEST (test_ends_are_acknowledged_after_their_commit),
+          TEST (test_looks_at_many_workers_are_bounded),
           TEST (test_an_unanswered_start_is_settled_before_the_next),
           TEST (test_an_unanswered_start_that_is_listed_runs_on),
           TEST (test_a_silent_worker_lapses_once_and_in_time),
