Let a new leader ask a few workers at a time, and place fewer tasks in a tick

A new leader asked all 350 workers at once and read their lists, up to 500 ends each, while the voters heard nothing from it; their election timeout is 1.5 s. Ruled out: the network and the disks, no disruption was left.

Now 8 first looks go out in a tick (350 workers in 0.9 s), and at most 64 tasks are placed in one (was 256). Test: test_dispatcher, 350 workers that have reported; before, all were asked in one tick.

--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -441,6 +441,7 @@
   d->now_ms = now_ms;
   if (!dispatch_has_authority (d))
     return;
+  d->first_holds = 0;
   for (w = TAILQ_FIRST (&d->worker_list); w; w = next)
     {
       next = TAILQ_NEXT (w, link);
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -18,6 +18,9 @@
 /* And half a millisecond for each worker: at most 2,000 looks a second, a third of what a leader
    with 0.4 of a processor can do (docs/CAPACITY.md, section 8).  */
 #define HOLD_GAP_PER_WORKER_US 500
+/* First looks of a leader in one tick: their lists are long, and the voters must hear from the
+   leader meanwhile.  350 workers take 0.9 s.  */
+#define FIRST_HOLDS_PER_TICK 8
 #define HOLD_WAIT_MS 500  /* samples of tails come each half second */
 #define HOLD_RETRY_MS 200 /* after a hold without an answer */
 /* No answer to holds for this long: no new tasks.  An idle hold, a retry and the limit of a call.
@@ -156,8 +159,9 @@
   int64_t lead_ms;
   int64_t authority_until_ms;
   int64_t now_ms;
-  uint64_t mark;  /* counts holds and settled orders */
-  uint64_t token; /* of the last proposal */
+  uint64_t mark;        /* counts holds and settled orders */
+  unsigned first_holds; /* in this tick, to workers that have not answered this leader */
+  uint64_t token;       /* of the last proposal */
   struct cell_map workers;
   struct dispatch_workers worker_list;
   uint64_t prune_token; /* of the open PRUNE; 0 is none */
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -11,7 +11,7 @@
 #define STARVED_MS 1500       /* of the 3 s that such a job may wait */
 #define KNOWS_WORKERS_MS 5000 /* of leadership: three heartbeats of every worker */
 #define MAX_NO_ROOM 64        /* images times a few sizes */
-#define MAX_PLACED 256        /* placements of one tick: bounds the time that a tick takes */
+#define MAX_PLACED 64 /* placements of one tick, 3,200 a second: bounds the time of a tick */
 #define MILLI 1000
 
 struct waiting_task
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -302,6 +302,19 @@
   }
 }
 
+/* Load pattern: a new leader finds hundreds of workers with long lists.  Asked all at once, their
+   answers keep it from the voters until these elect the next leader, which meets the same.  */
+static bool
+may_look (struct dispatcher *d, const struct dispatch_worker *w)
+{
+  if (w->fenced)
+    return true;
+  if (d->first_holds == FIRST_HOLDS_PER_TICK)
+    return false;
+  d->first_holds++;
+  return true;
+}
+
 void
 dispatch_tick_worker (struct dispatcher *d, struct dispatch_worker *w)
 {
@@ -321,6 +334,7 @@
       return;
     }
   bool probe = w->hold_now && w->holds == 1;
-  if (probe || (w->holds == 0 && (w->hold_now || d->now_ms >= w->hold_next_ms)))
+  bool due = w->holds == 0 && (w->hold_now || d->now_ms >= w->hold_next_ms);
+  if ((probe || due) && may_look (d, w))
     send_hold (d, w);
 }
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -459,12 +459,38 @@
     fail_msg ("%zu looks in a second", f->hold_count - before);
 }
 
+/* A new leader that asks all workers at once reads their lists while the voters wait to hear from
+   it, and loses its place.  */
+static void
+test_a_new_leader_asks_few_workers_at_a_time (void **state)
+{
+  struct fixture *f = *state;
+  char id[16];
+  char address[32];
+  struct status st;
+  for (int i = 0; i < MANY_WORKERS; i++)
+    {
+      snprintf (id, sizeof id, "w%d", i);
+      snprintf (address, sizeof address, "10.0.%d.%d:1", i / 250, i % 250);
+      const struct worker_report r = fixture_worker (f, id, address);
+      assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+    }
+  for (int ms = 0; ms < 1000; ms += 20)
+    {
+      size_t before = f->hold_count;
+      fixture_tick (f, 20);
+      assert_true (f->hold_count - before <= 10);
+    }
+  assert_true (f->hold_count >= MANY_WORKERS);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { TEST (test_ends_are_acknowledged_after_their_commit),
           TEST (test_looks_at_many_workers_are_bounded),
+          TEST (test_a_new_leader_asks_few_workers_at_a_time),
           TEST (test_an_unanswered_start_is_settled_before_the_next),
           TEST (test_an_unanswered_start_that_is_listed_runs_on),
           TEST (test_a_silent_worker_lapses_once_and_in_time),
