Look at workers less often while the leader's ticks come late

The gap between two looks now grows by four times what ticks come late (smoothed), to half a second at most: a third of the silence after which leases are no longer renewed.

Test: test_dispatcher, ticks every 220 ms instead of 20; before, a look in each of them.

--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -279,6 +279,8 @@
   d->fence = fence;
   d->now_ms = now_ms;
   d->lead_ms = now_ms;
+  d->tick_ms = 0;
+  d->lag_ms = 0;
   TAILQ_FOREACH (run, &w->runs, link)
   inherit_run (d, run);
   TAILQ_FOREACH (j, &w->open, link)
@@ -432,6 +434,15 @@
              usable, held, d->waiting, d->waiting_fill, fill, paced, used);
 }
 
+/* A loop that has more to do than time runs its ticks late.  */
+static void
+note_lag (struct dispatcher *d)
+{
+  int64_t late_ms = d->tick_ms > 0 ? d->now_ms - d->tick_ms - DISPATCHER_TICK_MS : 0;
+  d->lag_ms += LAG_SMOOTHING * ((double)(late_ms > 0 ? late_ms : 0) - d->lag_ms);
+  d->tick_ms = d->now_ms;
+}
+
 void
 dispatcher_tick (struct dispatcher *d, int64_t now_ms, int64_t wall_ms)
 {
@@ -439,6 +450,7 @@
   struct dispatch_worker *next;
   struct dispatch_run *r;
   d->now_ms = now_ms;
+  note_lag (d);
   if (!dispatch_has_authority (d))
     return;
   d->first_holds = 0;
--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -295,7 +295,9 @@
 static int64_t
 hold_gap_ms (const struct dispatcher *d)
 {
-  return HOLD_GAP_MS + (int64_t)d->workers.count * HOLD_GAP_PER_WORKER_US / US_PER_MS;
+  int64_t gap_ms = HOLD_GAP_MS + (int64_t)d->workers.count * HOLD_GAP_PER_WORKER_US / US_PER_MS
+                   + (int64_t)(HOLD_GAP_PER_LAG * d->lag_ms);
+  return gap_ms < HOLD_GAP_MOST_MS ? gap_ms : HOLD_GAP_MOST_MS;
 }
 
 void
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -484,12 +484,42 @@
   assert_true (f->hold_count >= MANY_WORKERS);
 }
 
+static size_t
+looks_in_50_ticks (struct fixture *f, int64_t tick_ms)
+{
+  size_t before = f->hold_count;
+  for (int i = 0; i < 50; i++)
+    {
+      size_t sent = f->hold_count;
+      fixture_tick (f, tick_ms);
+      if (f->hold_count > sent)
+        fixture_answer_hold (f, "w1", NULL, 0, NULL, 0);
+    }
+  return f->hold_count - before;
+}
+
+/* A leader without time makes its own load: each look that it sends brings an answer to read.  */
+static void
+test_looks_are_rarer_while_ticks_come_late (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_tick (f, 100);
+  fixture_answer_hold (f, "w1", NULL, 0, NULL, 0);
+  assert_true (looks_in_50_ticks (f, 20) >= 20);
+  looks_in_50_ticks (f, 220);
+  assert_true (looks_in_50_ticks (f, 220) <= 25);
+  looks_in_50_ticks (f, 20);
+  assert_true (looks_in_50_ticks (f, 20) >= 20);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { TEST (test_ends_are_acknowledged_after_their_commit),
           TEST (test_looks_at_many_workers_are_bounded),
+          TEST (test_looks_are_rarer_while_ticks_come_late),
           TEST (test_a_new_leader_asks_few_workers_at_a_time),
           TEST (test_an_unanswered_start_is_settled_before_the_next),
           TEST (test_an_unanswered_start_that_is_listed_runs_on),
