--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -18,9 +18,9 @@
 /* And half a millisecond for each worker: at most 2,000 looks a second, a third of what a leader
    with 0.4 of a processor can do (docs/CAPACITY.md, section 8).  */
 #define HOLD_GAP_PER_WORKER_US 500
-#define HOLD_GAP_PER_LAG 4    /* and so many times what ticks come late, smoothed */
-#define HOLD_GAP_MOST_MS 500  /* a third of RENEW_SILENT_MS: the rest is for the leader's lag */
-#define LAG_SMOOTHING 0.1     /* weight of one tick */
+#define HOLD_GAP_PER_LAG 4   /* and so many times what ticks come late, smoothed */
+#define HOLD_GAP_MOST_MS 500 /* a third of RENEW_SILENT_MS: the rest is for the leader's lag */
+#define LAG_SMOOTHING 0.1    /* weight of one tick */
 /* First looks of a leader in one tick: their lists are long, and the voters must hear from the
    leader meanwhile.  350 workers take 0.9 s.  */
 #define FIRST_HOLDS_PER_TICK 8
