--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -291,6 +291,7 @@
         {
           j->stages[i].tasks[k].placing = NULL;
           j->stages[i].tasks[k].retry_ms = 0;
+          j->stages[i].tasks[k].done_listed = false;
         }
   }
   TAILQ_FOREACH (j, &w->finished, link)
@@ -434,6 +435,15 @@
              usable, held, d->waiting, d->waiting_fill, fill, paced, used);
 }
 
+static unsigned
+first_holds_due (int64_t since_ms)
+{
+  int64_t due = since_ms * FIRST_HOLDS_PER_TICK / DISPATCHER_TICK_MS;
+  if (due < 1)
+    return 1;
+  return (unsigned)(due < FIRST_HOLDS_MOST ? due : FIRST_HOLDS_MOST);
+}
+
 /* A loop that has more to do than time runs its ticks late.  */
 static void
 note_lag (struct dispatcher *d)
@@ -449,11 +459,12 @@
   struct dispatch_worker *w;
   struct dispatch_worker *next;
   struct dispatch_run *r;
+  int64_t since_ms = d->tick_ms > 0 ? now_ms - d->tick_ms : DISPATCHER_TICK_MS;
   d->now_ms = now_ms;
   note_lag (d);
   if (!dispatch_has_authority (d))
     return;
-  d->first_holds = 0;
+  d->first_holds = first_holds_due (since_ms);
   for (w = TAILQ_FIRST (&d->worker_list); w; w = next)
     {
       next = TAILQ_NEXT (w, link);
--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -208,7 +208,7 @@
 record_late_end (struct dispatcher *d, const struct dispatch_worker *w, const struct held_end *h)
 {
   static char empty[] = "";
-  const struct workflow_task *t = workflow_find_task (d->config.workflow, &h->task);
+  struct workflow_task *t = workflow_find_task (d->config.workflow, &h->task);
   bool open = t && t->job->state == WORKFLOW_JOB_OPEN && t->state != WORKFLOW_TASK_DONE
               && t->state != WORKFLOW_TASK_FAILED;
   if (!open || h->outcome != WORKFLOW_DONE || h->run > t->last_run
@@ -222,6 +222,7 @@
              "job=%016" PRIx64 " step=%u task=%u run=%u worker=%s last_run=%u", h->task.job,
              h->task.step, h->task.index, h->run, w->id, t->last_run);
   dispatch_send (d, &c);
+  t->done_listed = true;
   return true;
 }
 
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -24,8 +24,9 @@
 /* First looks of a leader in one tick: their lists are long, and the voters must hear from the
    leader meanwhile.  350 workers take 0.9 s.  */
 #define FIRST_HOLDS_PER_TICK 8
-#define HOLD_WAIT_MS 500  /* samples of tails come each half second */
-#define HOLD_RETRY_MS 200 /* after a hold without an answer */
+#define FIRST_HOLDS_MOST 64 /* in a late tick; leases must not run out before all were asked */
+#define HOLD_WAIT_MS 500    /* samples of tails come each half second */
+#define HOLD_RETRY_MS 200   /* after a hold without an answer */
 /* No answer to holds for this long: no new tasks.  An idle hold, a retry and the limit of a call.
  */
 #define SILENT_MS 2800
@@ -165,7 +166,7 @@
   uint64_t mark;        /* counts holds and settled orders */
   int64_t tick_ms;      /* of the last tick; 0 before the first */
   double lag_ms;        /* how late ticks come, smoothed */
-  unsigned first_holds; /* in this tick, to workers that have not answered this leader */
+  unsigned first_holds; /* left in this tick, to workers that have not answered this leader */
   uint64_t token;       /* of the last proposal */
   struct cell_map workers;
   struct dispatch_workers worker_list;
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -309,9 +309,9 @@
 {
   if (w->fenced)
     return true;
-  if (d->first_holds == FIRST_HOLDS_PER_TICK)
+  if (d->first_holds == 0)
     return false;
-  d->first_holds++;
+  d->first_holds--;
   return true;
 }
 
--- a/src/workflow/workflow.h
+++ b/src/workflow/workflow.h
@@ -79,6 +79,7 @@
   struct workflow_run *runs[WORKFLOW_MAX_RUNS];
   bool ready;       /* in workflow.ready */
   void *placing;    /* the dispatcher's: a placement that is proposed */
+  bool done_listed; /* the dispatcher's: a worker listed it as done, which is not committed yet */
   int64_t retry_ms; /* the dispatcher's: not before this time of its clock */
   TAILQ_ENTRY (workflow_task) link;
 };
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -167,7 +167,6 @@
   assert_true (f->now_ms < lead_ms + FIXTURE_LEASE_MS + 1000);
 }
 
-/* Under its old id a worker that crashed runs nothing of before.  */
 /* A worker that was silent until its lease counted as over may have finished the task before:
    starting it again once that end is known would run it twice.  */
 static void
@@ -188,6 +187,30 @@
   assert_int_equal (f->start_count, 1);
 }
 
+/* The same end, listed while the next placement is on its way into the log: no start may follow. */
+static void
+test_a_late_done_end_stops_the_next_start (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_tick (f, 20);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  for (int i = 0; i < 600 && !TAILQ_EMPTY (&f->workflow.runs); i++)
+    fixture_tick (f, 20);
+  assert_true (TAILQ_EMPTY (&f->workflow.runs));
+  fixture_join (f, "w2", "10.0.0.2:1");
+  f->now_ms += 20;
+  dispatcher_tick (f->dispatcher, f->now_ms, f->now_ms);
+  assert_int_equal (f->log_count, 1);
+  const struct held_end end = fixture_ended (&f->starts[0], 1, WORKFLOW_DONE);
+  fixture_answer_hold (f, "w1", NULL, 0, &end, 1);
+  fixture_tick (f, 100);
+  assert_int_equal (workflow_find_job (&f->workflow, 1)->state, WORKFLOW_JOB_COMPLETED);
+  assert_int_equal (f->start_count, 1);
+}
+
+/* Under its old id a worker that crashed runs nothing of before.  */
 static void
 test_a_restarted_worker_has_lost_its_runs (void **state)
 {
@@ -527,6 +550,7 @@
           TEST (test_a_new_leader_learns_before_it_starts),
           TEST (test_a_new_leader_waits_for_leases_it_did_not_give),
           TEST (test_a_late_done_end_is_taken),
+          TEST (test_a_late_done_end_stops_the_next_start),
           TEST (test_a_restarted_worker_has_lost_its_runs),
           TEST (test_a_younger_worker_at_the_address_ends_the_older),
           TEST (test_a_draining_worker_gets_nothing),
