--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -291,7 +291,7 @@
         {
           j->stages[i].tasks[k].placing = NULL;
           j->stages[i].tasks[k].retry_ms = 0;
-          j->stages[i].tasks[k].done_listed = false;
+          j->stages[i].tasks[k].done_until_ms = 0;
         }
   }
   TAILQ_FOREACH (j, &w->finished, link)
--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -222,7 +222,7 @@
              "job=%016" PRIx64 " step=%u task=%u run=%u worker=%s last_run=%u", h->task.job,
              h->task.step, h->task.index, h->run, w->id, t->last_run);
   dispatch_send (d, &c);
-  t->done_listed = true;
+  t->done_until_ms = d->now_ms + DONE_LISTED_MS;
   return true;
 }
 
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -32,6 +32,7 @@
 #define SILENT_MS 2800
 /* Leases are renewed this long after an answer: an idle hold and a margin.  */
 #define RENEW_SILENT_MS 1500
+#define DONE_LISTED_MS 5000    /* a late end commits, or is listed again, well within this */
 #define LATE_ORDER_MS 15000    /* an order may be carried out 12 s late; with margin */
 #define LEASE_MARGIN_MS 300    /* rounding and delays of the worker's own timer */
 #define CLOCK_SLOWEST 0.98     /* a worker's clock may be 2% slow */
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -81,7 +81,8 @@
   {
     if (t->job->seen_ms == 0)
       dispatch_see_job (d, t->job);
-    if (t->placing || t->done_listed || d->now_ms < t->retry_ms || !is_due (t, wall_ms))
+    if (t->placing || d->now_ms < t->done_until_ms || d->now_ms < t->retry_ms
+        || !is_due (t, wall_ms))
       continue;
     const workflow_queue *q = workflow_queue_of (w, t->job);
     if (!q || q->needs_advice)
@@ -308,8 +309,8 @@
   struct dispatch_worker *w = r->worker;
   struct workflow_task *t = r->task;
   r->state = DISPATCH_SENT;
-  bool unwanted
-      = t->job->state != WORKFLOW_JOB_OPEN || t->state == WORKFLOW_TASK_DONE || t->done_listed;
+  bool unwanted = t->job->state != WORKFLOW_JOB_OPEN || t->state == WORKFLOW_TASK_DONE
+                  || d->now_ms < t->done_until_ms;
   bool unusable = w->draining || w->gone || !w->fenced || !w->address
                   || workflow_zone_is_out (d->config.workflow, w->zone);
   if (unwanted || unusable || !dispatch_has_authority (d))
--- a/src/workflow/workflow.h
+++ b/src/workflow/workflow.h
@@ -77,10 +77,10 @@
   uint32_t failures;
   char *checkpoint; /* NULL: none */
   struct workflow_run *runs[WORKFLOW_MAX_RUNS];
-  bool ready;       /* in workflow.ready */
-  void *placing;    /* the dispatcher's: a placement that is proposed */
-  bool done_listed; /* the dispatcher's: a worker listed it as done, which is not committed yet */
-  int64_t retry_ms; /* the dispatcher's: not before this time of its clock */
+  bool ready;            /* in workflow.ready */
+  void *placing;         /* the dispatcher's: a placement that is proposed */
+  int64_t done_until_ms; /* the dispatcher's: until then a listed end of it may commit; 0 is none */
+  int64_t retry_ms;      /* the dispatcher's: not before this time of its clock */
   TAILQ_ENTRY (workflow_task) link;
 };
 
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -210,6 +210,41 @@
   assert_int_equal (f->start_count, 1);
 }
 
+/* The end that was listed never gets into the log, and its worker is lost: the task must run again.
+ */
+static void
+test_a_late_end_that_is_lost_holds_nothing_up (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_tick (f, 20);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  for (int i = 0; i < 600 && !TAILQ_EMPTY (&f->workflow.runs); i++)
+    fixture_tick (f, 20);
+  const struct held_end end = fixture_ended (&f->starts[0], 1, WORKFLOW_DONE);
+  const struct worker_lists lists = { .mark = fixture_last_hold (f, "w1").mark,
+                                      .clock_ms = f->now_ms,
+                                      .born_ms = 1000,
+                                      .ended = &end,
+                                      .ended_len = 1,
+                                      .complete = true };
+  dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_OK, &lists);
+  assert_int_equal (f->log_count, 1);
+  buffer_close (&f->log[0].entry);
+  f->log_count = 0;
+  dispatcher_proposed (f->dispatcher, f->now_ms, f->log[0].token, false);
+  dispatcher_left (f->dispatcher, f->now_ms, "w1");
+  fixture_join (f, "w2", "10.0.0.2:1");
+  for (int i = 0; i < 400 && f->start_count == 1; i++)
+    {
+      fixture_tick (f, 20);
+      if (i % 50 == 0)
+        fixture_answer_hold (f, "w2", NULL, 0, NULL, 0);
+    }
+  assert_int_equal (f->start_count, 2);
+}
+
 /* Under its old id a worker that crashed runs nothing of before.  */
 static void
 test_a_restarted_worker_has_lost_its_runs (void **state)
@@ -550,6 +585,7 @@
           TEST (test_a_new_leader_learns_before_it_starts),
           TEST (test_a_new_leader_waits_for_leases_it_did_not_give),
           TEST (test_a_late_done_end_is_taken),
+          TEST (test_a_late_end_that_is_lost_holds_nothing_up),
           TEST (test_a_late_done_end_stops_the_next_start),
           TEST (test_a_restarted_worker_has_lost_its_runs),
           TEST (test_a_younger_worker_at_the_address_ends_the_older),
