Share the lapsed run of three dispatcher tests

Three tests of late ends began with the same eight lines; they are lapse_one_run now. The test of the end that is lost gains the check that the run had lapsed, which the other two had.

--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -167,12 +167,10 @@
   assert_true (f->now_ms < lead_ms + FIXTURE_LEASE_MS + 1000);
 }
 
-/* A worker that was silent until its lease counted as over may have finished the task before:
-   starting it again once that end is known would run it twice.  */
+/* Starts the one task of a job on w1, which is silent until that run counts as lapsed.  */
 static void
-test_a_late_done_end_is_taken (void **state)
+lapse_one_run (struct fixture *f)
 {
-  struct fixture *f = *state;
   fixture_join (f, "w1", "10.0.0.1:1");
   fixture_submit (f, 1, 1, 1, 0);
   fixture_tick (f, 20);
@@ -180,6 +178,15 @@
   for (int i = 0; i < 600 && !TAILQ_EMPTY (&f->workflow.runs); i++)
     fixture_tick (f, 20);
   assert_true (TAILQ_EMPTY (&f->workflow.runs));
+}
+
+/* A worker that was silent until its lease counted as over may have finished the task before:
+   starting it again once that end is known would run it twice.  */
+static void
+test_a_late_done_end_is_taken (void **state)
+{
+  struct fixture *f = *state;
+  lapse_one_run (f);
   const struct held_end end = fixture_ended (&f->starts[0], 1, WORKFLOW_DONE);
   fixture_answer_hold (f, "w1", NULL, 0, &end, 1);
   fixture_tick (f, 100);
@@ -192,13 +199,7 @@
 test_a_late_done_end_stops_the_next_start (void **state)
 {
   struct fixture *f = *state;
-  fixture_join (f, "w1", "10.0.0.1:1");
-  fixture_submit (f, 1, 1, 1, 0);
-  fixture_tick (f, 20);
-  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
-  for (int i = 0; i < 600 && !TAILQ_EMPTY (&f->workflow.runs); i++)
-    fixture_tick (f, 20);
-  assert_true (TAILQ_EMPTY (&f->workflow.runs));
+  lapse_one_run (f);
   fixture_join (f, "w2", "10.0.0.2:1");
   f->now_ms += 20;
   dispatcher_tick (f->dispatcher, f->now_ms, f->now_ms);
@@ -216,12 +217,7 @@
 test_a_late_end_that_is_lost_holds_nothing_up (void **state)
 {
   struct fixture *f = *state;
-  fixture_join (f, "w1", "10.0.0.1:1");
-  fixture_submit (f, 1, 1, 1, 0);
-  fixture_tick (f, 20);
-  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
-  for (int i = 0; i < 600 && !TAILQ_EMPTY (&f->workflow.runs); i++)
-    fixture_tick (f, 20);
+  lapse_one_run (f);
   const struct held_end end = fixture_ended (&f->starts[0], 1, WORKFLOW_DONE);
   const struct worker_lists lists = { .mark = fixture_last_hold (f, "w1").mark,
                                       .clock_ms = f->now_ms,
