Let core VMs call the workers of their data centre for the leader

Fences, leases and all decisions stay with the leader; an order without an answer stays uncertain. Ruled out before: decisions (13% of the processor), commits.

--- a/src/gen/peer_proto.h
+++ b/src/gen/peer_proto.h
@@ -23,6 +23,7 @@
 #define PEER_MAX_CELLS 64
 #define PEER_MAX_CUSTOMERS 256
 #define PEER_MESSAGE_BYTES 1200
+#define PEER_ORDERS_BYTES 2097152
 
   typedef char *peer_name;
 
@@ -226,6 +227,16 @@
   };
   typedef struct runner_digest_reply runner_digest_reply;
 
+  struct peer_orders
+  {
+    struct
+    {
+      u_int data_len;
+      char *data_val;
+    } data;
+  };
+  typedef struct peer_orders peer_orders;
+
 #define SASSAFRAS_PEER 0x2fa55a01
 #define SASSAFRAS_PEER_V1 1
 
@@ -248,6 +259,9 @@
 #define PEER_RUNNERS 5
   extern runner_digest_reply *peer_runners_1 (runner_digest *, CLIENT *);
   extern runner_digest_reply *peer_runners_1_svc (runner_digest *, struct svc_req *);
+#define PEER_ORDERS 6
+  extern void *peer_orders_1 (peer_orders *, CLIENT *);
+  extern void *peer_orders_1_svc (peer_orders *, struct svc_req *);
   extern int sassafras_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -269,6 +283,9 @@
 #define PEER_RUNNERS 5
 extern runner_digest_reply *peer_runners_1 ();
 extern runner_digest_reply *peer_runners_1_svc ();
+#define PEER_ORDERS 6
+extern void *peer_orders_1 ();
+extern void *peer_orders_1_svc ();
 extern int sassafras_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -292,6 +309,7 @@
   extern bool_t xdr_customer_usage (XDR *, customer_usage *);
   extern bool_t xdr_runner_digest (XDR *, runner_digest *);
   extern bool_t xdr_runner_digest_reply (XDR *, runner_digest_reply *);
+  extern bool_t xdr_peer_orders (XDR *, peer_orders *);
 
 #else /* K&R C */
 extern bool_t xdr_peer_name ();
@@ -311,6 +329,7 @@
 extern bool_t xdr_customer_usage ();
 extern bool_t xdr_runner_digest ();
 extern bool_t xdr_runner_digest_reply ();
+extern bool_t xdr_peer_orders ();
 
 #endif /* K&R C */
 
--- a/src/gen/peer_proto.x
+++ b/src/gen/peer_proto.x
@@ -10,6 +10,7 @@
 const PEER_MAX_CELLS = 64;
 const PEER_MAX_CUSTOMERS = 256;
 const PEER_MESSAGE_BYTES = 1200;
+const PEER_ORDERS_BYTES = 2097152;
 
 typedef string peer_name<PEER_NAME_BYTES>;
 
@@ -168,6 +169,12 @@
   unsigned hyper asked;           /* the receiver's clock, echoed by the next digest */
 };
 
+/* Orders to workers that the receiver is to call, or their outcomes: see orders_proto.x.  */
+struct peer_orders
+{
+  opaque data<PEER_ORDERS_BYTES>;
+};
+
 program SASSAFRAS_PEER
 {
   version SASSAFRAS_PEER_V1
@@ -178,5 +185,6 @@
     propose_reply PEER_PROPOSE (propose_args) = 3;
     permit_grant PEER_PERMIT (permit_request) = 4;
     runner_digest_reply PEER_RUNNERS (runner_digest) = 5;
+    void PEER_ORDERS (peer_orders) = 6; /* one-way: never answered */
   } = 1;
 } = 0x2fa55a01;
--- a/src/gen/peer_proto_xdr.c
+++ b/src/gen/peer_proto_xdr.c
@@ -417,3 +417,14 @@
     return FALSE;
   return TRUE;
 }
+
+bool_t
+xdr_peer_orders (XDR *xdrs, peer_orders *objp)
+{
+  register int32_t *buf;
+
+  if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *)&objp->data.data_len,
+                  PEER_ORDERS_BYTES))
+    return FALSE;
+  return TRUE;
+}
--- a/src/net/peer_codec.c
+++ b/src/net/peer_codec.c
@@ -33,6 +33,7 @@
   [PEER_PROPOSE] = { "propose", (xdrproc_t)xdr_propose_args, (xdrproc_t)xdr_propose_reply },
   [PEER_PERMIT] = { "permit", (xdrproc_t)xdr_permit_request, (xdrproc_t)xdr_permit_grant },
   [PEER_RUNNERS] = { "runners", (xdrproc_t)xdr_runner_digest, (xdrproc_t)xdr_runner_digest_reply },
+  [PEER_ORDERS] = { "orders", (xdrproc_t)xdr_peer_orders, xdr_nothing },
 };
 
 #define PROC_COUNT (sizeof procs / sizeof procs[0])
--- a/src/net/peer_codec.h
+++ b/src/net/peer_codec.h
@@ -30,6 +30,7 @@
   permit_grant permit_grant;
   runner_digest runners;
   runner_digest_reply runners_reply;
+  peer_orders orders;
 };
 
 /* How a reply ends, apart from its body.  */
--- a/src/net/peer_net.h
+++ b/src/net/peer_net.h
@@ -9,7 +9,8 @@
    A peer is addressed by its node.  The node of a peer may be given as 0 when it is not known yet;
    its hello sets it, and replaces it when the peer comes back with a new disk.
 
-   Delivery: raft messages are one-way and may be dropped, never reordered on one connection.  A
+   Delivery: raft messages and orders are one-way and may be dropped, never reordered on one
+   connection.  A
    call reports its result exactly once, from the loop and never from inside the function that
    started it.  When a call fails, the kind of the status tells whether it may have run: NOT_FOUND
    no such peer                               did not run NO_QUORUM        no connection, or lost
@@ -91,6 +92,7 @@
                   struct peer_reply *reply);
   void (*runners) (void *arg, const struct peer_info *from, const runner_digest *digest,
                    struct peer_reply *reply);
+  void (*orders) (void *arg, const struct peer_info *from, const peer_orders *orders);
   /* The connection to PEER became usable, or PEER showed a new incarnation.  */
   void (*hello) (void *arg, const struct peer_info *peer);
   /* The usable connection to PEER ended.  */
@@ -138,6 +140,8 @@
 uint64_t peer_net_refused (const struct peer_net *net); /* Refused hellos of any sender. */
 
 void peer_send_raft (struct peer_net *net, const raft_message *message); /* To MESSAGE->to. */
+bool peer_send_orders (struct peer_net *net, uint64_t node,
+                       const peer_orders *orders); /* False: surely not sent. */
 void peer_call_propose (struct peer_net *net, uint64_t node, const propose_args *args,
                         int64_t timeout_ms, peer_propose_done *done, void *arg); /* Proposes. */
 void peer_call_permit (struct peer_net *net, uint64_t node, const permit_request *request,
--- a/src/net/peer_net_calls.c
+++ b/src/net/peer_net_calls.c
@@ -185,6 +185,22 @@
   log_line (LOG_ERROR, "raft message to %s can't be sent: %s", p->name, st.message);
 }
 
+bool
+peer_send_orders (struct peer_net *net, uint64_t node, const peer_orders *orders)
+{
+  struct peer *p = peer_find_node (net, node);
+  struct status st;
+  size_t len;
+  if (!p || !p->out || p->out->state != CONN_READY)
+    return false;
+  char *bytes
+      = peer_encode_call (net->next_xid++, PEER_ORDERS, orders, PEER_MAX_RECORD_BYTES, &len, &st);
+  if (bytes)
+    return conn_queue (p->out, RECORD_CONTROL, bytes, len, NULL) == 0;
+  log_line (LOG_ERROR, "orders for %s can't be sent: %s", p->name, st.message);
+  return false;
+}
+
 static struct call *
 find_call (struct conn *c, uint32_t xid)
 {
@@ -333,6 +349,23 @@
   config->handlers.raft (config->handler_arg, &from, message);
 }
 
+static void
+handle_orders (struct conn *c, const peer_orders *orders)
+{
+  const struct peer_net_config *config = &c->net->config;
+  struct peer_info from;
+  if (!config->handlers.orders)
+    return;
+  peer_fill_info (c->peer, &from);
+  config->handlers.orders (config->handler_arg, &from, orders);
+}
+
+static bool
+is_one_way (uint32_t proc)
+{
+  return proc == PEER_RAFT || proc == PEER_ORDERS;
+}
+
 static bool
 has_handler (const struct peer_handlers *handlers, uint32_t proc)
 {
@@ -378,11 +411,13 @@
   if (h->outcome != PEER_SUCCESS)
     return answer_failure (c, h->xid, PEER_UNKNOWN_CALL);
   if (peer_decode_args (h->proc, body, len, &args) < 0)
-    return h->proc == PEER_RAFT ? -1 : answer_failure (c, h->xid, PEER_GARBAGE_ARGS);
+    return is_one_way (h->proc) ? -1 : answer_failure (c, h->xid, PEER_GARBAGE_ARGS);
   if (h->proc == PEER_NULL)
     answer_null (c, h->xid);
   else if (h->proc == PEER_RAFT)
     handle_raft (c, &args.raft);
+  else if (h->proc == PEER_ORDERS)
+    handle_orders (c, &args.orders);
   else
     handle_call (c, h, &args);
   peer_free_args (h->proc, &args);
--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -335,9 +335,7 @@
 {
   const struct dispatch_worker *w = r->worker;
   const struct worker_stop order
-      = { .to = { .worker = w->id, .address = w->address, .fence = d->fence },
-          .task = workflow_ref (r->task),
-          .run = r->number };
+      = { .to = dispatch_address (d, w), .task = workflow_ref (r->task), .run = r->number };
   r->stop_open = true;
   log_event (LOG_INFO, "stop-sent", "job=%016" PRIx64 " step=%u task=%u run=%u worker=%s",
              r->task->job->spec.id, r->task->step, r->task->index, r->number, w->id);
@@ -362,11 +360,10 @@
 send_pace (struct dispatcher *d, struct dispatch_run *r)
 {
   const struct dispatch_worker *w = r->worker;
-  const struct worker_pace order
-      = { .to = { .worker = w->id, .address = w->address, .fence = d->fence },
-          .task = workflow_ref (r->task),
-          .run = r->number,
-          .percent = wanted_pace (d, r) };
+  const struct worker_pace order = { .to = dispatch_address (d, w),
+                                     .task = workflow_ref (r->task),
+                                     .run = r->number,
+                                     .percent = wanted_pace (d, r) };
   r->pace_open = true;
   d->config.link->ops->pace (d->config.link, &order);
 }
--- a/src/workflow/dispatcher.h
+++ b/src/workflow/dispatcher.h
@@ -86,6 +86,10 @@
                              enum worker_call_result result,
                              const struct worker_lists *lists); /* LISTS with OK only. */
 
+void dispatcher_outcome (void *dispatcher, int64_t now_ms,
+                         const struct worker_outcome *o);    /* Any of these four answers. */
+size_t dispatcher_worker_count (const struct dispatcher *d); /* Known to this leader. */
+
 void dispatcher_tick (struct dispatcher *d, int64_t now_ms, int64_t wall_ms); /* Time passes. */
 bool dispatcher_can_ever_fit (const struct dispatcher *d, const workflow_spec *spec,
                               const char *pool); /* False: no worker of POOL could. */
--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -117,9 +117,7 @@
 stop_stranger (struct dispatcher *d, const struct dispatch_worker *w, const struct held_run *h)
 {
   const struct worker_stop order
-      = { .to = { .worker = w->id, .address = w->address, .fence = d->fence },
-          .task = h->task,
-          .run = h->run };
+      = { .to = dispatch_address (d, w), .task = h->task, .run = h->run };
   log_event (LOG_WARN, "stranger-stopped", "job=%016" PRIx64 " step=%u task=%u run=%u worker=%s",
              h->task.job, h->task.step, h->task.index, h->run, w->id);
   d->config.link->ops->stop (d->config.link, &order);
@@ -323,3 +321,24 @@
   if (result == WORKER_CALL_OTHER_LIFE)
     dispatch_worker_gone (d, w, "another worker has its address");
 }
+
+void
+dispatcher_outcome (void *dispatcher, int64_t now_ms, const struct worker_outcome *o)
+{
+  struct dispatcher *d = dispatcher;
+  switch (o->kind)
+    {
+    case ORDER_START:
+      dispatcher_start_answer (d, now_ms, o->worker, &o->task, o->run, o->result);
+      break;
+    case ORDER_STOP:
+      dispatcher_stop_answer (d, now_ms, o->worker, &o->task, o->run, o->result);
+      break;
+    case ORDER_PACE:
+      dispatcher_pace_answer (d, now_ms, o->worker, &o->task, o->run, o->percent, o->result);
+      break;
+    case ORDER_HOLD:
+      dispatcher_hold_answer (d, now_ms, o->worker, o->result, o->lists);
+      break;
+    }
+}
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -202,6 +202,8 @@
 int64_t dispatch_lease_deadline (struct dispatcher *d,
                                  struct dispatch_worker *w); /* For the next order; noted. */
 void dispatch_note_life (struct dispatcher *d, struct dispatch_worker *w, int64_t born_ms);
+struct worker_address dispatch_address (const struct dispatcher *d,
+                                        const struct dispatch_worker *w); /* For an order. */
 void dispatch_tick_worker (struct dispatcher *d, struct dispatch_worker *w);
 bool dispatch_usable (const struct dispatcher *d, const struct dispatch_worker *w);
 
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -320,13 +320,12 @@
                              : "the worker is no longer usable");
       return;
     }
-  const struct worker_start order
-      = { .to = { .worker = w->id, .address = w->address, .fence = d->fence },
-          .task = workflow_ref (t),
-          .run = r->number,
-          .payload = t->job->spec.payload,
-          .checkpoint = t->checkpoint ? t->checkpoint : "",
-          .deadline_ms = dispatch_lease_deadline (d, w) };
+  const struct worker_start order = { .to = dispatch_address (d, w),
+                                      .task = workflow_ref (t),
+                                      .run = r->number,
+                                      .payload = t->job->spec.payload,
+                                      .checkpoint = t->checkpoint ? t->checkpoint : "",
+                                      .deadline_ms = dispatch_lease_deadline (d, w) };
   r->sent_ms = d->now_ms;
   d->config.link->ops->start (d->config.link, &order);
 }
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -265,6 +265,14 @@
          && d->now_ms >= w->avoid_until_ms && !workflow_zone_is_out (d->config.workflow, w->zone);
 }
 
+struct worker_address
+dispatch_address (const struct dispatcher *d, const struct dispatch_worker *w)
+{
+  return (struct worker_address){
+    .worker = w->id, .address = w->address, .zone = w->zone, .fence = d->fence
+  };
+}
+
 /* Tails matter where tasks that fill run beside lasting ones.  */
 static uint32_t
 hold_wait_ms (const struct dispatch_worker *w)
@@ -277,12 +285,11 @@
 {
   /* A worker that can't answer may still hear: its lease is renewed only while it answers.  */
   bool answers = d->now_ms - w->heard_ms < RENEW_SILENT_MS;
-  const struct worker_hold order
-      = { .to = { .worker = w->id, .address = w->address, .fence = d->fence },
-          .mark = ++d->mark,
-          .acknowledged = w->acknowledged,
-          .deadline_ms = answers ? dispatch_lease_deadline (d, w) : 0,
-          .wait_ms = w->hold_now || !w->fenced ? 0 : hold_wait_ms (w) };
+  const struct worker_hold order = { .to = dispatch_address (d, w),
+                                     .mark = ++d->mark,
+                                     .acknowledged = w->acknowledged,
+                                     .deadline_ms = answers ? dispatch_lease_deadline (d, w) : 0,
+                                     .wait_ms = w->hold_now || !w->fenced ? 0 : hold_wait_ms (w) };
   w->hold_now = false;
   w->holds++;
   d->config.link->ops->hold (d->config.link, &order);
@@ -338,3 +345,9 @@
   if ((probe || due) && may_look (d, w))
     send_hold (d, w);
 }
+
+size_t
+dispatcher_worker_count (const struct dispatcher *d)
+{
+  return d->workers.count;
+}
--- /dev/null
+++ b/src/workflow/orders_codec.c
@@ -0,0 +1,181 @@
+#include "orders_codec.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define FULL_BYTES (512u * 1024) /* a quarter of what one message may hold */
+#define FULL_ITEMS 1024          /* a quarter likewise */
+#define COUNT_BYTES 4            /* the length of an XDR array */
+
+void
+orders_items_init (struct orders_items *items)
+{
+  buffer_init (&items->bytes);
+  items->count = 0;
+}
+
+void
+orders_items_close (struct orders_items *items)
+{
+  buffer_close (&items->bytes);
+}
+
+bool
+orders_items_full (const struct orders_items *items)
+{
+  return items->bytes.len >= FULL_BYTES || items->count >= FULL_ITEMS;
+}
+
+static void
+append (struct buffer *out, xdrproc_t proc, const void *value)
+{
+  XDR xdr;
+  u_int size = (u_int)xdr_sizeof (proc, (void *)(uintptr_t)value);
+  buffer_reserve (out, size);
+  xdrmem_create (&xdr, out->data + out->len, size, XDR_ENCODE);
+  proc (&xdr, (void *)(uintptr_t)value);
+  xdr_destroy (&xdr);
+  out->len += size;
+}
+
+void
+orders_add_order (struct orders_items *items, const relayed_order *order)
+{
+  append (&items->bytes, (xdrproc_t)xdr_relayed_order, order);
+  items->count++;
+}
+
+static u_int
+copy_running (const struct worker_lists *lists, listed_run *out)
+{
+  u_int n = 0;
+  for (size_t i = 0; i < lists->running_len && n < ORDERS_MOST_RUNS; i++)
+    {
+      const struct held_run *h = &lists->running[i];
+      out[n++] = (listed_run){ .task = h->task,
+                               .run = h->run,
+                               .checkpoint = (char *)(uintptr_t)h->checkpoint,
+                               .percent = h->percent,
+                               .measure = h->measure };
+    }
+  return n;
+}
+
+static u_int
+copy_ended (const struct worker_lists *lists, listed_end_row *out)
+{
+  u_int n = 0;
+  for (size_t i = 0; i < lists->ended_len && n < ORDERS_MOST_ENDS; i++)
+    {
+      const struct held_end *h = &lists->ended[i];
+      out[n++] = (listed_end_row){ .number = h->number,
+                                   .task = h->task,
+                                   .run = h->run,
+                                   .outcome = h->outcome,
+                                   .checkpoint = (char *)(uintptr_t)h->checkpoint };
+    }
+  return n;
+}
+
+void
+orders_add_answer (struct orders_items *items, uint64_t call, enum worker_call_result result,
+                   const struct worker_lists *lists)
+{
+  relayed_answer a = { .call = call, .result = result };
+  relayed_lists copy = { 0 };
+  if (lists)
+    {
+      /* Runs that are left out would count as not there.  */
+      bool whole = lists->running_len <= ORDERS_MOST_RUNS;
+      copy.clock_ms = lists->clock_ms;
+      copy.born_ms = lists->born_ms;
+      copy.complete = lists->complete && lists->ended_len <= ORDERS_MOST_ENDS;
+      copy.running.running_val = xcalloc (lists->running_len + 1, sizeof (listed_run));
+      copy.running.running_len = copy_running (lists, copy.running.running_val);
+      copy.ended.ended_val = xcalloc (lists->ended_len + 1, sizeof (listed_end_row));
+      copy.ended.ended_len = copy_ended (lists, copy.ended.ended_val);
+      a.lists = whole ? &copy : NULL;
+      a.result = whole ? result : WORKER_CALL_UNKNOWN;
+    }
+  append (&items->bytes, (xdrproc_t)xdr_relayed_answer, &a);
+  items->count++;
+  free (copy.running.running_val);
+  free (copy.ended.ended_val);
+}
+
+/* HEAD is the message without items: its last word is their number, which is replaced.  */
+static void
+seal (struct orders_items *items, const orders_message *head, struct buffer *out)
+{
+  XDR xdr;
+  append (out, (xdrproc_t)xdr_orders_message, head);
+  xdrmem_create (&xdr, out->data + out->len - COUNT_BYTES, COUNT_BYTES, XDR_ENCODE);
+  xdr_u_int (&xdr, &items->count);
+  xdr_destroy (&xdr);
+  buffer_append (out, items->bytes.data, items->bytes.len);
+  items->bytes.len = 0;
+  items->count = 0;
+}
+
+void
+orders_seal_orders (struct orders_items *items, uint64_t echo, struct buffer *out)
+{
+  orders_message head = { .kind = ORDERS_TO_CALL };
+  head.orders_message_u.orders.echo = echo;
+  seal (items, &head, out);
+}
+
+void
+orders_seal_answers (struct orders_items *items, uint64_t clock, bool stopping, struct buffer *out)
+{
+  orders_message head = { .kind = ORDERS_ANSWERED };
+  head.orders_message_u.answers.clock = clock;
+  head.orders_message_u.answers.stopping = stopping;
+  seal (items, &head, out);
+}
+
+static bool
+answer_known (const relayed_answer *a)
+{
+  if (a->result > WORKER_CALL_UNKNOWN)
+    return false;
+  for (u_int i = 0; a->lists && i < a->lists->ended.ended_len; i++)
+    {
+      workflow_outcome outcome = a->lists->ended.ended_val[i].outcome;
+      if (outcome < WORKFLOW_DONE || outcome > WORKFLOW_NOT_STARTED)
+        return false;
+    }
+  return true;
+}
+
+/* XDR accepts any integer as an enum.  */
+static bool
+enums_known (const orders_message *m)
+{
+  if (m->kind != ORDERS_ANSWERED)
+    return true;
+  const answer_batch *batch = &m->orders_message_u.answers;
+  for (u_int i = 0; i < batch->answers.answers_len; i++)
+    if (!answer_known (&batch->answers.answers_val[i]))
+      return false;
+  return true;
+}
+
+bool
+orders_decode (const void *data, size_t len, orders_message *out)
+{
+  XDR xdr;
+  memset (out, 0, sizeof *out);
+  xdrmem_create (&xdr, (char *)(uintptr_t)data, (u_int)len, XDR_DECODE);
+  bool ok = xdr_orders_message (&xdr, out) && xdr_getpos (&xdr) == len && enums_known (out);
+  xdr_destroy (&xdr);
+  if (!ok)
+    orders_free (out);
+  return ok;
+}
+
+void
+orders_free (orders_message *message)
+{
+  xdr_free ((xdrproc_t)xdr_orders_message, (char *)message);
+}
--- a/src/workflow/seeded_group.c
+++ b/src/workflow/seeded_group.c
@@ -69,6 +69,13 @@
     group_receive (s->group, m);
 }
 
+static void
+tell_peer (struct seeded_group *s, const struct peer_info *peer, bool connected)
+{
+  if (s->config.peer)
+    s->config.peer (s->config.arg, peer->node, peer->data_centre, connected);
+}
+
 static void
 on_hello (void *arg, const struct peer_info *peer)
 {
@@ -77,13 +84,23 @@
              (unsigned long long)peer->incarnation);
   if (s->group)
     group_peer_connected (s->group, peer->node);
+  tell_peer (s, peer, true);
 }
 
 static void
 on_lost (void *arg, const struct peer_info *peer)
 {
-  (void)arg;
+  struct seeded_group *s = arg;
   log_event (LOG_WARN, "peer-lost", "peer=%s", peer->name);
+  tell_peer (s, peer, false);
+}
+
+static void
+on_orders (void *arg, const struct peer_info *from, const peer_orders *orders)
+{
+  struct seeded_group *s = arg;
+  if (s->config.orders)
+    s->config.orders (s->config.arg, from->node, orders->data.data_val, orders->data.data_len);
 }
 
 static void
@@ -132,7 +149,7 @@
           .listen_address = listen,
           .clock = s->config.clock,
           .seed = rng_next (&s->rng),
-          .handlers = { .raft = on_raft, .hello = on_hello, .lost = on_lost },
+          .handlers = { .raft = on_raft, .orders = on_orders, .hello = on_hello, .lost = on_lost },
           .handler_arg = s };
   s->net = peer_net_open (s->config.loop, &config, st);
   if (!s->net)
@@ -358,6 +375,14 @@
     add_peer (s, ip);
 }
 
+bool
+seeded_group_send_orders (void *seeded_group, uint64_t node, const void *data, size_t len)
+{
+  struct seeded_group *s = seeded_group;
+  const peer_orders orders = { { (u_int)len, (char *)(uintptr_t)data } };
+  return peer_send_orders (s->net, node, &orders);
+}
+
 bool
 seeded_group_wants_to_join (const struct seeded_group *s)
 {
--- a/src/workflow/seeded_group.h
+++ b/src/workflow/seeded_group.h
@@ -43,6 +43,10 @@
   bool first_start;
   struct machine *machine;
   void (*leader_changed) (void *arg);
+  /* Either may be NULL.  */
+  void (*peer) (void *arg, uint64_t node, const char *data_centre,
+                bool connected); /* The connection to a member was made or lost. */
+  void (*orders) (void *arg, uint64_t from, const void *data, size_t len); /* See orders_codec.h. */
   void *arg;
 };
 
@@ -52,6 +56,8 @@
 struct group *seeded_group_group (struct seeded_group *s);
 void seeded_group_tick (struct seeded_group *s);  /* Every 10 to 50 ms. */
 bool seeded_group_flush (struct seeded_group *s); /* True: flush again before blocking. */
+bool seeded_group_send_orders (void *seeded_group, uint64_t node, const void *data,
+                               size_t len);                     /* An orders_send_fn. */
 bool seeded_group_wants_to_join (const struct seeded_group *s); /* No leader was heard lately. */
 int seeded_group_join (struct seeded_group *s, const char *ip,
                        struct status *st); /* On the leader: IP becomes a learner. */
--- a/src/workflow/worker_link.h
+++ b/src/workflow/worker_link.h
@@ -1,8 +1,8 @@
 /* worker_link: orders to workers that are called.
 
-   The dispatcher gives orders through this interface and gets each outcome by the matching
-   dispatcher_..._answer function, later and exactly once.  Strings in an order are valid during the
-   call only.  An implementation must not call back into the dispatcher from an order.  */
+   Whoever gives orders through this interface gets each outcome by a worker_outcome_fn, later and
+   exactly once.  Strings in an order are valid during the call only.  An implementation must not
+   report an outcome from inside an order.  */
 
 #ifndef SASSAFRAS_WORKER_LINK_H
 #define SASSAFRAS_WORKER_LINK_H
@@ -11,6 +11,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "orders_proto.h"
 #include "workflow_proto.h"
 
 /* What is known after an order.  */
@@ -31,7 +32,9 @@
 {
   const char *worker;  /* id of the life that is meant */
   const char *address; /* ip:port */
+  const char *zone;    /* data centre of the worker */
   uint64_t fence;      /* the worker ignores orders with a lower fence than it has seen */
+  void *tag;           /* of the caller; returned with the outcome */
 };
 
 struct worker_start
@@ -117,6 +120,21 @@
   bool complete; /* no end was left out */
 };
 
+/* What became of one order.  */
+struct worker_outcome
+{
+  worker_order_kind kind;
+  const char *worker;
+  void *tag; /* as in the order */
+  workflow_task_ref task;
+  uint32_t run;
+  uint32_t percent; /* as ordered; ORDER_PACE only */
+  enum worker_call_result result;
+  const struct worker_lists *lists; /* ORDER_HOLD with WORKER_CALL_OK only */
+};
+
+typedef void worker_outcome_fn (void *arg, int64_t now_ms, const struct worker_outcome *o);
+
 /* What a worker says of itself.  */
 struct worker_report
 {
--- /dev/null
+++ b/tests/test_order_relay.c
@@ -0,0 +1,455 @@
+/* Orders that another VM carries out for the leader: order_relay, order_server and their codec,
+   joined by a connection that can be cut, slow or silent.  Guards against outcomes that are lost,
+   doubled or given to another order, against old orders carried out after a cut, and against
+   malformed messages.  */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "clock.h"
+#include "order_relay.h"
+#include "order_server.h"
+#include "orders_codec.h"
+#include "rng.h"
+
+#define LEADER 1
+#define HELPER 2
+#define MOST 64
+
+/* Orders that reached a worker_link.  */
+struct called
+{
+  worker_order_kind kind;
+  char worker[32];
+  char payload[32];
+  void *tag;
+  workflow_task_ref task;
+  uint32_t run;
+  int64_t deadline_ms;
+  uint32_t wait_ms;
+  uint64_t fence;
+};
+
+struct fake_link
+{
+  struct worker_link link; /* first member: the vtable */
+  struct called calls[MOST];
+  size_t count;
+};
+
+struct outcome
+{
+  worker_order_kind kind;
+  char worker[32];
+  uint32_t run;
+  uint32_t percent;
+  enum worker_call_result result;
+  uint64_t mark;
+  size_t running;
+  size_t ended;
+  char checkpoint[32];
+};
+
+struct message
+{
+  uint64_t to;
+  struct buffer bytes;
+};
+
+struct fixture
+{
+  struct manual_clock clock;
+  struct fake_link direct; /* of the leader's VM */
+  struct fake_link remote; /* of the helper's VM */
+  struct order_relay *relay;
+  struct order_server *server;
+  struct message wire[MOST];
+  size_t sent;
+  bool cut;
+  struct outcome outcomes[MOST];
+  size_t outcome_count;
+};
+
+static struct called *
+note (struct worker_link *l, worker_order_kind kind, const struct worker_address *to)
+{
+  struct fake_link *f = (struct fake_link *)l;
+  struct called *c = &f->calls[f->count++];
+  assert_true (f->count < MOST);
+  c->kind = kind;
+  c->tag = to->tag;
+  c->fence = to->fence;
+  snprintf (c->worker, sizeof c->worker, "%s", to->worker);
+  return c;
+}
+
+static void
+fake_start (struct worker_link *l, const struct worker_start *o)
+{
+  struct called *c = note (l, ORDER_START, &o->to);
+  c->task = o->task;
+  c->run = o->run;
+  c->deadline_ms = o->deadline_ms;
+  snprintf (c->payload, sizeof c->payload, "%s", o->payload);
+}
+
+static void
+fake_stop (struct worker_link *l, const struct worker_stop *o)
+{
+  note (l, ORDER_STOP, &o->to)->run = o->run;
+}
+
+static void
+fake_pace (struct worker_link *l, const struct worker_pace *o)
+{
+  note (l, ORDER_PACE, &o->to)->run = o->run;
+}
+
+static void
+fake_hold (struct worker_link *l, const struct worker_hold *o)
+{
+  struct called *c = note (l, ORDER_HOLD, &o->to);
+  c->deadline_ms = o->deadline_ms;
+  c->wait_ms = o->wait_ms;
+}
+
+static const struct worker_link_ops fake_ops
+    = { .start = fake_start, .stop = fake_stop, .pace = fake_pace, .hold = fake_hold };
+
+static bool
+fake_send (void *arg, uint64_t node, const void *data, size_t len)
+{
+  struct fixture *f = arg;
+  if (f->cut)
+    return false;
+  struct message *m = &f->wire[f->sent++];
+  assert_true (f->sent < MOST);
+  m->to = node;
+  buffer_init (&m->bytes);
+  buffer_append (&m->bytes, data, len);
+  return true;
+}
+
+static void
+on_outcome (void *arg, int64_t now_ms, const struct worker_outcome *o)
+{
+  struct fixture *f = arg;
+  struct outcome *out = &f->outcomes[f->outcome_count++];
+  (void)now_ms;
+  assert_true (f->outcome_count < MOST);
+  *out = (struct outcome){
+    .kind = o->kind, .run = o->run, .percent = o->percent, .result = o->result
+  };
+  snprintf (out->worker, sizeof out->worker, "%s", o->worker);
+  if (!o->lists)
+    return;
+  out->mark = o->lists->mark;
+  out->running = o->lists->running_len;
+  out->ended = o->lists->ended_len;
+  if (out->running > 0)
+    snprintf (out->checkpoint, sizeof out->checkpoint, "%s", o->lists->running[0].checkpoint);
+}
+
+static void
+deliver_one (struct fixture *f, const struct message *m)
+{
+  orders_message decoded;
+  assert_true (orders_decode (m->bytes.data, m->bytes.len, &decoded));
+  if (m->to == HELPER)
+    order_server_receive (f->server, LEADER, &decoded.orders_message_u.orders);
+  else
+    order_relay_receive (f->relay, HELPER, &decoded.orders_message_u.answers);
+  orders_free (&decoded);
+}
+
+/* Delivers all that is on the wire, in order.  */
+static void
+deliver (struct fixture *f)
+{
+  for (size_t i = 0; i < f->sent; i++)
+    {
+      deliver_one (f, &f->wire[i]);
+      buffer_close (&f->wire[i].bytes);
+    }
+  f->sent = 0;
+}
+
+static void
+advance (struct fixture *f, int64_t ms)
+{
+  manual_clock_advance (&f->clock, ms);
+  order_relay_tick (f->relay, MOST);
+}
+
+/* One loop turn of both VMs, and what they send arrives.  */
+static void
+turn (struct fixture *f)
+{
+  advance (f, 20);
+  order_relay_flush (f->relay);
+  deliver (f);
+  order_server_flush (f->server);
+  deliver (f);
+}
+
+static void
+open_fixture (struct fixture *f)
+{
+  memset (f, 0, sizeof *f);
+  manual_clock_init (&f->clock, 10000);
+  f->direct.link.ops = &fake_ops;
+  f->remote.link.ops = &fake_ops;
+  const struct order_relay_config relay = { .clock = &f->clock.clock,
+                                            .zone = "own",
+                                            .direct = &f->direct.link,
+                                            .send = fake_send,
+                                            .send_arg = f,
+                                            .helped_from = MOST };
+  const struct order_server_config server
+      = { .clock = &f->clock.clock, .calls = &f->remote.link, .send = fake_send, .send_arg = f };
+  f->relay = order_relay_open (&relay);
+  f->server = order_server_open (&server);
+  order_relay_report_to (f->relay, on_outcome, f);
+  order_relay_peer (f->relay, HELPER, "there", true);
+  for (int i = 0; i < 10; i++)
+    turn (f);
+}
+
+static void
+close_fixture (struct fixture *f)
+{
+  for (size_t i = 0; i < f->sent; i++)
+    buffer_close (&f->wire[i].bytes);
+  order_relay_close (f->relay);
+  order_server_close (f->server);
+}
+
+static struct worker_address
+worker_in (const char *zone)
+{
+  return (
+      struct worker_address){ .worker = "w1", .address = "127.0.0.1:1", .zone = zone, .fence = 7 };
+}
+
+static void
+start (struct fixture *f, const char *zone, uint32_t run)
+{
+  struct worker_link *l = order_relay_link (f->relay);
+  const struct worker_start o = { .to = worker_in (zone),
+                                  .task = { .job = 5, .step = 1, .index = 2 },
+                                  .run = run,
+                                  .payload = "spec",
+                                  .checkpoint = "",
+                                  .deadline_ms = 4321 };
+  l->ops->start (l, &o);
+}
+
+/* The helper's worker answers its I-th call.  */
+static void
+answer (struct fixture *f, size_t i, enum worker_call_result result,
+        const struct worker_lists *lists)
+{
+  const struct called *c = &f->remote.calls[i];
+  const struct worker_outcome o
+      = { .kind = c->kind, .worker = c->worker, .tag = c->tag, .result = result, .lists = lists };
+  order_server_outcome (f->server, clock_now_ms (&f->clock.clock), &o);
+}
+
+static void
+test_order_goes_by_the_helper_and_back (void **state)
+{
+  struct fixture f;
+  (void)state;
+  open_fixture (&f);
+  start (&f, "there", 3);
+  start (&f, "own", 4);
+  assert_int_equal (f.direct.count, 1);
+  assert_int_equal (f.direct.calls[0].run, 4);
+  turn (&f);
+  assert_int_equal (f.remote.count, 1);
+  const struct called *c = &f.remote.calls[0];
+  assert_int_equal (c->task.job, 5);
+  assert_int_equal (c->task.index, 2);
+  assert_int_equal (c->run, 3);
+  assert_int_equal (c->fence, 7);
+  assert_int_equal (c->deadline_ms, 4321);
+  assert_string_equal (c->payload, "spec");
+  assert_int_equal (f.outcome_count, 0);
+  answer (&f, 0, WORKER_CALL_NO_ROOM, NULL);
+  turn (&f);
+  assert_int_equal (f.outcome_count, 1);
+  assert_int_equal (f.outcomes[0].kind, ORDER_START);
+  assert_int_equal (f.outcomes[0].run, 3);
+  assert_int_equal (f.outcomes[0].result, WORKER_CALL_NO_ROOM);
+  assert_string_equal (f.outcomes[0].worker, "w1");
+  advance (&f, 5000);
+  assert_int_equal (f.outcome_count, 1);
+  close_fixture (&f);
+}
+
+static void
+test_hold_brings_lists_and_mark (void **state)
+{
+  struct fixture f;
+  const struct held_run running
+      = { .task = { .job = 5 }, .run = 2, .checkpoint = "saved", .percent = 40, .measure = 9 };
+  const struct held_end ended[2]
+      = { { .number = 1, .run = 1, .outcome = WORKFLOW_DONE, .checkpoint = "" },
+          { .number = 2, .run = 2, .outcome = WORKFLOW_FAILED, .checkpoint = "" } };
+  const struct worker_lists lists = { .clock_ms = 50,
+                                      .running = &running,
+                                      .running_len = 1,
+                                      .ended = ended,
+                                      .ended_len = 2,
+                                      .complete = true };
+  (void)state;
+  open_fixture (&f);
+  struct worker_link *l = order_relay_link (f.relay);
+  const struct worker_hold o
+      = { .to = worker_in ("there"), .mark = 77, .deadline_ms = 900, .wait_ms = 500 };
+  l->ops->hold (l, &o);
+  turn (&f);
+  assert_int_equal (f.remote.calls[0].wait_ms, 500);
+  assert_int_equal (f.remote.calls[0].deadline_ms, 900);
+  answer (&f, 0, WORKER_CALL_OK, &lists);
+  turn (&f);
+  assert_int_equal (f.outcome_count, 1);
+  assert_int_equal (f.outcomes[0].mark, 77);
+  assert_int_equal (f.outcomes[0].running, 1);
+  assert_int_equal (f.outcomes[0].ended, 2);
+  assert_string_equal (f.outcomes[0].checkpoint, "saved");
+  close_fixture (&f);
+}
+
+/* An order without an answer must end as unknown, once, also when the answer comes later.  */
+static void
+test_silent_helper_leaves_the_order_unknown (void **state)
+{
+  struct fixture f;
+  (void)state;
+  open_fixture (&f);
+  start (&f, "there", 3);
+  turn (&f);
+  advance (&f, 2000);
+  assert_int_equal (f.outcome_count, 1);
+  assert_int_equal (f.outcomes[0].result, WORKER_CALL_UNKNOWN);
+  answer (&f, 0, WORKER_CALL_OK, NULL);
+  turn (&f);
+  assert_int_equal (f.outcome_count, 1);
+  close_fixture (&f);
+}
+
+static void
+test_lost_helper_ends_its_orders_at_once (void **state)
+{
+  struct fixture f;
+  (void)state;
+  open_fixture (&f);
+  start (&f, "there", 3);
+  order_relay_peer (f.relay, HELPER, "there", false);
+  assert_int_equal (f.outcome_count, 1);
+  assert_int_equal (f.outcomes[0].result, WORKER_CALL_UNKNOWN);
+  start (&f, "there", 4);
+  assert_int_equal (f.direct.count, 1);
+  close_fixture (&f);
+}
+
+static void
+test_helper_that_stops_answering_gets_no_more_orders (void **state)
+{
+  struct fixture f;
+  (void)state;
+  open_fixture (&f);
+  advance (&f, 1000);
+  start (&f, "there", 3);
+  assert_int_equal (f.direct.count, 1);
+  close_fixture (&f);
+}
+
+static void
+test_stopping_helper_gets_no_more_orders (void **state)
+{
+  struct fixture f;
+  (void)state;
+  open_fixture (&f);
+  order_server_stop (f.server);
+  for (int i = 0; i < 10; i++)
+    turn (&f);
+  start (&f, "there", 3);
+  assert_int_equal (f.direct.count, 1);
+  close_fixture (&f);
+}
+
+/* Orders that waited in a cut connection: the leader has resolved them since.  */
+static void
+test_old_orders_are_not_carried_out (void **state)
+{
+  struct fixture f;
+  (void)state;
+  open_fixture (&f);
+  start (&f, "there", 3);
+  order_relay_flush (f.relay);
+  assert_int_equal (f.sent, 1);
+  advance (&f, 1500);
+  deliver (&f);
+  assert_int_equal (f.remote.count, 0);
+  assert_int_equal (f.outcomes[0].result, WORKER_CALL_UNKNOWN);
+  close_fixture (&f);
+}
+
+static void
+test_few_workers_are_called_directly (void **state)
+{
+  struct fixture f;
+  (void)state;
+  open_fixture (&f);
+  order_relay_tick (f.relay, MOST - 1);
+  start (&f, "there", 3);
+  assert_int_equal (f.direct.count, 1);
+  close_fixture (&f);
+}
+
+/* Bytes of a peer of another version, or damaged ones, must neither crash nor pass for answers.  */
+static void
+test_random_messages_are_refused (void **state)
+{
+  struct rng rng;
+  orders_message m;
+  (void)state;
+  rng_init (&rng, 20261204);
+  for (int round = 0; round < 20000; round++)
+    {
+      unsigned char bytes[200];
+      size_t len = rng_next (&rng) % sizeof bytes;
+      for (size_t i = 0; i < len; i++)
+        bytes[i] = rng_next (&rng) % 4 == 0 ? (unsigned char)rng_next (&rng) : 0;
+      if (len > 3)
+        bytes[3] = (unsigned char)(1 + rng_next (&rng) % 2);
+      if (orders_decode (bytes, len, &m))
+        orders_free (&m);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_order_goes_by_the_helper_and_back),
+    cmocka_unit_test (test_hold_brings_lists_and_mark),
+    cmocka_unit_test (test_silent_helper_leaves_the_order_unknown),
+    cmocka_unit_test (test_lost_helper_ends_its_orders_at_once),
+    cmocka_unit_test (test_helper_that_stops_answering_gets_no_more_orders),
+    cmocka_unit_test (test_stopping_helper_gets_no_more_orders),
+    cmocka_unit_test (test_old_orders_are_not_carried_out),
+    cmocka_unit_test (test_few_workers_are_called_directly),
+    cmocka_unit_test (test_random_messages_are_refused),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
