Wait for a leader on the front instead of asking each VM once a request; refuse early and truthfully

Requests were held for 2.9 s and got 504, also those that no leader can have seen. Change: requests wait without attempts while one probe at a time asks for the leader; what was never sent is refused after 1.5 s with 503 and Retry-After; an attempt's time doubles instead of the same request piling up at a slow leader. Test: test_many_waiting_requests_ask_once, test_without_a_leader_the_refusal_comes_early failed first. test_an_unanswered_attempt_is_not_called_refused now lets the relay learn its leader first: before, no attempt was sent at all, and 503 is then the truth, which test_a_request_that_was_never_sent checks.

--- a/src/workflow/leader_relay.c
+++ b/src/workflow/leader_relay.c
@@ -18,6 +18,7 @@
 #define LEAST_ATTEMPT_MS 30
 #define ANSWER_SLACK_MS 60 /* for the answer to reach the caller in time */
 #define MS_PER_S 1000.0
+#define MOST_REDIRECTS 3 /* VMs that name each other know no leader */
 #define URL_BYTES 2048
 #define HEADER_BYTES 512
 
@@ -44,11 +45,13 @@
   int64_t began_ms;
   int64_t deadline_ms;
   unsigned attempts;
-  bool uncertain; /* an attempt may have been carried out */
+  unsigned redirects; /* in a row */
+  bool uncertain;     /* an attempt may have been carried out */
+  bool waiting;       /* for a leader to be known */
   char target[SEEDED_GROUP_IP_BYTES];
   char headers[RELAY_MAX_HEADERS + 1][HEADER_BYTES];
   const char *header_list[RELAY_MAX_HEADERS + 2];
-  ev_timer pause;
+  ev_timer limit; /* while waiting */
 };
 
 LIST_HEAD (relay_calls, relay_call);
@@ -65,9 +68,12 @@
   char leader[SEEDED_GROUP_IP_BYTES]; /* "": not known */
   int64_t heard_ms;
   struct relay_calls calls;
+  ev_timer search; /* until the next look for a leader, while requests wait */
 };
 
 static void attempt (struct relay_call *c);
+static void search (struct leader_relay *r);
+static void on_search (struct ev_loop *loop, ev_timer *w, int events);
 
 static struct candidate *
 find_candidate (struct leader_relay *r, const char *ip)
@@ -97,6 +103,8 @@
   r->client = http_client_open (config->loop, 0);
   r->heard_ms = INT64_MIN / 2;
   LIST_INIT (&r->calls);
+  ev_init (&r->search, on_search);
+  r->search.data = r;
   for (size_t i = 0; i < config->seed_count; i++)
     add_candidate (r, config->seeds[i]);
   return r;
@@ -105,7 +113,7 @@
 static void
 free_call (struct relay_call *c)
 {
-  ev_timer_stop (c->relay->config.loop, &c->pause);
+  ev_timer_stop (c->relay->config.loop, &c->limit);
   LIST_REMOVE (c, link);
   free (c);
 }
@@ -115,6 +123,7 @@
 {
   struct relay_call *c;
   http_client_close (r->client);
+  ev_timer_stop (r->config.loop, &r->search);
   while ((c = LIST_FIRST (&r->calls)) != NULL)
     free_call (c);
   free (r);
@@ -139,17 +148,27 @@
   http_reply_redirect (req, url);
 }
 
-/* The believed leader unless it has just failed, else the next candidate that hasn't.  */
+/* The believed leader unless it has just failed; NULL: not known.  */
 static const char *
-choose_target (struct leader_relay *r, int64_t now_ms)
+known_leader (struct leader_relay *r, int64_t now_ms)
 {
   char ip[SEEDED_GROUP_IP_BYTES];
-  if (r->config.leader && r->config.leader (r->config.arg, ip)
-      && strcmp (ip, r->config.own_ip) != 0)
-    snprintf (r->leader, sizeof r->leader, "%s", ip);
+  if (r->config.leader)
+    {
+      bool known = r->config.leader (r->config.arg, ip) && strcmp (ip, r->config.own_ip) != 0;
+      snprintf (r->leader, sizeof r->leader, "%s", known ? ip : "");
+    }
   const struct candidate *known = r->leader[0] ? add_candidate (r, r->leader) : NULL;
-  if (known && now_ms >= known->avoid_until_ms)
-    return known->ip;
+  return known && now_ms >= known->avoid_until_ms ? known->ip : NULL;
+}
+
+/* Whom to ask who leads: the believed leader, else the candidates in turn.  */
+static const char *
+choose_probed (struct leader_relay *r, int64_t now_ms)
+{
+  const char *known = known_leader (r, now_ms);
+  if (known)
+    return known;
   for (size_t i = 0; i < r->count; i++)
     {
       const struct candidate *c = &r->candidates[r->next++ % r->count];
@@ -178,19 +197,58 @@
 }
 
 static void
-on_pause (struct ev_loop *loop, ev_timer *w, int events)
+on_limit (struct ev_loop *loop, ev_timer *w, int events)
 {
+  struct relay_call *c = w->data;
   (void)loop;
   (void)events;
-  attempt (w->data);
+  give_up (c, clock_now_ms (c->relay->config.clock));
+}
+
+/* Waits for a leader.  A request that no leader can have seen is refused soon, and its caller told
+   when to come back; one that may have been carried out waits for an answer until its time is up.
+ */
+static void
+wait_for_leader (struct relay_call *c)
+{
+  struct leader_relay *r = c->relay;
+  int64_t now_ms = clock_now_ms (r->config.clock);
+  int64_t left_ms = c->deadline_ms - now_ms;
+  int64_t hold_ms = c->began_ms + RELAY_HOLD_MS - now_ms;
+  int64_t limit_ms = !c->uncertain && hold_ms < left_ms ? hold_ms : left_ms;
+  c->waiting = true;
+  ev_timer_init (&c->limit, on_limit, (double)(limit_ms > 0 ? limit_ms : 0) / MS_PER_S, 0.0);
+  c->limit.data = c;
+  ev_timer_start (r->config.loop, &c->limit);
+  if (!ev_is_active (&r->search))
+    search (r);
 }
 
 static void
-try_again (struct relay_call *c, int64_t pause_ms)
+release_waiting (struct leader_relay *r)
 {
-  ev_timer_init (&c->pause, on_pause, (double)pause_ms / MS_PER_S, 0.0);
-  c->pause.data = c;
-  ev_timer_start (c->relay->config.loop, &c->pause);
+  struct relay_call *c = LIST_FIRST (&r->calls);
+  while (c)
+    {
+      struct relay_call *next = LIST_NEXT (c, link);
+      if (c->waiting)
+        {
+          c->waiting = false;
+          ev_timer_stop (r->config.loop, &c->limit);
+          attempt (c);
+        }
+      c = next;
+    }
+}
+
+static bool
+any_waiting (const struct leader_relay *r)
+{
+  const struct relay_call *c;
+  LIST_FOREACH (c, &r->calls, link)
+  if (c->waiting)
+    return true;
+  return false;
 }
 
 static void
@@ -241,22 +299,23 @@
   struct relay_call *c = arg;
   struct leader_relay *r = c->relay;
   int64_t now_ms = clock_now_ms (r->config.clock);
-  if (a->code == CODE_REDIRECT && a->location)
+  if (a->code == CODE_REDIRECT && a->location && ++c->redirects < MOST_REDIRECTS)
     {
       note_redirect (r, a->location);
-      try_again (c, c->attempts > 2 ? RELAY_PAUSE_MS : 0);
+      attempt (c);
     }
-  else if (a->code == CODE_MISDIRECTED)
+  else if (a->code == CODE_REDIRECT || a->code == CODE_MISDIRECTED)
     {
-      if (strcmp (r->leader, c->target) == 0)
+      if (strcmp (r->leader, c->target) == 0 || a->code == CODE_REDIRECT)
         r->leader[0] = '\0';
-      try_again (c, RELAY_PAUSE_MS);
+      c->redirects = 0;
+      wait_for_leader (c);
     }
   else if (a->code == 0 || !status_ok (&a->status) || a->code == CODE_GATEWAY_TIMEOUT)
     {
       /* A leader that lost its place says 504: the request may have been carried out.  */
       note_failure (c, a, now_ms);
-      try_again (c, RELAY_PAUSE_MS);
+      attempt (c);
     }
   else if (c->uncertain && (a->code == CODE_TOO_MANY || a->code == CODE_UNAVAILABLE))
     /* The refusal holds for its own attempt only: an earlier one may still be carried out.  */
@@ -285,26 +344,32 @@
   char url[URL_BYTES];
   int64_t now_ms = clock_now_ms (r->config.clock);
   int64_t left_ms = c->deadline_ms - now_ms;
-  const char *target = choose_target (r, now_ms);
-  if (left_ms < LEAST_ATTEMPT_MS || !target)
+  const char *target = known_leader (r, now_ms);
+  if (left_ms < LEAST_ATTEMPT_MS)
     {
       give_up (c, now_ms);
       return;
     }
+  if (!target)
+    {
+      wait_for_leader (c);
+      return;
+    }
+  /* A leader that is slow gets longer, not the same request again and again.  */
+  int64_t limit_ms = (int64_t)RELAY_ATTEMPT_MS << (c->attempts < 3 ? c->attempts : 3);
   counter_add (c->attempts == 0 ? &relayed : &repeated, 1);
   c->attempts++;
   snprintf (c->target, sizeof c->target, "%s", target);
   snprintf (url, sizeof url, "http://%s:%d", target, r->config.port);
   append_path (url, sizeof url, c->request->path);
-  const struct http_call call
-      = { .method = c->request->method,
-          .url = url,
-          .headers = c->header_list,
-          .body = c->request->body.data,
-          .body_len = c->request->body.len,
-          .timeout_ms = left_ms < RELAY_ATTEMPT_MS ? left_ms : RELAY_ATTEMPT_MS,
-          .done = on_answer,
-          .done_arg = c };
+  const struct http_call call = { .method = c->request->method,
+                                  .url = url,
+                                  .headers = c->header_list,
+                                  .body = c->request->body.data,
+                                  .body_len = c->request->body.len,
+                                  .timeout_ms = left_ms < limit_ms ? left_ms : limit_ms,
+                                  .done = on_answer,
+                                  .done_arg = c };
   http_client_send (r->client, &call);
 }
 
@@ -340,6 +405,41 @@
   attempt (c);
 }
 
+/* Load pattern: while nobody leads, or the leader is slow, requests pile up.  One question at a
+   time finds the leader for all of them; each asking for itself would keep the VMs of the group
+   from electing one.  */
+static void
+go_on_searching (struct leader_relay *r)
+{
+  if (!any_waiting (r))
+    return;
+  if (known_leader (r, clock_now_ms (r->config.clock)))
+    release_waiting (r);
+  else
+    {
+      ev_timer_set (&r->search, RELAY_PAUSE_MS / MS_PER_S, 0.0);
+      ev_timer_start (r->config.loop, &r->search);
+    }
+}
+
+static void
+on_search (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void)loop;
+  (void)events;
+  search (w->data);
+}
+
+/* A VM of the group is told of leaders by the group; another one asks the candidates.  */
+static void
+search (struct leader_relay *r)
+{
+  if (r->config.leader)
+    go_on_searching (r);
+  else
+    leader_relay_probe (r, "GET", RELAY_PROBE_PATH);
+}
+
 static void
 on_probed (void *arg, const struct http_answer *a)
 {
@@ -357,6 +457,7 @@
       if (r->config.answered)
         r->config.answered (r->config.arg, r->probed);
     }
+  go_on_searching (r);
 }
 
 void
@@ -364,7 +465,7 @@
 {
   static const char *const headers[] = { RELAY_HEADER ": 1", NULL };
   char url[URL_BYTES];
-  const char *target = choose_target (r, clock_now_ms (r->config.clock));
+  const char *target = choose_probed (r, clock_now_ms (r->config.clock));
   if (r->probing || !target)
     return;
   r->probing = true;
--- a/src/workflow/leader_relay.h
+++ b/src/workflow/leader_relay.h
@@ -1,12 +1,14 @@
 /* leader_relay: brings HTTP requests to the VM that leads, wherever that is, and its answers back.
 
-   The relay sends a request to the VM it believes to lead, else to the candidates in turn.  A VM
-   that does not lead answers 307 with the leader's address, or 421 when it knows none; neither has
-   done anything.  Every relayed request must be safe to repeat: an attempt without an answer is
-   made again until the time is up.
+   The relay sends a request to the VM it believes to lead.  A VM that does not lead answers 307
+   with the leader's address, or 421 when it knows none; neither has done anything.  While no leader
+   is known requests wait here, and one probe at a time asks the candidates in turn.  Every relayed
+   request must be safe to repeat: an attempt without an answer is made again until the time is up,
+   each with twice the time of the last.
 
    When the time is up the answer says what is known: 503 with Retry-After when no attempt can have
-   reached a leader, else 504, because the request may have been carried out.
+   reached a leader, else 504, because the request may have been carried out.  The former comes
+   RELAY_HOLD_MS after the request: the caller may come back, and no time of his is lost.
 
    A candidate that did not answer is tried last for RELAY_AVOID_MS.  */
 
@@ -27,7 +29,8 @@
 #define RELAY_HEADER "Sassafras-Relayed" /* on relayed requests: answer 307 or 421, don't relay */
 /* A leader across regions answers in 150 ms; two attempts fit into the second of a control call. */
 #define RELAY_ATTEMPT_MS 450
-#define RELAY_PAUSE_MS 40   /* between attempts when nobody leads: an election takes about 1.5 s */
+#define RELAY_PAUSE_MS 40   /* between probes when nobody leads: an election takes about 1.5 s */
+#define RELAY_HOLD_MS 1500  /* an election; who waited longer is better off coming back */
 #define RELAY_AVOID_MS 1500 /* a candidate that didn't answer */
 #define RELAY_JOIN_PATH "/v1/join/"   /* and the IP of the VM that asks */
 #define RELAY_PROBE_PATH "/v1/leader" /* answered 200 by the leader */
--- a/tests/test_leader_relay.c
+++ b/tests/test_leader_relay.c
@@ -32,7 +32,8 @@
 {
   struct fixture *fixture;
   enum behaviour behaviour;
-  unsigned requests;
+  unsigned probes;
+  unsigned requests; /* of callers */
   struct http_server *server;
 };
 
@@ -53,8 +54,10 @@
 handle_vm (void *arg, struct http_request *req)
 {
   struct vm *v = arg;
-  v->requests++;
-  if (v->behaviour == ANSWERS)
+  bool probe = strcmp (req->path, RELAY_PROBE_PATH) == 0;
+  v->probes += probe;
+  v->requests += !probe;
+  if (v->behaviour == ANSWERS || (probe && v->behaviour == REFUSES))
     http_reply (req, 200, "text/plain", "done", 4);
   else if (v->behaviour == REFUSES)
     http_reply_error (req, STATUS_OVERLOADED, "no room");
@@ -133,14 +136,20 @@
   return 0;
 }
 
-static int
-ask (struct fixture *f)
+static void
+send_one (struct fixture *f)
 {
   char url[64];
   snprintf (url, sizeof url, "http://127.0.9.9:%d/x", f->port);
   const struct http_call call
       = { .method = "GET", .url = url, .timeout_ms = 5000, .done = on_answer, .done_arg = f };
   http_client_send (f->client, &call);
+}
+
+static int
+ask (struct fixture *f)
+{
+  send_one (f);
   ev_run (f->loop, 0);
   log_flush ();
   return f->code;
@@ -184,11 +193,58 @@
 test_an_unanswered_attempt_is_not_called_refused (void **state)
 {
   struct fixture *f = *state;
+  assert_int_equal (ask (f), 200);
   for (int i = 0; i < CANDIDATES; i++)
     f->vms[i].behaviour = SILENT;
   assert_int_equal (ask (f), 504);
 }
 
+/* Silent candidates have seen questions for the leader only.  */
+static void
+test_a_request_that_was_never_sent_is_refused (void **state)
+{
+  struct fixture *f = *state;
+  for (int i = 0; i < CANDIDATES; i++)
+    f->vms[i].behaviour = SILENT;
+  assert_int_equal (ask (f), 503);
+  for (int i = 0; i < CANDIDATES; i++)
+    assert_int_equal (f->vms[i].requests, 0);
+}
+
+/* A caller with much time must not wait all of it for a leader that is not there.  */
+static void
+test_without_a_leader_the_refusal_comes_early (void **state)
+{
+  struct fixture *f = *state;
+  f->budget_ms = 20000;
+  for (int i = 0; i < CANDIDATES; i++)
+    f->vms[i].behaviour = KNOWS_NOBODY;
+  int64_t began_ms = clock_now_ms (clock_real ());
+  assert_int_equal (ask (f), 503);
+  assert_true (clock_now_ms (clock_real ()) - began_ms < 3000);
+  assert_true (f->retry_after_s > 0);
+}
+
+/* Replays a group without a leader under load: each of many waiting requests asked every VM for
+   itself, and kept the VMs from electing a leader.  */
+static void
+test_many_waiting_requests_ask_once (void **state)
+{
+  struct fixture *f = *state;
+  for (int i = 0; i < CANDIDATES; i++)
+    f->vms[i].behaviour = KNOWS_NOBODY;
+  for (int i = 0; i < 40; i++)
+    send_one (f);
+  assert_int_equal (ask (f), 503);
+  unsigned probes = 0;
+  for (int i = 0; i < CANDIDATES; i++)
+    {
+      assert_int_equal (f->vms[i].requests, 0);
+      probes += f->vms[i].probes;
+    }
+  assert_in_range (probes, 1, CONTROL_BUDGET_MS / RELAY_PAUSE_MS);
+}
+
 /* The attempt before the refusal may still be carried out: the refusal must not be passed on, which
    would say that the request never runs.  */
 static void
@@ -221,6 +277,9 @@
           TEST (test_redirects_lead_to_the_leader),
           TEST (test_without_a_leader_it_has_not_run),
           TEST (test_an_unanswered_attempt_is_not_called_refused),
+          TEST (test_a_request_that_was_never_sent_is_refused),
+          TEST (test_without_a_leader_the_refusal_comes_early),
+          TEST (test_many_waiting_requests_ask_once),
           TEST (test_a_refusal_after_an_unanswered_attempt_is_not_passed_on),
           TEST (test_a_refusal_of_the_only_attempt_is_passed_on) };
   curl_global_init (CURL_GLOBAL_DEFAULT);
