Answer every relayed request before a stopping process ends

Change: at a stop the relay gets the time by which all is answered; an open attempt counts as possibly carried out.

--- a/src/workflow/leader_relay.c
+++ b/src/workflow/leader_relay.c
@@ -41,17 +41,17 @@
 {
   LIST_ENTRY (relay_call) link;
   struct leader_relay *relay;
-  struct http_request *request;
+  struct http_request *request; /* NULL once it was answered while an attempt is open */
   int64_t began_ms;
   int64_t deadline_ms;
   unsigned attempts;
   unsigned redirects; /* in a row */
   bool uncertain;     /* an attempt may have been carried out */
-  bool waiting;       /* for a leader to be known */
+  bool waiting;       /* for a leader to be known; else an attempt is open */
   char target[SEEDED_GROUP_IP_BYTES];
   char headers[RELAY_MAX_HEADERS + 1][HEADER_BYTES];
   const char *header_list[RELAY_MAX_HEADERS + 2];
-  ev_timer limit; /* while waiting */
+  ev_timer limit; /* when the answer is due at the latest */
 };
 
 LIST_HEAD (relay_calls, relay_call);
@@ -67,6 +67,7 @@
   size_t next;                        /* candidate to try when no leader is known */
   char leader[SEEDED_GROUP_IP_BYTES]; /* "": not known */
   int64_t heard_ms;
+  int64_t last_ms; /* no answer may come later */
   struct relay_calls calls;
   ev_timer search; /* until the next look for a leader, while requests wait */
 };
@@ -102,6 +103,7 @@
   r->config = *config;
   r->client = http_client_open (config->loop, 0);
   r->heard_ms = INT64_MIN / 2;
+  r->last_ms = INT64_MAX;
   LIST_INIT (&r->calls);
   ev_init (&r->search, on_search);
   r->search.data = r;
@@ -187,13 +189,17 @@
 static void
 give_up (struct relay_call *c, int64_t now_ms)
 {
+  /* An open attempt may still be carried out.  */
+  c->uncertain = c->uncertain || !c->waiting;
   counter_add (&given_up, 1);
   log_event (LOG_WARN, "relay-given-up", "path=%s attempts=%u after_ms=%lld last_target=%s ran=%s",
              c->request->path, c->attempts, (long long)(now_ms - c->began_ms), c->target,
              ran_text (c));
   http_reply_error (c->request, c->uncertain ? STATUS_OUTCOME_UNKNOWN : STATUS_NO_QUORUM,
                     "no answer of a leader after %u attempts", c->attempts);
-  free_call (c);
+  c->request = NULL;
+  if (c->waiting)
+    free_call (c);
 }
 
 static void
@@ -205,25 +211,42 @@
   give_up (c, clock_now_ms (c->relay->config.clock));
 }
 
-/* Waits for a leader.  A request that no leader can have seen is refused soon, and its caller told
-   when to come back; one that may have been carried out waits for an answer until its time is up.
- */
+/* A request that no leader can have seen is refused soon, and its caller told when to come back;
+   one that may have been carried out waits for an answer until its time is up.  */
 static void
-wait_for_leader (struct relay_call *c)
+set_limit (struct relay_call *c)
 {
   struct leader_relay *r = c->relay;
   int64_t now_ms = clock_now_ms (r->config.clock);
-  int64_t left_ms = c->deadline_ms - now_ms;
-  int64_t hold_ms = c->began_ms + RELAY_HOLD_MS - now_ms;
-  int64_t limit_ms = !c->uncertain && hold_ms < left_ms ? hold_ms : left_ms;
-  c->waiting = true;
-  ev_timer_init (&c->limit, on_limit, (double)(limit_ms > 0 ? limit_ms : 0) / MS_PER_S, 0.0);
-  c->limit.data = c;
+  int64_t last_ms = c->deadline_ms < r->last_ms ? c->deadline_ms : r->last_ms;
+  if (c->waiting && !c->uncertain && c->began_ms + RELAY_HOLD_MS < last_ms)
+    last_ms = c->began_ms + RELAY_HOLD_MS;
+  int64_t left_ms = last_ms > now_ms ? last_ms - now_ms : 0;
+  ev_timer_stop (r->config.loop, &c->limit);
+  ev_timer_set (&c->limit, (double)left_ms / MS_PER_S, 0.0);
   ev_timer_start (r->config.loop, &c->limit);
+}
+
+static void
+wait_for_leader (struct relay_call *c)
+{
+  struct leader_relay *r = c->relay;
+  c->waiting = true;
+  set_limit (c);
   if (!ev_is_active (&r->search))
     search (r);
 }
 
+void
+leader_relay_finish_by (struct leader_relay *r, int64_t last_ms)
+{
+  struct relay_call *c;
+  r->last_ms = last_ms;
+  LIST_FOREACH (c, &r->calls, link)
+  if (c->request)
+    set_limit (c);
+}
+
 static void
 release_waiting (struct leader_relay *r)
 {
@@ -233,8 +256,6 @@
       struct relay_call *next = LIST_NEXT (c, link);
       if (c->waiting)
         {
-          c->waiting = false;
-          ev_timer_stop (r->config.loop, &c->limit);
           attempt (c);
         }
       c = next;
@@ -299,7 +320,10 @@
   struct relay_call *c = arg;
   struct leader_relay *r = c->relay;
   int64_t now_ms = clock_now_ms (r->config.clock);
-  if (a->code == CODE_REDIRECT && a->location && ++c->redirects < MOST_REDIRECTS)
+  c->waiting = true; /* no attempt is open */
+  if (!c->request)
+    free_call (c);
+  else if (a->code == CODE_REDIRECT && a->location && ++c->redirects < MOST_REDIRECTS)
     {
       note_redirect (r, a->location);
       attempt (c);
@@ -355,6 +379,8 @@
       wait_for_leader (c);
       return;
     }
+  c->waiting = false;
+  set_limit (c);
   /* A leader that is slow gets longer, not the same request again and again.  */
   int64_t limit_ms = (int64_t)RELAY_ATTEMPT_MS << (c->attempts < 3 ? c->attempts : 3);
   counter_add (c->attempts == 0 ? &relayed : &repeated, 1);
@@ -400,6 +426,9 @@
   c->request = req;
   c->began_ms = clock_now_ms (r->config.clock);
   c->deadline_ms = c->began_ms + budget_ms - ANSWER_SLACK_MS;
+  c->waiting = true;
+  ev_init (&c->limit, on_limit);
+  c->limit.data = c;
   copy_headers (c);
   LIST_INSERT_HEAD (&r->calls, c, link);
   attempt (c);
--- a/src/workflow/leader_relay.h
+++ b/src/workflow/leader_relay.h
@@ -58,6 +58,8 @@
 void leader_relay_close (struct leader_relay *r); /* Open requests get no answer. */
 void leader_relay_send (struct leader_relay *r, struct http_request *req,
                         int64_t budget_ms); /* Answers REQ within BUDGET_MS. */
+void leader_relay_finish_by (struct leader_relay *r,
+                             int64_t last_ms); /* Answers all, also later ones, by LAST_MS. */
 void leader_relay_probe (struct leader_relay *r, const char *method,
                          const char *path); /* A request of this VM's own to the leader. */
 int64_t leader_relay_heard_ms (const struct leader_relay *r); /* Last answer of a leader. */
--- a/tests/test_leader_relay.c
+++ b/tests/test_leader_relay.c
@@ -225,6 +225,42 @@
   assert_true (f->retry_after_s > 0);
 }
 
+/* A process that ends closes its connections: a caller that was not answered by then never is.  */
+static void
+test_all_are_answered_before_the_process_ends (void **state)
+{
+  struct fixture *f = *state;
+  f->budget_ms = 20000;
+  assert_int_equal (ask (f), 200);
+  for (int i = 0; i < CANDIDATES; i++)
+    f->vms[i].behaviour = SILENT;
+  int64_t began_ms = clock_now_ms (clock_real ());
+  leader_relay_finish_by (f->relay, began_ms + 700);
+  assert_int_equal (ask (f), 504);
+  assert_true (clock_now_ms (clock_real ()) - began_ms < 1000);
+  assert_int_equal (ask (f), 503);
+  assert_true (clock_now_ms (clock_real ()) - began_ms < 1200);
+}
+
+/* The same for a request that was there before the stop.  */
+static void
+test_open_requests_are_answered_before_the_process_ends (void **state)
+{
+  struct fixture *f = *state;
+  f->budget_ms = 20000;
+  assert_int_equal (ask (f), 200);
+  for (int i = 0; i < CANDIDATES; i++)
+    f->vms[i].behaviour = SILENT;
+  int64_t began_ms = clock_now_ms (clock_real ());
+  send_one (f);
+  while (clock_now_ms (clock_real ()) - began_ms < 200)
+    ev_run (f->loop, EVRUN_NOWAIT);
+  leader_relay_finish_by (f->relay, began_ms + 400);
+  ev_run (f->loop, 0);
+  assert_int_equal (f->code, 504);
+  assert_true (clock_now_ms (clock_real ()) - began_ms < 700);
+}
+
 /* Replays a group without a leader under load: each of many waiting requests asked every VM for
    itself, and kept the VMs from electing a leader.  */
 static void
@@ -279,6 +315,8 @@
           TEST (test_an_unanswered_attempt_is_not_called_refused),
           TEST (test_a_request_that_was_never_sent_is_refused),
           TEST (test_without_a_leader_the_refusal_comes_early),
+          TEST (test_all_are_answered_before_the_process_ends),
+          TEST (test_open_requests_are_answered_before_the_process_ends),
           TEST (test_many_waiting_requests_ask_once),
           TEST (test_a_refusal_after_an_unanswered_attempt_is_not_passed_on),
           TEST (test_a_refusal_of_the_only_attempt_is_passed_on) };
