Fault soak: real processes, a loopback proxy, faults from outside, promises checked by callers and workers

Three core VMs and two fronts as processes; workers, callers, the operator and the proxy in the soak. Kills, planned stops, pauses, lost disks, links that are silent one way, slow or reset; workers that crash, are cut off or carry orders out late.

--- a/src/workflow/seeded_group.c
+++ b/src/workflow/seeded_group.c
@@ -138,7 +138,8 @@
 open_net (struct seeded_group *s, struct status *st)
 {
   char listen[ADDRESS_BYTES];
-  snprintf (listen, sizeof listen, "%s:%d", s->config.ip, s->config.peer_port);
+  const char *bind_ip = s->config.bind_ip ? s->config.bind_ip : s->config.ip;
+  snprintf (listen, sizeof listen, "%s:%d", bind_ip, s->config.peer_port);
   const struct peer_net_config config
       = { .deployment = s->config.deployment,
           .vm = s->config.ip,
--- a/src/workflow/seeded_group.h
+++ b/src/workflow/seeded_group.h
@@ -36,6 +36,7 @@
   const char *deployment;  /* name that all VMs share */
   const char *data_centre; /* of this VM */
   const char *ip;          /* of this VM */
+  const char *bind_ip;     /* to listen on; NULL: IP */
   int peer_port;
   char seeds[SEEDED_GROUP_MAX_SEEDS][SEEDED_GROUP_IP_BYTES];
   size_t seed_count;
--- /dev/null
+++ b/tests/soak/soak_worker.c
@@ -0,0 +1,485 @@
+/* A worker of the users' platform: it is called, reports itself, keeps a lease and lists its ends.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "clock.h"
+#include "soak.h"
+
+#define REPORT_EVERY_MS 300
+#define REPORT_LIMIT_MS 900
+#define NAME_BYTES 64
+#define ROOM_MILLICORES 16000
+#define ROOM_MB 64000
+#define SERVICE "pool"
+
+struct run
+{
+  LIST_ENTRY (run) link;
+  char task[NAME_BYTES];
+  int run;
+  int64_t end_ms;
+};
+
+struct ended
+{
+  STAILQ_ENTRY (ended) link;
+  json_int_t number;
+  char task[NAME_BYTES];
+  int run;
+  const char *how;
+  bool void_end; /* the lease lapsed before it was acknowledged: it does not count */
+};
+
+/* The highest run of a task that was stopped or has ended here: it and lower ones are refused.  */
+struct over
+{
+  LIST_ENTRY (over) link;
+  char task[NAME_BYTES];
+  int run;
+};
+
+/* A hold that waits for an end, or an order that is carried out late.  */
+struct waiting
+{
+  LIST_ENTRY (waiting) link;
+  struct http_request *request;
+  int64_t until_ms;
+};
+
+struct soak_worker
+{
+  struct soak *soak;
+  int number;
+  int life;
+  char id[NAME_BYTES];
+  struct http_server *server; /* NULL while it is down */
+  struct proxy_link *link;
+  int64_t up_at_ms, heal_at_ms, late_ms, late_until_ms;
+  int64_t born_ms, lease_ms, next_report_ms;
+  json_int_t fence, ends, sequence;
+  int next_control;
+  unsigned reports_open;
+  LIST_HEAD (, run) runs;
+  STAILQ_HEAD (, ended) ended;
+  LIST_HEAD (, over) over;
+  LIST_HEAD (, waiting) holds;
+  LIST_HEAD (, waiting) late;
+};
+
+static struct over *
+find_over (struct soak_worker *w, const char *task)
+{
+  struct over *o;
+  LIST_FOREACH (o, &w->over, link)
+  if (strcmp (o->task, task) == 0)
+    return o;
+  o = xcalloc (1, sizeof *o);
+  snprintf (o->task, sizeof o->task, "%s", task);
+  LIST_INSERT_HEAD (&w->over, o, link);
+  return o;
+}
+
+static void
+note_over (struct soak_worker *w, const char *task, int run)
+{
+  struct over *o = find_over (w, task);
+  if (run > o->run)
+    o->run = run;
+}
+
+static void
+end_run (struct soak_worker *w, struct run *r, const char *how)
+{
+  struct ended *e = xcalloc (1, sizeof *e);
+  e->number = ++w->ends;
+  memcpy (e->task, r->task, sizeof e->task);
+  e->run = r->run;
+  e->how = how;
+  STAILQ_INSERT_TAIL (&w->ended, e, link);
+  note_over (w, r->task, r->run);
+  task_ended (w->soak, r->task, strcmp (how, "done") == 0);
+  LIST_REMOVE (r, link);
+  free (r);
+}
+
+static json_t *
+lists (const struct soak_worker *w)
+{
+  const struct run *r;
+  const struct ended *e;
+  json_t *running = json_array ();
+  json_t *finished = json_array ();
+  LIST_FOREACH (r, &w->runs, link)
+  json_array_append_new (running, json_pack ("[s, i, s, i, i]", r->task, r->run, "", 50, 1000));
+  STAILQ_FOREACH (e, &w->ended, link)
+  json_array_append_new (finished,
+                         json_pack ("[I, s, i, s, s]", e->number, e->task, e->run, e->how, ""));
+  return json_pack ("{s:I, s:I, s:o, s:o}", "clock_ms", (json_int_t)w->soak->now_ms, "born",
+                    (json_int_t)w->born_ms, "running", running, "finished", finished);
+}
+
+static json_int_t
+number (const json_t *body, const char *name)
+{
+  return json_integer_value (json_object_get (body, name));
+}
+
+static void
+reply_clock (struct soak_worker *w, struct http_request *req, int code, const char *reason)
+{
+  http_reply_json (
+      req, code,
+      json_pack ("{s:I, s:s}", "clock_ms", (json_int_t)w->soak->now_ms, "reason", reason));
+}
+
+static struct run *
+find_run (struct soak_worker *w, const char *task)
+{
+  struct run *r;
+  LIST_FOREACH (r, &w->runs, link)
+  if (strcmp (r->task, task) == 0)
+    return r;
+  return NULL;
+}
+
+static const char *
+refusal (struct soak_worker *w, const json_t *body, const char *task, const struct run *r)
+{
+  int run = (int)number (body, "run");
+  if (number (body, "deadline_ms") < w->soak->now_ms)
+    return "late";
+  if (run <= find_over (w, task)->run || (r && r->run != run))
+    return "old";
+  return NULL;
+}
+
+static void
+start (struct soak_worker *w, struct http_request *req, const json_t *body)
+{
+  const char *task = json_string_value (json_object_get (body, "task"));
+  const char *payload = json_string_value (json_object_get (body, "spec"));
+  struct run *r = find_run (w, task);
+  const char *why = refusal (w, body, task, r);
+  if (number (body, "deadline_ms") > w->lease_ms)
+    w->lease_ms = number (body, "deadline_ms");
+  if (why)
+    {
+      reply_clock (w, req, 409, why);
+      return;
+    }
+  if (!r)
+    {
+      r = xcalloc (1, sizeof *r);
+      snprintf (r->task, sizeof r->task, "%s", task);
+      r->run = (int)number (body, "run");
+      r->end_ms = w->soak->now_ms + strtol (payload, NULL, 10);
+      LIST_INSERT_HEAD (&w->runs, r, link);
+      task_started (w->soak, r->task, r->run);
+    }
+  reply_clock (w, req, 200, "");
+}
+
+static void
+stop (struct soak_worker *w, struct http_request *req, const json_t *body)
+{
+  const char *task = json_string_value (json_object_get (body, "task"));
+  struct run *r = find_run (w, task);
+  note_over (w, task, (int)number (body, "run"));
+  if (r && r->run <= number (body, "run"))
+    end_run (w, r, "stopped");
+  reply_clock (w, req, 200, "");
+}
+
+static void
+hold (struct soak_worker *w, struct http_request *req, const json_t *body)
+{
+  struct ended *e;
+  while ((e = STAILQ_FIRST (&w->ended)) != NULL && e->number <= number (body, "ack_cursor"))
+    {
+      if (strcmp (e->how, "done") == 0 && !e->void_end)
+        task_end_noted (w->soak, e->task);
+      STAILQ_REMOVE_HEAD (&w->ended, link);
+      free (e);
+    }
+  if (number (body, "deadline_ms") > w->lease_ms)
+    w->lease_ms = number (body, "deadline_ms");
+  struct waiting *h = xcalloc (1, sizeof *h);
+  h->request = req;
+  h->until_ms = w->soak->now_ms + number (body, "wait_ms");
+  LIST_INSERT_HEAD (&w->holds, h, link);
+}
+
+static void
+carry_out (struct soak_worker *w, struct http_request *req)
+{
+  const char *life = http_header (req, "Expect-Instance");
+  struct status st;
+  json_t *body = http_body_json (req, &st);
+  if (!body)
+    http_reply_status (req, &st);
+  else if (life && strcmp (life, w->id) != 0)
+    reply_clock (w, req, 421, "");
+  else if (number (body, "fence") < w->fence)
+    reply_clock (w, req, 409, "fence");
+  else
+    {
+      w->fence = number (body, "fence");
+      if (strstr (req->path, "run-start"))
+        start (w, req, body);
+      else if (strstr (req->path, "run-stop"))
+        stop (w, req, body);
+      else if (strstr (req->path, "hold"))
+        hold (w, req, body);
+      else
+        reply_clock (w, req, 200, "");
+    }
+  json_decref (body);
+}
+
+static void
+handle (void *arg, struct http_request *req)
+{
+  struct soak_worker *w = arg;
+  if (w->soak->now_ms >= w->late_until_ms || strstr (req->path, "hold"))
+    {
+      carry_out (w, req);
+      return;
+    }
+  struct waiting *l = xcalloc (1, sizeof *l);
+  l->request = req;
+  l->until_ms = w->soak->now_ms + w->late_ms;
+  LIST_INSERT_HEAD (&w->late, l, link);
+}
+
+static void
+on_reported (void *arg, const struct http_answer *a)
+{
+  struct soak_worker *w = arg;
+  w->reports_open--;
+  if (a->code != 200)
+    w->next_control++;
+}
+
+static void
+report (struct soak_worker *w)
+{
+  char url[SOAK_PATH_BYTES];
+  char address[SOAK_ADDRESS_BYTES];
+  char zone[NAME_BYTES];
+  soak_address (w->soak, HOST_WORKER (w->number), 8080, address);
+  snprintf (zone, sizeof zone, "z%d", w->number % SOAK_CORES + 1);
+  json_t *body = json_pack ("{s:s, s:s, s:s, s:s, s:{s:i, s:i}, s:[s, s], s:I, s:I, s:I}",
+                            "service", SERVICE, "address", address, "zone", zone, "state", "ready",
+                            "capacity", "cpu", ROOM_MILLICORES, "mem_mb", ROOM_MB, "labels", "a",
+                            "r1-1", "clock_ms", (json_int_t)w->soak->now_ms, "seq", ++w->sequence,
+                            "born", (json_int_t)w->born_ms);
+  char *text = json_dumps (body, JSON_COMPACT);
+  snprintf (url, sizeof url, "http://%s.%d:%d/sassafrasstall/instances/%s", w->soak->net,
+            HOST_CORE (w->next_control % SOAK_CORES + 1), CONTROL_PORT, w->id);
+  const struct http_call call = { .method = "PUT",
+                                  .url = url,
+                                  .body = text,
+                                  .body_len = strlen (text),
+                                  .timeout_ms = REPORT_LIMIT_MS,
+                                  .done = on_reported,
+                                  .done_arg = w };
+  w->reports_open++;
+  http_client_send (w->soak->client, &call);
+  free (text);
+  json_decref (body);
+}
+
+static void
+begin_life (struct soak_worker *w)
+{
+  struct status st;
+  char address[SOAK_ADDRESS_BYTES];
+  soak_address (w->soak, HOST_WORKER_BEHIND (w->number), 8080, address);
+  snprintf (w->id, sizeof w->id, "w%d-%d", w->number, ++w->life);
+  w->up_at_ms = 0;
+  w->born_ms = clock_wall_ms ();
+  w->lease_ms = w->fence = w->ends = w->sequence = 0;
+  const struct http_server_config config
+      = { .address = address, .max_body = 1 << 20, .handler = handle, .handler_arg = w };
+  w->server = http_server_open (w->soak->loop, &config, &st);
+  if (!w->server)
+    {
+      fprintf (stderr, "%s\n", st.message);
+      exit (2);
+    }
+}
+
+struct soak_worker *
+worker_open (struct soak *s, int n)
+{
+  struct soak_worker *w = xcalloc (1, sizeof *w);
+  char listen_address[SOAK_ADDRESS_BYTES];
+  char target[SOAK_ADDRESS_BYTES];
+  w->soak = s;
+  w->number = n;
+  w->next_control = n;
+  STAILQ_INIT (&w->ended);
+  soak_address (s, HOST_WORKER (n), 8080, listen_address);
+  soak_address (s, HOST_WORKER_BEHIND (n), 8080, target);
+  w->link = proxy_open (s->loop, listen_address, target);
+  begin_life (w);
+  return w;
+}
+
+static void
+drop_waiting (struct waiting *first)
+{
+  while (first)
+    {
+      struct waiting *next = LIST_NEXT (first, link);
+      free (first);
+      first = next;
+    }
+}
+
+/* All that runs is gone, with the ends that nobody has taken note of.  */
+static void
+end_life (struct soak_worker *w)
+{
+  struct run *r;
+  struct ended *e;
+  struct over *o;
+  drop_waiting (LIST_FIRST (&w->holds));
+  drop_waiting (LIST_FIRST (&w->late));
+  LIST_INIT (&w->holds);
+  LIST_INIT (&w->late);
+  http_server_close (w->server);
+  w->server = NULL;
+  while ((r = LIST_FIRST (&w->runs)) != NULL)
+    {
+      task_ended (w->soak, r->task, false);
+      LIST_REMOVE (r, link);
+      free (r);
+    }
+  while ((e = STAILQ_FIRST (&w->ended)) != NULL)
+    {
+      STAILQ_REMOVE_HEAD (&w->ended, link);
+      free (e);
+    }
+  while ((o = LIST_FIRST (&w->over)) != NULL)
+    {
+      LIST_REMOVE (o, link);
+      free (o);
+    }
+}
+
+void
+worker_crash (struct soak_worker *w, int64_t down_ms)
+{
+  if (!w->server)
+    return;
+  end_life (w);
+  w->up_at_ms = w->soak->now_ms + down_ms;
+}
+
+void
+worker_close (struct soak_worker *w)
+{
+  if (w->server)
+    end_life (w);
+  proxy_close (w->link);
+  free (w);
+}
+
+void
+worker_delay (struct soak_worker *w, int64_t orders_late_ms, int64_t for_ms)
+{
+  w->late_ms = orders_late_ms;
+  w->late_until_ms = w->soak->now_ms + for_ms;
+}
+
+void
+worker_disturb (struct soak_worker *w, enum link_mode mode, int64_t delay_ms, int64_t for_ms)
+{
+  proxy_set (w->link, mode, delay_ms);
+  w->heal_at_ms = w->soak->now_ms + for_ms;
+}
+
+void
+worker_heal (struct soak_worker *w)
+{
+  proxy_set (w->link, LINK_PASSES, 0);
+  w->heal_at_ms = 0;
+  w->late_until_ms = 0;
+  if (!w->server)
+    begin_life (w);
+}
+
+/* The platform's rule: an end counts unless the lease lapsed between it and its acknowledgement.  */
+static void
+void_ends (struct soak_worker *w)
+{
+  struct ended *e;
+  if (w->soak->now_ms <= w->lease_ms)
+    return;
+  STAILQ_FOREACH (e, &w->ended, link)
+  e->void_end = true;
+}
+
+static void
+end_due_runs (struct soak_worker *w)
+{
+  struct run *r;
+  struct run *next;
+  for (r = LIST_FIRST (&w->runs); r; r = next)
+    {
+      next = LIST_NEXT (r, link);
+      if (w->soak->now_ms > w->lease_ms)
+        end_run (w, r, "lapsed");
+      else if (w->soak->now_ms >= r->end_ms)
+        end_run (w, r, "done");
+    }
+}
+
+static void
+answer_waiting (struct soak_worker *w)
+{
+  struct waiting *h;
+  struct waiting *next;
+  for (h = LIST_FIRST (&w->holds); h; h = next)
+    {
+      next = LIST_NEXT (h, link);
+      if (w->soak->now_ms < h->until_ms && STAILQ_EMPTY (&w->ended))
+        continue;
+      http_reply_json (h->request, 200, lists (w));
+      LIST_REMOVE (h, link);
+      free (h);
+    }
+  for (h = LIST_FIRST (&w->late); h; h = next)
+    {
+      next = LIST_NEXT (h, link);
+      if (w->soak->now_ms < h->until_ms)
+        continue;
+      struct http_request *req = h->request;
+      LIST_REMOVE (h, link);
+      free (h);
+      carry_out (w, req);
+    }
+}
+
+void
+worker_tick (struct soak_worker *w)
+{
+  if (w->heal_at_ms && w->soak->now_ms >= w->heal_at_ms)
+    {
+      proxy_set (w->link, LINK_PASSES, 0);
+      w->heal_at_ms = 0;
+    }
+  if (!w->server && w->soak->now_ms >= w->up_at_ms)
+    begin_life (w);
+  if (!w->server)
+    return;
+  void_ends (w);
+  end_due_runs (w);
+  answer_waiting (w);
+  if (w->soak->now_ms < w->next_report_ms)
+    return;
+  w->next_report_ms = w->soak->now_ms + REPORT_EVERY_MS;
+  report (w);
+}
