Restart lasting tasks beside short ones: order after a second, and reserved room

Placement takes short tasks first, and each gap of one or two cores that opens is taken by the next of them. Change: a lasting task that ran before and has waited a second goes first, and where it fits nowhere the worker with room beside its lasting tasks and the fewest short ones is kept free of short tasks; at most one worker in 16. New lasting tasks stay behind short ones (test_short_tasks_go_before_...). Test: test_a_lasting_task_restarts_beside_short_ones failed first, test_room_is_reserved_for_a_restart.

--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -180,6 +180,8 @@
   struct workflow_task *t = run->task;
   if (outcome == WORKFLOW_DONE && !(workflow_step_of (t)->flags & WORKFLOW_STEP_LASTING))
     want_stops (t);
+  if (outcome != WORKFLOW_NOT_STARTED)
+    t->since_ms = 0;
   if (!r)
     return;
   if (outcome == WORKFLOW_FAILED)
@@ -290,6 +292,7 @@
       for (uint32_t k = 0; k < j->spec.steps.steps_val[i % j->spec.steps.steps_len].count; k++)
         {
           j->stages[i].tasks[k].placing = NULL;
+          j->stages[i].tasks[k].since_ms = 0;
           j->stages[i].tasks[k].retry_ms = 0;
           j->stages[i].tasks[k].done_until_ms = 0;
         }
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -12,6 +12,7 @@
 #define KNOWS_WORKERS_MS 5000 /* of leadership: three heartbeats of every worker */
 #define MAX_NO_ROOM 64        /* images times a few sizes */
 #define MAX_PLACED 64 /* placements of one tick, 3,200 a second: bounds the time of a tick */
+#define MOST_RESERVED_PART 16 /* one in so many workers is kept free for lasting tasks */
 #define MILLI 1000
 
 struct waiting_task
@@ -26,6 +27,7 @@
   struct dispatch_worker **workers;
   struct spread_row *rows;
   size_t count;
+  size_t reserved;  /* workers in this tick */
   bool mostly_free; /* tasks that do not fill declare less than MOSTLY_FREE of the processors */
   /* Whom the rows' fields USABLE and NEAR_DATA are for; NULL before the first task.  */
   const char *pool;
@@ -58,6 +60,8 @@
                                        .remain_ms = (int64_t)((double)j->remain_ms[w->task->step]
                                                               * (fills ? d->fill_slowness : 1)),
                                        .priority = w->queue->priority,
+                                       .since_ms = w->task->since_ms,
+                                       .ran = w->task->last_run > 0,
                                        .lasts = s->flags & WORKFLOW_STEP_LASTING,
                                        .fills = fills,
                                        .started = workflow_job_started (j),
@@ -104,7 +108,10 @@
         *out = xrealloc (*out, capacity * sizeof **out);
       }
     (*out)[n] = (struct waiting_task){ .task = t, .queue = q };
-    if (n > 0 && is_same_step ((*out)[n - 1].task, t))
+    if (t->since_ms == 0)
+      t->since_ms = d->now_ms;
+    bool lasts = workflow_step_of (t)->flags & WORKFLOW_STEP_LASTING;
+    if (n > 0 && !lasts && is_same_step ((*out)[n - 1].task, t))
       (*out)[n].key = (*out)[n - 1].key;
     else
       set_key (d, &(*out)[n]);
@@ -139,6 +146,7 @@
   c->workers = xcalloc (d->workers.count + 1, sizeof (struct dispatch_worker *));
   c->rows = xcalloc (d->workers.count + 1, sizeof *c->rows);
   c->count = 0;
+  c->reserved = 0;
   c->pool = NULL;
   c->label = NULL;
   c->rack = NULL;
@@ -214,6 +222,19 @@
     }
 }
 
+/* Most of the workers stay open for short tasks.  */
+static void
+reserve (struct candidates *c, const struct spread_request *q)
+{
+  if (c->reserved > c->count / MOST_RESERVED_PART)
+    return;
+  size_t row = spread_reserve (c->rows, c->count, q);
+  if (row == SPREAD_NONE)
+    return;
+  c->rows[row].reserved = true;
+  c->reserved++;
+}
+
 /* Load pattern: thousands of waiting tasks and hundreds of workers that have little room.  What is
    costly to know is worked out only for workers that have room for the task.  */
 static size_t
@@ -228,7 +249,8 @@
           .fills = s->flags & WORKFLOW_STEP_FILL,
           .despite_harm = c->mostly_free && t->task->job->runs == 0
                           && d->now_ms - t->task->job->seen_ms > STARVED_MS,
-          .lasts = s->flags & WORKFLOW_STEP_LASTING };
+          .lasts = s->flags & WORKFLOW_STEP_LASTING,
+          .restarts = t->key.rank == WAITING_RESTART };
   int image = dispatch_image (d, s);
   mark_usable (c, t->queue->pool, s);
   for (size_t i = 0; i < c->count; i++)
@@ -238,7 +260,8 @@
       row->harm = 0;
       row->foreign = 0;
       row->same_step = 0;
-      if (!spread_fits (row, &q))
+      bool reserves = q.restarts && q.max_per_worker > 0;
+      if (!reserves && !spread_fits (row, &q))
         continue;
       if (q.lasts)
         row->foreign = foreign_part (w, s->image);
@@ -247,7 +270,10 @@
       if (s->max_per_worker > 0)
         row->same_step = count_same_step (w, t->task);
     }
-  return spread_choose (c->rows, c->count, &q);
+  size_t row = spread_choose (c->rows, c->count, &q);
+  if (row == SPREAD_NONE && q.restarts)
+    reserve (c, &q);
+  return row;
 }
 
 static void
@@ -298,6 +324,9 @@
 static bool
 found_no_room (const struct no_room *n, const struct waiting_task *w)
 {
+  /* Each of them has a worker reserved.  */
+  if (w->key.rank == WAITING_RESTART)
+    return false;
   if (n->last && is_same_step (n->last->task, w->task))
     return true;
   for (size_t i = n->count; i > 0; i--)
--- a/src/workflow/spread.c
+++ b/src/workflow/spread.c
@@ -37,6 +37,8 @@
     return false;
   if (q->max_per_worker > 0 && r->same_step >= q->max_per_worker)
     return false;
+  if (r->reserved && !q->fills && !q->restarts)
+    return false;
   if (!q->fills)
     return undeclared_millicores (r) >= q->millicores;
   bool calm = r->tail <= SPREAD_CALM && r->harm <= 1;
@@ -55,6 +57,24 @@
   return far + undeclared_millicores (r) - q->millicores;
 }
 
+size_t
+spread_reserve (const struct spread_row *rows, size_t count, const struct spread_request *q)
+{
+  size_t best = SPREAD_NONE;
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct spread_row *r = &rows[i];
+      bool room = r->lasting_millicores + q->millicores <= r->millicores
+                  && r->free_memory_mb >= q->memory_mb && r->free_accelerators >= q->accelerators;
+      bool allowed = q->max_per_worker == 0 || r->same_step < q->max_per_worker;
+      if (!r->usable || r->reserved || !room || !allowed)
+        continue;
+      if (best == SPREAD_NONE || r->short_millicores < rows[best].short_millicores)
+        best = i;
+    }
+  return best;
+}
+
 size_t
 spread_choose (const struct spread_row *rows, size_t count, const struct spread_request *q)
 {
--- a/src/workflow/spread.h
+++ b/src/workflow/spread.h
@@ -33,6 +33,7 @@
   uint32_t free_accelerators;
   uint32_t same_step; /* tasks of the same step and occurrence there */
   bool usable;        /* alive, of the pool, with the label, not avoided */
+  bool reserved;      /* its room is kept for a lasting task that must restart */
   bool near_data;     /* holds the rack that the step's data is on */
   double tail;        /* largest tail over target; 0 without a sample */
   double foreign;     /* a lasting task: what the worker serves of other images (spread_foreign) */
@@ -47,6 +48,7 @@
   uint32_t max_per_worker; /* 0 is no limit */
   bool fills;
   bool lasts;
+  bool restarts;     /* a lasting task that waits for reserved room */
   bool despite_harm; /* fills: waited long while most of the pool is free; pacing limits the harm */
 };
 
@@ -56,6 +58,11 @@
 bool spread_fits (const struct spread_row *r, const struct spread_request *q); /* Room there. */
 double spread_score (const struct spread_row *r,
                      const struct spread_request *q); /* Smaller is better. */
+/* The worker to be kept free of short tasks until Q, which fits nowhere, fits there: with room
+   beside its lasting tasks, and the fewest short ones.  Load pattern: every gap that a short task
+   leaves is taken by the next, so a larger task never finds one.  */
+size_t spread_reserve (const struct spread_row *rows, size_t count,
+                       const struct spread_request *q); /* Row, or SPREAD_NONE. */
 size_t spread_choose (const struct spread_row *rows, size_t count,
                       const struct spread_request *q); /* Row, or SPREAD_NONE. */
 
--- a/src/workflow/waiting_order.c
+++ b/src/workflow/waiting_order.c
@@ -8,7 +8,9 @@
                            .started = f->started,
                            .share = f->share,
                            .latest_start_ms = f->seen_ms + f->objective_ms - f->remain_ms };
-  if (f->lasts)
+  if (f->lasts && f->ran && f->now_ms - f->since_ms >= WAITING_RESTART_MS)
+    k.rank = WAITING_RESTART;
+  else if (f->lasts)
     k.rank = WAITING_LASTING;
   else if (f->now_ms > f->seen_ms + WAITING_LATE_FACTOR * f->objective_ms)
     k.rank = WAITING_HOPELESS;
--- a/src/workflow/workflow.h
+++ b/src/workflow/workflow.h
@@ -80,6 +80,7 @@
   bool ready;            /* in workflow.ready */
   void *placing;         /* the dispatcher's: a placement that is proposed */
   int64_t done_until_ms; /* the dispatcher's: until then a listed end of it may commit; 0 is none */
+  int64_t since_ms;      /* the dispatcher's: waits since then; 0: not seen waiting */
   int64_t retry_ms;      /* the dispatcher's: not before this time of its clock */
   TAILQ_ENTRY (workflow_task) link;
 };
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -14,12 +14,14 @@
 
 #define TICK_S 0.01
 #define DEFAULT_SECONDS 15
-#define SETTLE_MS 30000 /* after the last fault everything accepted completes: elections, leases   \
-                         */
-#define CALM_MS 4000    /* after the start: a leader, a configuration, workers known */
+#define SETTLE_MS                                                                                  \
+  30000              /* after the last fault everything accepted completes: elections, leases      \
+                      */
+#define CALM_MS 4000 /* after the start: a leader, a configuration, workers known */
 #define FAULT_EVERY_MS 450
-#define DISK_REST_MS 9000 /* a lost disk is repaired before the next is lost, as VMs are replaced  \
-                           */
+#define DISK_REST_MS                                                                               \
+  9000 /* a lost disk is repaired before the next is lost, as VMs are replaced                     \
+        */
 
 struct schedule
 {
--- a/tests/soak/soak_vm.c
+++ b/tests/soak/soak_vm.c
@@ -98,6 +98,13 @@
             vm->role == VM_CORE ? "core" : "front", vm->number);
   vm->up_at_ms = 0;
   vm->ending = false;
+  /* Signals wait until the program is loaded and takes them up.  */
+  sigset_t waiting;
+  sigset_t before;
+  sigemptyset (&waiting);
+  sigaddset (&waiting, SIGTERM);
+  sigaddset (&waiting, SIGHUP);
+  sigprocmask (SIG_BLOCK, &waiting, &before);
   vm->pid = fork ();
   if (vm->pid == 0)
     {
@@ -107,6 +114,7 @@
       execv (a.list[0], a.list);
       _exit (127);
     }
+  sigprocmask (SIG_SETMASK, &before, NULL);
   ev_child_init (&vm->exited, on_exit_of, vm->pid, 0);
   vm->exited.data = vm;
   ev_child_start (vm->soak->loop, &vm->exited);
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -451,6 +451,69 @@
   assert_int_equal (f->starts[16].task.job, 4);
 }
 
+static void
+submit_sized (struct fixture *f, uint64_t id, uint32_t count, uint32_t millicores, uint32_t flags)
+{
+  workflow_step step = { .count = count,
+                         .millicores = millicores,
+                         .memory_mb = 100,
+                         .estimate_ms = 500,
+                         .flags = flags,
+                         .required_label = "",
+                         .data_rack = "",
+                         .image = "" };
+  workflow_command c = { .kind = WORKFLOW_SUBMIT };
+  workflow_spec *spec = &c.workflow_command_u.spec;
+  spec->id = id;
+  spec->queue = "queue";
+  spec->payload = "payload";
+  spec->steps.steps_val = &step;
+  spec->steps.steps_len = 1;
+  assert_true (fixture_change (f, &c));
+}
+
+/* Replays kmbpu-sched-grown scale-1, seed 743500850570: a worker left, its lasting tasks needed
+   five cores each, and short tasks took every gap of one or two cores that opened elsewhere, for 12
+   s.  */
+static void
+test_a_lasting_task_restarts_beside_short_ones (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  submit_sized (f, 1, 1, 5000, WORKFLOW_STEP_LASTING);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  dispatcher_left (f->dispatcher, f->now_ms, "w1");
+  fixture_commit (f);
+  fixture_join (f, "w2", "10.0.0.2:1");
+  submit_sized (f, 2, 60, 1000, 0);
+  f->start_count = 0;
+  /* The room is taken by short tasks first: they come before lasting ones that do not wait long. */
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 16);
+  size_t ended = 0;
+  bool restarted = false;
+  for (int round = 0; round < 30 && !restarted; round++)
+    {
+      struct held_run running[FIXTURE_MAX];
+      size_t count = 0;
+      const struct held_end end = fixture_ended (&f->starts[ended], ended + 1, WORKFLOW_DONE);
+      ended++;
+      for (size_t i = ended; i < f->start_count; i++)
+        {
+          fixture_answer_start (f, &f->starts[i], WORKER_CALL_OK);
+          running[count++] = fixture_running (&f->starts[i]);
+        }
+      fixture_tick (f, 100);
+      fixture_answer_hold (f, "w2", running, count, &end, 1);
+      fixture_tick (f, 20);
+      for (size_t i = 0; i < f->start_count; i++)
+        restarted = restarted || f->starts[i].task.job == 1;
+    }
+  assert_true (restarted);
+}
+
 /* A job that no worker could hold would wait until its deadline; after a change of leader not all
    workers are known, and nothing may be refused for that.  */
 static void
@@ -591,6 +654,7 @@
           TEST (test_a_cancelled_job_is_stopped_until_acknowledged),
           TEST (test_without_authority_nothing_is_ordered),
           TEST (test_a_stranger_is_stopped),
+          TEST (test_a_lasting_task_restarts_beside_short_ones),
           TEST (test_a_job_that_fits_nowhere_is_known),
           TEST (test_short_tasks_go_before_lasting_ones),
           TEST (test_a_job_fails_after_its_attempts) };
--- a/tests/test_spread.c
+++ b/tests/test_spread.c
@@ -175,11 +175,32 @@
   assert_false (spread_fits (&row, &q));
 }
 
+/* Room is kept on the worker that gets free soonest; short tasks stay away, the restart does not.
+ */
+static void
+test_room_is_reserved_for_a_restart (void **state)
+{
+  struct spread_row rows[] = { worker (8000, 0), worker (10000, 0), worker (14000, 0) };
+  const struct spread_request restart = { .millicores = 4000, .lasts = true, .restarts = true };
+  const struct spread_request brief = { .millicores = 1000 };
+  (void)state;
+  rows[0].short_millicores = 8000;
+  rows[1].short_millicores = 6000;
+  assert_int_equal (spread_choose (rows, 3, &restart), SPREAD_NONE);
+  assert_int_equal (spread_reserve (rows, 3, &restart), 1);
+  rows[1].reserved = true;
+  rows[1].short_millicores = 2000;
+  assert_int_equal (spread_choose (rows, 3, &brief), 2);
+  assert_int_equal (spread_choose (rows, 3, &restart), 1);
+  assert_int_equal (spread_reserve (rows, 3, &restart), 0);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_small_tasks_take_the_smallest_gap),
+          cmocka_unit_test (test_room_is_reserved_for_a_restart),
           cmocka_unit_test (test_lasting_tasks_of_one_image_stay_together),
           cmocka_unit_test (test_the_lasting_tasks_of_a_day_mix_on_few_workers),
           cmocka_unit_test (test_fill_goes_where_it_does_no_harm),
