Keep room in the event log for warnings; a worker that is gone is one

Cause: tracing the lost restarts, the lines of 24 workers that left were among those left out while the lines of 1,000 starts a second were kept. Test: test_log.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -91,15 +91,22 @@
   bool nonblocking;  /* standard output was set so */
 } events;
 
+/* Lines of single runs are the most by far; they must not take the room of a lost worker's line. */
+static unsigned
+most_lines (enum log_level level)
+{
+  return level <= LOG_WARN ? LOG_EVENTS_PER_S + LOG_WARNINGS_PER_S : LOG_EVENTS_PER_S;
+}
+
 static bool
-may_keep (time_t now)
+may_keep (enum log_level level, time_t now)
 {
   if (now != events.second)
     {
       events.second = now;
       events.kept = 0;
     }
-  if (events.kept >= LOG_EVENTS_PER_S || events.len + LINE_BYTES + 128 > sizeof events.bytes)
+  if (events.kept >= most_lines (level) || events.len + LINE_BYTES + 128 > sizeof events.bytes)
     {
       events.left_out++;
       return false;
@@ -126,7 +133,7 @@
 {
   char text[LINE_BYTES];
   va_list args;
-  if (level > current.level || !may_keep (time (NULL)))
+  if (level > current.level || !may_keep (level, time (NULL)))
     return;
   va_start (args, format);
   vsnprintf (text, sizeof text, format, args);
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -4,7 +4,8 @@
    log_event writes structured lines, "time=... level=... vm=... event=NAME key=value ...", on
    standard output: one for each decision that touches a request or changes what the process
    believes.  They are collected and written by log_flush, which never blocks: what a full pipe does
-   not take is dropped.  At most LOG_EVENTS_PER_S lines a second are kept.  The number of lines left
+   not take is dropped.  At most LOG_EVENTS_PER_S lines a second are kept,
+   and LOG_WARNINGS_PER_S more warnings and errors.  The number of lines left
    out for either reason is logged with event=lines-left-out.  */
 
 #ifndef SASSAFRAS_LOG_H
@@ -12,7 +13,8 @@
 
 #include <stdbool.h>
 
-#define LOG_EVENTS_PER_S 4000 /* about 0.6 MB a second; twice the peak of decisions measured */
+#define LOG_EVENTS_PER_S 4000  /* about 0.6 MB a second; twice the peak of decisions measured */
+#define LOG_WARNINGS_PER_S 400 /* beyond these: warnings and errors only */
 #define LOG_BUFFER_BYTES (256u << 10) /* lines that wait for log_flush */
 
 enum log_level
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -114,7 +114,7 @@
   struct dispatch_run *r;
   if (w->gone)
     return;
-  log_event (LOG_INFO, "worker-gone", "worker=%s address=%s born=%" PRId64 " reason=\"%s\"", w->id,
+  log_event (LOG_WARN, "worker-gone", "worker=%s address=%s born=%" PRId64 " reason=\"%s\"", w->id,
              w->address ? w->address : "", w->born_ms, why);
   w->gone = true;
   w->gone_ms = d->now_ms;
