--- a/src/workflow/workflow_service.c
+++ b/src/workflow/workflow_service.c
@@ -35,7 +35,9 @@
 
 struct change
 {
+  LIST_ENTRY (change) link;
   struct workflow_service *service;
+  uint64_t submitted; /* id of the job; 0 for other changes */
   workflow_change_done *done;
   void *arg;
   int64_t began_ms;
@@ -55,7 +57,8 @@
   struct workflow workflow;
   struct dispatcher *dispatcher;
   struct group *group;
-  struct proposals outcomes; /* the dispatcher must not be told inside its own call */
+  LIST_HEAD (, change) changes; /* without an outcome */
+  struct proposals outcomes;    /* the dispatcher must not be told inside its own call */
   bool leading;
   bool stopping;
   bool handing_over;         /* no more orders; until another VM leads */
@@ -107,6 +110,7 @@
   struct workflow_service *s = xcalloc (1, sizeof *s);
   s->config = *config;
   STAILQ_INIT (&s->outcomes);
+  LIST_INIT (&s->changes);
   leader_place_init (&s->place);
   workflow_init (&s->workflow);
   const struct dispatcher_config dispatcher = { .workflow = &s->workflow,
@@ -270,6 +274,7 @@
   else if (status_ok (st) && r.status != STATUS_OK)
     status_set (&outcome, (enum status_kind)r.status, "refused by the state of the jobs");
   histogram_add (&change_times, (double)(clock_now_ms (c->service->config.clock) - c->began_ms));
+  LIST_REMOVE (c, link);
   c->done (c->arg, &outcome, r.known);
   free (c);
 }
@@ -283,12 +288,25 @@
   *c = (struct change){
     .service = s, .done = done, .arg = arg, .began_ms = clock_now_ms (s->config.clock)
   };
+  if (command->kind == WORKFLOW_SUBMIT)
+    c->submitted = command->workflow_command_u.spec.id;
+  LIST_INSERT_HEAD (&s->changes, c, link);
   buffer_init (&entry);
   workflow_encode (command, &entry);
   group_propose (s->group, entry.data, entry.len, on_changed, c);
   buffer_close (&entry);
 }
 
+bool
+workflow_service_is_submitting (const struct workflow_service *s, uint64_t job)
+{
+  const struct change *c;
+  LIST_FOREACH (c, &s->changes, link)
+  if (c->submitted == job)
+    return true;
+  return false;
+}
+
 static void
 on_confirmed (void *arg, const struct status *st, const void *result, size_t len)
 {
--- a/src/workflow/workflow_service.h
+++ b/src/workflow/workflow_service.h
@@ -47,6 +47,8 @@
 void workflow_service_hand_over (struct workflow_service *s);   /* Planned stop: no more orders. */
 void workflow_service_change (struct workflow_service *s, const workflow_command *c,
                               workflow_change_done *done, void *arg); /* Commits C. */
+bool workflow_service_is_submitting (const struct workflow_service *s,
+                                     uint64_t job); /* An attempt may still be committed. */
 void workflow_service_read (struct workflow_service *s, workflow_read_done *done,
                             void *arg); /* Confirms leadership, then calls DONE. */
 
