--- a/src/net/peer_net.h
+++ b/src/net/peer_net.h
@@ -10,9 +10,8 @@
    its hello sets it, and replaces it when the peer comes back with a new disk.
 
    Delivery: raft messages and orders are one-way and may be dropped, never reordered on one
-   connection.  A
-   call reports its result exactly once, from the loop and never from inside the function that
-   started it.  When a call fails, the kind of the status tells whether it may have run: NOT_FOUND
+   connection.  A call reports its result exactly once, from the loop and never from inside the
+   function that started it.  When a call fails, the kind of the status tells whether it may have run: NOT_FOUND
    no such peer                               did not run NO_QUORUM        no connection, or lost
    before it was sent  did not run OVERLOADED       the queue was full, or the peer refused    did
    not run TOO_LARGE        over the record limit                      did not run BAD_REQUEST the
