--- a/tests/test_peer_net.c
+++ b/tests/test_peer_net.c
@@ -34,6 +34,8 @@
   int hellos;
   int losses;
   int raft;
+  int orders;
+  size_t order_bytes;
   uint64_t last_term;
   int proposals;
   struct peer_info last_hello;
@@ -49,6 +51,15 @@
   uint64_t leader;
 };
 
+static void
+on_orders (void *arg, const struct peer_info *from, const peer_orders *orders)
+{
+  struct end *e = arg;
+  assert_int_equal (from->node, 1);
+  e->orders++;
+  e->order_bytes += orders->data.data_len;
+}
+
 static void
 on_raft (void *arg, const struct peer_info *from, const raft_message *m)
 {
@@ -119,7 +130,11 @@
     .listen_address = "127.0.0.1:0",
     .clock = &clk.clock,
     .seed = SEED + node,
-    .handlers = { .raft = on_raft, .propose = on_propose, .hello = on_hello, .lost = on_lost },
+    .handlers = { .raft = on_raft,
+                  .orders = on_orders,
+                  .propose = on_propose,
+                  .hello = on_hello,
+                  .lost = on_lost },
     .handler_arg = e,
   };
   memset (e, 0, sizeof *e);
@@ -281,6 +296,28 @@
   close_end (&b);
 }
 
+/* One-way messages with orders arrive whole; what has no connection is said to be not sent.  */
+static void
+test_orders_arrive_or_are_not_sent (void **state)
+{
+  struct end a;
+  struct end b;
+  char data[5000] = "orders";
+  const peer_orders orders = { { sizeof data, data } };
+  (void)state;
+  open_pair (&a, &b);
+  for (int i = 0; i < 20; i++)
+    assert_true (peer_send_orders (a.net, 2, &orders));
+  step (STEP_MS);
+  assert_int_equal (b.orders, 20);
+  assert_int_equal (b.order_bytes, 20 * sizeof data);
+  assert_false (peer_send_orders (a.net, 5, &orders));
+  close_end (&b);
+  step (STEP_MS);
+  assert_false (peer_send_orders (a.net, 2, &orders));
+  close_end (&a);
+}
+
 static void
 test_late_answer_and_timeout (void **state)
 {
@@ -705,6 +742,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (test_messages_and_identity, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_orders_arrive_or_are_not_sent, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_late_answer_and_timeout, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_peer_dies_during_call, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_restart_with_new_incarnation, set_up, tear_down),
