--- a/src/net/peer_net.h
+++ b/src/net/peer_net.h
@@ -11,12 +11,11 @@
 
    Delivery: raft messages and orders are one-way and may be dropped, never reordered on one
    connection.  A call reports its result exactly once, from the loop and never from inside the
-   function that started it.  When a call fails, the kind of the status tells whether it may have run: NOT_FOUND
-   no such peer                               did not run NO_QUORUM        no connection, or lost
-   before it was sent  did not run OVERLOADED       the queue was full, or the peer refused    did
-   not run TOO_LARGE        over the record limit                      did not run BAD_REQUEST the
-   peer could not decode or serve it      did not run OUTCOME_UNKNOWN  sent, then no answer in time
-   or link lost  may have run
+   function that started it.  When a call fails, the kind of the status tells whether it may have
+   run.  These did not run: NOT_FOUND (no such peer), NO_QUORUM (no connection, or lost before it
+   was sent), OVERLOADED (the queue was full, or the peer refused), TOO_LARGE (over the record
+   limit), BAD_REQUEST (the peer could not decode or serve it).  OUTCOME_UNKNOWN may have run: it
+   was sent, then no answer came in time or the link was lost.
 
    Bounds: records have at most PEER_MAX_RECORD_BYTES, the queue of a peer at most
    PEER_QUEUE_BYTES and PEER_QUEUE_RECORDS.  A connection on which nothing arrives for
