leader_relay: a joining member follows a probe's redirect to the leader

Their seeds are each other and a follower. The follower redirects their join requests to the leader, which is no seed.

Change: a probe that is redirected sends the next probe there. Requests are not affected. Test: test_leader_relay, a joiner whose seeds do not include the leader, failed first.

--- a/src/workflow/leader_relay.c
+++ b/src/workflow/leader_relay.c
@@ -64,6 +64,7 @@
   size_t count;
   bool probing;
   char probe_target[SEEDED_GROUP_IP_BYTES];
+  char redirected_to[SEEDED_GROUP_IP_BYTES]; /* by the last probe; the next one uses it up */
   size_t next;                        /* next candidate to probe when no leader is known */
   char leader[SEEDED_GROUP_IP_BYTES]; /* "" if unknown */
   int64_t last_answer_ms;
@@ -164,11 +165,23 @@
   return known && now_ms >= known->backoff_until_ms ? known->ip : NULL;
 }
 
-/* Target of the next probe: the presumed leader, else the candidates in turn.  */
+/* The VM that answered the last probe named this one as the leader; NULL if none did.  A member
+   whose own group knows no leader has no other way to a leader that is not among its seeds.  */
+static const char *
+take_redirect (struct leader_relay *r, int64_t now_ms)
+{
+  const struct candidate *c = r->redirected_to[0] ? add_candidate (r, r->redirected_to) : NULL;
+  r->redirected_to[0] = '\0';
+  return c && now_ms >= c->backoff_until_ms ? c->ip : NULL;
+}
+
+/* Target of the next probe: the presumed leader, the last redirect, else the candidates in turn. */
 static const char *
 choose_probe_target (struct leader_relay *r, int64_t now_ms)
 {
   const char *known = known_leader (r, now_ms);
+  if (!known)
+    known = take_redirect (r, now_ms);
   if (known)
     return known;
   for (size_t i = 0; i < r->count; i++)
@@ -283,11 +296,19 @@
   return false;
 }
 
+static void
+read_redirect (const char *location, char ip[SEEDED_GROUP_IP_BYTES])
+{
+  if (sscanf (location, "http://%15[0-9.]:", ip) != 1)
+    ip[0] = '\0';
+}
+
 static void
 store_redirect (struct leader_relay *r, const char *location)
 {
   char ip[SEEDED_GROUP_IP_BYTES];
-  if (sscanf (location, "http://%15[0-9.]:", ip) == 1)
+  read_redirect (location, ip);
+  if (ip[0])
     snprintf (r->leader, sizeof r->leader, "%s", ip);
 }
 
@@ -504,7 +525,10 @@
   int64_t now_ms = clock_now_ms (r->config.clock);
   r->probing = false;
   if (a->code == CODE_REDIRECT && a->location)
-    store_redirect (r, a->location);
+    {
+      store_redirect (r, a->location);
+      read_redirect (a->location, r->redirected_to);
+    }
   else if (a->code == CODE_MISDIRECTED)
     forget_leader (r, r->probe_target);
   else if (a->code == 0)
--- a/tests/test_leader_relay.c
+++ b/tests/test_leader_relay.c
@@ -43,6 +43,8 @@
   struct http_server *front;
   struct http_client *client;
   struct leader_relay *relay;
+  struct leader_relay *joiner; /* of a VM that asks to join the group */
+  char joined_at[SEEDED_GROUP_IP_BYTES];
   int port;
   int64_t budget_ms;
   int code;
@@ -328,6 +330,72 @@
   assert_true (f->retry_after_s > 0);
 }
 
+static bool
+know_no_leader (void *arg, char ip[SEEDED_GROUP_IP_BYTES])
+{
+  (void)arg;
+  (void)ip;
+  return false;
+}
+
+static void
+record_probe_answer (void *arg, const char *ip)
+{
+  struct fixture *f = arg;
+  snprintf (f->joined_at, sizeof f->joined_at, "%s", ip);
+  ev_break (f->loop, EVBREAK_ONE);
+}
+
+static void
+send_join (struct ev_loop *loop, ev_timer *w, int events)
+{
+  struct fixture *f = w->data;
+  (void)loop;
+  (void)events;
+  leader_relay_probe (f->joiner, "POST", RELAY_JOIN_PATH "127.0.9.8");
+}
+
+static void
+give_up (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void)w;
+  (void)events;
+  ev_break (loop, EVBREAK_ONE);
+}
+
+/* A VM with an empty disk whose seeds do not include the leader has to follow their redirects.
+   Before, it forgot the redirect because its own group knew no leader, and never joined again.  */
+static void
+test_join_follows_a_redirect_to_a_leader_that_is_no_seed (void **state)
+{
+  struct fixture *f = *state;
+  static const char *const headers[] = { NULL };
+  const struct leader_relay_config config = { .loop = f->loop,
+                                              .clock = clock_real (),
+                                              .own_ip = "127.0.9.8",
+                                              .port = f->port,
+                                              .seeds = { "127.0.9.1", "127.0.9.3" },
+                                              .seed_count = 2,
+                                              .headers = headers,
+                                              .leader = know_no_leader,
+                                              .probe_answered = record_probe_answer,
+                                              .arg = f };
+  ev_timer retry, limit;
+  f->vms[0].behaviour = REDIRECTS;
+  f->vms[2].behaviour = NO_LEADER;
+  f->joiner = leader_relay_open (&config);
+  ev_timer_init (&retry, send_join, 0.0, 0.02);
+  ev_timer_init (&limit, give_up, 2.0, 0.0);
+  retry.data = f;
+  ev_timer_start (f->loop, &retry);
+  ev_timer_start (f->loop, &limit);
+  ev_run (f->loop, 0);
+  ev_timer_stop (f->loop, &retry);
+  ev_timer_stop (f->loop, &limit);
+  leader_relay_close (f->joiner);
+  assert_string_equal (f->joined_at, "127.0.9.2");
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown (name, open_fixture, close_fixture)
 
 int
@@ -344,7 +412,9 @@
                                       TEST (test_request_waits_for_an_election),
                                       TEST (test_waiting_requests_share_one_probe),
                                       TEST (test_refusal_after_unanswered_attempt_gets_504),
-                                      TEST (test_refusal_of_the_only_attempt_is_forwarded) };
+                                      TEST (test_refusal_of_the_only_attempt_is_forwarded),
+                                      TEST (
+                                          test_join_follows_a_redirect_to_a_leader_that_is_no_seed) };
   curl_global_init (CURL_GLOBAL_DEFAULT);
   int failed = cmocka_run_group_tests (tests, NULL, NULL);
   curl_global_cleanup ();
