log: a slow reader of standard output gets whole lines

Change: what the pipe does not take stays buffered; a line that finds the buffer full is dropped whole and counted.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,6 +1,5 @@
 #include "log.h"
 
-#include <errno.h>
 #include <fcntl.h>
 #include <stdarg.h>
 #include <stdint.h>
@@ -84,7 +83,6 @@
 {
   char bytes[LOG_BUFFER_BYTES];
   size_t len;
-  unsigned lines;    /* number of lines in BYTES */
   time_t second;     /* start of the one-second window */
   unsigned accepted; /* lines accepted in that second */
   uint64_t dropped;  /* lines dropped and not yet reported */
@@ -125,7 +123,6 @@
                     event, text);
   if (n > 0 && (size_t)n < sizeof events.bytes - events.len)
     events.len += (size_t)n;
-  events.lines++;
 }
 
 void
@@ -170,9 +167,10 @@
   if (!events.nonblocking)
     set_nonblocking ();
   ssize_t n = write (STDOUT_FILENO, events.bytes, events.len);
-  if (n < (ssize_t)events.len && !(n < 0 && errno == EINTR))
-    events.dropped += events.lines;
-  events.len = 0;
-  events.lines = 0;
-  report_dropped ();
+  if (n <= 0)
+    return;
+  events.len -= (size_t)n;
+  memmove (events.bytes, events.bytes + n, events.len);
+  if (events.len == 0)
+    report_dropped ();
 }
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -4,9 +4,9 @@
    log_event writes structured lines, "time=... level=... vm=... event=NAME key=value ...", to
    standard output: one for each decision that affects a request or changes the state of the
    process.  They are buffered and written by log_flush, which never blocks: output that a full pipe
-   does not accept is dropped.  At most LOG_EVENTS_PER_S lines per second are accepted, plus
-   LOG_WARNINGS_PER_S warnings and errors.  The number of lines dropped for either reason is logged
-   with event=lines-left-out.  */
+   does not accept stays buffered, and a line that finds the buffer full is dropped whole.  At most
+   LOG_EVENTS_PER_S lines per second are accepted, plus LOG_WARNINGS_PER_S warnings and errors.  The
+   number of lines dropped for either reason is logged with event=lines-left-out.  */
 
 #ifndef SASSAFRAS_LOG_H
 #define SASSAFRAS_LOG_H
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -1,6 +1,7 @@
 /* Guards against a warning that is dropped because lines about single runs have used up the limit
-   of the event log.  */
+   of the event log, and against lines that are cut off where a slow reader's pipe was full.  */
 
+#include <fcntl.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -64,10 +65,77 @@
   free (text);
 }
 
+#define PIPE_LINES 1500 /* about twice the capacity of a pipe */
+#define READ_BYTES 1000
+
+/* Reads what the pipe holds and appends it to TEXT, READ_BYTES at a time, with a flush after each
+   read as a slow reader would cause it.  */
+static size_t
+drain (int pipe_out, char *text, size_t len)
+{
+  ssize_t n;
+  while ((n = read (pipe_out, text + len, READ_BYTES)) > 0)
+    {
+      len += (size_t)n;
+      log_flush ();
+    }
+  return len;
+}
+
+static unsigned
+count_whole_lines (char *text)
+{
+  unsigned lines = 0;
+  char *rest = NULL;
+  for (char *line = strtok_r (text, "\n", &rest); line; line = strtok_r (NULL, "\n", &rest))
+    {
+      unsigned number, check;
+      if (sscanf (line, "time=%*s level=info vm= event=run number=%u check=%u", &number, &check) != 2)
+        fail_msg ("line is cut off: '%s'", line);
+      assert_int_equal (number, check);
+      lines++;
+    }
+  return lines;
+}
+
+static void
+test_a_slow_reader_gets_whole_lines (void **state)
+{
+  const struct log_config config = { .level = LOG_INFO };
+  int ends[2];
+  (void)state;
+  log_configure (&config);
+  sleep (1); /* the limit of lines per second starts afresh */
+  assert_int_equal (pipe (ends), 0);
+  assert_int_equal (fcntl (ends[0], F_SETFL, O_NONBLOCK), 0);
+  int before = dup (STDOUT_FILENO);
+  fflush (stdout);
+  dup2 (ends[1], STDOUT_FILENO);
+  assert_int_equal (fcntl (ends[1], F_SETFL, O_NONBLOCK), 0);
+  for (unsigned i = 0; i < PIPE_LINES; i++)
+    {
+      log_event (LOG_INFO, "run", "number=%u check=%u", i, i);
+      if (i % FLUSH_EVERY == 0)
+        log_flush ();
+    }
+  log_flush ();
+  char *text = calloc (PIPE_LINES, 100);
+  size_t len = drain (ends[0], text, 0);
+  log_flush ();
+  drain (ends[0], text, len);
+  dup2 (before, STDOUT_FILENO);
+  close (before);
+  close (ends[0]);
+  close (ends[1]);
+  assert_int_equal (count_whole_lines (text), PIPE_LINES);
+  free (text);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_a_warning_is_kept_when_lines_are_left_out) };
+      = { cmocka_unit_test (test_a_warning_is_kept_when_lines_are_left_out),
+          cmocka_unit_test (test_a_slow_reader_gets_whole_lines) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
