raft: a learner may be promoted when it is behind by time, not by entries

Cause: a learner had to be within 64 entries of the end of the log. At 4,000 entries a second a learner one region away is 240 entries behind at any moment. Ruled out: refused hellos (a second fault, mended before), promised terms, votes of old stores: with all votes logged the three VMs that remained never asked for one, since their list names three voters.

Change: the leader notes the end of its log and the time, and learns from an acknowledgement that reaches this end that the member stores all that the log held then. A learner may also be promoted when that was within the last 500 ms.

--- a/src/log/raft_internal.h
+++ b/src/log/raft_internal.h
@@ -9,7 +9,10 @@
 #define RAFT_APPEND_BYTES 65536u /* default target size of one append message */
 #define RAFT_WINDOW_BYTES                                                                          \
   262144u /* limit of unacknowledged bytes per peer: 30 Mbit/s over a 60 ms round trip */
-#define RAFT_CATCH_UP_ENTRIES 64u /* a learner this close behind may be promoted */
+/* A learner this close behind may be promoted.  The time allows for a slow round trip and write: a
+   leader with thousands of entries a second is always hundreds of entries ahead.  */
+#define RAFT_CATCH_UP_ENTRIES 64u
+#define RAFT_CATCH_UP_MS 500
 #define RAFT_MAX_QUICK_RETRIES 12 /* pre-votes, elections and grants with short retry delays */
 
 enum peer_state
@@ -29,6 +32,9 @@
   bool granted; /* has granted its vote or pre-vote */
   enum peer_state state;
   uint64_t match;       /* highest entry known to be stored there */
+  uint64_t mark;        /* end of the leader's log at MARK_MS */
+  int64_t mark_ms;
+  int64_t caught_up_ms; /* everything that the log held at this time is stored there */
   uint64_t next;        /* next entry to send */
   uint64_t sent_commit; /* highest commit index sent */
   uint64_t round_acked;
@@ -135,6 +141,7 @@
 
 /* raft_members.c */
 void raft_set_members (struct raft *r, const raft_members *members, uint64_t index);
+void raft_reset_catch_up (struct raft_peer *p); /* Nothing is known of what P stores. */
 void raft_reload_members (struct raft *r); /* Takes the latest members from the log. */
 void raft_append_entry (struct raft *r, raft_entry_kind kind, const void *data, size_t len);
 void raft_step_member_change (struct raft *r, int64_t now_ms); /* Proposes the next change. */
--- a/src/log/raft_leader.c
+++ b/src/log/raft_leader.c
@@ -27,6 +27,7 @@
       struct raft_peer *p = &r->peers[i];
       p->state = PEER_PROBE;
       p->match = 0;
+      raft_reset_catch_up (p);
       p->next = raft_log_last (&r->log) + 1;
       p->sent_commit = 0;
       p->round_acked = 0;
@@ -124,6 +125,7 @@
   if (p->store_known && p->store != store)
     {
       p->match = 0;
+      raft_reset_catch_up (p);
       p->next = 1;
       p->state = PEER_PROBE;
       p->outstanding = false;
@@ -141,8 +143,19 @@
   r->transfer_sent = true;
 }
 
+/* Measures by time how far P is behind.  */
 static void
-on_accept (struct raft *r, struct raft_peer *p, const raft_message *m)
+update_catch_up (const struct raft *r, struct raft_peer *p, int64_t now_ms)
+{
+  if (p->match < p->mark)
+    return;
+  p->caught_up_ms = p->mark_ms;
+  p->mark = raft_log_last (&r->log);
+  p->mark_ms = now_ms;
+}
+
+static void
+on_accept (struct raft *r, struct raft_peer *p, const raft_message *m, int64_t now_ms)
 {
   if (m->log_index > raft_log_last (&r->log))
     return;
@@ -153,6 +166,7 @@
     }
   if (p->next <= p->match)
     p->next = p->match + 1;
+  update_catch_up (r, p, now_ms);
   bool probed = p->state == PEER_PROBE && m->stream == p->stream;
   if (probed || (p->state == PEER_SNAPSHOT && p->match + 1 >= r->log.first))
     {
@@ -210,7 +224,7 @@
   if (!p)
     return;
   if (m->granted)
-    on_accept (r, p, m);
+    on_accept (r, p, m, now_ms);
   else
     on_reject (r, p, m);
 }
--- a/src/log/raft_members.c
+++ b/src/log/raft_members.c
@@ -84,6 +84,14 @@
   return self && self->voter;
 }
 
+void
+raft_reset_catch_up (struct raft_peer *p)
+{
+  p->mark = 0;
+  p->mark_ms = INT64_MIN / 2;
+  p->caught_up_ms = INT64_MIN / 2;
+}
+
 static void
 init_peer (const struct raft *r, struct raft_peer *p, uint64_t node)
 {
@@ -95,6 +103,7 @@
     p->next = 1;
   p->send_now = true;
   p->reply_ms = INT64_MIN / 2;
+  raft_reset_catch_up (p);
 }
 
 void
@@ -242,12 +251,18 @@
   return now_ms - p->reply_ms < r->timing.quorum_ms;
 }
 
+static bool
+has_caught_up (const struct raft *r, const struct raft_peer *p, int64_t now_ms)
+{
+  return raft_log_last (&r->log) - p->match <= RAFT_CATCH_UP_ENTRIES
+         || now_ms - p->caught_up_ms <= RAFT_CATCH_UP_MS;
+}
+
 static bool
 may_promote (const struct raft *r, const struct raft_peer *p, int64_t now_ms)
 {
   return p->store_known && !(p->store & RAFT_STORE_VOLATILE) && is_active (r, p, now_ms)
-         && p->state == PEER_REPLICATE
-         && raft_log_last (&r->log) - p->match <= RAFT_CATCH_UP_ENTRIES;
+         && p->state == PEER_REPLICATE && has_caught_up (r, p, now_ms);
 }
 
 /* The first learner to promote; READY is true when all learners to promote may be promoted now.  */
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -179,6 +179,51 @@
     }
 }
 
+#define PROPOSALS_PER_STEP 20 /* 4,000 a second, with starts and ends of 2,000 tasks */
+#define PROMOTION_LIMIT_MS 4000
+
+/* Reproduces large deployment trouble-2: at 4,000 entries a second a learner in another region is
+   240 entries behind at any moment, though only by a round trip.  It was never promoted, three
+   voters of six VMs remained, and the loss of two disks stopped the group for good.  */
+static void
+test_a_learner_that_follows_a_busy_leader_is_promoted (void **state)
+{
+  struct sim s;
+  struct sim_config c = make_config (3, 0);
+  raft_member list[5];
+  int done = 0;
+  (void)state;
+  c.step_ms = 5;
+  sim_init (&s, &c);
+  s.delay_min_us = ONE_WAY_DELAY_US;
+  s.delay_max_us = ONE_WAY_DELAY_US + 1000;
+  start_all (&s);
+  struct sim_node *leader = wait_leader (&s, 5000);
+  assert_non_null (leader);
+  sim_start (&s, sim_add_node (&s, false));
+  sim_start (&s, sim_add_node (&s, false));
+  for (int i = 0; i < 5; i++)
+    list[i] = (raft_member){ .node = s.nodes[i].id, .voter = true };
+  const raft_members target = { { 5, list } };
+  int64_t until_ms = sim_now_ms (&s) + 500 + PROMOTION_LIMIT_MS;
+  int64_t change_ms = sim_now_ms (&s) + 500;
+  while (done == 0 && sim_now_ms (&s) < until_ms)
+    {
+      for (int i = 0; i < PROPOSALS_PER_STEP; i++)
+        sim_propose (&s, leader, 100);
+      if (change_ms > 0 && sim_now_ms (&s) >= change_ms)
+        {
+          group_change_members (leader->group, &target, count_done, &done);
+          change_ms = 0;
+        }
+      sim_step (&s);
+    }
+  assert_int_equal (done, 1);
+  sim_run_ms (&s, 1000);
+  assert_no_violation (&s);
+  sim_close (&s);
+}
+
 /* A leader whose disk is full acknowledges nothing, and the others replace it.  */
 static void
 test_full_disk_stops_acknowledging (void **state)
@@ -401,6 +446,7 @@
           cmocka_unit_test (test_confirms_as_soon_as_a_quorum_replies),
           cmocka_unit_test (test_replicates),
           cmocka_unit_test (test_leader_replaced_within_2_s),
+          cmocka_unit_test (test_a_learner_that_follows_a_busy_leader_is_promoted),
           cmocka_unit_test (test_full_disk_stops_acknowledging),
           cmocka_unit_test (test_second_loss_after_repair),
           cmocka_unit_test (test_transfer_and_confirm),
