Requests wait for a runner that expired a moment ago without a departure

Change: a service whose runner expired or was unlisted within the last second takes requests, which wait for up to a second and then get the refusal as before; a departure is final as before. An entry that was itself paused learns again as after a start.

--- a/src/net/peer_net_calls.c
+++ b/src/net/peer_net_calls.c
@@ -246,7 +246,7 @@
 {
   if (conn_queue (c, RECORD_CONTROL, bytes, len, NULL) == 0)
     return 0;
-  conn_close (c, "queue full: the peer does not read answers");
+  conn_close (c, "the peer does not read its answers");
   return 0;
 }
 
--- a/src/request/proxy_service.c
+++ b/src/request/proxy_service.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #define MAX_QUEUED 1024
-#define NO_RUNNER_GRACE_MS 1000
+#define NO_RUNNER_GRACE_MS RUNNER_RETURN_MS
 
 static unsigned
 slots_of (void *arg, const char *customer)
@@ -60,6 +60,15 @@
   return n;
 }
 
+/* A runner serves NAME, or may do so again in a moment.  */
+static bool
+is_served (const struct proxy *p, const char *name, int64_t now)
+{
+  return router_live (p->config.router, name, now) > 0
+         || router_may_return (p->config.router, name, now)
+         || runner_table_learning (p->config.table, now);
+}
+
 struct proxy_service *
 service_get (struct proxy *p, const char *name)
 {
@@ -68,8 +77,7 @@
   SLIST_FOREACH (s, &p->services, link)
   if (strcmp (s->name, name) == 0)
     break;
-  bool learning = runner_table_learning (p->config.table, now);
-  if (!learning && router_live (p->config.router, name, now) == 0)
+  if (!is_served (p, name, now))
     return NULL;
   if (!s && free_unused_services (p) >= PROXY_MAX_SERVICES)
     return NULL;
@@ -100,7 +108,7 @@
 }
 
 /* Requests wait only briefly for a service without runners: until this entry has learned the
-   runners from its peers, or the only runner has restarted.  */
+   runners from its peers, or the only runner has restarted or is announced again.  */
 static bool
 fail_without_runner (struct proxy_service *s, int64_t now)
 {
--- a/src/request/router.c
+++ b/src/request/router.c
@@ -173,6 +173,16 @@
   return n;
 }
 
+bool
+router_may_return (const struct router *r, const char *service, int64_t now_ms)
+{
+  const struct runner *runner;
+  TAILQ_FOREACH (runner, runner_table_list (r->table), link)
+  if (strcmp (runner->info.service, service) == 0 && runner_may_return (runner, now_ms))
+    return true;
+  return false;
+}
+
 unsigned
 router_capacity (struct router *r, const char *service, int64_t now_ms)
 {
--- a/src/request/router.h
+++ b/src/request/router.h
@@ -105,6 +105,8 @@
                           int64_t now_ms); /* This entry's share of the slots of SERVICE. */
 unsigned router_live (const struct router *r, const char *service,
                       int64_t now_ms); /* Live runners of SERVICE, ejected ones included. */
+bool router_may_return (const struct router *r, const char *service,
+                        int64_t now_ms); /* A runner of SERVICE expired a moment ago. */
 enum router_distance router_distance (const struct router *r,
                                       const char *data_centre); /* From this entry. */
 
--- a/src/request/runner_digest.c
+++ b/src/request/runner_digest.c
@@ -199,7 +199,10 @@
     {
       struct runner_lease *lease = r ? find_lease (r, p) : NULL;
       if (lease)
-        runner_lease_drop (lease);
+        {
+          r->unlisted_ms = now_ms;
+          runner_lease_drop (lease);
+        }
       return;
     }
   if (!runner_info_valid (&info, NULL) || (r && info.incarnation < r->info.incarnation))
--- a/src/request/runner_table.c
+++ b/src/request/runner_table.c
@@ -287,6 +287,15 @@
   return false;
 }
 
+bool
+runner_may_return (const struct runner *r, int64_t now_ms)
+{
+  if (r->departing)
+    return false;
+  return runner_live (r, now_ms - RUNNER_RETURN_MS)
+         || (r->unlisted_ms > 0 && now_ms - r->unlisted_ms < RUNNER_RETURN_MS);
+}
+
 /* Removes runners without a recent announcement from the digests.  A departure stays listed until
    its record is removed.  */
 static void
@@ -315,6 +324,8 @@
   struct runner *r = TAILQ_FIRST (&t->runners);
   if (now_ms - t->tick_ms > RUNNER_PAUSE_MIN_MS)
     t->refuse_until_ms = now_ms + RUNNER_PAUSE_REFUSAL_MS;
+  if (now_ms - t->tick_ms > RUNNER_RELEARN_GAP_MS)
+    t->learn_until_ms = now_ms + RUNNER_RELEARN_MS;
   t->tick_ms = now_ms;
   while (r)
     {
@@ -345,7 +356,8 @@
 bool
 runner_table_learning (const struct runner_table *t, int64_t now_ms)
 {
-  return now_ms - t->started_ms < LEARNING_PERIOD_MS;
+  return now_ms - t->started_ms < LEARNING_PERIOD_MS || now_ms < t->learn_until_ms
+         || now_ms - t->tick_ms > RUNNER_RELEARN_GAP_MS;
 }
 
 void
--- a/src/request/runner_table.h
+++ b/src/request/runner_table.h
@@ -43,6 +43,15 @@
 #define RUNNER_PAUSE_REFUSAL_MS                                                                    \
   100 /* announcements queued during the pause are refused this long */
 
+/* A gap between two ticks from which on the digests held here may have expired: they last 1.3 s from
+   an echo that may be as old as a digest interval.  */
+#define RUNNER_RELEARN_GAP_MS 500
+#define RUNNER_RELEARN_MS 1000 /* after it; the next digest comes within an interval and a delay */
+
+/* A runner that expired without a departure mostly still serves: the entry that it announces to was
+   paused, and its next digest comes within this time.  */
+#define RUNNER_RETURN_MS 1000
+
 /* What a runner announces.  */
 struct runner_info
 {
@@ -83,6 +92,7 @@
   bool departing;
   int64_t departed_ms;       /* when the departure was received */
   int64_t announced_ms;      /* last direct announcement, 0 when there was none */
+  int64_t unlisted_ms;       /* when a peer last stopped listing it */
   bool listed;               /* included in the digests of this entry */
   uint64_t changed_version;  /* version of this entry's table that last changed it */
   uint32_t digest_in_flight; /* in_flight as last put in a digest */
@@ -112,12 +122,14 @@
                         int64_t now_ms); /* Removes expired records; call every 100 ms. */
 
 bool runner_live (const struct runner *r, int64_t now_ms); /* Whether it may get new requests. */
+bool runner_may_return (const struct runner *r,
+                        int64_t now_ms); /* Expired a moment ago without a departure. */
 struct runner *runner_table_find (const struct runner_table *t, const char *id); /* Or NULL. */
 const struct runner_list *runner_table_list (const struct runner_table *t);      /* All records. */
 uint64_t runner_table_generation (
     const struct runner_table *t); /* Changes whenever the live runners may have changed. */
 bool runner_table_learning (const struct runner_table *t,
-                            int64_t now_ms); /* Started under 2 s ago: runners may be missing. */
+                            int64_t now_ms); /* Recent start or pause: runners may be missing. */
 void runner_hold (struct runner *r);         /* Takes a reference for a request. */
 void runner_release (struct runner *r);      /* Releases the reference. */
 
--- a/src/request/runner_table_internal.h
+++ b/src/request/runner_table_internal.h
@@ -45,6 +45,7 @@
   int64_t started_ms;
   int64_t tick_ms;
   int64_t refuse_until_ms; /* announcements are refused until then */
+  int64_t learn_until_ms;  /* after a pause of this process */
 };
 
 struct runner *runner_table_add (struct runner_table *t,
--- a/tests/test_runner_table.c
+++ b/tests/test_runner_table.c
@@ -121,6 +121,29 @@
   runner_table_close (t);
 }
 
+/* After a pause of this process the digests that it holds have expired, though their runners serve:
+   requests must wait for the next digest as after a start, and not get "no backend server".  */
+static void
+test_paused_process_learns_again (void **state)
+{
+  (void)state;
+  struct runner_table *t = runner_table_open (1, START_MS);
+  int64_t now_ms = START_MS;
+  for (; now_ms < START_MS + 5000; now_ms += 100)
+    runner_table_tick (t, now_ms);
+  assert_false (runner_table_learning (t, now_ms));
+  now_ms += 1200;
+  assert_true (runner_table_learning (t, now_ms));
+  runner_table_tick (t, now_ms);
+  assert_true (runner_table_learning (t, now_ms));
+  runner_table_tick (t, now_ms + RUNNER_DIGEST_INTERVAL_MS);
+  assert_true (runner_table_learning (t, now_ms + RUNNER_DIGEST_INTERVAL_MS));
+  for (int ms = 0; ms <= RUNNER_RELEARN_MS; ms += 100)
+    runner_table_tick (t, now_ms + ms);
+  assert_false (runner_table_learning (t, now_ms + RUNNER_RELEARN_MS));
+  runner_table_close (t);
+}
+
 static void
 test_digests_renew_and_delta (void **state)
 {
@@ -155,6 +178,32 @@
   runner_table_close (b);
 }
 
+/* An entry that was paused unlists the runners that announce to it, though they serve.  Its peers must
+   not send them requests, but a request may wait for the next digest.  A departure ends that.  */
+static void
+test_an_unlisted_runner_may_return_a_departed_one_never (void **state)
+{
+  (void)state;
+  struct runner_table *a = runner_table_open (1, START_MS);
+  struct runner_table *b = runner_table_open (2, START_MS);
+  int64_t now = START_MS;
+  announce (a, "r1", 1, now);
+  announce (a, "r2", 1, now);
+  exchange (a, b, now);
+  exchange (a, b, now + 5);
+  now += RUNNER_FRESH_MS + 1;
+  runner_table_depart (a, "r2", 1, now, NULL);
+  exchange (a, b, now);
+  const struct runner *r1 = runner_table_find (b, "r1");
+  const struct runner *r2 = runner_table_find (b, "r2");
+  assert_false (runner_live (r1, now) || runner_live (r2, now));
+  assert_true (runner_may_return (r1, now));
+  assert_false (runner_may_return (r2, now));
+  assert_false (runner_may_return (r1, now + RUNNER_RETURN_MS));
+  runner_table_close (a);
+  runner_table_close (b);
+}
+
 /* A restarted receiver learns all runners from two digests.  A restarted sender does not renew
    runners that it no longer knows.  */
 static void
@@ -380,7 +429,9 @@
     cmocka_unit_test (test_lifetime_and_departure),
     cmocka_unit_test (test_refuses_malformed_announcements),
     cmocka_unit_test (test_paused_process_refuses_old_announcements),
+    cmocka_unit_test (test_paused_process_learns_again),
     cmocka_unit_test (test_digests_renew_and_delta),
+    cmocka_unit_test (test_an_unlisted_runner_may_return_a_departed_one_never),
     cmocka_unit_test (test_restarts),
     cmocka_unit_test (test_departed_runners_get_nothing_after_2_s),
   };
