Placement: a paced worker stays open to images that do not slow its lasting tasks

Load pattern: fill-in work requests twice the capacity, and 400 to 500 of 1,100 workers pace some image at any time. A paced worker was closed to all fill-in tasks, and the prediction counted its paced images at full speed. The learned coefficients of the large deployment show three groups of images: an image slows the serving images of one group strongly (3 to 10) and the others hardly (0 to 1), so most paced workers could take other images without harm.

Change: a worker is closed to an image only where that image is paced; predictions count each image at its pace there. dispatch_pace_of decides both and the orders to pace.

--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -6,7 +6,6 @@
 #include "dispatcher_internal.h"
 
 #define PRUNE_BATCH 256
-#define PACE_ALL_BELOW_PERCENT 13 /* reached by three cuts in a row */
 #define SLOWDOWN_SMOOTHING 0.02   /* averages over about 50 runs */
 #define MAX_SLOWDOWN 5.0          /* limits the weight of one stuck run */
 #define LOAD_LOG_PERIOD_MS 1000
@@ -345,18 +344,11 @@
   d->config.link->ops->stop (d->config.link, &order);
 }
 
-/* Paces only images that interfere, but all fill-in tasks once the share is low: the model may be
-   wrong.  */
 static uint32_t
 target_pace (struct dispatcher *d, const struct dispatch_run *r)
 {
-  const struct dispatch_worker *w = r->worker;
-  const workflow_step *s = workflow_step_of (r->task);
-  if (!(s->flags & WORKFLOW_STEP_FILL) || w->pacing.percent == PACING_FULL_PERCENT)
-    return PACING_FULL_PERCENT;
-  if (w->pacing.percent >= PACE_ALL_BELOW_PERCENT && !dispatch_should_pace (d, w, r->image))
-    return PACING_FULL_PERCENT;
-  return w->pacing.percent;
+  bool is_fill = workflow_step_of (r->task)->flags & WORKFLOW_STEP_FILL;
+  return is_fill ? dispatch_pace_of (d, r->worker, r->image) : PACING_FULL_PERCENT;
 }
 
 static void
--- a/src/workflow/dispatcher_interference.c
+++ b/src/workflow/dispatcher_interference.c
@@ -6,6 +6,8 @@
 
 #define MIN_SHARE 0.002             /* smoothed shares below it are dropped */
 #define PACED_COEFFICIENT_RATIO 0.3 /* of the largest coefficient; images from it up are paced */
+/* Below it all images are paced, as the model may be wrong.  Reached by three cuts in a row.  */
+#define PACE_ALL_BELOW_PERCENT 13
 
 static bool
 is_fill (const struct dispatch_run *r)
@@ -51,16 +53,20 @@
   return count;
 }
 
-/* Fill-in load that runs or was placed on W, at full pace; the caller may add one entry.  */
+/* Fill-in load that runs or was placed on W, at the pace of each image there; the caller may add one
+   entry.  */
 static size_t
-full_pace_mix (const struct dispatch_worker *w, struct fill_share *mix)
+placed_mix (const struct dispatcher *d, const struct dispatch_worker *w, struct fill_share *mix)
 {
   size_t count = 0;
   for (int i = 0; i < SLACK_MAX_IMAGES && count < MAX_MIX && w->millicores > 0; i++)
-    if (w->fill_millicores_of[i] > 0)
-      mix[count++]
-          = (struct fill_share){ .fill_image = i,
-                                 .share = (double)w->fill_millicores_of[i] / w->millicores };
+    {
+      if (w->fill_millicores_of[i] == 0)
+        continue;
+      double share = (double)w->fill_millicores_of[i] / w->millicores;
+      share *= (double)dispatch_pace_of (d, w, i) / PACING_FULL_PERCENT;
+      mix[count++] = (struct fill_share){ .fill_image = i, .share = share };
+    }
   return count;
 }
 
@@ -99,7 +105,7 @@
 {
   struct fill_share mix[MAX_MIX + 1];
   double worst = 0;
-  size_t count = full_pace_mix (w, mix);
+  size_t count = placed_mix (d, w, mix);
   if (w->millicores == 0)
     return 0;
   mix[count++] = (struct fill_share){ .fill_image = fill_image,
@@ -111,8 +117,9 @@
   return worst;
 }
 
-bool
-dispatch_should_pace (struct dispatcher *d, const struct dispatch_worker *w, int fill_image)
+/* Fill-in tasks of that image slow a lasting task of W about as much as any other image there.  */
+static bool
+is_paced_image (const struct dispatcher *d, const struct dispatch_worker *w, int fill_image)
 {
   for (int i = 0; i < SLACK_MAX_IMAGES; i++)
     {
@@ -128,3 +135,13 @@
     }
   return false;
 }
+
+uint32_t
+dispatch_pace_of (const struct dispatcher *d, const struct dispatch_worker *w, int fill_image)
+{
+  uint32_t percent = w->pacing.percent;
+  bool pace_all = percent < PACE_ALL_BELOW_PERCENT;
+  if (percent < PACING_FULL_PERCENT && !pace_all && !is_paced_image (d, w, fill_image))
+    return PACING_FULL_PERCENT;
+  return percent;
+}
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -218,8 +218,8 @@
 double dispatch_predict_interference (struct dispatcher *d, const struct dispatch_worker *w,
                                       int fill_image,
                                       uint32_t millicores); /* Predicted / largest allowed loss. */
-bool dispatch_should_pace (struct dispatcher *d, const struct dispatch_worker *w,
-                           int fill_image); /* Pace that image there. */
+uint32_t dispatch_pace_of (const struct dispatcher *d, const struct dispatch_worker *w,
+                           int fill_image); /* Percent of its work that the image may do there. */
 
 /* dispatcher_sizes.c */
 void dispatch_register_job (struct dispatcher *d, struct workflow_job *j); /* New to this leader. */
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -13,6 +13,7 @@
 #define MAX_UNPLACEABLE 64         /* images x a few sizes */
 #define MAX_PLACED_PER_TICK 64     /* bounds the time of a tick; 3,200 placements a second */
 #define WORKERS_PER_RESERVATION 16 /* count / 16 + 1 workers may be reserved for restarts */
+#define TAIL_RATIO_CLOSED 1.0 /* above FILL_MAX_TAIL_RATIO: no more of that image there */
 #define MILLI 1000
 
 struct waiting_task
@@ -134,7 +135,7 @@
   candidate->fill_millicores = w->fill_millicores;
   candidate->free_memory_mb = memory;
   candidate->free_accelerators = accelerators;
-  candidate->tail_ratio = w->pacing.percent < PACING_FULL_PERCENT ? 1.0 : w->pacing.worst_tail;
+  candidate->tail_ratio = w->pacing.worst_tail;
 }
 
 static bool
@@ -235,6 +236,16 @@
   c->reserved++;
 }
 
+/* A paced worker is closed to the images that are paced there, and open to those that do not slow
+   its lasting tasks: at any time nearly half of the workers pace some image.  */
+static double
+tail_ratio_for (const struct dispatcher *d, const struct dispatch_worker *w, int fill_image)
+{
+  if (dispatch_pace_of (d, w, fill_image) < PACING_FULL_PERCENT)
+    return TAIL_RATIO_CLOSED;
+  return w->pacing.worst_tail;
+}
+
 /* Load pattern: thousands of waiting tasks and hundreds of nearly full workers.  The costly fields
    are computed only for workers that have capacity for the task.  */
 static size_t
@@ -260,13 +271,18 @@
       candidate->interference = 0;
       candidate->foreign_share = 0;
       candidate->same_step = 0;
+      candidate->tail_ratio = w->pacing.worst_tail;
       bool reserves = q.is_restart && q.max_per_worker > 0;
       if (!reserves && !worker_select_fits (candidate, &q))
         continue;
       if (q.is_lasting)
         candidate->foreign_share = foreign_share (w, s->image);
       if (q.is_fill)
-        candidate->interference = dispatch_predict_interference (d, w, image, s->millicores);
+        {
+          candidate->tail_ratio = tail_ratio_for (d, w, image);
+          if (candidate->tail_ratio <= FILL_MAX_TAIL_RATIO || q.allow_interference)
+            candidate->interference = dispatch_predict_interference (d, w, image, s->millicores);
+        }
       if (s->max_per_worker > 0)
         candidate->same_step = count_same_step (w, t->task);
     }
--- a/src/workflow/worker_select.h
+++ b/src/workflow/worker_select.h
@@ -34,7 +34,7 @@
   bool usable;          /* alive, in the pool, has the label, not avoided */
   bool reserved;        /* capacity reserved for a lasting task that must restart */
   bool near_data;       /* in the rack that holds the step's data */
-  double tail_ratio;    /* largest tail / target; 0 without a sample */
+  double tail_ratio;    /* largest tail / target; 0 without a sample, 1 closed to the image */
   double foreign_share; /* for a lasting task; see worker_select_foreign_share */
   double interference;  /* predicted loss of slack with the task / largest allowed loss */
 };
