--- a/src/log/raft_internal.h
+++ b/src/log/raft_internal.h
@@ -31,8 +31,8 @@
   bool store_known;
   bool granted; /* has granted its vote or pre-vote */
   enum peer_state state;
-  uint64_t match;       /* highest entry known to be stored there */
-  uint64_t mark;        /* end of the leader's log at MARK_MS */
+  uint64_t match; /* highest entry known to be stored there */
+  uint64_t mark;  /* end of the leader's log at MARK_MS */
   int64_t mark_ms;
   int64_t caught_up_ms; /* everything that the log held at this time is stored there */
   uint64_t next;        /* next entry to send */
@@ -142,7 +142,7 @@
 /* raft_members.c */
 void raft_set_members (struct raft *r, const raft_members *members, uint64_t index);
 void raft_reset_catch_up (struct raft_peer *p); /* Nothing is known of what P stores. */
-void raft_reload_members (struct raft *r); /* Takes the latest members from the log. */
+void raft_reload_members (struct raft *r);      /* Takes the latest members from the log. */
 void raft_append_entry (struct raft *r, raft_entry_kind kind, const void *data, size_t len);
 void raft_step_member_change (struct raft *r, int64_t now_ms); /* Proposes the next change. */
 bool raft_decode_members (const void *data, size_t len, raft_members *out); /* Owned by OUT. */
--- a/src/request/runner_table.h
+++ b/src/request/runner_table.h
@@ -43,10 +43,10 @@
 #define RUNNER_PAUSE_REFUSAL_MS                                                                    \
   100 /* announcements queued during the pause are refused this long */
 
-/* A gap between two ticks from which on the digests held here may have expired: they last 1.3 s from
-   an echo that may be as old as a digest interval.  */
+/* A gap between two ticks from which on the digests held here may have expired: they last 1.3 s
+   from an echo that may be as old as a digest interval.  */
 #define RUNNER_RELEARN_GAP_MS 500
-#define RUNNER_RELEARN_MS 1000 /* after it; the next digest comes within an interval and a delay */
+#define RUNNER_RELEARN_MS 1000 /* after it: a digest interval and a delay */
 
 /* A runner that expired without a departure mostly still serves: the entry that it announces to was
    paused, and its next digest comes within this time.  */
--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -6,8 +6,8 @@
 #include "dispatcher_internal.h"
 
 #define PRUNE_BATCH 256
-#define SLOWDOWN_SMOOTHING 0.02   /* averages over about 50 runs */
-#define MAX_SLOWDOWN 5.0          /* limits the weight of one stuck run */
+#define SLOWDOWN_SMOOTHING 0.02 /* averages over about 50 runs */
+#define MAX_SLOWDOWN 5.0        /* limits the weight of one stuck run */
 #define LOAD_LOG_PERIOD_MS 1000
 
 bool
--- a/src/workflow/dispatcher_interference.c
+++ b/src/workflow/dispatcher_interference.c
@@ -53,8 +53,8 @@
   return count;
 }
 
-/* Fill-in load that runs or was placed on W, at the pace of each image there; the caller may add one
-   entry.  */
+/* Fill-in load that runs or was placed on W, at the pace of each image there; the caller may add
+   one entry.  */
 static size_t
 placed_mix (const struct dispatcher *d, const struct dispatch_worker *w, struct fill_share *mix)
 {
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -15,8 +15,8 @@
 
 #define HOLD_IDLE_MS 1300 /* without tails to sample; short enough to notice a silent worker */
 #define HOLD_GAP_MS 30    /* ends within it share one hold */
-/* Added to the gap per worker, where no short task runs: at most 2,000 holds a second, a third of what a leader with 0.4 of a
-   processor can do (docs/CAPACITY.md, section 8).  */
+/* Added to the gap per worker, where no short task runs: at most 2,000 holds a second, a third of
+   what a leader with 0.4 of a processor can do (docs/CAPACITY.md, section 8).  */
 #define HOLD_GAP_PER_WORKER_US 500
 #define HOLD_GAP_LAG_FACTOR 4 /* times the smoothed tick lag, added to the gap */
 #define MAX_HOLD_GAP_MS 500   /* a third of RENEW_MAX_SILENCE_MS; the rest allows for lag */
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -13,7 +13,7 @@
 #define MAX_UNPLACEABLE 64         /* images x a few sizes */
 #define MAX_PLACED_PER_TICK 64     /* bounds the time of a tick; 3,200 placements a second */
 #define WORKERS_PER_RESERVATION 16 /* count / 16 + 1 workers may be reserved for restarts */
-#define TAIL_RATIO_CLOSED 1.0 /* above FILL_MAX_TAIL_RATIO: no more of that image there */
+#define TAIL_RATIO_CLOSED 1.0      /* above FILL_MAX_TAIL_RATIO: no more of that image there */
 #define MILLI 1000
 
 struct waiting_task
--- a/src/workflow/leader_relay.c
+++ b/src/workflow/leader_relay.c
@@ -65,8 +65,8 @@
   bool probing;
   char probe_target[SEEDED_GROUP_IP_BYTES];
   char redirected_to[SEEDED_GROUP_IP_BYTES]; /* by the last probe; the next one uses it up */
-  size_t next;                        /* next candidate to probe when no leader is known */
-  char leader[SEEDED_GROUP_IP_BYTES]; /* "" if unknown */
+  size_t next;                               /* next candidate to probe when no leader is known */
+  char leader[SEEDED_GROUP_IP_BYTES];        /* "" if unknown */
   int64_t last_answer_ms;
   int64_t finish_by_ms; /* upper limit of all deadlines */
   struct relay_calls calls;
--- a/tests/test_leader_relay.c
+++ b/tests/test_leader_relay.c
@@ -401,20 +401,20 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { TEST (test_unresponsive_leader_leaves_time_for_the_next),
-                                      TEST (test_redirects_are_followed_to_the_leader),
-                                      TEST (test_request_without_leader_gets_503),
-                                      TEST (test_unanswered_attempt_gets_504),
-                                      TEST (test_request_never_sent_gets_503),
-                                      TEST (test_refusal_without_leader_is_early),
-                                      TEST (test_later_requests_are_answered_before_exit),
-                                      TEST (test_pending_requests_are_answered_before_exit),
-                                      TEST (test_request_waits_for_an_election),
-                                      TEST (test_waiting_requests_share_one_probe),
-                                      TEST (test_refusal_after_unanswered_attempt_gets_504),
-                                      TEST (test_refusal_of_the_only_attempt_is_forwarded),
-                                      TEST (
-                                          test_join_follows_a_redirect_to_a_leader_that_is_no_seed) };
+  const struct CMUnitTest tests[]
+      = { TEST (test_unresponsive_leader_leaves_time_for_the_next),
+          TEST (test_redirects_are_followed_to_the_leader),
+          TEST (test_request_without_leader_gets_503),
+          TEST (test_unanswered_attempt_gets_504),
+          TEST (test_request_never_sent_gets_503),
+          TEST (test_refusal_without_leader_is_early),
+          TEST (test_later_requests_are_answered_before_exit),
+          TEST (test_pending_requests_are_answered_before_exit),
+          TEST (test_request_waits_for_an_election),
+          TEST (test_waiting_requests_share_one_probe),
+          TEST (test_refusal_after_unanswered_attempt_gets_504),
+          TEST (test_refusal_of_the_only_attempt_is_forwarded),
+          TEST (test_join_follows_a_redirect_to_a_leader_that_is_no_seed) };
   curl_global_init (CURL_GLOBAL_DEFAULT);
   int failed = cmocka_run_group_tests (tests, NULL, NULL);
   curl_global_cleanup ();
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -90,7 +90,8 @@
   for (char *line = strtok_r (text, "\n", &rest); line; line = strtok_r (NULL, "\n", &rest))
     {
       unsigned number, check;
-      if (sscanf (line, "time=%*s level=info vm= event=run number=%u check=%u", &number, &check) != 2)
+      if (sscanf (line, "time=%*s level=info vm= event=run number=%u check=%u", &number, &check)
+          != 2)
         fail_msg ("line is cut off: '%s'", line);
       assert_int_equal (number, check);
       lines++;
--- a/tests/test_runner_table.c
+++ b/tests/test_runner_table.c
@@ -178,8 +178,9 @@
   runner_table_close (b);
 }
 
-/* An entry that was paused unlists the runners that announce to it, though they serve.  Its peers must
-   not send them requests, but a request may wait for the next digest.  A departure ends that.  */
+/* An entry that was paused unlists the runners that announce to it, though they serve.  Its peers
+   must not send them requests, but a request may wait for the next digest.  A departure ends that.
+ */
 static void
 test_an_unlisted_runner_may_return_a_departed_one_never (void **state)
 {
