dispatcher: take an end that a worker listed behind its farewell

The leader had proposed the run's end as lapsed and ignored the listed end of a run with an open proposal; the task ran again 1 s later. Ruled out: a change of leader (one VM started both runs), an uncertain order (the start was answered).

Change: a listed end that contradicts the proposed one is recorded as a late end, so the task is done. While a hold to a worker that has gone is open, its tasks wait 200 ms for the answer before they start elsewhere.

--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -115,6 +115,7 @@
              r->task->job->spec.id, r->task->step, r->task->index, r->number, r->worker->id,
              outcome_name (outcome), reason);
   r->state = DISPATCH_ENDING;
+  r->proposed_outcome = outcome;
   r->token = dispatch_propose (d, &c);
 }
 
--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -200,8 +200,8 @@
     }
 }
 
-/* H is the end of a run that has another end in the log.  Returns true while it must be committed
-   before it is acknowledged.  */
+/* H is the end of a run that has another end in the log, or proposed to it.  Returns true while it
+   must be committed before it is acknowledged.  */
 static bool
 record_late_end (struct dispatcher *d, const struct dispatch_worker *w,
                  const struct reported_end *h)
@@ -242,6 +242,8 @@
         }
       e->recorded = false;
       mark_listed (r, lists);
+      if (r->state == DISPATCH_ENDING && r->proposed_outcome != WORKFLOW_DONE)
+        record_late_end (d, w, h);
       dispatch_propose_end (d, r, h->outcome, h->checkpoint, "the worker listed its end");
     }
   advance_cursor (w);
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -38,6 +38,9 @@
 #define STOP_RETRY_MS 300        /* between two stop orders for one run */
 #define NO_ROOM_PAUSE_MS 400     /* no tasks for a worker that refused for lack of capacity */
 #define START_RETRY_MS 100       /* wait of a task whose start was refused */
+/* The last list of ends of a worker that left may arrive behind its farewell, on another connection;
+   a hold's answer crosses two regions in 60 ms.  */
+#define LAST_LIST_WAIT_MS 200
 #define GONE_RETENTION_MS 60000  /* gone workers are kept, to refuse late reports */
 #define AVOID_MIN_MS 1000        /* after the second failure in a row; doubles */
 #define AVOID_MAX_MS 16000
@@ -66,6 +69,7 @@
   struct workflow_run *run; /* NULL while PLACING */
   uint32_t number;
   enum dispatch_state state;
+  enum workflow_outcome proposed_outcome; /* while ENDING */
   uint64_t token;         /* of its open proposal; 0 is none */
   uint64_t settled_mark;  /* holds with a higher mark show for certain whether it runs */
   bool inherited;         /* an earlier leader sent the order */
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -119,9 +119,12 @@
   w->gone = true;
   w->gone_ms = d->now_ms;
   TAILQ_FOREACH (r, &w->runs, link)
-  dispatch_propose_end (
-      d, r, r->inherited || r->state == DISPATCH_RUNNING ? WORKFLOW_LAPSED : WORKFLOW_NOT_STARTED,
-      NULL, reason);
+  {
+    bool ran = r->inherited || r->state == DISPATCH_RUNNING;
+    if (w->holds > 0)
+      r->task->retry_ms = d->now_ms + LAST_LIST_WAIT_MS;
+    dispatch_propose_end (d, r, ran ? WORKFLOW_LAPSED : WORKFLOW_NOT_STARTED, NULL, reason);
+  }
 }
 
 /* The worker restarted under its id: its earlier runs are gone, it has a new clock and has seen no
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -211,6 +211,57 @@
   assert_int_equal (f->start_count, 1);
 }
 
+/* A task that runs on w1, which then leaves while its answer to a hold is on the way.  */
+static const struct sent_start *
+start_on_a_leaving_worker (struct fixture *f)
+{
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  fixture_tick (f, 100);
+  fixture_join (f, "w2", "10.0.0.2:1");
+  dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
+  return &f->starts[0];
+}
+
+static void
+assert_done_without_another_start (struct fixture *f)
+{
+  assert_int_equal (workflow_find_job (&f->workflow, 1)->state, WORKFLOW_JOB_COMPLETED);
+  for (int i = 0; i < 100; i++)
+    fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+}
+
+/* Failure in load test bvsw-sched hunt-1a8f-39 (TWICE): a worker left just after a run was done, and
+   its list of ends arrived behind its farewell.  The run counted as lapsed and the task ran again.  */
+static void
+test_an_end_listed_behind_a_farewell_is_taken (void **state)
+{
+  struct fixture *f = *state;
+  const struct sent_start *s = start_on_a_leaving_worker (f);
+  const struct reported_end end = fixture_ended (s, 1, WORKFLOW_DONE);
+  fixture_answer_hold (f, "w1", NULL, 0, &end, 1);
+  assert_done_without_another_start (f);
+}
+
+/* The same when the run has already lapsed in the log: the next start waits for that answer.  */
+static void
+test_a_task_of_a_worker_that_left_waits_for_its_last_list (void **state)
+{
+  struct fixture *f = *state;
+  const struct sent_start *s = start_on_a_leaving_worker (f);
+  fixture_commit (f);
+  fixture_tick (f, 20);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+  const struct reported_end end = fixture_ended (s, 1, WORKFLOW_DONE);
+  fixture_answer_hold (f, "w1", NULL, 0, &end, 1);
+  assert_done_without_another_start (f);
+}
+
 /* The listed end is never committed and its worker is lost: the task must run again.  */
 static void
 test_a_lost_late_end_does_not_block_the_task (void **state)
@@ -683,6 +734,8 @@
       = { TEST (test_ends_are_acknowledged_after_their_commit),
           TEST (test_hold_rate_with_many_workers_is_bounded),
           TEST (test_ends_of_short_tasks_are_noticed_at_once_among_many_workers),
+          TEST (test_an_end_listed_behind_a_farewell_is_taken),
+          TEST (test_a_task_of_a_worker_that_left_waits_for_its_last_list),
           TEST (test_holds_are_rarer_while_ticks_are_late),
           TEST (test_a_new_leader_asks_few_workers_at_a_time),
           TEST (test_an_unanswered_start_is_settled_before_the_next),
