--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -38,7 +38,7 @@
 #define STOP_RETRY_MS 300        /* between two stop orders for one run */
 #define NO_ROOM_PAUSE_MS 400     /* no tasks for a worker that refused for lack of capacity */
 #define START_RETRY_MS 100       /* wait of a task whose start was refused */
-/* The last list of ends of a worker that left may arrive behind its farewell, on another
+/* The last list of ends of a worker that left may arrive after its departure, on another
    connection; a hold's answer crosses two regions in 60 ms.  */
 #define LAST_LIST_WAIT_MS 200
 #define GONE_RETENTION_MS 60000 /* gone workers are kept, to refuse late reports */
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -236,10 +236,10 @@
 }
 
 /* Failure in load test bvsw-sched hunt-1a8f-39 (TWICE): a worker left just after a run was done,
-   and its list of ends arrived behind its farewell.  The run counted as lapsed and the task ran
+   and its list of ends arrived after its departure.  The run counted as lapsed and the task ran
    again.  */
 static void
-test_an_end_listed_behind_a_farewell_is_taken (void **state)
+test_an_end_listed_after_a_departure_is_taken (void **state)
 {
   struct fixture *f = *state;
   const struct sent_start *s = start_on_a_leaving_worker (f);
@@ -735,7 +735,7 @@
       = { TEST (test_ends_are_acknowledged_after_their_commit),
           TEST (test_hold_rate_with_many_workers_is_bounded),
           TEST (test_ends_of_short_tasks_are_noticed_at_once_among_many_workers),
-          TEST (test_an_end_listed_behind_a_farewell_is_taken),
+          TEST (test_an_end_listed_after_a_departure_is_taken),
           TEST (test_a_task_of_a_worker_that_left_waits_for_its_last_list),
           TEST (test_holds_are_rarer_while_ticks_are_late),
           TEST (test_a_new_leader_asks_few_workers_at_a_time),
