dispatcher: ignore answers to orders of an earlier term

Cause: a VM that loses the leadership and regains it within the time of a hold (up to 2 s) gets the answer to a hold of its earlier term. The dispatcher took it for the answer to its first hold: runs that it doesn't list were recorded as lapsed "after the fence was raised", though that hold carried the fence of the earlier term. A start order of a term between, or one that is executed late, then runs beside the next start of the task.

Change: every order carries the epoch of its worker entry as tag, which differs in each term; answers with another tag are counted (sassafras_answers_outdated_total), logged (answer-outdated) and ignored.

--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -3,10 +3,14 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "counters.h"
 #include "dispatcher_internal.h"
 
 #define US_PER_MS 1000
 
+static struct counter outdated = { .name = "sassafras_answers_outdated_total",
+                                   .help = "Answers to orders of an earlier term." };
+
 static const char *
 result_name (enum worker_call_result result)
 {
@@ -329,10 +333,29 @@
     dispatch_mark_gone (d, w, "another worker has its address");
 }
 
+/* An answer to an order of an earlier term proves nothing about the present one: that order did not
+   raise the fence, so orders of the terms between may still be executed.  */
+static bool
+is_current (const struct dispatcher *d, const struct worker_outcome *o)
+{
+  static const char *const kinds[] = {
+    [ORDER_START] = "start", [ORDER_STOP] = "stop", [ORDER_PACE] = "pace", [ORDER_HOLD] = "hold"
+  };
+  const struct dispatch_worker *w = dispatch_find_worker (d, o->worker);
+  if (!w || w->epoch == (uintptr_t)o->tag)
+    return w != NULL;
+  counter_add (&outdated, 1);
+  log_event (LOG_INFO, "answer-outdated", "worker=%s order=%s result=%s", o->worker, kinds[o->kind],
+             result_name (o->result));
+  return false;
+}
+
 void
 dispatcher_outcome (void *dispatcher, int64_t now_ms, const struct worker_outcome *o)
 {
   struct dispatcher *d = dispatcher;
+  if (!is_current (d, o))
+    return;
   switch (o->kind)
     {
     case ORDER_START:
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -127,9 +127,10 @@
   int64_t last_answer_ms;  /* last answer to a hold */
   int64_t listed_clock_ms; /* worker's time of the newest lists */
   int64_t hold_next_ms;
-  unsigned holds; /* without an answer yet */
-  bool fenced;    /* has answered a hold of this leader */
-  bool hold_now;  /* don't wait for hold_next_ms */
+  uintptr_t epoch; /* differs in each term; tag of its orders */
+  unsigned holds;  /* of this epoch, without an answer yet */
+  bool fenced;     /* has answered a hold of this leader */
+  bool hold_now;   /* don't wait for hold_next_ms */
 
   /* Ended and running tasks.  */
   uint64_t acknowledged; /* ends up to this number are committed */
@@ -169,6 +170,7 @@
   int64_t authority_until_ms;
   int64_t now_ms;
   uint64_t mark;        /* counter of holds and settled orders */
+  uintptr_t last_epoch; /* counter of dispatch_worker.epoch; never restarts */
   int64_t tick_ms;      /* of the last tick; 0 before the first */
   double tick_lag_ms;   /* delay of ticks, smoothed */
   unsigned first_holds; /* allowed in this tick, to workers that haven't answered this leader */
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -23,6 +23,7 @@
 {
   struct dispatch_worker *w = xcalloc (1, sizeof *w);
   w->id = xstrdup (id);
+  w->epoch = ++d->last_epoch;
   /* The previous leader could grant leases until its authority ended, which was before this
      leader's began.  */
   w->lease_end_ms
@@ -271,9 +272,11 @@
 struct worker_address
 dispatch_address (const struct dispatcher *d, const struct dispatch_worker *w)
 {
-  return (struct worker_address){
-    .worker = w->id, .address = w->address, .zone = w->zone, .fence = d->fence
-  };
+  return (struct worker_address){ .worker = w->id,
+                                  .address = w->address,
+                                  .zone = w->zone,
+                                  .fence = d->fence,
+                                  .tag = (void *)w->epoch };
 }
 
 /* Tails matter only where fill-in tasks share the worker with lasting ones.  */
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -167,6 +167,38 @@
   assert_true (f->now_ms < lead_ms + FIXTURE_LEASE_MS + 1000);
 }
 
+/* An order of the terms between may still be executed after a worker answered a hold of an earlier
+   term: the task must not start elsewhere on the strength of that answer.  */
+static void
+test_an_answer_to_a_hold_of_an_earlier_term_proves_nothing (void **state)
+{
+  struct fixture *f = *state;
+  struct status st;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_tick (f, 2000);
+  const struct sent_hold old = fixture_last_hold (f, "w1");
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+  dispatcher_resign (f->dispatcher);
+  dispatcher_become_leader (f->dispatcher, f->now_ms, 9);
+  struct worker_report r = fixture_worker (f, "w1", "10.0.0.1:1");
+  dispatcher_report (f->dispatcher, f->now_ms, &r, &st);
+  fixture_join (f, "w2", "10.0.0.2:1");
+  const struct worker_lists lists
+      = { .mark = old.mark, .clock_ms = f->now_ms, .born_ms = 1000, .complete = true };
+  const struct worker_outcome late = {
+    .kind = ORDER_HOLD, .worker = "w1", .tag = old.tag, .result = WORKER_CALL_OK, .lists = &lists
+  };
+  dispatcher_outcome (f->dispatcher, f->now_ms, &late);
+  fixture_commit (f);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+  fixture_answer_hold (f, "w1", NULL, 0, NULL, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 2);
+}
+
 /* Starts a job of one task on w1, which is then silent until the run has lapsed.  */
 static void
 lapse_one_run (struct fixture *f)
@@ -744,6 +776,7 @@
           TEST (test_runs_of_a_silent_worker_lapse_once_and_in_time),
           TEST (test_a_new_leader_learns_before_it_starts),
           TEST (test_a_new_leader_waits_for_leases_it_did_not_give),
+          TEST (test_an_answer_to_a_hold_of_an_earlier_term_proves_nothing),
           TEST (test_a_late_done_end_is_taken),
           TEST (test_a_lost_late_end_does_not_block_the_task),
           TEST (test_a_late_done_end_stops_the_next_start),
--- a/tests/workflow_fixture.h
+++ b/tests/workflow_fixture.h
@@ -35,6 +35,7 @@
   uint64_t acknowledged;
   uint64_t fence;
   int64_t deadline_ms;
+  void *tag;
 };
 
 struct sent_stop
@@ -42,6 +43,7 @@
   char worker[64];
   workflow_task_ref task;
   uint32_t run;
+  void *tag;
 };
 
 struct logged
@@ -84,7 +86,7 @@
 {
   struct fixture *f = (struct fixture *)l;
   struct sent_stop *s = &f->stops[f->stop_count++];
-  *s = (struct sent_stop){ .task = o->task, .run = o->run };
+  *s = (struct sent_stop){ .task = o->task, .run = o->run, .tag = o->to.tag };
   snprintf (s->worker, sizeof s->worker, "%s", o->to.worker);
 }
 
@@ -103,7 +105,8 @@
   *h = (struct sent_hold){ .mark = o->mark,
                            .acknowledged = o->acknowledged,
                            .fence = o->to.fence,
-                           .deadline_ms = o->deadline_ms };
+                           .deadline_ms = o->deadline_ms,
+                           .tag = o->to.tag };
   snprintf (h->worker, sizeof h->worker, "%s", o->to.worker);
 }
 
