dispatcher: a start that a restarted worker accepted is not repeated

Cause: a worker that restarts under its id accepts orders at once, while its first report is still on the way (it may go to a VM that is down and wait a second there). When the restart became known, the dispatcher recorded every running run of the worker as lapsed, also those that the new incarnation had accepted: the task started elsewhere while it ran there, and the run there was stopped as unknown one hold later.

Evidence: test_a_start_accepted_after_a_restart_is_not_repeated failed before (0x2 != 0x1: a second start).

Change: a restart ends no run by itself. The first list of the new incarnation decides, as for any running run: listed, it runs on; not listed by a hold sent later than the start's answer, it has lapsed. test_a_restarted_worker_has_lost_its_runs commits the end after the list instead of after the report, and checks in addition that no start precedes the list.

--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -128,20 +128,23 @@
   }
 }
 
-/* What the earlier incarnation answered about R says nothing about the new one.  */
+/* What the earlier incarnation answered about R says nothing about the new one.  A start may have
+   been accepted by either, so only a list of the new one shows whether R runs.  */
 static void
-forget_settlement (struct dispatcher *d, struct dispatch_run *r)
+forget_answers (struct dispatcher *d, struct dispatch_run *r)
 {
-  r->state = DISPATCH_UNCERTAIN;
+  if (r->state == DISPATCH_SENT)
+    r->state = DISPATCH_UNCERTAIN;
   r->settled_mark = ++d->mark;
   r->stop_settled = false;
   r->stop_pending = false;
   r->stop_next_ms = d->now_ms;
+  r->paced_percent = PACING_FULL_PERCENT;
+  r->pace_pending = false;
 }
 
 /* The worker restarted under its id: its earlier runs are gone, it has a new clock and has seen no
-   fence.  An unanswered order to the earlier incarnation may still reach the new one, so such runs
-   stay uncertain and are settled there.  */
+   fence.  An order to the earlier incarnation may still reach the new one.  */
 static void
 begin_incarnation (struct dispatcher *d, struct dispatch_worker *w, int64_t born_ms)
 {
@@ -163,10 +166,7 @@
   free_ends (w);
   pacing_init (&w->pacing);
   TAILQ_FOREACH (r, &w->runs, link)
-  if (r->state == DISPATCH_RUNNING)
-    dispatch_propose_end (d, r, WORKFLOW_LAPSED, NULL, "the worker was restarted");
-  else if (r->state == DISPATCH_SENT || r->state == DISPATCH_UNCERTAIN)
-    forget_settlement (d, r);
+  forget_answers (d, r);
 }
 
 void
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -345,7 +345,9 @@
   assert_int_equal (h.acknowledged, 0);
   const struct worker_lists lists
       = { .mark = h.mark, .clock_ms = 30, .born_ms = 2000, .complete = true };
+  assert_int_equal (f->start_count, 1);
   dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_OK, &lists);
+  fixture_commit (f);
   fixture_tick (f, 20);
   assert_int_equal (f->start_count, 2);
   /* A late report of the earlier incarnation is refused.  */
@@ -353,6 +355,43 @@
   assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &late, &st), -1);
 }
 
+/* A worker that restarts accepts orders before its first report is received: a start that it
+   accepted runs, and must not be repeated elsewhere when the restart becomes known.  */
+static void
+test_a_start_accepted_after_a_restart_is_not_repeated (void **state)
+{
+  struct fixture *f = *state;
+  struct status st;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_join (f, "w2", "10.0.0.2:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_tick (f, 20);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  const char *worker = f->starts[0].worker;
+  struct worker_report r
+      = fixture_worker (f, worker, strcmp (worker, "w1") == 0 ? "10.0.0.1:1" : "10.0.0.2:1");
+  r.born_ms = 2000;
+  r.sequence = 1;
+  r.clock_ms = 5;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+  fixture_commit (f);
+  fixture_tick (f, 20);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+  const struct reported_run run = fixture_running (&f->starts[0]);
+  const struct worker_lists lists = { .mark = fixture_last_hold (f, worker).mark,
+                                      .clock_ms = 30,
+                                      .born_ms = 2000,
+                                      .running = &run,
+                                      .running_len = 1,
+                                      .complete = true };
+  dispatcher_hold_answer (f->dispatcher, f->now_ms, worker, WORKER_CALL_OK, &lists);
+  fixture_commit (f);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+  assert_int_equal (f->stop_count, 0);
+}
+
 /* A stop that the earlier incarnation of a worker acknowledged does not keep the present one from
    executing a delayed start: the start must be settled there before the task starts elsewhere.  */
 static void
@@ -819,6 +858,7 @@
           TEST (test_a_lost_late_end_does_not_block_the_task),
           TEST (test_a_late_done_end_stops_the_next_start),
           TEST (test_a_restarted_worker_has_lost_its_runs),
+          TEST (test_a_start_accepted_after_a_restart_is_not_repeated),
           TEST (test_a_stop_acknowledged_before_a_restart_proves_nothing),
           TEST (test_a_newer_worker_at_the_address_replaces_the_older),
           TEST (test_a_draining_worker_gets_nothing),
