dispatcher: acknowledge ends only to a worker that answers

What callers could see: a task that ended as done runs again.

Cause: ends are numbered from 1 in each incarnation of a worker, and an acknowledgement of number N makes the worker forget its ends up to N. After a worker restarted under its id, holds with the number of the earlier incarnation went on until the restart was known, so ends of the new incarnation could be forgotten unseen; their runs then counted as lapsed and the tasks started again.

Evidence: test_a_silent_worker_gets_no_acknowledgement failed before (0x1 != 0).

--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -292,6 +292,7 @@
   w->listed_clock_ms = lists->clock_ms;
   w->last_answer_ms = d->now_ms;
   w->fenced = true;
+  w->answering = true;
   process_running (d, w, lists);
   process_ends (d, w, lists);
   end_unlisted_runs (d, w, lists);
@@ -328,6 +329,7 @@
       return;
     }
   w->hold_next_ms = now_ms + HOLD_RETRY_MS;
+  w->answering = false;
   log_event (LOG_INFO, "hold-failed", "worker=%s result=%s silent_ms=%" PRId64, worker,
              result_name (result), w->fenced ? now_ms - w->last_answer_ms : 0);
   if (result == WORKER_CALL_OTHER_WORKER)
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -131,6 +131,7 @@
   unsigned holds;  /* of this epoch, without an answer yet */
   bool fenced;     /* has answered a hold of this leader */
   bool hold_now;   /* don't wait for hold_next_ms */
+  bool answering;  /* the last hold was answered: ACKNOWLEDGED counts ends of this incarnation */
 
   /* Ended and running tasks.  */
   uint64_t acknowledged; /* ends up to this number are committed */
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -304,11 +304,12 @@
 static void
 send_hold (struct dispatcher *d, struct dispatch_worker *w)
 {
-  /* A worker whose answers are lost may still get holds: renew its lease only while it answers.  */
+  /* A worker whose answers are lost may still get holds: renew its lease only while it answers.  It
+   may also have restarted, and numbers its ends from 1 again.  */
   bool answers = d->now_ms - w->last_answer_ms < RENEW_MAX_SILENCE_MS;
   const struct worker_hold order = { .to = dispatch_address (d, w),
                                      .mark = ++d->mark,
-                                     .acknowledged = w->acknowledged,
+                                     .acknowledged = answers && w->answering ? w->acknowledged : 0,
                                      .deadline_ms = answers ? dispatch_lease_deadline (d, w) : 0,
                                      .wait_ms = w->hold_now || !w->fenced ? 0 : hold_wait_ms (w) };
   w->hold_now = false;
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -355,6 +355,32 @@
   assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &late, &st), -1);
 }
 
+/* A worker that did not answer a hold may have restarted and number its ends from 1 again: the
+   number acknowledged before would make it forget ends that no leader has seen, and their tasks run
+   again.  */
+static void
+test_a_silent_worker_gets_no_acknowledgement (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_tick (f, 20);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  const struct reported_end end = fixture_ended (&f->starts[0], 1, WORKFLOW_DONE);
+  fixture_tick (f, 100);
+  fixture_answer_hold (f, "w1", NULL, 0, &end, 1);
+  fixture_tick (f, 100);
+  fixture_answer_hold (f, "w1", NULL, 0, &end, 1);
+  fixture_tick (f, 100);
+  assert_int_equal (fixture_last_hold (f, "w1").acknowledged, 1);
+  dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_UNKNOWN, NULL);
+  fixture_tick (f, 300);
+  assert_int_equal (fixture_last_hold (f, "w1").acknowledged, 0);
+  fixture_answer_hold (f, "w1", NULL, 0, &end, 1);
+  fixture_tick (f, 500);
+  assert_int_equal (fixture_last_hold (f, "w1").acknowledged, 1);
+}
+
 /* A worker that restarts accepts orders before its first report is received: a start that it
    accepted runs, and must not be repeated elsewhere when the restart becomes known.  */
 static void
@@ -859,6 +885,7 @@
           TEST (test_a_late_done_end_stops_the_next_start),
           TEST (test_a_restarted_worker_has_lost_its_runs),
           TEST (test_a_start_accepted_after_a_restart_is_not_repeated),
+          TEST (test_a_silent_worker_gets_no_acknowledgement),
           TEST (test_a_stop_acknowledged_before_a_restart_proves_nothing),
           TEST (test_a_newer_worker_at_the_address_replaces_the_older),
           TEST (test_a_draining_worker_gets_nothing),
