soak: workers restart under their id, with a clock that starts anew

Workers with an even number now keep their id, the clock of a restarted worker starts at 0 and its leases are cut to the longest one. "soak BUILD SEED SECONDS workers" injects worker faults only, five times as often.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -1,6 +1,7 @@
 /* Main program of the soak test; see soak.h.
 
-   Usage: soak BUILD-FOLDER SEED [SECONDS]
+   Usage: soak BUILD-FOLDER SEED [SECONDS [workers]]
+   With "workers" only workers fail, five times as often.
    Exit code 0: no invariant was violated.  1: some were; the logs stay in the printed folder.  */
 #include <signal.h>
 #include <stdlib.h>
@@ -18,6 +19,7 @@
 #define SETTLE_MS 30000
 #define STARTUP_MS 4000 /* to elect a leader, apply a configuration and register the workers */
 #define FAULT_INTERVAL_MS 450
+#define WORKER_FAULT_INTERVAL_MS 90
 /* The system has to tolerate the loss of one disk.  The VM votes again a few seconds later if no
    other fault hits the core VMs; until then a second loss leaves less than a quorum with its
    data.  */
@@ -35,7 +37,8 @@
   FRONT_END,
   FRONT_PAUSE,
   RELOAD,
-  WORKER_LINK,
+  FIRST_WORKER_FAULT,
+  WORKER_LINK = FIRST_WORKER_FAULT,
   WORKER_CRASH,
   WORKER_LATE,
   FAULT_KINDS,
@@ -44,6 +47,7 @@
 struct schedule
 {
   struct soak *soak;
+  bool workers_only;
   bool disk_was_lost;
   int64_t began_ms, faults_end_ms, settle_end_ms, next_fault_ms, next_disk_ms;
   ev_timer tick;
@@ -87,7 +91,8 @@
   struct soak_vm *front = &s->fronts[rng_below (&s->rng, SOAK_FRONTS)];
   struct soak_worker *worker = s->workers[rng_below (&s->rng, SOAK_WORKERS)];
   int64_t span_ms = rng_between (&s->rng, 50, 3500);
-  enum fault kind = (enum fault)rng_below (&s->rng, FAULT_KINDS);
+  int first = c->workers_only ? FIRST_WORKER_FAULT : 0;
+  enum fault kind = (enum fault) (first + (int)rng_below (&s->rng, FAULT_KINDS - first));
   if (c->disk_was_lost && kind <= LAST_CORE_FAULT)
     c->next_disk_ms = s->now_ms + DISK_RECOVERY_MS;
   switch (kind)
@@ -155,7 +160,8 @@
     end_faults (s);
   if (!s->faults_over && s->now_ms >= c->next_fault_ms)
     {
-      c->next_fault_ms = s->now_ms + (int64_t)rng_exponential (&s->rng, FAULT_INTERVAL_MS);
+      int mean_ms = c->workers_only ? WORKER_FAULT_INTERVAL_MS : FAULT_INTERVAL_MS;
+      c->next_fault_ms = s->now_ms + (int64_t)rng_exponential (&s->rng, mean_ms);
       inject_fault (c);
     }
   for (int i = 0; i < SOAK_CORES; i++)
@@ -213,9 +219,9 @@
 }
 
 static void
-run (struct soak *s, int64_t seconds)
+run (struct soak *s, int64_t seconds, bool workers_only)
 {
-  struct schedule c = { .soak = s };
+  struct schedule c = { .soak = s, .workers_only = workers_only };
   open_all (s);
   c.began_ms = s->now_ms;
   c.next_fault_ms = c.began_ms + STARTUP_MS;
@@ -243,7 +249,7 @@
   char command[SOAK_PATH_BYTES + 16];
   if (argc < 3)
     {
-      fprintf (stderr, "usage: soak BUILD-FOLDER SEED [SECONDS]\n");
+      fprintf (stderr, "usage: soak BUILD-FOLDER SEED [SECONDS [workers]]\n");
       return 2;
     }
   uint64_t seed = strtoull (argv[2], NULL, 10);
@@ -257,7 +263,8 @@
   snprintf (s.folder, sizeof s.folder, "/tmp/soak-XXXXXX");
   if (!mkdtemp (s.folder))
     return 2;
-  run (&s, argc > 3 ? strtol (argv[3], NULL, 10) : DEFAULT_SECONDS);
+  run (&s, argc > 3 ? strtol (argv[3], NULL, 10) : DEFAULT_SECONDS,
+       argc > 4 && strcmp (argv[4], "workers") == 0);
   printf ("seed %llu: %u invariant violations\n", (unsigned long long)seed, s.violations);
   if (s.violations > 0)
     {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -27,6 +27,7 @@
 #define SOAK_CORES 3
 #define SOAK_FRONTS 2
 #define SOAK_WORKERS 6
+#define SOAK_LEASE_MS 4000 /* longest lease that workers accept */
 #define SOAK_MAX_JOBS 400
 #define SOAK_ADDRESS_BYTES 64
 #define SOAK_PATH_BYTES 256
--- a/tests/soak/soak_vm.c
+++ b/tests/soak/soak_vm.c
@@ -52,7 +52,7 @@
       add_argument (a, "--listen-control=%s.%d:%d", s->net, host, CONTROL_PORT);
       add_argument (a, "--first-start=%s", vm->first_start ? "true" : "false");
       add_argument (a, "--data-dir=%s/core-%d", s->folder, vm->number);
-      add_argument (a, "--lease-ms=4000");
+      add_argument (a, "--lease-ms=%d", SOAK_LEASE_MS);
       add_argument (a, "--helped-from=%d", s->use_helpers ? 1 : 130);
       return;
     }
--- a/tests/soak/soak_worker.c
+++ b/tests/soak/soak_worker.c
@@ -55,7 +55,9 @@
   struct http_server *server; /* NULL while it is down */
   struct proxy_link *link;
   int64_t up_at_ms, heal_at_ms, order_delay_ms, delay_until_ms;
-  int64_t born_ms, lease_ms, next_report_ms;
+  int64_t born_ms, next_report_ms;
+  int64_t clock_zero_ms; /* its clock starts at 0 in each incarnation but the first */
+  int64_t lease_ms;      /* on its clock */
   json_int_t fence, ends, sequence;
   int next_control;
   unsigned reports_pending;
@@ -66,6 +68,23 @@
   LIST_HEAD (, pending_request) delayed;
 };
 
+static int64_t
+worker_clock_ms (const struct soak_worker *w)
+{
+  return w->soak->now_ms - w->clock_zero_ms;
+}
+
+/* Extends the lease to DEADLINE_MS, but to no more than SOAK_LEASE_MS from now.  */
+static void
+extend_lease (struct soak_worker *w, int64_t deadline_ms)
+{
+  int64_t max_ms = worker_clock_ms (w) + SOAK_LEASE_MS;
+  if (deadline_ms > max_ms)
+    deadline_ms = max_ms;
+  if (deadline_ms > w->lease_ms)
+    w->lease_ms = deadline_ms;
+}
+
 static struct refused_runs *
 find_or_add_refused_runs (struct soak_worker *w, const char *task)
 {
@@ -114,7 +133,7 @@
   STAILQ_FOREACH (e, &w->ended, link)
   json_array_append_new (finished,
                          json_pack ("[I, s, i, s, s]", e->number, e->task, e->run, e->outcome, ""));
-  return json_pack ("{s:I, s:I, s:o, s:o}", "clock_ms", (json_int_t)w->soak->now_ms, "born",
+  return json_pack ("{s:I, s:I, s:o, s:o}", "clock_ms", (json_int_t)worker_clock_ms (w), "born",
                     (json_int_t)w->born_ms, "running", running, "finished", finished);
 }
 
@@ -129,7 +148,7 @@
 {
   http_reply_json (
       req, code,
-      json_pack ("{s:I, s:s}", "clock_ms", (json_int_t)w->soak->now_ms, "reason", reason));
+      json_pack ("{s:I, s:s}", "clock_ms", (json_int_t)worker_clock_ms (w), "reason", reason));
 }
 
 static struct run *
@@ -146,7 +165,7 @@
 refusal_reason (struct soak_worker *w, const json_t *body, const char *task, const struct run *r)
 {
   int run = (int)integer_field (body, "run");
-  if (integer_field (body, "deadline_ms") < w->soak->now_ms)
+  if (integer_field (body, "deadline_ms") < worker_clock_ms (w))
     return "late";
   if (run <= find_or_add_refused_runs (w, task)->max_run || (r && r->run != run))
     return "old";
@@ -160,8 +179,7 @@
   const char *payload = json_string_value (json_object_get (body, "spec"));
   struct run *r = find_run (w, task);
   const char *why = refusal_reason (w, body, task, r);
-  if (integer_field (body, "deadline_ms") > w->lease_ms)
-    w->lease_ms = integer_field (body, "deadline_ms");
+  extend_lease (w, integer_field (body, "deadline_ms"));
   if (why)
     {
       reply_clock (w, req, 409, why);
@@ -201,8 +219,7 @@
       STAILQ_REMOVE_HEAD (&w->ended, link);
       free (e);
     }
-  if (integer_field (body, "deadline_ms") > w->lease_ms)
-    w->lease_ms = integer_field (body, "deadline_ms");
+  extend_lease (w, integer_field (body, "deadline_ms"));
   struct pending_request *h = xcalloc (1, sizeof *h);
   h->request = req;
   h->until_ms = w->soak->now_ms + integer_field (body, "wait_ms");
@@ -271,7 +288,7 @@
   json_t *body = json_pack ("{s:s, s:s, s:s, s:s, s:{s:i, s:i}, s:[s, s], s:I, s:I, s:I}",
                             "service", SERVICE, "address", address, "zone", zone, "state", "ready",
                             "capacity", "cpu", CAPACITY_MILLICORES, "mem_mb", CAPACITY_MB, "labels",
-                            "a", "r1-1", "clock_ms", (json_int_t)w->soak->now_ms, "seq",
+                            "a", "r1-1", "clock_ms", (json_int_t)worker_clock_ms (w), "seq",
                             ++w->sequence, "born", (json_int_t)w->born_ms);
   char *text = json_dumps (body, JSON_COMPACT);
   snprintf (url, sizeof url, "http://%s.%d:%d/sassafrasstall/instances/%s", w->soak->net,
@@ -289,13 +306,23 @@
   json_decref (body);
 }
 
+/* A restarted worker may have a new id, or the one that it had.  */
+static bool
+keeps_id (const struct soak_worker *w)
+{
+  return w->number % 2 == 0;
+}
+
 static void
 start_incarnation (struct soak_worker *w)
 {
   struct status st;
   char address[SOAK_ADDRESS_BYTES];
   soak_address (w->soak, HOST_WORKER_TARGET (w->number), 8080, address);
-  snprintf (w->id, sizeof w->id, "w%d-%d", w->number, ++w->incarnation);
+  w->incarnation++;
+  if (w->incarnation == 1 || !keeps_id (w))
+    snprintf (w->id, sizeof w->id, "w%d-%d", w->number, w->incarnation);
+  w->clock_zero_ms = w->incarnation == 1 ? 0 : w->soak->now_ms;
   w->up_at_ms = 0;
   w->born_ms = clock_wall_ms ();
   w->lease_ms = w->fence = w->ends = w->sequence = 0;
@@ -415,7 +442,7 @@
 invalidate_ends (struct soak_worker *w)
 {
   struct ended *e;
-  if (w->soak->now_ms <= w->lease_ms)
+  if (worker_clock_ms (w) <= w->lease_ms)
     return;
   STAILQ_FOREACH (e, &w->ended, link)
   e->invalid = true;
@@ -429,7 +456,7 @@
   for (r = LIST_FIRST (&w->runs); r; r = next)
     {
       next = LIST_NEXT (r, link);
-      if (w->soak->now_ms > w->lease_ms)
+      if (worker_clock_ms (w) > w->lease_ms)
         end_run (w, r, "lapsed");
       else if (w->soak->now_ms >= r->end_ms)
         end_run (w, r, "done");
