--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -185,6 +185,18 @@
   return size * count;
 }
 
+static int
+on_prerequest (void *arg, char *remote_ip, char *local_ip, int remote_port, int local_port)
+{
+  struct exchange *x = arg;
+  (void)remote_ip;
+  (void)local_ip;
+  (void)remote_port;
+  (void)local_port;
+  x->answer.sends++;
+  return CURL_PREREQFUNC_OK;
+}
+
 static void
 free_exchange (struct exchange *x, CURL *easy)
 {
@@ -241,6 +253,8 @@
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, x->headers);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, collect_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, x);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_prerequest);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, x);
   if (call->body)
     {
       curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE, (long)call->body_len);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -24,6 +24,7 @@
   struct buffer body;   /* complete body */
   struct status status; /* OK, TIMEOUT, BACKEND_FAILED or BACKEND_TRUNCATED */
   bool sent;            /* at least one byte of the request may have reached the server */
+  unsigned sends; /* connections it was sent on: libcurl repeats it when a reused one breaks */
   const char *location; /* Location header of a redirect, or NULL */
   long retry_after_s;   /* Retry-After header; 0 without one */
 };
