A start is sent once: its refusal no longer speaks for an earlier copy

Cause: when a reused connection breaks before the first byte of an answer, libcurl sends the request again, up to five times, and reports the last answer only. The worker may still carry out the first copy, at once or seconds later. If it refuses the second one (429, 503, no room), start-answered says "refused", the run is committed as not started, and the task is placed elsewhere while the first copy is still to run.

Fix: a call may ask to be sent once; libcurl's second attempt is stopped before it is sent and the start counts as unknown. Holds and stops then settle it as they do after a time-out. Holds, stops and paces may be repeated: any copy has the same effect.

Test: test_broken_connection_does_not_repeat_a_start. Before: "0x4 != 0x8", no-room instead of unknown.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -193,6 +193,8 @@
   (void)local_ip;
   (void)remote_port;
   (void)local_port;
+  if (x->call.once && x->answer.sends > 0)
+    return CURL_PREREQFUNC_ABORT;
   x->answer.sends++;
   return CURL_PREREQFUNC_OK;
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -40,6 +40,7 @@
   const char *body;           /* may be NULL */
   size_t body_len;
   long timeout_ms;      /* for the request and its answer */
+  bool once;            /* fails rather than being sent again when a reused connection breaks */
   http_answer_fn *done; /* called exactly once */
   void *done_arg;
 };
--- a/tests/test_worker_calls.c
+++ b/tests/test_worker_calls.c
@@ -1,6 +1,6 @@
 /* HTTP calls to workers.  Guards against leaks of calls that are pending when a process ends
-   (soak, seeds 317 and 345; found by the leak check of the sanitized run), and against an outcome
-   without the caller's tag.  */
+   (soak, seeds 317 and 345; found by the leak check of the sanitized run), against an outcome
+   without the caller's tag, and against a start that is sent twice (issue 25).  */
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -8,6 +8,11 @@
 #include <stdint.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <cmocka.h>
 #include <curl/curl.h>
@@ -78,6 +83,20 @@
   l->ops->stop (l, &order);
 }
 
+static void
+send_start (struct fixture *f)
+{
+  struct worker_link *l = worker_calls_link (f->calls);
+  const struct worker_start order
+      = { .to = { .worker = "w1", .address = f->address, .zone = "a", .fence = 3 },
+          .task = { .job = 9, .index = 2 },
+          .run = 4,
+          .payload = "",
+          .checkpoint = "",
+          .deadline_ms = 1000 };
+  l->ops->start (l, &order);
+}
+
 static void
 test_outcome_identifies_its_order (void **state)
 {
@@ -110,11 +129,114 @@
   close_fixture (&f);
 }
 
+/* A worker that answers its first request, breaks the connection at the second, and refuses
+   later ones for lack of capacity.  */
+struct breaking_worker
+{
+  struct ev_loop *loop;
+  ev_io listener;
+  ev_io connection; /* fd -1: none */
+  unsigned requests;
+};
+
+static void
+close_connection (struct breaking_worker *b)
+{
+  if (b->connection.fd < 0)
+    return;
+  ev_io_stop (b->loop, &b->connection);
+  close (b->connection.fd);
+  b->connection.fd = -1;
+}
+
+static void
+on_request (struct ev_loop *loop, ev_io *w, int events)
+{
+  static const char accepted[] = "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"clock_ms\":1}";
+  static const char no_room[] = "HTTP/1.1 409 Conflict\r\nContent-Length: 30\r\n\r\n"
+                                "{\"clock_ms\":1,\"reason\":\"room\"}";
+  struct breaking_worker *b = w->data;
+  char request[1000];
+  (void)loop;
+  (void)events;
+  if (read (w->fd, request, sizeof request) <= 0)
+    {
+      close_connection (b);
+      return;
+    }
+  b->requests++;
+  if (b->requests == 1)
+    assert_int_equal (write (w->fd, accepted, sizeof accepted - 1), sizeof accepted - 1);
+  else if (b->requests == 2)
+    close_connection (b);
+  else
+    assert_int_equal (write (w->fd, no_room, sizeof no_room - 1), sizeof no_room - 1);
+}
+
+static void
+on_connection (struct ev_loop *loop, ev_io *w, int events)
+{
+  struct breaking_worker *b = w->data;
+  (void)events;
+  close_connection (b);
+  ev_io_set (&b->connection, accept (w->fd, NULL, NULL), EV_READ);
+  ev_io_start (loop, &b->connection);
+}
+
+static void
+open_breaking_worker (struct breaking_worker *b, struct fixture *f)
+{
+  struct sockaddr_in a = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t len = sizeof a;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  assert_int_equal (bind (fd, (struct sockaddr *)&a, len), 0);
+  assert_int_equal (listen (fd, 4), 0);
+  assert_int_equal (getsockname (fd, (struct sockaddr *)&a, &len), 0);
+  snprintf (f->address, sizeof f->address, "127.0.0.1:%d", ntohs (a.sin_port));
+  *b = (struct breaking_worker){ .loop = f->loop };
+  ev_io_init (&b->listener, on_connection, fd, EV_READ);
+  ev_io_init (&b->connection, on_request, -1, EV_READ);
+  b->listener.data = b;
+  b->connection.data = b;
+  ev_io_start (f->loop, &b->listener);
+}
+
+static void
+close_breaking_worker (struct breaking_worker *b)
+{
+  close_connection (b);
+  ev_io_stop (b->loop, &b->listener);
+  close (b->listener.fd);
+}
+
+/* A refusal of the second copy says nothing about the first, which the worker may carry out.  */
+static void
+test_broken_connection_does_not_repeat_a_start (void **state)
+{
+  struct fixture f;
+  struct breaking_worker b;
+  (void)state;
+  open_fixture (&f);
+  open_breaking_worker (&b, &f);
+  send_start (&f);
+  ev_run (f.loop, 0);
+  assert_int_equal (f.outcome.result, WORKER_CALL_OK);
+  send_start (&f);
+  ev_run (f.loop, 0);
+  assert_int_equal (f.outcomes, 2);
+  assert_int_equal (f.outcome.result, WORKER_CALL_UNKNOWN);
+  assert_int_equal (b.requests, 2);
+  close_breaking_worker (&b);
+  close_fixture (&f);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_outcome_identifies_its_order),
-                                      cmocka_unit_test (test_pending_calls_are_freed_on_close) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_outcome_identifies_its_order),
+          cmocka_unit_test (test_pending_calls_are_freed_on_close),
+          cmocka_unit_test (test_broken_connection_does_not_repeat_a_start) };
   curl_global_init (CURL_GLOBAL_DEFAULT);
   int failed = cmocka_run_group_tests (tests, NULL, NULL);
   curl_global_cleanup ();
