leader_relay: a refusal after a repeated request is no proof that the job was refused

What callers could see: a job answered with 503 or 429, "not accepted, never runs", that runs (REFUSED).

Cause: libcurl sends a request again when a reused connection breaks. The leader may accept the first copy and refuse the second; the relay counted both as one attempt and forwarded the refusal.

Fix: an attempt that was sent more than once may have run. Repeating stays allowed: a job's id makes it safe, and a failed attempt would make the relay avoid a leader that is alive.

Test: test_refusal_after_broken_connection_gets_504, a leader that restarts under a request. Before: "0x1f7 != 0x1f8" (503 instead of 504).

--- a/src/workflow/leader_relay.c
+++ b/src/workflow/leader_relay.c
@@ -370,6 +370,7 @@
   struct leader_relay *r = c->relay;
   int64_t now_ms = clock_now_ms (r->config.clock);
   c->waiting = true; /* no attempt is in progress */
+  c->may_have_run = c->may_have_run || a->sends > 1;
   if (!c->request)
     free_call (c);
   else if (a->code == CODE_REDIRECT && a->location && ++c->redirects < MAX_REDIRECTS)
--- a/tests/test_leader_relay.c
+++ b/tests/test_leader_relay.c
@@ -320,6 +320,38 @@
   assert_int_equal (request (f), 504);
 }
 
+static void
+restart_leader (struct ev_loop *loop, ev_timer *w, int events)
+{
+  struct fixture *f = w->data;
+  (void)loop;
+  (void)events;
+  for (int i = 0; i < CANDIDATES; i++)
+    {
+      char ip[32];
+      snprintf (ip, sizeof ip, "127.0.9.%d", i + 1);
+      http_server_close (f->vms[i].server);
+      f->vms[i].behaviour = REFUSES;
+      f->vms[i].server = open_server (f, ip, f->port, handle_vm, &f->vms[i]);
+    }
+}
+
+/* libcurl sends a request again when a reused connection breaks: the refusal covers the second
+   copy only.  */
+static void
+test_refusal_after_broken_connection_gets_504 (void **state)
+{
+  struct fixture *f = *state;
+  ev_timer restart;
+  assert_int_equal (request (f), 200);
+  for (int i = 0; i < CANDIDATES; i++)
+    f->vms[i].behaviour = SILENT;
+  ev_timer_init (&restart, restart_leader, 0.1, 0.0);
+  restart.data = f;
+  ev_timer_start (f->loop, &restart);
+  assert_int_equal (request (f), 504);
+}
+
 static void
 test_refusal_of_the_only_attempt_is_forwarded (void **state)
 {
@@ -413,6 +445,7 @@
           TEST (test_request_waits_for_an_election),
           TEST (test_waiting_requests_share_one_probe),
           TEST (test_refusal_after_unanswered_attempt_gets_504),
+          TEST (test_refusal_after_broken_connection_gets_504),
           TEST (test_refusal_of_the_only_attempt_is_forwarded),
           TEST (test_join_follows_a_redirect_to_a_leader_that_is_no_seed) };
   curl_global_init (CURL_GLOBAL_DEFAULT);
