dispatcher: commits are judged by the time at which they are applied

Callers could see a start order of a leader whose authority had ended seconds before. A worker that had restarted under its id since, and has seen no fence, carries it out beside the run that the next leader placed.

Cause: the observer of the workflow carries no time, so a commit was handled with the time of the last input or tick. The group writes to disk between that tick and the commits of the same flush: a disk that hangs for seconds there, or a paused process, made the check of the authority pass with a time from before the pause. The deadline of the start came from the same old time.

The dispatcher reads its clock when a commit arrives; it stays free of other I/O and is tested on the paused clock of its fixture. A placement that is not started now logs that the authority has ended, not that the worker is unusable.

--- a/bench/dispatcher_cost.c
+++ b/bench/dispatcher_cost.c
@@ -75,6 +75,7 @@
 struct sim
 {
   struct worker_link link; /* first member: the vtable */
+  struct clock clock;      /* reads now_ms */
   struct workflow workflow;
   struct dispatcher *dispatcher;
   struct rng rng;
@@ -89,6 +90,12 @@
   size_t call_count;
 };
 
+static int64_t
+sim_now_ms (struct clock *c)
+{
+  return ((struct sim *)((char *)c - offsetof (struct sim, clock)))->now_ms;
+}
+
 static struct sim_worker *
 worker_of (struct sim *s, const struct worker_address *to)
 {
@@ -152,6 +159,7 @@
   w->hold_answer_at_ms = s->now_ms + (o->wait_ms ? o->wait_ms : STEP_MS);
 }
 
+static const struct clock_ops clock_ops = { sim_now_ms };
 static const struct worker_link_ops link_ops = { sim_start, sim_stop, sim_pace, sim_hold };
 
 static void
@@ -435,12 +443,14 @@
 open_sim (struct sim *s, int workers)
 {
   s->link.ops = &link_ops;
+  s->clock.ops = &clock_ops;
   s->count = workers;
   s->workers = xcalloc ((size_t)workers, sizeof *s->workers);
   rng_init (&s->rng, 1);
   workflow_init (&s->workflow);
   const struct dispatcher_config config = { .workflow = &s->workflow,
                                             .link = &s->link,
+                                            .clock = &s->clock,
                                             .propose = sim_propose,
                                             .propose_arg = s,
                                             .lease_ms = LEASE_MS,
--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -130,11 +130,19 @@
     }
 }
 
+/* The process may have been paused, or its disk hung, between the last input and a commit.  */
+static void
+update_time (struct dispatcher *d)
+{
+  d->now_ms = clock_now_ms (d->config.clock);
+}
+
 static void
 on_placed (void *arg, struct workflow_run *run)
 {
   struct dispatcher *d = arg;
   struct dispatch_run *r = run->task->placing;
+  update_time (d);
   if (!d->leading || !r || r->number != run->run || strcmp (r->worker->id, run->worker) != 0)
     return;
   run->task->placing = NULL;
@@ -178,6 +186,7 @@
   struct dispatcher *d = arg;
   struct dispatch_run *r = run->dispatch;
   struct workflow_task *t = run->task;
+  update_time (d);
   if (outcome == WORKFLOW_DONE && !(workflow_step_of (t)->flags & WORKFLOW_STEP_LASTING))
     request_stops (t);
   if (outcome != WORKFLOW_NOT_STARTED)
@@ -206,6 +215,7 @@
 {
   struct dispatcher *d = arg;
   static const char *const names[] = { "open", "completed", "failed", "cancelled" };
+  update_time (d);
   j->ended_ms = d->now_ms;
   if (!d->leading)
     return;
--- a/src/workflow/dispatcher.h
+++ b/src/workflow/dispatcher.h
@@ -2,7 +2,9 @@
    the orders and tracks their outcomes.
 
    Pure: no I/O, the time is passed in (now_ms, monotonic; wall_ms, Unix time, for occurrences
-   only). Orders go out through a struct worker_link, log entries through dispatcher_config.propose.
+   only). Commits arrive through the workflow's observer, which carries no time: their time is read
+   from dispatcher_config.clock.  Orders go out through a struct worker_link, log entries through
+   dispatcher_config.propose.
 
    States of a run:
 
@@ -33,6 +35,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "clock.h"
 #include "status.h"
 #include "worker_link.h"
 #include "workflow.h"
@@ -49,6 +52,7 @@
 {
   struct workflow *workflow;
   struct worker_link *link;
+  struct clock *clock; /* the scale of now_ms */
   dispatcher_propose_fn *propose;
   void *propose_arg;
   int64_t lease_ms;  /* longest lease that workers accept */
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -487,11 +487,16 @@
                   || d->now_ms < t->done_until_ms;
   bool unusable = w->draining || w->gone || !w->fenced || !w->address
                   || workflow_zone_is_out (d->config.workflow, w->zone);
-  if (unwanted || unusable || !dispatch_has_authority (d))
+  const char *obstacle = NULL;
+  if (unwanted)
+    obstacle = "the job has ended or the task is done";
+  else if (unusable)
+    obstacle = "the worker is no longer usable";
+  else if (!dispatch_has_authority (d))
+    obstacle = "the authority of this leader has ended";
+  if (obstacle)
     {
-      dispatch_propose_end (d, r, WORKFLOW_NOT_STARTED, NULL,
-                            unwanted ? "the job has ended or the task is done"
-                                     : "the worker is no longer usable");
+      dispatch_propose_end (d, r, WORKFLOW_NOT_STARTED, NULL, obstacle);
       return;
     }
   const struct worker_start order = { .to = dispatch_address (d, w),
--- a/src/workflow/workflow_service.c
+++ b/src/workflow/workflow_service.c
@@ -115,6 +115,7 @@
   workflow_init (&s->workflow);
   const struct dispatcher_config dispatcher = { .workflow = &s->workflow,
                                                 .link = config->link,
+                                                .clock = config->clock,
                                                 .propose = propose,
                                                 .propose_arg = s,
                                                 .lease_ms = config->lease_ms,
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -570,6 +570,26 @@
   assert_int_equal (f->hold_count, holds);
 }
 
+/* Guards against a start that is sent when its placement commits after the authority has ended,
+   because the process was paused or its disk hung since the last tick.  */
+static void
+test_a_placement_committed_after_the_authority_is_not_started (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  f->now_ms += DISPATCHER_TICK_MS;
+  dispatcher_set_authority (f->dispatcher, f->now_ms + 1000);
+  dispatcher_tick (f->dispatcher, f->now_ms, 0);
+  assert_int_equal (f->log_count, 1);
+  f->now_ms += 1000;
+  fixture_commit (f);
+  assert_int_equal (f->start_count, 0);
+  fixture_tick (f, DISPATCHER_TICK_MS);
+  assert_int_equal (f->start_count, 1);
+  assert_int_equal (f->starts[0].run, 2);
+}
+
 /* A run without a placement comes from a late order and is stopped.  */
 static void
 test_unknown_run_is_stopped (void **state)
@@ -893,6 +913,7 @@
           TEST (test_a_zone_that_is_out_gets_nothing),
           TEST (test_a_cancelled_job_is_stopped_until_acknowledged),
           TEST (test_without_authority_nothing_is_ordered),
+          TEST (test_a_placement_committed_after_the_authority_is_not_started),
           TEST (test_unknown_run_is_stopped),
           TEST (test_a_lasting_task_restarts_beside_short_ones),
           TEST (test_a_job_that_fits_nowhere_is_known),
--- a/tests/workflow_fixture.h
+++ b/tests/workflow_fixture.h
@@ -55,6 +55,7 @@
 struct fixture
 {
   struct worker_link link; /* first member: the vtable */
+  struct clock clock;      /* reads now_ms */
   struct workflow workflow;
   struct dispatcher *dispatcher;
   int64_t now_ms;
@@ -121,6 +122,12 @@
   l->token = token;
 }
 
+static inline int64_t
+fixture_now_ms (struct clock *c)
+{
+  return ((struct fixture *)((char *)c - offsetof (struct fixture, clock)))->now_ms;
+}
+
 /* Applies one command; true if it succeeded.  */
 static inline bool
 fixture_apply (struct fixture *f, const void *data, size_t len)
@@ -311,12 +318,15 @@
   static const struct worker_link_ops ops = {
     .start = fixture_start, .stop = fixture_stop, .pace = fixture_pace, .hold = fixture_hold
   };
+  static const struct clock_ops clock_ops = { fixture_now_ms };
   struct fixture *f = xcalloc (1, sizeof *f);
   f->link.ops = &ops;
+  f->clock.ops = &clock_ops;
   f->now_ms = 100000;
   workflow_init (&f->workflow);
   const struct dispatcher_config config = { .workflow = &f->workflow,
                                             .link = &f->link,
+                                            .clock = &f->clock,
                                             .propose = fixture_propose,
                                             .propose_arg = f,
                                             .lease_ms = FIXTURE_LEASE_MS,
