raft: a voter that learns a higher term keeps the promise to its last leader

A leader with authority starts tasks on its own, since voters that have answered its round elect no other leader for election_min_ms. A voter forgot that promise as soon as a message with a higher term reached it, such as the refusal of its own earlier pre-vote by a voter that had lost the leader: raft_has_recent_leader was false while the leader was unknown, and a vote request of the voter's own term was not checked at all. The voter elected the other one, and two leaders sent orders.

The time of the last message of a leader now counts whether or not the leader is still known, for pre-votes and votes alike. Only a transfer releases voters, because the leader gives its authority up before it tells a voter to start an election; so transfers are as quick as before.

Evidence: test_a_higher_term_does_not_release_a_voter_from_its_leader failed before at 'out.after[0].granted' (the pre-vote 1.1 s after the round) and passes now. The simulator checks that no node leads a later term while another one has authority, and in log_faults every leader renews its authority.

--- a/src/log/raft.c
+++ b/src/log/raft.c
@@ -57,6 +57,7 @@
   r->durable = raft_log_last (&r->log);
   r->commit = snapshot->index;
   r->pre_vote_granted_ms = INT64_MIN / 2;
+  raft_forget_leader (r);
   raft_reload_members (r);
   raft_reset_election (r, now_ms);
   if (raft_voters (r) == 1 && raft_may_vote (r))
@@ -172,8 +173,12 @@
     return true;
   if (m->type == RAFT_PRE_VOTE_REPLY && m->granted)
     return true;
-  if (m->type == RAFT_VOTE_REQUEST && !m->granted && raft_has_recent_leader (r, now_ms))
+  bool forced = m->type == RAFT_VOTE_REQUEST && m->granted;
+  if (m->type == RAFT_VOTE_REQUEST && !forced && raft_has_recent_leader (r, now_ms))
     return false;
+  /* The leader of the term before has given up its authority.  */
+  if (forced)
+    raft_forget_leader (r);
   bool from_leader = m->type == RAFT_APPEND_REQUEST || m->type == RAFT_SNAPSHOT_CHUNK;
   raft_become_follower (r, m->term, from_leader ? m->from : 0, now_ms);
   return true;
--- a/src/log/raft_election.c
+++ b/src/log/raft_election.c
@@ -21,6 +21,8 @@
     r->election_ms = now_ms + rng_between (r->rng, r->timing.retry_min_ms, r->timing.retry_max_ms);
 }
 
+/* Also while the leader is unknown: a node that has learned a higher term since may have confirmed
+   the authority of the leader of the earlier one.  */
 bool
 raft_has_recent_leader (const struct raft *r, int64_t now_ms)
 {
@@ -28,7 +30,13 @@
     return true;
   /* Slightly below the timeout: the same heartbeat reaches other nodes up to one delay later.  */
   int64_t sticky_ms = r->timing.election_min_ms - r->timing.retry_min_ms;
-  return r->leader != 0 && now_ms - r->leader_ms < sticky_ms;
+  return now_ms - r->leader_ms < sticky_ms;
+}
+
+void
+raft_forget_leader (struct raft *r)
+{
+  r->leader_ms = INT64_MIN / 2;
 }
 
 bool
@@ -66,6 +74,8 @@
 {
   r->role = RAFT_CANDIDATE;
   r->leader = 0;
+  if (forced)
+    raft_forget_leader (r);
   r->hard.term++;
   r->hard.vote = r->node;
   r->hard_dirty = true;
@@ -172,7 +182,8 @@
   bool pre = m->type == RAFT_PRE_VOTE_REQUEST;
   bool own_store = m->store == r->hard.store && !(r->hard.store & RAFT_STORE_VOLATILE);
   bool grant = own_store && log_is_current (r, m);
-  if (pre && (raft_has_recent_leader (r, now_ms) || m->term <= r->hard.term))
+  bool forced = !pre && m->granted;
+  if ((!forced && raft_has_recent_leader (r, now_ms)) || (pre && m->term <= r->hard.term))
     grant = false;
   if (pre && grant && !may_grant_pre_vote (r, m, now_ms))
     grant = false;
--- a/src/log/raft_internal.h
+++ b/src/log/raft_internal.h
@@ -119,6 +119,7 @@
 /* raft_election.c */
 void raft_reset_election (struct raft *r, int64_t now_ms); /* Restarts the election timeout. */
 bool raft_has_recent_leader (const struct raft *r, int64_t now_ms);
+void raft_forget_leader (struct raft *r);  /* This node may vote although it heard from a leader. */
 bool raft_may_vote (const struct raft *r); /* The member list grants this store a vote. */
 void raft_election_tick (struct raft *r, int64_t now_ms);
 void raft_start_election (struct raft *r, bool forced, int64_t now_ms); /* Requests votes. */
--- a/tests/log_faults.c
+++ b/tests/log_faults.c
@@ -22,6 +22,7 @@
 #define FAULT_MS 6000        /* simulated time with faults */
 #define RECOVERY_MS 6000     /* time to converge afterwards */
 #define MEAN_FAULT_GAP_MS 90 /* between two faults */
+#define RENEWAL_MS 20        /* between two renewals of a leader's authority */
 #define TRACE_TAIL_BYTES 16000
 
 struct scenario
@@ -29,6 +30,7 @@
   struct sim sim;
   struct rng rng; /* separate from the simulation's, so that each can be followed */
   int64_t next_fault_ms;
+  int64_t next_renewal_ms;
   bool changing;
   bool change_done;
   bool repaired;            /* a lost voter was just replaced */
@@ -91,7 +93,8 @@
                           .append_bytes = 100u + (uint32_t)rng_below (&sc->rng, 1500),
                           .chunk_bytes = 64u + (uint32_t)rng_below (&sc->rng, 300),
                           .state_bytes = (uint32_t)rng_below (&sc->rng, 800),
-                          .step_ms = 5 };
+                          .step_ms = 5,
+                          .authority_ms = 70 }; /* election_min - retry_min, on clocks 15% off */
   /* Equal timeouts make candidates collide.  */
   if (rng_chance (&sc->rng, 0.3))
     c.timing.election_max_ms = c.timing.election_min_ms + 10;
@@ -198,9 +201,8 @@
 transfer (struct scenario *sc)
 {
   struct sim_node *leader = sim_leader (&sc->sim);
-  struct status st;
   if (leader)
-    group_transfer_leadership (leader->group, 0, &st);
+    sim_transfer (&sc->sim, leader);
 }
 
 static void
@@ -456,6 +458,19 @@
     sim_read (&sc->sim, leader_or_any (sc, 0.8));
 }
 
+/* Every leader renews its authority, as the services do.  */
+static void
+renew_authority (struct scenario *sc)
+{
+  struct sim *s = &sc->sim;
+  if (sim_now_ms (s) < sc->next_renewal_ms)
+    return;
+  sc->next_renewal_ms = sim_now_ms (s) + RENEWAL_MS;
+  for (int i = 0; i < s->nodes_len; i++)
+    if (s->nodes[i].group && group_is_leader (s->nodes[i].group))
+      sim_read (s, &s->nodes[i]);
+}
+
 /* ---- recovery ---- */
 
 /* True when every member list that a live node holds has a majority of live voters with their
@@ -558,6 +573,7 @@
     {
       inject_faults (sc);
       issue_requests (sc);
+      renew_authority (sc);
       sim_step (s);
       restart_stopped (sc);
       fail_elections (sc);
--- a/tests/log_sim.c
+++ b/tests/log_sim.c
@@ -249,6 +249,8 @@
     sim_fail (s, "nodes %llu and %llu lead term %llu", ull (s->leaders[term]), ull (n->id),
               ull (term));
   s->leaders[term] = n->id;
+  n->authority_until_ms = 0;
+  n->transferred = false;
   s->elections++;
   s->new_leader = n->id;
   sim_trace (s, "node %llu leads term %llu", ull (n->id), ull (term));
@@ -294,13 +296,34 @@
     s->committed = commit;
 }
 
+/* A confirmed leader acts on its own until its authority ends, so no other may lead by then.  */
+static void
+check_authority (struct sim *s, const struct sim_node *n)
+{
+  for (int i = 0; i < s->nodes_len; i++)
+    {
+      const struct sim_node *other = &s->nodes[i];
+      if (other == n || !other->group || !group_is_leader (other->group))
+        continue;
+      const struct sim_node *first = group_term (n->group) < group_term (other->group) ? n : other;
+      const struct sim_node *second = first == n ? other : n;
+      if (sim_local_ms (s, first) < first->authority_until_ms)
+        sim_fail (s, "node %llu leads term %llu while node %llu has authority for %lld ms",
+                  ull (second->id), ull (group_term (second->group)), ull (first->id),
+                  (long long)(first->authority_until_ms - sim_local_ms (s, first)));
+    }
+}
+
 static void
 sim_check (struct sim *s, struct sim_node *n)
 {
   if (!n->group)
     return;
   if (group_is_leader (n->group))
-    check_leader (s, n);
+    {
+      check_leader (s, n);
+      check_authority (s, n);
+    }
   /* Also right after a crash: messages sent before may depend on its commit index.  */
   check_commit (s, n);
   if (n->disk && memory_disk_crashed (n->disk))
@@ -332,8 +355,8 @@
   return best;
 }
 
-static int64_t
-local_ms (const struct sim *s, const struct sim_node *n)
+int64_t
+sim_local_ms (const struct sim *s, const struct sim_node *n)
 {
   return n->offset_ms + (int64_t)((double)s->now_us / US_PER_MS * n->rate);
 }
@@ -359,8 +382,10 @@
                                  .append_bytes = s->config.append_bytes,
                                  .chunk_bytes = s->config.chunk_bytes,
                                  .events = { .send = sim_send, .arg = n } };
-  n->group = group_open (&config, local_ms (s, n), &st);
+  n->group = group_open (&config, sim_local_ms (s, n), &st);
   n->checked = 0;
+  n->authority_until_ms = 0;
+  n->transferred = false;
   if (!n->group && n->disk && memory_disk_crashed (n->disk))
     {
       memory_disk_restart (n->disk);
@@ -496,7 +521,7 @@
   if (!xdr_raft_message (&xdr, &m))
     sim_fail (s, "message cannot be decoded");
   xdr_destroy (&xdr);
-  group_tick (n->group, local_ms (s, n));
+  group_tick (n->group, sim_local_ms (s, n));
   group_receive (n->group, &m);
   xdr_free ((xdrproc_t)xdr_raft_message, (char *)&m);
   input_done (s, n, rng_chance (&s->rng, 0.7));
@@ -522,7 +547,7 @@
         sim_start (s, n);
       if (!n->group)
         continue;
-      group_tick (n->group, local_ms (s, n));
+      group_tick (n->group, sim_local_ms (s, n));
       input_done (s, n, true);
     }
 }
--- a/tests/log_sim.h
+++ b/tests/log_sim.h
@@ -47,9 +47,11 @@
   struct sim_machine machine;
   double rate; /* speed of its clock */
   int64_t offset_ms;
-  int64_t restart_at_ms; /* restart time while down, -1 for never */
-  uint64_t checked;      /* commit index already checked */
-  bool wiped;            /* lost its disk after it was in use */
+  int64_t restart_at_ms;      /* restart time while down, -1 for never */
+  uint64_t checked;           /* commit index already checked */
+  bool wiped;                 /* lost its disk after it was in use */
+  int64_t authority_until_ms; /* on its clock: no other node may lead a later term before */
+  bool transferred;           /* gave its authority up for the rest of its term */
 };
 
 struct sim_message
@@ -73,6 +75,7 @@
   uint32_t chunk_bytes;
   uint32_t state_bytes; /* padding of a snapshot */
   int64_t step_ms;
+  int64_t authority_ms; /* of a leader, from the start of a confirmed read; 0: not checked */
 };
 
 struct sim
@@ -139,8 +142,10 @@
 void sim_drop_from (struct sim *s, uint64_t node); /* Drops NODE's messages in flight. */
 void sim_wipe (struct sim *s, struct sim_node *n, int64_t down_ms); /* Also empties its disk. */
 void sim_propose (struct sim *s, struct sim_node *n, size_t bytes); /* A numbered command. */
-void sim_read (struct sim *s, struct sim_node *n); /* Confirms leadership, checks freshness. */
-void sim_check_end (struct sim *s);                /* Compares outcomes with the log at the end. */
+void sim_read (struct sim *s, struct sim_node *n);    /* Confirms leadership, checks freshness. */
+int sim_transfer (struct sim *s, struct sim_node *n); /* Transfers leadership; -1: refused. */
+int64_t sim_local_ms (const struct sim *s, const struct sim_node *n); /* N's clock. */
+void sim_check_end (struct sim *s); /* Compares outcomes with the log at the end. */
 void sim_fail (struct sim *s, const char *format, ...) __attribute__ ((format (printf, 2, 3)));
 void sim_trace (struct sim *s, const char *format, ...) __attribute__ ((format (printf, 2, 3)));
 int64_t sim_now_ms (const struct sim *s);
--- a/tests/log_sim_client.c
+++ b/tests/log_sim_client.c
@@ -9,7 +9,8 @@
   struct sim *sim;
   uint64_t command;
   uint64_t node;
-  uint64_t floor; /* read: highest index acknowledged when it began */
+  uint64_t floor;   /* read: highest index acknowledged when it began */
+  int64_t began_ms; /* read: on the node's clock */
 };
 
 static unsigned long long
@@ -139,8 +140,11 @@
   (void)len;
   if (st->kind == STATUS_OK)
     {
+      struct sim_node *n = sim_node (s, call->node);
       s->reads++;
-      if (sim_node (s, call->node)->machine.index < call->floor)
+      if (s->config.authority_ms > 0 && !n->transferred)
+        n->authority_until_ms = call->began_ms + s->config.authority_ms;
+      if (n->machine.index < call->floor)
         sim_fail (s, "a read on node %llu misses index %llu acknowledged before it",
                   ull (call->node), ull (call->floor));
     }
@@ -153,10 +157,22 @@
   if (!n || !n->group)
     return;
   struct sim_call *call = xcalloc (1, sizeof *call);
-  *call = (struct sim_call){ .sim = s, .node = n->id, .floor = s->acknowledged };
+  *call = (struct sim_call){
+    .sim = s, .node = n->id, .floor = s->acknowledged, .began_ms = sim_local_ms (s, n)
+  };
   group_confirm_leadership (n->group, read_done, call);
 }
 
+int
+sim_transfer (struct sim *s, struct sim_node *n)
+{
+  struct status st;
+  sim_trace (s, "node %llu transfers its leadership", ull (n->id));
+  n->transferred = true;
+  n->authority_until_ms = 0;
+  return group_transfer_leadership (n->group, 0, &st);
+}
+
 void
 sim_check_end (struct sim *s)
 {
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -12,11 +12,14 @@
 #include "log_sim.h"
 
 #define ONE_WAY_DELAY_US 30000
+#define AUTHORITY_MS 1100 /* the longest time for which a service relies on a confirmed round */
 
 static struct sim_config
 make_config (int voters, int learners)
 {
-  return (struct sim_config){ .seed = 7, .voters = voters, .learners = learners };
+  return (struct sim_config){
+    .seed = 7, .voters = voters, .learners = learners, .authority_ms = AUTHORITY_MS
+  };
 }
 
 static void
@@ -310,7 +313,6 @@
 {
   struct sim s;
   struct sim_config c = make_config (3, 0);
-  struct status st;
   (void)state;
   sim_init (&s, &c);
   s.delay_min_us = ONE_WAY_DELAY_US;
@@ -321,7 +323,7 @@
   sim_read (&s, old);
   sim_run_ms (&s, 200);
   assert_int_equal (s.reads, 1);
-  assert_int_equal (group_transfer_leadership (old->group, 0, &st), 0);
+  assert_int_equal (sim_transfer (&s, old), 0);
   sim_propose (&s, old, 8);
   assert_int_equal (s.outcomes[1], SIM_REFUSED);
   sim_run_ms (&s, 300);
@@ -331,6 +333,55 @@
   sim_close (&s);
 }
 
+/* The messages that R sends in response to M at NOW_MS; valid until the next call.  */
+static struct raft_output
+respond (struct raft *r, const raft_message *m, int64_t now_ms)
+{
+  struct raft_output out;
+  raft_receive (r, m, now_ms);
+  raft_output (r, &out, now_ms);
+  raft_written (r, now_ms);
+  return out;
+}
+
+/* Guards against two leaders that act at once: a voter confirmed its leader, learned a higher term
+   from a voter that had lost that leader, and then voted for that voter.  */
+static void
+test_a_higher_term_does_not_release_a_voter_from_its_leader (void **state)
+{
+  raft_member list[] = { { .node = 1, .voter = true },
+                         { .node = 2, .voter = true },
+                         { .node = 3, .voter = true } };
+  const struct raft_snapshot start = { .members = { { 3, list } } };
+  const struct raft_hard_state hard = { .term = 1 };
+  struct rng rng;
+  (void)state;
+  rng_init (&rng, 1);
+  const struct raft_config config = { .group = 1, .node = 1, .rng = &rng };
+  struct raft *r = raft_create (&config, &hard, &start, NULL, 0, 0);
+  raft_message append
+      = { .group = 1, .type = RAFT_APPEND_REQUEST, .from = 2, .to = 1, .term = 5, .round = 9 };
+  raft_message refusal = { .group = 1, .type = RAFT_PRE_VOTE_REPLY, .from = 3, .to = 1, .term = 6 };
+  raft_message pre_vote
+      = { .group = 1, .type = RAFT_PRE_VOTE_REQUEST, .from = 3, .to = 1, .term = 7 };
+  raft_message vote = { .group = 1, .type = RAFT_VOTE_REQUEST, .from = 3, .to = 1, .term = 6 };
+  struct raft_output out = respond (r, &append, 10000);
+  assert_int_equal (out.after_len, 1);
+  assert_true (out.after[0].granted);
+  respond (r, &refusal, 10050);
+  assert_int_equal (raft_term (r), 6);
+  out = respond (r, &pre_vote, 10000 + AUTHORITY_MS);
+  assert_int_equal (out.after_len, 1);
+  assert_false (out.after[0].granted);
+  out = respond (r, &vote, 10000 + AUTHORITY_MS);
+  assert_int_equal (out.after_len, 1);
+  assert_false (out.after[0].granted);
+  out = respond (r, &vote, 10000 + raft_default_timing ().election_min_ms);
+  assert_int_equal (out.after_len, 1);
+  assert_true (out.after[0].granted);
+  raft_destroy (r);
+}
+
 /* While a voter is unreachable, another voter than usual completes the quorum.  That voter must not
    be reported, since leadership would be transferred to it.  */
 static void
@@ -442,6 +493,7 @@
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_single_voter),
           cmocka_unit_test (test_single_voter_confirms_itself),
+          cmocka_unit_test (test_a_higher_term_does_not_release_a_voter_from_its_leader),
           cmocka_unit_test (test_quorum_voter_reported_only_while_all_voters_reply),
           cmocka_unit_test (test_confirms_as_soon_as_a_quorum_replies),
           cmocka_unit_test (test_replicates),
