raft: a restarted voter grants no vote while its last leader may have authority

A leader with authority starts tasks on its own, since voters that have answered its round elect no other leader for election_min_ms. A voter that answered and was then killed had forgotten this when it was back some milliseconds later: it voted at once for a voter that had lost the leader, and two leaders sent orders for up to a second.

A store that has taken part in a term now refuses votes and pre-votes for restart_ms (1.15 s) after its start: the answer was given before the start, and services rely on a round for at most 1.1 s from its start. A vote forced by a transfer is granted as before, and a new store needs no wait. The voter's own election starts after 1.3 s at the earliest anyway.

Evidence: test_a_restarted_voter_elects_nobody_while_its_leader_has_authority failed before on its first seed with 'node 3 leads term 2 while node 1 has authority for 1000 ms'; its 50 seeds pass now, and fail again without the line in raft_create. Seeds 1 to 4000 of log_faults pass.

--- a/src/log/raft.c
+++ b/src/log/raft.c
@@ -8,7 +8,8 @@
 {
   /* Heartbeats to six voters every 600 ms cost about 3 KB/s, and one lost heartbeat does not start
      an election.  The slowest follower starts one 1.5 s after the leader fails, which leaves 500 ms
-     of the limit of 2 s for three round trips of 60 ms, the writes and one retry.  */
+     of the limit of 2 s for three round trips of 60 ms, the writes and one retry.  Services rely on
+     a confirmed round for at most 1.1 s from its start.  */
   return (struct raft_timing){ .heartbeat_ms = 600,
                                .learner_heartbeat_ms = 15000,
                                .election_min_ms = 1300,
@@ -16,7 +17,8 @@
                                .retry_min_ms = 80,
                                .retry_max_ms = 200,
                                .quorum_ms = 1900,
-                               .commit_notice_ms = 40 };
+                               .commit_notice_ms = 40,
+                               .restart_ms = 1150 };
 }
 
 static uint64_t
@@ -58,6 +60,7 @@
   r->commit = snapshot->index;
   r->pre_vote_granted_ms = INT64_MIN / 2;
   raft_forget_leader (r);
+  r->votes_from_ms = r->hard.term > 0 ? now_ms + r->timing.restart_ms : now_ms;
   raft_reload_members (r);
   raft_reset_election (r, now_ms);
   if (raft_voters (r) == 1 && raft_may_vote (r))
--- a/src/log/raft.h
+++ b/src/log/raft.h
@@ -53,6 +53,7 @@
   int64_t retry_max_ms;         /* upper bound */
   int64_t quorum_ms;            /* a leader without replies of a quorum for this long steps down */
   int64_t commit_notice_ms;     /* delay before a commit index is sent without entries */
+  int64_t restart_ms; /* after a restart: a voter may have answered a round that it forgot */
 };
 
 /* State that must be durable beside the log.  */
--- a/src/log/raft_election.c
+++ b/src/log/raft_election.c
@@ -21,12 +21,12 @@
     r->election_ms = now_ms + rng_between (r->rng, r->timing.retry_min_ms, r->timing.retry_max_ms);
 }
 
-/* Also while the leader is unknown: a node that has learned a higher term since may have confirmed
-   the authority of the leader of the earlier one.  */
+/* Also while the leader is unknown: a node that has restarted or learned a higher term since may
+   have confirmed the authority of its last leader.  */
 bool
 raft_has_recent_leader (const struct raft *r, int64_t now_ms)
 {
-  if (r->role == RAFT_LEADER)
+  if (r->role == RAFT_LEADER || now_ms < r->votes_from_ms)
     return true;
   /* Slightly below the timeout: the same heartbeat reaches other nodes up to one delay later.  */
   int64_t sticky_ms = r->timing.election_min_ms - r->timing.retry_min_ms;
@@ -37,6 +37,7 @@
 raft_forget_leader (struct raft *r)
 {
   r->leader_ms = INT64_MIN / 2;
+  r->votes_from_ms = INT64_MIN / 2;
 }
 
 bool
--- a/tests/log_faults.c
+++ b/tests/log_faults.c
@@ -53,7 +53,8 @@
                                .retry_min_ms = 20,
                                .retry_max_ms = 60,
                                .quorum_ms = 190,
-                               .commit_notice_ms = 5 };
+                               .commit_notice_ms = 5,
+                               .restart_ms = 110 };
 }
 
 /* Some seeds make elections collide and their winners fail at once: without these faults a lost
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -333,6 +333,44 @@
   sim_close (&s);
 }
 
+static void
+cut (struct sim *s, const struct sim_node *a, const struct sim_node *b)
+{
+  s->partitioned[a->id - 1][b->id - 1] = true;
+  s->partitioned[b->id - 1][a->id - 1] = true;
+}
+
+/* Guards against two leaders that act at once: a voter confirmed its leader, was killed, and after
+   the restart voted for another voter that had lost that leader.  */
+static void
+test_a_restarted_voter_elects_nobody_while_its_leader_has_authority (void **state)
+{
+  (void)state;
+  for (uint64_t seed = 1; seed <= 50; seed++)
+    {
+      struct sim s;
+      struct sim_config c = make_config (3, 0);
+      c.seed = seed;
+      sim_init (&s, &c);
+      start_all (&s);
+      struct sim_node *leader = wait_leader (&s, 5000);
+      assert_non_null (leader);
+      struct sim_node *restarted = &s.nodes[leader->id % 3];
+      sim_run_ms (&s, 1000);
+      cut (&s, leader, &s.nodes[(leader->id + 1) % 3]);
+      sim_run_ms (&s, 1000 + (int64_t)seed * 10);
+      sim_read (&s, leader);
+      sim_run_ms (&s, 50);
+      assert_int_equal (s.reads, 1);
+      sim_crash (&s, restarted, 20);
+      cut (&s, leader, restarted);
+      sim_run_ms (&s, 5000);
+      assert_ptr_not_equal (sim_leader (&s), leader);
+      assert_no_violation (&s);
+      sim_close (&s);
+    }
+}
+
 /* The messages that R sends in response to M at NOW_MS; valid until the next call.  */
 static struct raft_output
 respond (struct raft *r, const raft_message *m, int64_t now_ms)
@@ -493,6 +531,7 @@
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_single_voter),
           cmocka_unit_test (test_single_voter_confirms_itself),
+          cmocka_unit_test (test_a_restarted_voter_elects_nobody_while_its_leader_has_authority),
           cmocka_unit_test (test_a_higher_term_does_not_release_a_voter_from_its_leader),
           cmocka_unit_test (test_quorum_voter_reported_only_while_all_voters_reply),
           cmocka_unit_test (test_confirms_as_soon_as_a_quorum_replies),
