group: a message counts from its receipt, not from the last tick

A voter that has answered its leader's round elects nobody else for a while. It counted that time from the last tick. After a disk write that hung, or a pause, the messages that had queued up are read before the next tick: the voter answered a round sent a moment ago, and the tick after it found the leader silent for seconds and began an election. With another voter that had lost the leader, a second leader was elected while the first had authority, and both sent orders.

group_receive takes the time at which the message was read. The simulator ticked a node before each delivery, which hid the fault; it no longer does.

Evidence: test_a_message_counts_from_its_receipt_not_from_the_last_tick passes, and fails with the time of the last tick instead ('0x4 != 0x2': the voter asks for pre-votes 10 ms after it confirmed its leader).

--- a/bench/log_commit.c
+++ b/bench/log_commit.c
@@ -106,7 +106,7 @@
       double start = seconds (CLOCK_PROCESS_CPUTIME_ID);
       xdrmem_create (&xdr, b->data, (u_int)b->len, XDR_DECODE);
       if (xdr_raft_message (&xdr, &m))
-        group_receive (nodes[m.to].group, &m);
+        group_receive (nodes[m.to].group, &m, now_ms ());
       nodes[m.to].cpu_s += seconds (CLOCK_PROCESS_CPUTIME_ID) - start;
       xdr_free ((xdrproc_t)xdr_raft_message, (char *)&m);
     }
--- a/src/edge/daemon_groups.c
+++ b/src/edge/daemon_groups.c
@@ -32,7 +32,7 @@
   struct daemon *d = arg;
   struct daemon_group *g = find_group (d, m->group);
   if (g && m->from == from->node)
-    group_receive (g->group, m);
+    group_receive (g->group, m, clock_now_ms (d->clock));
 }
 
 static void
--- a/src/log/group.c
+++ b/src/log/group.c
@@ -220,11 +220,12 @@
 }
 
 void
-group_receive (struct group *g, const raft_message *m)
+group_receive (struct group *g, const raft_message *m, int64_t now_ms)
 {
+  g->now_ms = now_ms;
   if (has_failed (g))
     return;
-  raft_receive (g->raft, m, g->now_ms);
+  raft_receive (g->raft, m, now_ms);
   report_changes (g);
 }
 
--- a/src/log/group.h
+++ b/src/log/group.h
@@ -2,7 +2,8 @@
 
    NOTES
    A group does no network I/O and reads no clock.  The daemon gives it messages and the time, calls
-   group_flush once per iteration of its loop, and sends what the `send` callback hands out.
+   group_flush once per iteration of its loop, and sends what the `send` callback hands out.  The
+   time of a message is read after the message: a voter elects nobody else for a while from then on.
    Proposals and messages of one iteration share one disk write.  Callbacks must not call
    group_close; `send` must not call back into the group at all.  The message passed to `send` is
    valid only during the call.
@@ -84,8 +85,9 @@
                           struct status *st); /* Loads the store; NULL on failure. */
 void group_close (struct group *g);           /* Pending proposals end with OUTCOME_UNKNOWN. */
 void group_propose (struct group *g, const void *command, size_t len, group_done done,
-                    void *arg);                              /* DONE may be called at once. */
-void group_receive (struct group *g, const raft_message *m); /* A message from a peer. */
+                    void *arg); /* DONE may be called at once. */
+void group_receive (struct group *g, const raft_message *m,
+                    int64_t now_ms);               /* A message from a peer, read at NOW_MS. */
 void group_tick (struct group *g, int64_t now_ms); /* Sets the time; every 10 to 100 ms. */
 void group_flush (struct group *g);                /* Writes, sends and applies. */
 bool group_needs_flush (const struct group *g);    /* The event loop must flush before it blocks. */
--- a/src/workflow/seeded_group.c
+++ b/src/workflow/seeded_group.c
@@ -66,7 +66,7 @@
 {
   struct seeded_group *s = arg;
   if (s->group && m->group == GROUP_ID && m->from == from->node)
-    group_receive (s->group, m);
+    group_receive (s->group, m, clock_now_ms (s->config.clock));
 }
 
 static void
--- a/tests/log_sim.c
+++ b/tests/log_sim.c
@@ -521,8 +521,7 @@
   if (!xdr_raft_message (&xdr, &m))
     sim_fail (s, "message cannot be decoded");
   xdr_destroy (&xdr);
-  group_tick (n->group, sim_local_ms (s, n));
-  group_receive (n->group, &m);
+  group_receive (n->group, &m, sim_local_ms (s, n));
   xdr_free ((xdrproc_t)xdr_raft_message, (char *)&m);
   input_done (s, n, rng_chance (&s->rng, 0.7));
 }
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -420,6 +420,66 @@
   raft_destroy (r);
 }
 
+struct recorder
+{
+  raft_message sent[8];
+  size_t count;
+};
+
+static void
+record_message (void *arg, const raft_message *m)
+{
+  struct recorder *r = arg;
+  assert_true (r->count < 8);
+  r->sent[r->count++] = *m;
+}
+
+/* Guards against two leaders that act at once: a voter read the round of its leader after a pause
+   or a slow disk write, counted it from before the pause, and at its next tick elected another.  */
+static void
+test_a_message_counts_from_its_receipt_not_from_the_last_tick (void **state)
+{
+  raft_member list[] = { { .node = 1, .voter = true },
+                         { .node = 2, .voter = true },
+                         { .node = 3, .voter = true } };
+  const raft_members members = { { 3, list } };
+  struct sim sim = { .failed = false };
+  struct sim_machine machine = { .machine = { &sim_machine_ops }, .sim = &sim, .node = 1 };
+  struct recorder recorder = { .count = 0 };
+  struct status st;
+  struct rng rng;
+  (void)state;
+  rng_init (&rng, 1);
+  struct memory_disk *disk = memory_disk_create (&rng);
+  const struct group_config config = { .id = 1,
+                                       .node = 1,
+                                       .name = "paused",
+                                       .members = &members,
+                                       .store = journal_open (memory_disk_io (disk), "sim", &st),
+                                       .machine = &machine.machine,
+                                       .rng = &rng,
+                                       .events = { .send = record_message, .arg = &recorder } };
+  struct group *g = group_open (&config, 0, &st);
+  assert_non_null (g);
+  raft_message append
+      = { .group = 1, .type = RAFT_APPEND_REQUEST, .from = 2, .to = 1, .term = 5, .round = 9 };
+  raft_message pre_vote
+      = { .group = 1, .type = RAFT_PRE_VOTE_REQUEST, .from = 3, .to = 1, .term = 6 };
+  group_tick (g, 1000);
+  group_receive (g, &append, 4000);
+  group_flush (g);
+  assert_int_equal (recorder.count, 1);
+  assert_true (recorder.sent[0].granted);
+  group_tick (g, 4010);
+  group_receive (g, &pre_vote, 4020);
+  group_flush (g);
+  assert_int_equal (recorder.count, 2);
+  assert_int_equal (recorder.sent[1].type, RAFT_PRE_VOTE_REPLY);
+  assert_false (recorder.sent[1].granted);
+  group_close (g);
+  memory_disk_free (disk);
+}
+
 /* While a voter is unreachable, another voter than usual completes the quorum.  That voter must not
    be reported, since leadership would be transferred to it.  */
 static void
@@ -533,6 +593,7 @@
           cmocka_unit_test (test_single_voter_confirms_itself),
           cmocka_unit_test (test_a_restarted_voter_elects_nobody_while_its_leader_has_authority),
           cmocka_unit_test (test_a_higher_term_does_not_release_a_voter_from_its_leader),
+          cmocka_unit_test (test_a_message_counts_from_its_receipt_not_from_the_last_tick),
           cmocka_unit_test (test_quorum_voter_reported_only_while_all_voters_reply),
           cmocka_unit_test (test_confirms_as_soon_as_a_quorum_replies),
           cmocka_unit_test (test_replicates),
