worker_calls: an order that waited out a pause is not sent

An order is handed to libcurl and written on a later turn of the loop, or when a connection is free. A VM that was suspended in between wrote it when it ran again, seconds after it was given: libcurl's time-outs run on the monotonic clock, which does not count a suspension, and start only on the first turn. The age of relayed orders is checked before they are handed over. Leases carry absolute deadlines and fences refuse what an earlier leader sent, but a worker that has restarted under its id in the meantime knows no fence and has a new clock: it carried the start out beside the run that the next leader had placed.

Right before it is written, an order that is older than ORDER_TIMEOUT_MS by the clock that counts suspensions is cancelled. Its outcome is unknown, as libcurl may have tried it before on a connection that broke.

The fixture of that test runs on a manual clock instead of the real one.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -186,15 +186,17 @@
 }
 
 static int
-on_prerequest (void *arg, char *remote_ip, char *local_ip, int remote_port, int local_port)
+on_before_request (void *arg, char *to, char *from, int to_port, int from_port)
 {
   struct exchange *x = arg;
-  (void)remote_ip;
-  (void)local_ip;
-  (void)remote_port;
-  (void)local_port;
+  (void)to;
+  (void)from;
+  (void)to_port;
+  (void)from_port;
   if (x->call.once && x->answer.sends > 0)
     return CURL_PREREQFUNC_ABORT;
+  if (x->call.may_send && !x->call.may_send (x->call.done_arg))
+    return CURL_PREREQFUNC_ABORT;
   x->answer.sends++;
   return CURL_PREREQFUNC_OK;
 }
@@ -255,7 +257,7 @@
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, x->headers);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, collect_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, x);
-  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_prerequest);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_before_request);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, x);
   if (call->body)
     {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -30,6 +30,7 @@
 };
 
 typedef void http_answer_fn (void *arg, const struct http_answer *answer);
+typedef bool http_may_send_fn (void *arg);
 typedef void http_easy_done (void *arg, CURL *easy, CURLcode result);
 
 struct http_call
@@ -39,10 +40,12 @@
   const char *const *headers; /* "Name: value" strings ended by NULL; may be NULL */
   const char *body;           /* may be NULL */
   size_t body_len;
-  long timeout_ms;      /* for the request and its answer */
-  bool once;            /* fails rather than being sent again when a reused connection breaks */
-  http_answer_fn *done; /* called exactly once */
-  void *done_arg;
+  long timeout_ms; /* for the request and its answer; a suspension does not count */
+  bool once;       /* fails rather than being sent again when a reused connection breaks */
+  http_may_send_fn *may_send; /* called right before the request is written; false cancels it with
+                                 BACKEND_FAILED; may be NULL */
+  http_answer_fn *done;       /* called exactly once */
+  void *done_arg;             /* of both functions */
 };
 
 struct http_client *http_client_open (struct ev_loop *loop,
--- a/tests/test_worker_calls.c
+++ b/tests/test_worker_calls.c
@@ -1,6 +1,7 @@
 /* HTTP calls to workers.  Guards against leaks of calls that are pending when a process ends
    (soak, seeds 317 and 345; found by the leak check of the sanitized run), against an outcome
-   without the caller's tag, and against a start that is sent twice (issue 25).  */
+   without the caller's tag, against a start that is sent twice (issue 25), and against an order
+   that is sent long after it was given.  */
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -25,8 +26,10 @@
   struct ev_loop *loop;
   struct http_server *worker;
   struct worker_calls *calls;
+  struct manual_clock clock;
   char address[32];
   bool answers;
+  unsigned requests;
   unsigned outcomes;
   struct worker_outcome outcome;
 };
@@ -34,7 +37,8 @@
 static void
 handle (void *arg, struct http_request *req)
 {
-  const struct fixture *f = arg;
+  struct fixture *f = arg;
+  f->requests++;
   if (f->answers)
     http_reply (req, 200, "application/json", "{\"clock_ms\":1}", 14);
 }
@@ -60,7 +64,8 @@
   f->worker = http_server_open (f->loop, &config, &st);
   assert_non_null (f->worker);
   snprintf (f->address, sizeof f->address, "127.0.0.1:%d", http_server_port (f->worker));
-  f->calls = worker_calls_open (f->loop, clock_real ());
+  manual_clock_init (&f->clock, 1000);
+  f->calls = worker_calls_open (f->loop, &f->clock.clock);
   worker_calls_set_outcome_handler (f->calls, on_outcome, f);
 }
 
@@ -116,6 +121,28 @@
   close_fixture (&f);
 }
 
+/* Guards against a start that a suspended process sends when it runs again: the worker may have
+   restarted since and refuses nothing.  libcurl's own time-outs do not count a suspension.  */
+static void
+test_an_order_is_not_sent_after_a_pause (void **state)
+{
+  struct fixture f;
+  (void)state;
+  open_fixture (&f);
+  f.answers = true;
+  send_stop (&f, NULL);
+  manual_clock_advance (&f.clock, 5000);
+  ev_run (f.loop, 0);
+  assert_int_equal (f.requests, 0);
+  assert_int_equal (f.outcomes, 1);
+  assert_int_equal (f.outcome.result, WORKER_CALL_UNKNOWN);
+  send_stop (&f, NULL);
+  ev_run (f.loop, 0);
+  assert_int_equal (f.requests, 1);
+  assert_int_equal (f.outcome.result, WORKER_CALL_OK);
+  close_fixture (&f);
+}
+
 static void
 test_pending_calls_are_freed_on_close (void **state)
 {
@@ -235,6 +262,7 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_outcome_identifies_its_order),
+          cmocka_unit_test (test_an_order_is_not_sent_after_a_pause),
           cmocka_unit_test (test_pending_calls_are_freed_on_close),
           cmocka_unit_test (test_broken_connection_does_not_repeat_a_start) };
   curl_global_init (CURL_GLOBAL_DEFAULT);
