raft: a leader that told a voter to take over confirms no more rounds

A transfer that is not answered within election_min_ms was forgotten, and the leader went on in its term. The voter that it told to start an election may do so at any later time, as when it was paused and reads the message seconds later. Its vote requests are granted although the others have a recent leader, so it led the next term while the former leader had authority from rounds of the time after the transfer.

The leader of a workflow group gives its authority up for the rest of the term on its own; the daemon's transfer of a draining VM did not. Now the raft keeps the rule for all: after the message has been queued no round of this term is confirmed, and the leader steps down when a second election_min_ms has passed without another attempt. A workflow group tries again after 1.5 s, as before. It also ends the state of a cell whose transfer was lost: it renewed no leases until the term ended.

That a cell was left without leases was found by reading, not shown by a run.

--- a/src/log/raft.h
+++ b/src/log/raft.h
@@ -11,6 +11,9 @@
    change at a time, and only after the leader has committed an entry of its term; a learner is
    promoted after it has caught up.
 
+   A leader that has told a voter to take over may be replaced at any time from then on.  It
+   confirms no more rounds and, unless it tries another transfer, steps down.
+
    Store ids tie a vote to a disk.  A store created at bootstrap has id 0; a store created later has
    a random id, which the leader learns from the member's replies and records when it promotes the
    member.  A vote request carries the id that the candidate's member list names, and a node grants
--- a/src/log/raft_internal.h
+++ b/src/log/raft_internal.h
@@ -102,10 +102,11 @@
   uint64_t pre_vote_granted_log_index; /* last entry of its log */
   uint64_t pre_vote_granted_log_term;
   int election_attempts;
-  bool hard_dirty;    /* HARD is not on disk yet */
-  bool self_granted;  /* this node's vote is durable */
-  bool round_open;    /* ROUND has not been sent yet */
-  bool transfer_sent; /* TRANSFER_TO was told to start an election */
+  bool hard_dirty;      /* HARD is not on disk yet */
+  bool self_granted;    /* this node's vote is durable */
+  bool round_open;      /* ROUND has not been sent yet */
+  bool transfer_sent;   /* TRANSFER_TO was told to start an election */
+  bool may_be_replaced; /* a node was told so in this term, and may do it at any time */
   bool target_set;
   bool install; /* INSTALLING is not yet stored */
 };
--- a/src/log/raft_leader.c
+++ b/src/log/raft_leader.c
@@ -19,6 +19,7 @@
   r->leader = r->node;
   r->election_attempts = 0;
   r->transfer_to = 0;
+  r->may_be_replaced = false;
   r->quorum_completed_by = 0;
   r->round++;
   r->round_open = true;
@@ -72,6 +73,11 @@
     }
   if (r->transfer_to && now_ms >= r->transfer_until_ms)
     r->transfer_to = 0;
+  if (r->may_be_replaced && now_ms >= r->transfer_until_ms + r->timing.election_min_ms)
+    {
+      raft_become_follower (r, r->hard.term, 0, now_ms);
+      return;
+    }
   for (size_t i = 0; i < r->peers_len; i++)
     {
       struct raft_peer *p = &r->peers[i];
@@ -141,6 +147,7 @@
     return;
   raft_queue (r, RAFT_TIMEOUT_NOW, p->node);
   r->transfer_sent = true;
+  r->may_be_replaced = true;
 }
 
 /* Measures by time how far P is behind.  */
@@ -386,7 +393,7 @@
 bool
 raft_round_confirmed (const struct raft *r, uint64_t round)
 {
-  if (r->role != RAFT_LEADER || r->commit < r->noop_index)
+  if (r->role != RAFT_LEADER || r->may_be_replaced || r->commit < r->noop_index)
     return false;
   if (r->round_open && round >= r->round)
     return false;
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -480,6 +480,38 @@
   memory_disk_free (disk);
 }
 
+/* Guards against two leaders that act at once: a transfer timed out because its target was paused,
+   the leader went on, and the target took over when it ran again.  */
+static void
+test_a_leader_whose_transfer_timed_out_has_no_authority_in_its_term (void **state)
+{
+  struct sim s;
+  struct sim_config c = make_config (3, 0);
+  struct status st;
+  (void)state;
+  sim_init (&s, &c);
+  s.delay_min_us = ONE_WAY_DELAY_US;
+  s.delay_max_us = ONE_WAY_DELAY_US;
+  start_all (&s);
+  struct sim_node *old = wait_leader (&s, 5000);
+  const struct sim_node *target = &s.nodes[old->id % 3];
+  sim_run_ms (&s, 500);
+  s.delay_us[old->id - 1][target->id - 1] = 3000000;
+  s.delay_us[target->id - 1][old->id - 1] = 300000;
+  sim_run_ms (&s, 5000);
+  assert_ptr_equal (sim_leader (&s), old);
+  assert_int_equal (group_transfer_leadership (old->group, target->id, &st), 0);
+  for (int i = 0; i < 50; i++)
+    {
+      sim_read (&s, sim_leader (&s));
+      sim_run_ms (&s, 100);
+    }
+  assert_no_violation (&s);
+  assert_non_null (sim_leader (&s));
+  assert_true (s.reads > 0);
+  sim_close (&s);
+}
+
 /* While a voter is unreachable, another voter than usual completes the quorum.  That voter must not
    be reported, since leadership would be transferred to it.  */
 static void
@@ -594,6 +626,7 @@
           cmocka_unit_test (test_a_restarted_voter_elects_nobody_while_its_leader_has_authority),
           cmocka_unit_test (test_a_higher_term_does_not_release_a_voter_from_its_leader),
           cmocka_unit_test (test_a_message_counts_from_its_receipt_not_from_the_last_tick),
+          cmocka_unit_test (test_a_leader_whose_transfer_timed_out_has_no_authority_in_its_term),
           cmocka_unit_test (test_quorum_voter_reported_only_while_all_voters_reply),
           cmocka_unit_test (test_confirms_as_soon_as_a_quorum_replies),
           cmocka_unit_test (test_replicates),
