--- a/src/workflow/order_relay.c
+++ b/src/workflow/order_relay.c
@@ -356,11 +356,11 @@
 }
 
 static void
-handle_answer (struct order_relay *r, const relayed_answer *a)
+handle_answer (struct order_relay *r, uint64_t node, const relayed_answer *a)
 {
   struct pending_call *c = find_call (r, a->call);
-  if (!c)
-    return; /* the call has expired */
+  if (!c || c->helper != node)
+    return; /* the call has expired, or belongs to an earlier process */
   if (a->result != WORKER_CALL_OK || c->kind != ORDER_HOLD)
     {
       report (r, c, a->result, NULL);
@@ -421,7 +421,7 @@
     log_event (LOG_INFO, usable ? "helper-stops" : "helper-usable", "peer=%" PRIu64 " zone=%s",
                node, r->options[h - r->helpers].zone);
   for (u_int i = 0; i < batch->answers.answers_len; i++)
-    handle_answer (r, &batch->answers.answers_val[i]);
+    handle_answer (r, node, &batch->answers.answers_val[i]);
 }
 
 void
--- a/tests/test_order_relay.c
+++ b/tests/test_order_relay.c
@@ -21,6 +21,7 @@
 
 #define LEADER 1
 #define HELPER 2
+#define OTHER_HELPER 3
 #define MAX_ITEMS 64
 #define WORKERS 64
 
@@ -385,6 +386,29 @@
   close_fixture (&f);
 }
 
+/* Only the helper that was given an order can answer it.  */
+static void
+test_answer_of_another_helper_is_ignored (void **state)
+{
+  struct fixture f;
+  orders_message m;
+  (void)state;
+  open_fixture (&f);
+  order_relay_peer (f.relay, OTHER_HELPER, "there", true);
+  start (&f, "there", 3);
+  order_relay_flush (f.relay);
+  assert_true (orders_decode (f.in_transit[0].bytes.data, f.in_transit[0].bytes.len, &m));
+  relayed_answer refused = { .call = m.orders_message_u.orders.orders.orders_val[0].call,
+                             .result = WORKER_CALL_NO_ROOM };
+  orders_free (&m);
+  const answer_batch batch = { .clock = 1, .answers = { 1, &refused } };
+  order_relay_receive (f.relay, OTHER_HELPER, &batch);
+  assert_int_equal (f.outcome_count, 0);
+  order_relay_receive (f.relay, HELPER, &batch);
+  assert_int_equal (f.outcome_count, 1);
+  close_fixture (&f);
+}
+
 static void
 test_orders_of_disconnected_helper_end_as_unknown_at_once (void **state)
 {
@@ -484,6 +508,7 @@
     cmocka_unit_test (test_hold_returns_lists_and_mark),
     cmocka_unit_test (test_unanswered_order_ends_as_unknown),
     cmocka_unit_test (test_answer_to_earlier_leader_process_is_ignored),
+    cmocka_unit_test (test_answer_of_another_helper_is_ignored),
     cmocka_unit_test (test_orders_of_disconnected_helper_end_as_unknown_at_once),
     cmocka_unit_test (test_unresponsive_helper_gets_no_orders),
     cmocka_unit_test (test_stopping_helper_gets_no_orders),
