order_server: orders with an echo of an earlier boot are dropped

The age was then negative, and orders of any age were executed, although the leader had counted them as unanswered and resolved them.

test_orders_with_future_echo_are_not_executed on the code before: [ LINE ] tests/test_order_relay.c:426: error: Failure! 0x1 != 0

test_order_relay: 12 of 12 passed.

--- a/src/workflow/order_server.c
+++ b/src/workflow/order_server.c
@@ -154,7 +154,8 @@
   u_int count = batch->orders.orders_len;
   int64_t age_ms = now_ms - (int64_t)batch->echo;
   leader->answer_due = true;
-  if (count > 0 && (batch->echo == 0 || age_ms >= MAX_ORDER_AGE_MS))
+  /* An echo in the future is from an earlier boot of this VM: the age is unknown.  */
+  if (count > 0 && (batch->echo == 0 || age_ms < 0 || age_ms >= MAX_ORDER_AGE_MS))
     {
       counter_add (&dropped, count);
       log_event (LOG_WARN, "orders-dropped", "leader=%" PRIu64 " orders=%u most_age_ms=%" PRId64,
--- a/tests/test_order_relay.c
+++ b/tests/test_order_relay.c
@@ -409,6 +409,28 @@
   close_fixture (&f);
 }
 
+/* The clock of the helper's earlier process may have been ahead, so the age of these orders is
+   unknown.  */
+static void
+test_orders_with_future_echo_are_not_executed (void **state)
+{
+  struct fixture f;
+  orders_message m;
+  (void)state;
+  open_fixture (&f);
+  start (&f, "there", 3);
+  order_relay_flush (f.relay);
+  assert_true (orders_decode (f.in_transit[0].bytes.data, f.in_transit[0].bytes.len, &m));
+  m.orders_message_u.orders.echo = (uint64_t)clock_now_ms (&f.clock.clock) + 1;
+  order_server_receive (f.server, LEADER, &m.orders_message_u.orders);
+  assert_int_equal (f.remote.count, 0);
+  m.orders_message_u.orders.echo -= 1;
+  order_server_receive (f.server, LEADER, &m.orders_message_u.orders);
+  assert_int_equal (f.remote.count, 1);
+  orders_free (&m);
+  close_fixture (&f);
+}
+
 static void
 test_orders_of_disconnected_helper_end_as_unknown_at_once (void **state)
 {
@@ -509,6 +531,7 @@
     cmocka_unit_test (test_unanswered_order_ends_as_unknown),
     cmocka_unit_test (test_answer_to_earlier_leader_process_is_ignored),
     cmocka_unit_test (test_answer_of_another_helper_is_ignored),
+    cmocka_unit_test (test_orders_with_future_echo_are_not_executed),
     cmocka_unit_test (test_orders_of_disconnected_helper_end_as_unknown_at_once),
     cmocka_unit_test (test_unresponsive_helper_gets_no_orders),
     cmocka_unit_test (test_stopping_helper_gets_no_orders),
