peer_net: the hello of a restarted VM ends the connection of its earlier process

A VM accepts no hello of an earlier incarnation, but a connection that the earlier process had opened stayed in use until it ended or was silent for 3 s. When the new process was met first on the connection to it, messages of the earlier process that a slow path delivered later were handed on as messages of the new one: orders and their answers with the clock of the earlier process, and raft replies for a disk that may have been replaced. The other direction (drop_stale_outbound) was already closed.

test_earlier_process_is_cut_off_by_the_hello_of_the_next on the code before: [ ERROR ] --- 0x1 != 0 [ LINE ] tests/test_peer_net.c:425: error: Failure! (one raft message of the earlier process arrived.) No harm done by such a message was reproduced.

The hello reply of the new process now closes the inbound connection of an earlier incarnation, as a hello on a new inbound connection already did.

--- a/src/net/peer_net_link.c
+++ b/src/net/peer_net_link.c
@@ -178,6 +178,14 @@
   p->next_dial_ms = 0;
 }
 
+/* Closes the inbound connection from a process that has restarted: its messages are out of date. */
+static void
+drop_stale_inbound (struct peer *p)
+{
+  if (p->in && p->in->incarnation < p->incarnation)
+    conn_close (p->in, "the peer has restarted");
+}
+
 static void
 accept_hello (struct conn *c, struct peer *p, const peer_hello *hello, uint32_t xid)
 {
@@ -242,6 +250,7 @@
 {
   struct peer *p = c->peer;
   update_identity (p, hello);
+  drop_stale_inbound (p);
   c->state = CONN_READY;
   c->incarnation = hello->incarnation;
   p->backoff_ms = 0;
--- a/tests/test_peer_net.c
+++ b/tests/test_peer_net.c
@@ -22,6 +22,7 @@
 #define STEP_MS 100
 #define MAX_STEPS 400
 #define SEED 77
+#define UNUSED_PORT 9
 #define CALL_TIMEOUT_MS 1500
 
 static struct ev_loop *loop;
@@ -403,6 +404,30 @@
   close_endpoint (&b);
 }
 
+/* Messages of the earlier process are still under way on its connection to this VM, while the
+   connection to the restarted VM is usable.  */
+static void
+test_earlier_process_is_cut_off_by_the_hello_of_the_next (void **state)
+{
+  struct endpoint a;
+  struct endpoint b;
+  struct endpoint old;
+  (void)state;
+  open_pair (&a, &old);
+  open_endpoint (&b, "huron", "vm-b", 2, 200);
+  set_peer_port (&b, "vm-a", 1, UNUSED_PORT);
+  set_peer_port (&a, "vm-b", 2, peer_net_port (b.net));
+  step (STEP_MS);
+  await_connected (&a, 2);
+  assert_int_equal (info_of (&a, 2).incarnation, 200);
+  send_raft (&old, 2, 1, 1, 0);
+  step (STEP_MS);
+  assert_int_equal (a.raft, 0);
+  close_endpoint (&old);
+  close_endpoint (&a);
+  close_endpoint (&b);
+}
+
 static void
 expect_refused_hello (const char *deployment, const char *vm, uint64_t node)
 {
@@ -747,6 +772,8 @@
     cmocka_unit_test_setup_teardown (test_late_answer_and_timeout, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_peer_dies_during_call, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_restart_with_new_incarnation, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_earlier_process_is_cut_off_by_the_hello_of_the_next,
+                                     set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_refused_hellos, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_call_before_hello, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_slow_peer, set_up, tear_down),
