cell_transfers: an answer from before a change of leadership counts for its own cell only

The leader of a cell keeps a record for each other cell whose epoch was closed, and starts that cell's standby copies once. The records were emptied with each change of leadership, but a proposal in flight kept a pointer to its place in the array. When this VM led again, the place could belong to another cell or to a newer epoch, and the late answer marked that one as started. Its standby copies were then never started under this leader, so their tasks did not run anywhere.

tests/test_cell_transfers.c on the code before (the log line of the first names a cell for which nothing was proposed): info epoch 1 of cell 2 is closed: started 0 standby copies [ ERROR ] --- 0x3 != 0x2 [ LINE ] tests/test_cell_transfers.c:176 info epoch 2 of cell 3 is closed: started 0 standby copies [ ERROR ] --- 0x1 != 0x2 [ LINE ] tests/test_cell_transfers.c:201

Each cell now has its own place, and the record of a proposal in flight keeps its epoch until the answer. A record that the current leadership has not observed takes no answer.

--- a/src/cell/cell_transfers.c
+++ b/src/cell/cell_transfers.c
@@ -41,7 +41,7 @@
 /* A cell whose epoch this leader has observed closed.  */
 struct closed_cell
 {
-  uint64_t cell;
+  uint64_t cell; /* 0: not observed under this leadership */
   uint64_t closed_epoch;
   int64_t seen_ms;
   bool in_flight;
@@ -59,8 +59,7 @@
   int64_t next_scan_ms;
   struct scheduler_peer_cell cells[PEER_MAX_CELLS];
   size_t cell_count;
-  struct closed_cell closed[PEER_MAX_CELLS];
-  size_t closed_count;
+  struct closed_cell closed[PEER_MAX_CELLS]; /* by cell, since proposals in flight refer to them */
 };
 
 static struct counter moved_total
@@ -119,7 +118,8 @@
 cell_transfers_set_leader (struct cell_transfers *t, bool leader)
 {
   t->leader = leader;
-  t->closed_count = 0;
+  for (size_t i = 0; i < PEER_MAX_CELLS; i++)
+    t->closed[i].cell = 0;
   discard_idle_steps (t);
 }
 
@@ -408,7 +408,7 @@
   struct closed_cell *c = arg;
   cell_results results;
   c->in_flight = false;
-  if (!status_ok (st) || cell_decode_results (result, len, &results, NULL) < 0)
+  if (c->cell == 0 || !status_ok (st) || cell_decode_results (result, len, &results, NULL) < 0)
     return;
   if (results.results.results_len == 1 && results.results.results_val[0].status == STATUS_OK)
     {
@@ -421,19 +421,20 @@
   cell_free_results (&results);
 }
 
+/* The record of CELL, or NULL while a proposal for an earlier epoch is in flight.  */
 static struct closed_cell *
-find_or_create_closed (struct cell_transfers *t, uint64_t cell, uint64_t closed_epoch,
-                       int64_t now_ms)
-{
-  for (size_t i = 0; i < t->closed_count; i++)
-    if (t->closed[i].cell == cell)
-      {
-        if (t->closed[i].closed_epoch != closed_epoch && !t->closed[i].in_flight)
-          t->closed[i] = (struct closed_cell){ cell, closed_epoch, now_ms, false, false, 0, t };
-        return &t->closed[i];
-      }
-  struct closed_cell *c = &t->closed[t->closed_count++];
-  *c = (struct closed_cell){ cell, closed_epoch, now_ms, false, false, 0, t };
+observe_closed (struct cell_transfers *t, uint64_t cell, uint64_t closed_epoch, int64_t now_ms)
+{
+  struct closed_cell *c = &t->closed[cell - 1];
+  bool same = c->closed_epoch == closed_epoch;
+  if (c->in_flight && !same)
+    return NULL;
+  if (c->cell == 0 || !same)
+    *c = (struct closed_cell){ .cell = cell,
+                               .closed_epoch = closed_epoch,
+                               .seen_ms = now_ms,
+                               .in_flight = c->in_flight,
+                               .transfers = t };
   return c;
 }
 
@@ -448,9 +449,10 @@
     {
       if (all[i].epoch <= 1 || i + 1 == t->config.cell->number)
         continue;
-      struct closed_cell *c = find_or_create_closed (t, i + 1, all[i].epoch - 1, now_ms);
-      int64_t elapsed_ms = now_ms - c->seen_ms;
-      if (c->started || c->in_flight || elapsed_ms < CELL_CLOSE_WAIT_MS || now_ms < c->next_ms)
+      struct closed_cell *c = observe_closed (t, i + 1, all[i].epoch - 1, now_ms);
+      int64_t elapsed_ms = c ? now_ms - c->seen_ms : 0;
+      if (!c || c->started || c->in_flight || elapsed_ms < CELL_CLOSE_WAIT_MS
+          || now_ms < c->next_ms)
         continue;
       cell_command command = { .kind = CELL_STANDBY_START };
       command.cell_command_u.standby_start.cell = c->cell;
