router: outcomes of a runner's earlier incarnation do not count for the next

When a runner crashed with requests in flight and announced its next incarnation before their failures were reported, the failures counted for the new one: five ejected a healthy runner for a second or more, and an answer of the earlier process set the in-flight count of the new one. Callers could see less capacity just after a restart.

test_failures_of_an_earlier_incarnation_do_not_count with the new argument of router_finish still ignored: [ ERROR ] --- 0xf468c != 0 [ LINE ] tests/test_router.c:211: error: Failure! (ejected until that time; 0 is expected.)

A try keeps the incarnation it was started on. If the runner has another one when the try ends, only the number of requests in flight and the byte budget change. The calls in test_router.c and in the request_policy benchmark pass the incarnation; what they check or measure is unchanged.

test_router 8 of 8, test_proxy 21 of 21, test_runner_table 8 of 8 passed.

--- a/bench/request_policy.c
+++ b/bench/request_policy.c
@@ -312,8 +312,8 @@
     if (c->pending[i])
       {
         c->pending[i]->abandoned = true;
-        router_finish (&e->router, c->pending[i]->runner, ROUTER_ABANDONED,
-                       s->now - c->pending[i]->started, 0, now_ms (s));
+        router_finish (&e->router, c->pending[i]->runner, c->pending[i]->runner->info.incarnation,
+                       ROUTER_ABANDONED, s->now - c->pending[i]->started, 0, now_ms (s));
         c->pending[i] = NULL;
       }
   if (answered && is_measured (s, c))
@@ -469,7 +469,8 @@
     return;
   retry_latency_add_timeout (&e->latency[c->urgent], now_ms (s) - (int64_t)a->started, now_ms (s));
   a->abandoned = true;
-  router_finish (&e->router, a->runner, ROUTER_TIMED_OUT, 0.0, 0, now_ms (s));
+  router_finish (&e->router, a->runner, a->runner->info.incarnation, ROUTER_TIMED_OUT, 0.0, 0,
+                 now_ms (s));
   c->pending[0] = NULL;
   retry (s, c);
 }
@@ -495,7 +496,7 @@
       if (!a->refused_connection)
         runner_table_report (a->runner, a->load, now_ms (s));
       c->last = a->runner;
-      router_finish (&e->router, a->runner, o, latency, 0, now_ms (s));
+      router_finish (&e->router, a->runner, a->runner->info.incarnation, o, latency, 0, now_ms (s));
       if (o == ROUTER_OK)
         {
           retry_latency_add (&e->latency[c->urgent], latency, now_ms (s));
--- a/src/request/proxy_call.c
+++ b/src/request/proxy_call.c
@@ -174,7 +174,7 @@
 call_head_complete (struct proxy_call *call, struct proxy_try *t)
 {
   int64_t now = proxy_now (call->proxy);
-  if (t->head.in_flight >= 0)
+  if (t->head.in_flight >= 0 && t->incarnation == t->runner->info.incarnation)
     runner_table_report (t->runner, (uint32_t)t->head.in_flight, now);
   if (!head_bodyless (&t->head, call->method) && t->head.content_length < 0 && !t->head.chunked)
     {
@@ -327,7 +327,7 @@
   double latency = first_byte_ms (t);
   int64_t now = proxy_now (p);
   detach_try (call, t);
-  router_finish (p->config.router, t->runner, outcome, latency, t->body_bytes, now);
+  router_finish (p->config.router, t->runner, t->incarnation, outcome, latency, t->body_bytes, now);
   call->last_runner = t->runner;
   if (outcome == ROUTER_OK)
     {
--- a/src/request/proxy_internal.h
+++ b/src/request/proxy_internal.h
@@ -50,6 +50,7 @@
 {
   struct proxy_call *call;
   struct runner *runner;
+  uint64_t incarnation; /* of the runner when the try started */
   CURL *easy;
   struct curl_slist *fields;
   struct head head;
--- a/src/request/proxy_try.c
+++ b/src/request/proxy_try.c
@@ -393,6 +393,7 @@
   struct proxy_try *t = xcalloc (1, sizeof *t);
   t->call = call;
   t->runner = runner;
+  t->incarnation = runner->info.incarnation;
   t->easy = acquire_easy (p);
   t->fd = -1;
   t->opened_fd = -1;
@@ -427,7 +428,7 @@
   double waited = t->sent && !t->head.complete ? (double)(now - t->started_ms) : 0.0;
   http_client_remove (p->client, t->easy);
   unwatch_fd (t);
-  router_finish (p->config.router, t->runner, outcome, waited, t->body_bytes, now);
+  router_finish (p->config.router, t->runner, t->incarnation, outcome, waited, t->body_bytes, now);
   try_free (t);
 }
 
--- a/src/request/router.c
+++ b/src/request/router.c
@@ -488,12 +488,10 @@
   load->slow = load->samples >= SLOW_SAMPLES && load->late_rate > SLOW_RATE;
 }
 
-void
-router_finish (struct router *r, struct runner *runner, enum router_outcome outcome,
-               double latency_ms, size_t bytes, int64_t now_ms)
+static void
+count_outcome (struct router *r, struct runner *runner, enum router_outcome outcome,
+               double latency_ms, int64_t now_ms)
 {
-  runner->load.in_flight--;
-  charge_far (r, runner, bytes);
   switch (outcome)
     {
     case ROUTER_OK:
@@ -517,5 +515,15 @@
       count_latency (r, runner, latency_ms, false, now_ms);
       break;
     }
+}
+
+void
+router_finish (struct router *r, struct runner *runner, uint64_t incarnation,
+               enum router_outcome outcome, double latency_ms, size_t bytes, int64_t now_ms)
+{
+  runner->load.in_flight--;
+  charge_far (r, runner, bytes);
+  if (incarnation == runner->info.incarnation)
+    count_outcome (r, runner, outcome, latency_ms, now_ms);
   runner_release (runner);
 }
--- a/src/request/router.h
+++ b/src/request/router.h
@@ -96,9 +96,10 @@
                             int64_t now_ms); /* NULL when none has capacity; AVOID may be NULL. */
 void router_start (struct router *r, struct runner *runner, size_t bytes,
                    int64_t now_ms); /* A try starts; takes a reference. */
-void router_finish (struct router *r, struct runner *runner, enum router_outcome outcome,
-                    double latency_ms, size_t bytes,
-                    int64_t now_ms); /* A try ended; LATENCY_MS to the first byte, 0 if none. */
+/* A try ended; INCARNATION is that of the runner when it started, LATENCY_MS the time to the first
+   byte, 0 if none.  */
+void router_finish (struct router *r, struct runner *runner, uint64_t incarnation,
+                    enum router_outcome outcome, double latency_ms, size_t bytes, int64_t now_ms);
 unsigned router_share (const struct router *r, const struct runner *runner,
                        int64_t now_ms); /* Connections of RUNNER that this entry may use. */
 unsigned router_capacity (struct router *r, const char *service,
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -40,17 +40,26 @@
 }
 
 static void
-announce (struct fixture *g, int number, const char *centre, int64_t now)
+announce_incarnation (struct fixture *g, int number, uint64_t incarnation, const char *centre,
+                      int64_t now)
 {
-  struct runner_info i = {
-    .service = "pricing", .address = "127.0.0.1:80", .incarnation = 1, .slots = 8, .connections = 64
-  };
+  struct runner_info i = { .service = "pricing",
+                           .address = "127.0.0.1:80",
+                           .incarnation = incarnation,
+                           .slots = 8,
+                           .connections = 64 };
   snprintf (i.id, sizeof i.id, "r%d", number);
   snprintf (i.data_centre, sizeof i.data_centre, "%s", centre);
   runner_table_tick (g->table, now);
   assert_int_equal (runner_table_announce (g->table, &i, now, NULL), 0);
 }
 
+static void
+announce (struct fixture *g, int number, const char *centre, int64_t now)
+{
+  announce_incarnation (g, number, 1, centre, now);
+}
+
 static struct runner *
 runner (const struct fixture *g, int number)
 {
@@ -111,7 +120,7 @@
   for (int i = 0; i < 8; i++)
     assert_ptr_equal (pick (&g, NOW), runner (&g, 2));
   assert_ptr_equal (pick (&g, NOW), runner (&g, 3));
-  router_finish (&g.router, runner (&g, 3), ROUTER_OK, 1.0, 5000, NOW);
+  router_finish (&g.router, runner (&g, 3), 1, ROUTER_OK, 1.0, 5000, NOW);
   assert_null (pick (&g, NOW)); /* the byte budget of far runners is used up */
   runner_table_tick (g.table, NOW + 800);
   announce (&g, 1, "dc1", NOW + 1500);
@@ -155,7 +164,7 @@
     for (int n = 0; n < 5; n++)
       {
         router_start (&g.router, runner (&g, i), 0, NOW);
-        router_finish (&g.router, runner (&g, i), ROUTER_FAILED, 0.0, 0, NOW);
+        router_finish (&g.router, runner (&g, i), 1, ROUTER_FAILED, 0.0, 0, NOW);
       }
   for (int i = 0; i < 10; i++)
     out += runner (&g, i)->load.ejected_until_ms > NOW;
@@ -175,7 +184,7 @@
   announce (&g, 1, "dc1", NOW);
   announce (&g, 2, "dc1", NOW);
   router_start (&g.router, runner (&g, 1), 0, NOW);
-  router_finish (&g.router, runner (&g, 1), ROUTER_UNREACHABLE, 0.0, 0, NOW);
+  router_finish (&g.router, runner (&g, 1), 1, ROUTER_UNREACHABLE, 0.0, 0, NOW);
   runner_table_depart (g.table, "r2", 1, NOW, NULL);
   assert_null (pick (&g, NOW + 999));
   announce (&g, 1, "dc1", NOW + 1000);
@@ -184,6 +193,25 @@
   close_fixture (&g);
 }
 
+/* A runner that crashed with requests in flight and is back must not be ejected for them.  */
+static void
+test_failures_of_an_earlier_incarnation_do_not_count (void **state)
+{
+  (void)state;
+  struct fixture g;
+  open_fixture (&g, 1);
+  announce (&g, 1, "dc1", NOW);
+  announce (&g, 2, "dc1", NOW);
+  for (int i = 0; i < ROUTER_EJECT_IN_ROW; i++)
+    router_start (&g.router, runner (&g, 1), 0, NOW);
+  announce_incarnation (&g, 1, 2, "dc1", NOW + 100);
+  for (int i = 0; i < ROUTER_EJECT_IN_ROW; i++)
+    router_finish (&g.router, runner (&g, 1), 1, ROUTER_FAILED, 0.0, 0, NOW + 100);
+  assert_int_equal (runner (&g, 1)->load.in_flight, 0);
+  assert_int_equal (runner (&g, 1)->load.ejected_until_ms, 0);
+  close_fixture (&g);
+}
+
 /* Application errors do not indicate overload: a single runner keeps its slots.  */
 static void
 test_errors_do_not_shrink_the_limit (void **state)
@@ -195,12 +223,12 @@
   for (int i = 0; i < 40; i++)
     {
       router_start (&g.router, runner (&g, 1), 0, NOW);
-      router_finish (&g.router, runner (&g, 1), i % 4 ? ROUTER_OK : ROUTER_FAILED, 5.0, 0, NOW);
+      router_finish (&g.router, runner (&g, 1), 1, i % 4 ? ROUTER_OK : ROUTER_FAILED, 5.0, 0, NOW);
     }
   for (int i = 0; i < 8; i++)
     assert_non_null (pick (&g, NOW));
   for (int i = 0; i < 8; i++)
-    router_finish (&g.router, runner (&g, 1), ROUTER_REFUSED, 0.0, 0, NOW);
+    router_finish (&g.router, runner (&g, 1), 1, ROUTER_REFUSED, 0.0, 0, NOW);
   int picked = 0;
   while (pick (&g, NOW))
     picked++;
@@ -227,7 +255,7 @@
       assert_non_null (r);
       bool slow = r == runner (&g, 0);
       to_slow += slow && n >= 500;
-      router_finish (&g.router, r, ROUTER_OK, slow ? 500.0 : 10.0, 100, now);
+      router_finish (&g.router, r, 1, ROUTER_OK, slow ? 500.0 : 10.0, 100, now);
     }
   assert_true (to_slow <= 2);
   close_fixture (&g);
@@ -242,6 +270,7 @@
     cmocka_unit_test (test_counts_what_other_entries_send),
     cmocka_unit_test (test_ejects_failing_runners_up_to_the_cap),
     cmocka_unit_test (test_returning_runner_starts_slowly),
+    cmocka_unit_test (test_failures_of_an_earlier_incarnation_do_not_count),
     cmocka_unit_test (test_errors_do_not_shrink_the_limit),
     cmocka_unit_test (test_slow_runner_gets_probes_only),
   };
