dispatcher: a placement on a worker whose capacity shrinks is not started

Cause: a worker's capacity may shrink and grow while it runs. Placement uses the last report, but a start was sent for a placement committed after the report of a smaller capacity, for as long as the commit took (seconds while a disk hangs).

Evidence: test_a_placement_on_a_worker_that_shrinks_is_not_started failed before (0x1 != 0: the start was sent). test_a_shrunken_worker_gets_nothing_beyond_its_capacity passed before and after: placement on the last report, and runs that are being stopped count until their end is listed.

Change: the start is checked against the capacity reported last; the placement ends as not started and the task is placed again. Measured: test_dispatcher 34 of 34.

--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -477,6 +477,17 @@
   free (waiting);
 }
 
+/* The worker's capacity may have shrunk since R, which is counted there, was placed.  */
+static bool
+exceeds_capacity (const struct dispatch_run *r)
+{
+  const struct dispatch_worker *w = r->worker;
+  bool is_fill = workflow_step_of (r->task)->flags & WORKFLOW_STEP_FILL;
+  uint64_t declared = (uint64_t)w->lasting_millicores + w->short_millicores;
+  return w->used_memory_mb > w->memory_mb || w->used_accelerators > w->accelerators
+         || (!is_fill && declared > w->millicores);
+}
+
 void
 dispatch_start (struct dispatcher *d, struct dispatch_run *r)
 {
@@ -492,6 +503,8 @@
     obstacle = "the job has ended or the task is done";
   else if (unusable)
     obstacle = "the worker is no longer usable";
+  else if (exceeds_capacity (r))
+    obstacle = "the worker's capacity has shrunk";
   else if (!dispatch_has_authority (d))
     obstacle = "the authority of this leader has ended";
   if (obstacle)
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -515,6 +515,70 @@
   assert_true (TAILQ_EMPTY (&f->workflow.runs));
 }
 
+static void
+report_capacity (struct fixture *f, uint32_t millicores, uint32_t memory_mb)
+{
+  struct status st;
+  struct worker_report r = fixture_worker (f, "w1", "10.0.0.1:1");
+  r.millicores = millicores;
+  r.memory_mb = memory_mb;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+}
+
+/* A worker whose capacity shrinks below what runs there may not refuse what does not fit.  What is
+   being stopped there still counts until its end is listed.  */
+static void
+test_a_shrunken_worker_gets_nothing_beyond_its_capacity (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 3, WORKFLOW_STEP_LASTING);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 3);
+  for (int i = 0; i < 3; i++)
+    fixture_answer_start (f, &f->starts[i], WORKER_CALL_OK);
+  f->now_ms++;
+  report_capacity (f, 2000, 64000);
+  fixture_submit (f, 2, 1, 1, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 3);
+  fixture_cancel (f, 1);
+  fixture_tick (f, 20);
+  for (size_t i = 0; i < f->stop_count; i++)
+    dispatcher_stop_answer (f->dispatcher, f->now_ms, "w1", &f->stops[i].task, f->stops[i].run,
+                            WORKER_CALL_OK);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 3);
+  struct reported_end ends[3];
+  for (int i = 0; i < 3; i++)
+    ends[i] = fixture_ended (&f->starts[i], (uint64_t)i + 1, WORKFLOW_STOPPED);
+  fixture_tick (f, 100);
+  fixture_answer_hold (f, "w1", NULL, 0, ends, 3);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 4);
+}
+
+/* The report of the smaller capacity may arrive while the placement is being committed.  */
+static void
+test_a_placement_on_a_worker_that_shrinks_is_not_started (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  f->now_ms += 20;
+  dispatcher_set_authority (f->dispatcher, f->now_ms + 1000);
+  dispatcher_tick (f->dispatcher, f->now_ms, f->now_ms);
+  assert_int_equal (f->log_count, 1);
+  report_capacity (f, 500, 64000);
+  fixture_commit (f);
+  assert_int_equal (f->start_count, 0);
+  f->now_ms++;
+  report_capacity (f, 16000, 64000);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+  assert_int_equal (f->starts[0].run, 2);
+}
+
 static void
 test_a_zone_that_is_out_gets_nothing (void **state)
 {
@@ -910,6 +974,8 @@
           TEST (test_a_newer_worker_at_the_address_replaces_the_older),
           TEST (test_a_draining_worker_gets_nothing),
           TEST (test_a_placement_on_a_worker_that_drains_is_not_started),
+          TEST (test_a_shrunken_worker_gets_nothing_beyond_its_capacity),
+          TEST (test_a_placement_on_a_worker_that_shrinks_is_not_started),
           TEST (test_a_zone_that_is_out_gets_nothing),
           TEST (test_a_cancelled_job_is_stopped_until_acknowledged),
           TEST (test_without_authority_nothing_is_ordered),
