Log where the time of short tasks goes on the leader

What operators could not see: a job of short tasks that ends late is late by the wait for a worker, the commit of its placement, the worker's answer, the list with its end or the commit of the end. The log has a line for each of these events, but leaves lines out beyond 4,000 a second, and the metrics had none of these times.

--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -10,6 +10,20 @@
 #define MAX_SLOWDOWN 5.0        /* limits the weight of one stuck run */
 #define LOAD_LOG_PERIOD_MS 1000
 
+static bool
+is_short (const workflow_step *s)
+{
+  return !(s->flags & (WORKFLOW_STEP_LASTING | WORKFLOW_STEP_FILL));
+}
+
+void
+dispatch_add_stage (const struct dispatcher *d, const struct dispatch_run *r,
+                    enum short_stage stage, int64_t since_ms)
+{
+  if (is_short (workflow_step_of (r->task)) && since_ms > 0)
+    short_stages_add (stage, d->now_ms - since_ms);
+}
+
 bool
 dispatch_has_authority (const struct dispatcher *d)
 {
@@ -114,7 +128,10 @@
              "job=%016" PRIx64 " step=%u task=%u run=%u worker=%s outcome=%s reason=\"%s\"",
              r->task->job->spec.id, r->task->step, r->task->index, r->number, r->worker->id,
              outcome_name (outcome), reason);
+  if (outcome == WORKFLOW_DONE)
+    dispatch_add_stage (d, r, SHORT_STAGE_RUN, r->running_ms);
   r->state = DISPATCH_ENDING;
+  r->ended_ms = d->now_ms;
   r->proposed_outcome = outcome;
   r->token = dispatch_propose (d, &c);
 }
@@ -197,6 +214,7 @@
     record_failure (d, r->worker);
   else if (outcome == WORKFLOW_DONE)
     {
+      dispatch_add_stage (d, r, SHORT_STAGE_COMMIT, r->ended_ms);
       r->worker->failures = 0;
       update_slowdown (d, r);
     }
@@ -210,6 +228,17 @@
   request_stops (t);
 }
 
+/* Counts a completed job of one occurrence whose steps are all short.  */
+static void
+add_job_stage (const struct dispatcher *d, const struct workflow_job *j)
+{
+  for (u_int i = 0; i < j->spec.steps.steps_len; i++)
+    if (!is_short (&j->spec.steps.steps_val[i]))
+      return;
+  if (j->state == WORKFLOW_JOB_COMPLETED && j->spec.repetitions == 0 && j->seen_ms > 0)
+    short_stages_add (SHORT_STAGE_JOB, d->now_ms - j->seen_ms);
+}
+
 static void
 on_job_ended (void *arg, struct workflow_job *j)
 {
@@ -221,6 +250,7 @@
     return;
   log_event (LOG_INFO, "job-ended", "job=%016" PRIx64 " queue=%s state=%s age_ms=%" PRId64,
              j->spec.id, j->spec.queue, names[j->state], d->now_ms - j->seen_ms);
+  add_job_stage (d, j);
   for (uint32_t i = 0; i < j->occurrences * j->spec.steps.steps_len; i++)
     for (uint32_t k = 0; k < j->spec.steps.steps_val[i % j->spec.steps.steps_len].count; k++)
       request_stops (&j->stages[i].tasks[k]);
@@ -437,6 +467,7 @@
              " fill_paced=%" PRIu64 " fill_used=%" PRIu64 " tick_lag_ms=%.0f",
              usable, paced_workers, d->waiting, d->waiting_fill, fill, fill_paced, used,
              d->tick_lag_ms);
+  short_stages_log (&d->short_stages);
 }
 
 static unsigned
--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -23,6 +23,7 @@
 static void
 mark_running (struct dispatcher *d, struct dispatch_run *r)
 {
+  dispatch_add_stage (d, r, SHORT_STAGE_START, r->sent_ms);
   r->state = DISPATCH_RUNNING;
   r->running_ms = d->now_ms;
   r->inherited = false;
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -10,6 +10,7 @@
 #include "slack_model.h"
 #include "log.h"
 #include "pacing.h"
+#include "short_stages.h"
 #include "size_share.h"
 #include "worker_select.h"
 
@@ -78,7 +79,8 @@
   bool stop_pending;      /* a stop order has no answer yet */
   int64_t stop_next_ms;   /* next stop order */
   int64_t running_ms;     /* when it became known to run; 0 before */
-  int64_t sent_ms;        /* last start order, or start of leadership */
+  int64_t sent_ms;        /* last start order, or start of leadership; while PLACING: chosen */
+  int64_t ended_ms;       /* when its end was proposed; 0 before */
   uint32_t paced_percent; /* acknowledged by the worker */
   bool pace_pending;
   uint32_t measure; /* last listed; lasting: tail in ms, else millicores in use */
@@ -180,6 +182,7 @@
   struct dispatch_workers worker_list;
   uint64_t prune_token; /* of the open PRUNE; 0 is none */
   int64_t load_log_next_ms;
+  struct short_stages short_stages;
   struct slack_model *slack_model;
   SLIST_HEAD (, queue_sizes) sizes; /* of each queue with a job under this leader */
   double fill_slowdown;             /* run time / estimate of fill-in tasks, smoothed */
@@ -188,6 +191,9 @@
 };
 
 /* dispatcher.c */
+void dispatch_add_stage (const struct dispatcher *d, const struct dispatch_run *r,
+                         enum short_stage stage,
+                         int64_t since_ms); /* Counts a stage of a short task, which ends now. */
 bool dispatch_has_authority (const struct dispatcher *d);
 uint64_t dispatch_propose (struct dispatcher *d,
                            const workflow_command *c); /* Returns the token. */
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -311,6 +311,7 @@
   workflow_command c = { .kind = WORKFLOW_PLACE };
   struct dispatch_run *r = dispatch_add_run (d, w, t, t->last_run + 1);
   t->placing = r;
+  dispatch_add_stage (d, r, SHORT_STAGE_WAIT, t->since_ms);
   dispatch_record_start (d, t->job);
   c.workflow_command_u.place
       = (workflow_place){ .task = workflow_ref (t), .run = r->number, .worker = w->id };
@@ -518,6 +519,7 @@
                                       .payload = t->job->spec.payload,
                                       .checkpoint = t->checkpoint ? t->checkpoint : "",
                                       .deadline_ms = dispatch_lease_deadline (d, w) };
+  dispatch_add_stage (d, r, SHORT_STAGE_PLACE, r->sent_ms);
   r->sent_ms = d->now_ms;
   if (w->short_millicores > 0 && w->hold_next_ms > d->now_ms + HOLD_GAP_MS)
     w->hold_next_ms = d->now_ms + HOLD_GAP_MS;
