Score workers once per step, not once per task

Cause: a profile of the leader with 1,100 workers has 38% of its processor time in placement and 30% in the search for a worker. For each waiting task every worker was scored again, although a placement changes the score of one worker only and a step has dozens of equal tasks. Ticks took longer than their interval, and each start, list and commit of a short task waited for the loop. Relayed heartbeats were 8%.

Now the scores of a step are kept within a tick, and only the worker that got the last task is scored again. The choice is the same: the first of the least scores. The metric sassafras_placement_workers_scored_total counts scored workers.

test_worker_select.c calls the two functions that replace worker_select_best (rate each worker, then the first of the least), all expectations unchanged.

--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -1,8 +1,10 @@
 /* Order and placement of waiting tasks.  */
 #include <inttypes.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "counters.h"
 #include "dispatcher_internal.h"
 #include "relocation.h"
 #include "waiting_order.h"
@@ -17,6 +19,9 @@
 #define TAIL_RATIO_CLOSED 1.0      /* above FILL_MAX_TAIL_RATIO: no more of that image there */
 #define MILLI 1000
 
+static struct counter workers_scored = { .name = "sassafras_placement_workers_scored_total",
+                                         .help = "Workers scored for waiting tasks." };
+
 struct waiting_task
 {
   struct workflow_task *task;
@@ -28,7 +33,13 @@
 {
   struct dispatch_worker **workers;
   struct worker_candidate *candidates;
+  double *scores; /* of the step of SCORED; INFINITY where its tasks do not fit */
   size_t count;
+  /* Request that SCORES were computed for; SCORED is NULL before the first.  */
+  const struct workflow_task *scored;
+  bool scored_restart;
+  bool scored_interference;
+  size_t placed_at; /* worker that got a task since; WORKER_SELECT_NONE if none did */
   size_t reserved;  /* workers reserved in this tick */
   bool mostly_free; /* see MOSTLY_FREE_MAX_DECLARED_RATIO */
   /* Request that USABLE and NEAR_DATA were set for; NULL before the first task.  */
@@ -147,6 +158,9 @@
   uint64_t total = 0;
   c->workers = xcalloc (d->workers.count + 1, sizeof (struct dispatch_worker *));
   c->candidates = xcalloc (d->workers.count + 1, sizeof *c->candidates);
+  c->scores = xcalloc (d->workers.count + 1, sizeof *c->scores);
+  c->scored = NULL;
+  c->placed_at = WORKER_SELECT_NONE;
   c->count = 0;
   c->reserved = 0;
   c->pool = NULL;
@@ -234,6 +248,7 @@
   if (index == WORKER_SELECT_NONE)
     return;
   c->candidates[index].reserved = true;
+  c->scored = NULL;
   c->reserved++;
 }
 
@@ -249,35 +264,59 @@
 
 /* Load pattern: thousands of waiting tasks and hundreds of nearly full workers.  The costly fields
    are computed only for workers that have capacity for the task.  */
-static size_t
-choose_for (struct dispatcher *d, struct candidates *c, const struct waiting_task *t,
-            const struct worker_request *q)
+static double
+score_worker (struct dispatcher *d, struct candidates *c, const struct waiting_task *t,
+              const struct worker_request *q, size_t index)
 {
   const workflow_step *s = workflow_step_of (t->task);
-  int image = dispatch_image_id (d, s);
-  for (size_t i = 0; i < c->count; i++)
+  const struct dispatch_worker *w = c->workers[index];
+  struct worker_candidate *candidate = &c->candidates[index];
+  bool reserves = q->is_restart && q->max_per_worker > 0;
+  counter_add (&workers_scored, 1);
+  candidate->interference = 0;
+  candidate->foreign_share = 0;
+  candidate->same_step = 0;
+  candidate->tail_ratio = w->pacing.worst_tail;
+  if (!reserves && !worker_select_fits (candidate, q))
+    return INFINITY;
+  if (q->is_lasting)
+    candidate->foreign_share = foreign_share (w, s->image);
+  if (q->is_fill)
     {
-      const struct dispatch_worker *w = c->workers[i];
-      struct worker_candidate *candidate = &c->candidates[i];
-      candidate->interference = 0;
-      candidate->foreign_share = 0;
-      candidate->same_step = 0;
-      candidate->tail_ratio = w->pacing.worst_tail;
-      bool reserves = q->is_restart && q->max_per_worker > 0;
-      if (!reserves && !worker_select_fits (candidate, q))
-        continue;
-      if (q->is_lasting)
-        candidate->foreign_share = foreign_share (w, s->image);
-      if (q->is_fill)
-        {
-          candidate->tail_ratio = tail_ratio_for (d, w, image);
-          if (candidate->tail_ratio <= FILL_MAX_TAIL_RATIO || q->allow_interference)
-            candidate->interference = dispatch_predict_interference (d, w, image, s->millicores);
-        }
-      if (s->max_per_worker > 0)
-        candidate->same_step = count_same_step (w, t->task);
+      int image = dispatch_image_id (d, s);
+      candidate->tail_ratio = tail_ratio_for (d, w, image);
+      if (candidate->tail_ratio <= FILL_MAX_TAIL_RATIO || q->allow_interference)
+        candidate->interference = dispatch_predict_interference (d, w, image, s->millicores);
     }
-  return worker_select_best (c->candidates, c->count, q);
+  if (s->max_per_worker > 0)
+    candidate->same_step = count_same_step (w, t->task);
+  return worker_select_rate (candidate, q);
+}
+
+static bool
+has_scores_for (const struct candidates *c, const struct waiting_task *t,
+                const struct worker_request *q)
+{
+  return c->scored && is_same_step (c->scored, t->task) && c->scored_restart == q->is_restart
+         && c->scored_interference == q->allow_interference;
+}
+
+/* Load pattern: steps of dozens of equal tasks, placed one after the other, and a thousand workers.
+   A placement changes the score of one worker only, so the others are scored once per step.  */
+static size_t
+choose_for (struct dispatcher *d, struct candidates *c, const struct waiting_task *t,
+            const struct worker_request *q)
+{
+  if (!has_scores_for (c, t, q))
+    for (size_t i = 0; i < c->count; i++)
+      c->scores[i] = score_worker (d, c, t, q, i);
+  else if (c->placed_at < c->count)
+    c->scores[c->placed_at] = score_worker (d, c, t, q, c->placed_at);
+  c->scored = t->task;
+  c->scored_restart = q->is_restart;
+  c->scored_interference = q->allow_interference;
+  c->placed_at = WORKER_SELECT_NONE;
+  return worker_select_least (c->scores, c->count);
 }
 
 static size_t
@@ -470,11 +509,13 @@
           }
         propose_place (d, c.workers[index], waiting[i].task);
         update_candidate (c.workers[index], &c.candidates[index]);
+        c.placed_at = index;
         placed++;
         d->waiting--;
       }
   free (c.workers);
   free (c.candidates);
+  free (c.scores);
   free (waiting);
 }
 
--- a/src/workflow/worker_select.c
+++ b/src/workflow/worker_select.c
@@ -80,22 +80,22 @@
   return best;
 }
 
+double
+worker_select_rate (const struct worker_candidate *r, const struct worker_request *q)
+{
+  return worker_select_fits (r, q) ? worker_select_score (r, q) : INFINITY;
+}
+
 size_t
-worker_select_best (const struct worker_candidate *candidates, size_t count,
-                    const struct worker_request *q)
+worker_select_least (const double *scores, size_t count)
 {
   size_t best = WORKER_SELECT_NONE;
   double best_score = INFINITY;
   for (size_t i = 0; i < count; i++)
-    {
-      if (!worker_select_fits (&candidates[i], q))
-        continue;
-      double score = worker_select_score (&candidates[i], q);
-      if (score < best_score)
-        {
-          best = i;
-          best_score = score;
-        }
-    }
+    if (scores[i] < best_score)
+      {
+        best = i;
+        best_score = scores[i];
+      }
   return best;
 }
--- a/src/workflow/worker_select.h
+++ b/src/workflow/worker_select.h
@@ -56,15 +56,16 @@
 /* Share of a worker's lasting tasks that are of other images, by declared size.  */
 double worker_select_foreign_share (uint32_t lasting_millicores, uint32_t foreign_millicores);
 bool worker_select_fits (const struct worker_candidate *r, const struct worker_request *q);
-/* Lower is better.  */
+/* Lower is better; for a worker that the task fits on.  */
 double worker_select_score (const struct worker_candidate *r, const struct worker_request *q);
 /* Index of the worker to reserve for Q, which fits on no worker now: with enough capacity beside
    its lasting tasks and the fewest short millicores; or WORKER_SELECT_NONE.  Without a reservation
    each gap that a short task leaves goes to the next short task, and a larger task never starts. */
 size_t worker_select_reserve (const struct worker_candidate *candidates, size_t count,
                               const struct worker_request *q);
-/* Index of the candidate with the best score, or WORKER_SELECT_NONE.  */
-size_t worker_select_best (const struct worker_candidate *candidates, size_t count,
-                           const struct worker_request *q);
+/* The score, or INFINITY if the task does not fit.  */
+double worker_select_rate (const struct worker_candidate *r, const struct worker_request *q);
+/* Index of the first of the least scores below INFINITY, or WORKER_SELECT_NONE.  */
+size_t worker_select_least (const double *scores, size_t count);
 
 #endif
--- a/tests/test_worker_select.c
+++ b/tests/test_worker_select.c
@@ -21,6 +21,17 @@
                                     .near_data = true };
 }
 
+static size_t
+choose_best (const struct worker_candidate *candidates, size_t count,
+             const struct worker_request *q)
+{
+  double scores[64];
+  assert_true (count <= sizeof scores / sizeof *scores);
+  for (size_t i = 0; i < count; i++)
+    scores[i] = worker_select_rate (&candidates[i], q);
+  return worker_select_least (scores, count);
+}
+
 /* A large task must still find a gap after small ones were placed.  */
 static void
 test_small_tasks_take_the_smallest_gap (void **state)
@@ -29,7 +40,7 @@
       = { worker (8000, 0), worker (14000, 0), worker (15500, 0) };
   const struct worker_request q = { .millicores = 1000, .memory_mb = 100 };
   (void)state;
-  assert_int_equal (worker_select_best (candidates, 3, &q), 1);
+  assert_int_equal (choose_best (candidates, 3, &q), 1);
 }
 
 /* The more serving images on a worker, the likelier a fill-in image interferes with one.  */
@@ -42,11 +53,11 @@
   candidates[0].foreign_share = worker_select_foreign_share (0, 0);
   candidates[1].foreign_share = worker_select_foreign_share (9000, 9000);
   candidates[2].foreign_share = worker_select_foreign_share (6000, 0);
-  assert_int_equal (worker_select_best (candidates, 3, &q), 2);
+  assert_int_equal (choose_best (candidates, 3, &q), 2);
   candidates[2].usable = false;
-  assert_int_equal (worker_select_best (candidates, 3, &q), 0);
+  assert_int_equal (choose_best (candidates, 3, &q), 0);
   candidates[0].usable = false;
-  assert_int_equal (worker_select_best (candidates, 3, &q), 1);
+  assert_int_equal (choose_best (candidates, 3, &q), 1);
 }
 
 #define WORKERS 48
@@ -76,7 +87,7 @@
       for (int i = 0; i < WORKERS; i++)
         candidates[i].foreign_share = worker_select_foreign_share (
             candidates[i].lasting_millicores, candidates[i].lasting_millicores - serving[i][image]);
-      size_t index = worker_select_best (candidates, WORKERS, &q);
+      size_t index = choose_best (candidates, WORKERS, &q);
       if (index == WORKER_SELECT_NONE)
         {
           left_out++;
@@ -125,11 +136,11 @@
   candidates[0].interference = 1.2;
   candidates[1].interference = 0.1;
   candidates[2].interference = 0.9;
-  assert_int_equal (worker_select_best (candidates, 3, &q), 1);
+  assert_int_equal (choose_best (candidates, 3, &q), 1);
   candidates[1].tail_ratio = 0.9;
-  assert_int_equal (worker_select_best (candidates, 3, &q), 2);
+  assert_int_equal (choose_best (candidates, 3, &q), 2);
   candidates[2].interference = 1.1;
-  assert_int_equal (worker_select_best (candidates, 3, &q), WORKER_SELECT_NONE);
+  assert_int_equal (choose_best (candidates, 3, &q), WORKER_SELECT_NONE);
 }
 
 /* Some fill-in images slow every serving image and starve if others take the workers without
@@ -141,9 +152,9 @@
   const struct worker_request q = { .millicores = 2000, .memory_mb = 100, .is_fill = true };
   (void)state;
   candidates[1].interference = 0.2;
-  assert_int_equal (worker_select_best (candidates, 2, &q), 1);
+  assert_int_equal (choose_best (candidates, 2, &q), 1);
   candidates[1].interference = 1.1;
-  assert_int_equal (worker_select_best (candidates, 2, &q), 0);
+  assert_int_equal (choose_best (candidates, 2, &q), 0);
 }
 
 /* A job whose image slows every serving image must not wait for ever while workers are free.  */
@@ -155,9 +166,9 @@
   (void)state;
   candidates[0].interference = 3;
   candidates[1].interference = 2;
-  assert_int_equal (worker_select_best (candidates, 2, &q), WORKER_SELECT_NONE);
+  assert_int_equal (choose_best (candidates, 2, &q), WORKER_SELECT_NONE);
   q.allow_interference = true;
-  assert_int_equal (worker_select_best (candidates, 2, &q), 1);
+  assert_int_equal (choose_best (candidates, 2, &q), 1);
 }
 
 static void
@@ -188,12 +199,12 @@
   (void)state;
   candidates[0].short_millicores = 8000;
   candidates[1].short_millicores = 6000;
-  assert_int_equal (worker_select_best (candidates, 3, &restart), WORKER_SELECT_NONE);
+  assert_int_equal (choose_best (candidates, 3, &restart), WORKER_SELECT_NONE);
   assert_int_equal (worker_select_reserve (candidates, 3, &restart), 1);
   candidates[1].reserved = true;
   candidates[1].short_millicores = 2000;
-  assert_int_equal (worker_select_best (candidates, 3, &brief), 2);
-  assert_int_equal (worker_select_best (candidates, 3, &restart), 1);
+  assert_int_equal (choose_best (candidates, 3, &brief), 2);
+  assert_int_equal (choose_best (candidates, 3, &restart), 1);
   assert_int_equal (worker_select_reserve (candidates, 3, &restart), 0);
 }
 
