Compute what interferes on a worker once a tick

For each step and worker both walked over all pairs of 32 fill-in and 32 serving images, several times a tick, though what they need of the worker changes only with a placement there.

Now the images that a worker serves, their largest coefficient and the loss by the fill-in tasks there are computed once a tick and again after a placement. The order of the sums is unchanged, so the predictions are.

--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -55,6 +55,7 @@
   else if (s->flags & WORKFLOW_STEP_LASTING)
     cores = &w->lasting_millicores;
   *cores += (uint32_t)sign * s->millicores;
+  w->served_tick = 0;
   if (r->image >= 0 && (s->flags & WORKFLOW_STEP_FILL))
     w->fill_millicores_of[r->image] += (uint32_t)sign * s->millicores;
   else if (r->image >= 0)
@@ -73,6 +74,7 @@
   r->number = number;
   r->sent_ms = d->now_ms;
   r->paced_percent = PACING_FULL_PERCENT;
+  r->is_fill = workflow_step_of (t)->flags & WORKFLOW_STEP_FILL;
   r->image = dispatch_image_id (d, workflow_step_of (t));
   TAILQ_INSERT_TAIL (&w->runs, r, link);
   adjust_usage (r, 1);
@@ -388,8 +390,7 @@
 static uint32_t
 target_pace (struct dispatcher *d, const struct dispatch_run *r)
 {
-  bool is_fill = workflow_step_of (r->task)->flags & WORKFLOW_STEP_FILL;
-  return is_fill ? dispatch_pace_of (d, r->worker, r->image) : PACING_FULL_PERCENT;
+  return r->is_fill ? dispatch_pace_of (d, r->worker, r->image) : PACING_FULL_PERCENT;
 }
 
 static void
@@ -496,6 +497,7 @@
   struct dispatch_run *r;
   int64_t since_ms = d->tick_ms > 0 ? now_ms - d->tick_ms : DISPATCHER_TICK_MS;
   d->now_ms = now_ms;
+  d->ticks++;
   update_tick_lag (d);
   if (!dispatch_has_authority (d))
     return;
--- a/src/workflow/dispatcher_interference.c
+++ b/src/workflow/dispatcher_interference.c
@@ -12,7 +12,7 @@
 static bool
 is_fill (const struct dispatch_run *r)
 {
-  return workflow_step_of (r->task)->flags & WORKFLOW_STEP_FILL;
+  return r->is_fill;
 }
 
 int
@@ -53,23 +53,6 @@
   return count;
 }
 
-/* Fill-in load that runs or was placed on W, at the pace of each image there; the caller may add
-   one entry.  */
-static size_t
-placed_mix (const struct dispatcher *d, const struct dispatch_worker *w, struct fill_share *mix)
-{
-  size_t count = 0;
-  for (int i = 0; i < SLACK_MAX_IMAGES && count < MAX_MIX && w->millicores > 0; i++)
-    {
-      if (w->fill_millicores_of[i] == 0)
-        continue;
-      double share = (double)w->fill_millicores_of[i] / w->millicores;
-      share *= (double)dispatch_pace_of (d, w, i) / PACING_FULL_PERCENT;
-      mix[count++] = (struct fill_share){ .fill_image = i, .share = share };
-    }
-  return count;
-}
-
 void
 dispatch_update_mix (struct dispatcher *d, struct dispatch_worker *w)
 {
@@ -99,49 +82,103 @@
                           (double)workflow_step_of (r->task)->target_ms / r->measure);
 }
 
-double
-dispatch_predict_interference (struct dispatcher *d, const struct dispatch_worker *w,
-                               int fill_image, uint32_t millicores)
-{
-  struct fill_share mix[MAX_MIX + 1];
-  double worst = 0;
-  size_t count = placed_mix (d, w, mix);
-  if (w->millicores == 0)
-    return 0;
-  mix[count++] = (struct fill_share){ .fill_image = fill_image,
-                                      .share = (double)millicores / w->millicores };
-  for (int i = 0; i < SLACK_MAX_IMAGES; i++)
-    if (w->serving_tasks_of[i] > 0)
-      worst = fmax (worst, slack_model_loss (d->slack_model, i, mix, count)
-                               / slack_model_max_loss (d->slack_model, i));
-  return worst;
-}
-
 /* Fill-in tasks of that image slow a lasting task of W about as much as any other image there.  */
 static bool
 is_paced_image (const struct dispatcher *d, const struct dispatch_worker *w, int fill_image)
 {
+  for (size_t i = 0; i < w->served_count; i++)
+    if (slack_model_coefficient (d->slack_model, w->served[i].image, fill_image)
+        >= PACED_COEFFICIENT_RATIO * w->served[i].max_coefficient)
+      return true;
+  return false;
+}
+
+static uint32_t
+pace_of (const struct dispatcher *d, const struct dispatch_worker *w, int fill_image)
+{
+  uint32_t percent = w->pacing.percent;
+  bool pace_all = percent < PACE_ALL_BELOW_PERCENT;
+  if (percent < PACING_FULL_PERCENT && !pace_all && !is_paced_image (d, w, fill_image))
+    return PACING_FULL_PERCENT;
+  return percent;
+}
+
+/* Fill-in load that runs or was placed on W, at the pace of each image there.  */
+static size_t
+placed_mix (const struct dispatcher *d, const struct dispatch_worker *w, struct fill_share *mix)
+{
+  size_t count = 0;
+  for (int i = 0; i < SLACK_MAX_IMAGES && count < MAX_MIX && w->millicores > 0; i++)
+    {
+      if (w->fill_millicores_of[i] == 0)
+        continue;
+      double share = (double)w->fill_millicores_of[i] / w->millicores;
+      share *= (double)pace_of (d, w, i) / PACING_FULL_PERCENT;
+      mix[count++] = (struct fill_share){ .fill_image = i, .share = share };
+    }
+  return count;
+}
+
+/* Lists the images of lasting tasks on W, with the largest coefficient among the fill-in images. */
+static void
+list_served (const struct dispatcher *d, struct dispatch_worker *w)
+{
+  w->served_count = 0;
   for (int i = 0; i < SLACK_MAX_IMAGES; i++)
     {
-      double max_coefficient = 0;
       if (w->serving_tasks_of[i] == 0)
         continue;
+      struct served_image *served = &w->served[w->served_count++];
+      *served = (struct served_image){ .image = i };
       for (int k = 0; k < SLACK_MAX_IMAGES; k++)
         if (w->fill_millicores_of[k] > 0)
-          max_coefficient = fmax (max_coefficient, slack_model_coefficient (d->slack_model, i, k));
-      if (slack_model_coefficient (d->slack_model, i, fill_image)
-          >= PACED_COEFFICIENT_RATIO * max_coefficient)
-        return true;
+          served->max_coefficient
+              = fmax (served->max_coefficient, slack_model_coefficient (d->slack_model, i, k));
+    }
+}
+
+/* Load pattern: dozens of steps a tick are compared with a thousand workers.  What depends on the
+   worker only is computed once a tick, and again after a placement there.  */
+static void
+update_served (const struct dispatcher *d, struct dispatch_worker *w)
+{
+  struct fill_share mix[MAX_MIX];
+  if (w->served_tick == d->ticks)
+    return;
+  w->served_tick = d->ticks;
+  list_served (d, w);
+  size_t count = placed_mix (d, w, mix);
+  for (size_t i = 0; i < w->served_count; i++)
+    {
+      struct served_image *served = &w->served[i];
+      served->loss = slack_model_loss (d->slack_model, served->image, mix, count);
+      served->max_loss = slack_model_max_loss (d->slack_model, served->image);
     }
-  return false;
+}
+
+double
+dispatch_predict_interference (const struct dispatcher *d, struct dispatch_worker *w,
+                               int fill_image, uint32_t millicores)
+{
+  double worst = 0;
+  if (w->millicores == 0)
+    return 0;
+  double share = (double)millicores / w->millicores;
+  update_served (d, w);
+  for (size_t i = 0; i < w->served_count; i++)
+    {
+      const struct served_image *served = &w->served[i];
+      double coefficient = slack_model_coefficient (d->slack_model, served->image, fill_image);
+      worst = fmax (worst, (served->loss + coefficient * share) / served->max_loss);
+    }
+  return worst;
 }
 
 uint32_t
-dispatch_pace_of (const struct dispatcher *d, const struct dispatch_worker *w, int fill_image)
+dispatch_pace_of (const struct dispatcher *d, struct dispatch_worker *w, int fill_image)
 {
-  uint32_t percent = w->pacing.percent;
-  bool pace_all = percent < PACE_ALL_BELOW_PERCENT;
-  if (percent < PACING_FULL_PERCENT && !pace_all && !is_paced_image (d, w, fill_image))
+  if (w->pacing.percent == PACING_FULL_PERCENT)
     return PACING_FULL_PERCENT;
-  return percent;
+  update_served (d, w);
+  return pace_of (d, w, fill_image);
 }
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -84,6 +84,7 @@
   uint32_t paced_percent; /* acknowledged by the worker */
   bool pace_pending;
   uint32_t measure; /* last listed; lasting: tail in ms, else millicores in use */
+  bool is_fill;
   int image;        /* id in the slack model; -1: neither fill-in nor serving */
   char *checkpoint; /* latest that the worker listed; NULL is none */
 };
@@ -100,6 +101,15 @@
 
 STAILQ_HEAD (listed_ends, listed_end);
 
+/* What fill-in tasks do to the lasting tasks of one image on a worker.  */
+struct served_image
+{
+  int image;
+  double max_coefficient; /* of the fill-in images there */
+  double loss;            /* predicted, of the fill-in tasks there at their pace */
+  double max_loss;        /* largest allowed */
+};
+
 struct dispatch_worker
 {
   struct cell_map_node node; /* in workers, by hash of the id */
@@ -151,7 +161,10 @@
   uint16_t serving_tasks_of[SLACK_MAX_IMAGES];   /* tasks by serving image */
   struct fill_share mix[MAX_MIX];                /* recent fill-in load, smoothed */
   size_t mix_count;
-  int64_t mix_ms; /* last update of MIX */
+  int64_t mix_ms;                               /* last update of MIX */
+  struct served_image served[SLACK_MAX_IMAGES]; /* use dispatch_served */
+  size_t served_count;
+  uint64_t served_tick; /* of SERVED; 0 after a change of what runs there */
 };
 
 TAILQ_HEAD (dispatch_workers, dispatch_worker);
@@ -174,6 +187,7 @@
   int64_t now_ms;
   uint64_t mark;        /* counter of holds and settled orders */
   uintptr_t last_epoch; /* counter of dispatch_worker.epoch; never restarts */
+  uint64_t ticks;       /* since the start of the process */
   int64_t tick_ms;      /* of the last tick; 0 before the first */
   double tick_lag_ms;   /* delay of ticks, smoothed */
   unsigned first_holds; /* allowed in this tick, to workers that haven't answered this leader */
@@ -229,10 +243,11 @@
                                const struct dispatch_run *r); /* A lasting run's new measure. */
 int dispatch_image_id (struct dispatcher *d,
                        const workflow_step *s); /* Id in the slack model, or -1. */
-double dispatch_predict_interference (struct dispatcher *d, const struct dispatch_worker *w,
+/* These two only within a tick: paces, samples and capacity change between ticks.  */
+double dispatch_predict_interference (const struct dispatcher *d, struct dispatch_worker *w,
                                       int fill_image,
                                       uint32_t millicores); /* Predicted / largest allowed loss. */
-uint32_t dispatch_pace_of (const struct dispatcher *d, const struct dispatch_worker *w,
+uint32_t dispatch_pace_of (const struct dispatcher *d, struct dispatch_worker *w,
                            int fill_image); /* Percent of its work that the image may do there. */
 
 /* dispatcher_sizes.c */
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -255,7 +255,7 @@
 /* A paced worker is closed to the images that are paced there, and open to those that do not slow
    its lasting tasks: at any time nearly half of the workers pace some image.  */
 static double
-tail_ratio_for (const struct dispatcher *d, const struct dispatch_worker *w, int fill_image)
+tail_ratio_for (const struct dispatcher *d, struct dispatch_worker *w, int fill_image)
 {
   if (dispatch_pace_of (d, w, fill_image) < PACING_FULL_PERCENT)
     return TAIL_RATIO_CLOSED;
@@ -269,7 +269,7 @@
               const struct worker_request *q, size_t index)
 {
   const workflow_step *s = workflow_step_of (t->task);
-  const struct dispatch_worker *w = c->workers[index];
+  struct dispatch_worker *w = c->workers[index];
   struct worker_candidate *candidate = &c->candidates[index];
   bool reserves = q->is_restart && q->max_per_worker > 0;
   counter_add (&workers_scored, 1);
