Compare a heartbeat with all workers only when its address is new

Each heartbeat of 1,100 workers was compared with the address of every other worker, though a worker whose last report had that address is the only one there: the first report of another worker ends it or is refused.

--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -197,11 +197,22 @@
     w->labels[w->label_count++] = xstrdup (r->labels[i]);
 }
 
-/* Two worker ids at one address are two starts of one worker: the later one is alive.  */
+static bool
+has_address (const struct dispatch_worker *w, const struct worker_report *r)
+{
+  return w && !w->gone && w->born_ms == r->born_ms && w->address
+         && strcmp (w->address, r->address) == 0;
+}
+
+/* Two worker ids at one address are two starts of one worker: the later one is alive.  A worker
+   that had the address in its last report is the only one there: the first report of another one
+   ends it, or is refused.  */
 static int
 check_address (struct dispatcher *d, const struct worker_report *r, struct status *st)
 {
-  struct dispatch_worker *w;
+  struct dispatch_worker *w = dispatch_find_worker (d, r->id);
+  if (has_address (w, r))
+    return 0;
   TAILQ_FOREACH (w, &d->worker_list, link)
   {
     if (!w->address || w->gone || strcmp (w->address, r->address) != 0
