Keep log lines on the state of the group when runs fill the log

A quorum round longer than the interval of rounds is logged (quorum-round-slow) and rounds have a histogram.

tests/test_log.c: the change of state is in the log of a full second, and when a slow reader leaves the buffer full. Before log_state these lines were INFO events and were dropped as any other.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -89,22 +89,19 @@
   bool nonblocking;  /* O_NONBLOCK was set on standard output */
 } events;
 
-/* Lines about single runs are by far the most frequent and must not displace a lost worker's. */
-static unsigned
-max_lines (enum log_level level)
-{
-  return level <= LOG_WARN ? LOG_EVENTS_PER_S + LOG_WARNINGS_PER_S : LOG_EVENTS_PER_S;
-}
-
+/* Lines about single runs are by far the most frequent and must not displace a lost worker's, nor
+   a change of leader.  */
 static bool
-accept_line (enum log_level level, time_t now)
+accept_line (bool reserved, time_t now)
 {
+  unsigned max_lines = reserved ? LOG_EVENTS_PER_S + LOG_WARNINGS_PER_S : LOG_EVENTS_PER_S;
+  size_t max_bytes = sizeof events.bytes - (reserved ? 0 : LOG_RESERVED_BYTES);
   if (now != events.second)
     {
       events.second = now;
       events.accepted = 0;
     }
-  if (events.accepted >= max_lines (level) || events.len + LINE_BYTES + 128 > sizeof events.bytes)
+  if (events.accepted >= max_lines || events.len + LINE_BYTES + 128 > max_bytes)
     {
       events.dropped++;
       return false;
@@ -130,7 +127,7 @@
 {
   char text[LINE_BYTES];
   va_list args;
-  if (level > current.level || !accept_line (level, time (NULL)))
+  if (level > current.level || !accept_line (level <= LOG_WARN, time (NULL)))
     return;
   va_start (args, format);
   vsnprintf (text, sizeof text, format, args);
@@ -138,6 +135,19 @@
   add_event (level, event, text);
 }
 
+void
+log_state (const char *event, const char *format, ...)
+{
+  char text[LINE_BYTES];
+  va_list args;
+  if (LOG_INFO > current.level || !accept_line (true, time (NULL)))
+    return;
+  va_start (args, format);
+  vsnprintf (text, sizeof text, format, args);
+  va_end (args);
+  add_event (LOG_INFO, event, text);
+}
+
 static void
 set_nonblocking (void)
 {
--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -463,7 +463,7 @@
     if (workflow_step_of (r->task)->flags & WORKFLOW_STEP_FILL)
       used += r->measure;
   }
-  log_event (LOG_INFO, "load",
+  log_state ("load",
              "usable=%u held_back=%u waiting=%u waiting_fill=%" PRIu64 " fill=%" PRIu64
              " fill_paced=%" PRIu64 " fill_used=%" PRIu64 " tick_lag_ms=%.0f",
              usable, paced_workers, d->waiting, d->waiting_fill, fill, fill_paced, used,
--- a/src/workflow/seeded_group.c
+++ b/src/workflow/seeded_group.c
@@ -118,8 +118,7 @@
   if (!s->group)
     return;
   seeded_group_leader (s, ip);
-  log_event (LOG_INFO, "leader-changed", "term=%llu leader=%s", (unsigned long long)group_term (g),
-             ip);
+  log_state ("leader-changed", "term=%llu leader=%s", (unsigned long long)group_term (g), ip);
   s->config.leader_changed (s->config.arg);
 }
 
@@ -324,7 +323,7 @@
   if (strcmp (text, s->last_plan) == 0)
     return;
   snprintf (s->last_plan, sizeof s->last_plan, "%s", text);
-  log_event (LOG_INFO, "members-planned", "%s", text);
+  log_state ("members-planned", "%s", text);
 }
 
 static void
--- a/src/workflow/short_stages.c
+++ b/src/workflow/short_stages.c
@@ -31,21 +31,19 @@
 void
 short_stages_log (struct short_stages *s)
 {
-  double p50[SHORT_STAGES];
-  double p95[SHORT_STAGES];
+  static const char *const names[SHORT_STAGES]
+      = { "wait", "place", "start", "run", "commit", "job" };
+  struct buffer text;
+  buffer_init (&text);
   for (int i = 0; i < SHORT_STAGES; i++)
-    {
-      p50[i] = short_stages_quantile (s, (enum short_stage)i, 0.5);
-      p95[i] = short_stages_quantile (s, (enum short_stage)i, 0.95);
-    }
-  log_event (
-      LOG_INFO, "short-stages",
-      "tasks=%llu jobs=%llu wait=%.4g/%.4g place=%.4g/%.4g start=%.4g/%.4g run=%.4g/%.4g"
-      " commit=%.4g/%.4g job=%.4g/%.4g",
+    buffer_printf (&text, " %s=%.4g/%.4g", names[i],
+                   short_stages_quantile (s, (enum short_stage)i, 0.5),
+                   short_stages_quantile (s, (enum short_stage)i, 0.95));
+  log_state (
+      "short-stages", "tasks=%llu%.*s",
       (unsigned long long)(totals[SHORT_STAGE_WAIT].count - s->before[SHORT_STAGE_WAIT].count),
-      (unsigned long long)(totals[SHORT_STAGE_JOB].count - s->before[SHORT_STAGE_JOB].count),
-      p50[0], p95[0], p50[1], p95[1], p50[2], p95[2], p50[3], p95[3], p50[4], p95[4], p50[5],
-      p95[5]);
+      (int)text.len, text.data);
+  buffer_close (&text);
   for (int i = 0; i < SHORT_STAGES; i++)
     s->before[i] = totals[i];
 }
--- a/src/workflow/workflow_service.c
+++ b/src/workflow/workflow_service.c
@@ -19,6 +19,8 @@
     = { .name = "sassafras_workflow_change_ms", .help = "Time from a change to its outcome." };
 static struct histogram read_times
     = { .name = "sassafras_workflow_read_ms", .help = "Time to confirm leadership for a read." };
+static struct histogram round_times
+    = { .name = "sassafras_workflow_round_ms", .help = "Time of a quorum round of the leader." };
 static struct counter leaderships
     = { .name = "sassafras_workflow_leaderships_total", .help = "Times this VM became leader." };
 
@@ -184,7 +186,7 @@
 {
   s->leading = true;
   counter_add (&leaderships, 1);
-  log_event (LOG_INFO, "leadership-gained", "term=%llu applied=%llu",
+  log_state ("leadership-gained", "term=%llu applied=%llu",
              (unsigned long long)group_term (s->group),
              (unsigned long long)group_applied_index (s->group));
   dispatcher_become_leader (s->dispatcher, now_ms, group_term (s->group));
@@ -211,7 +213,7 @@
   uint64_t to = group_quorum_completed_by (s->group);
   if (to == 0 || !leader_placement_round (&s->leader_placement, now_ms, duration_ms))
     return;
-  log_event (LOG_INFO, "leadership-moves",
+  log_state ("leadership-moves",
              "to=%llu reason=\"quorum rounds are slow\" shortest_ms=%lld rounds=%u",
              (unsigned long long)to, (long long)s->leader_placement.shortest_ms,
              s->leader_placement.rounds);
@@ -222,9 +224,14 @@
 on_round (void *arg, const struct status *st, const void *result, size_t len)
 {
   struct workflow_service *s = arg;
+  int64_t duration_ms = clock_now_ms (s->config.clock) - s->round_began_ms;
   (void)result;
   (void)len;
   s->round_pending = false;
+  histogram_add (&round_times, (double)duration_ms);
+  if (duration_ms > ROUND_INTERVAL_MS)
+    log_state ("quorum-round-slow", "ms=%lld outcome=%s", (long long)duration_ms,
+               status_answer (st->kind)->name);
   if (!status_ok (st) || s->transferring)
     return;
   if (!s->leading)
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -34,6 +34,7 @@
         log_flush ();
     }
   log_event (LOG_WARN, "lost", "worker=w1");
+  log_state ("leads", "term=7");
   log_flush ();
   log_flush ();
   dup2 (before, STDOUT_FILENO);
@@ -65,6 +66,39 @@
   free (text);
 }
 
+/* Guards against a change of leader that is not in the log of the busy second in which it was.  */
+static void
+test_a_change_of_state_is_kept_when_lines_are_left_out (void **state)
+{
+  const struct log_config config = { .level = LOG_INFO };
+  size_t lines;
+  (void)state;
+  log_configure (&config);
+  char *text = write_overflow (&lines);
+  assert_non_null (strstr (text, "event=leads term=7"));
+  free (text);
+}
+
+/* Guards against the same loss when a reader is slow and the buffer is full.  */
+static void
+test_a_change_of_state_finds_a_place_in_a_full_buffer (void **state)
+{
+  const struct log_config config = { .level = LOG_INFO };
+  char filler[900];
+  size_t lines;
+  (void)state;
+  memset (filler, 'x', sizeof filler - 1);
+  filler[sizeof filler - 1] = '\0';
+  log_configure (&config);
+  sleep (1); /* the limit of lines per second starts afresh */
+  for (int i = 0; i < 2 * (int)(LOG_BUFFER_BYTES / sizeof filler); i++)
+    log_event (LOG_INFO, "run", "%s", filler);
+  log_state ("leads", "term=8");
+  char *text = write_overflow (&lines);
+  assert_non_null (strstr (text, "event=leads term=8"));
+  free (text);
+}
+
 #define PIPE_LINES 1500 /* about twice the capacity of a pipe */
 #define READ_BYTES 1000
 
@@ -137,6 +171,8 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_a_warning_is_kept_when_lines_are_left_out),
+          cmocka_unit_test (test_a_change_of_state_is_kept_when_lines_are_left_out),
+          cmocka_unit_test (test_a_change_of_state_finds_a_place_in_a_full_buffer),
           cmocka_unit_test (test_a_slow_reader_gets_whole_lines) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
