Tell a distant quorum from busy voters by answers that need no turn

Cause: leader_placement gives the leadership away when no quorum round of a term was faster than 45 ms, taken for a quorum in another region. All voters were busy with what the change before had left behind: a new leader asks 1,100 workers, and 7,391 tasks waited. Class of fault: a time that has load in it taken for a distance.

Now peer_net measures how soon a peer answers hello and null calls, which need no disk and no turn in the log, and keeps the shortest; every connection has one such call a second already. A round counts as slow only if the voter that completes the quorum by these distances is distant too, and the leadership goes to that voter, not to the one whose answer came last in one busy round.

Tests: test_busy_voters_of_one_region_prevent_a_transfer (with the duration alone: ERROR at leader_placement_far_round (&p, 1000 + since_ms, 50 + since_ms % 50, ...)), test_a_distant_quorum_causes_a_transfer, test_a_busy_peer_is_not_a_distant_one (peer_net).

--- a/src/net/peer_net.c
+++ b/src/net/peer_net.c
@@ -415,6 +415,7 @@
   p->address = xstrdup (peer->address);
   p->data_centre = xstrdup ("");
   p->node = peer->node;
+  p->stats.shortest_answer_ms = INT64_MAX;
   TAILQ_INSERT_TAIL (&net->peers, p, link);
   net->peer_count++;
   return 0;
--- a/src/net/peer_net.h
+++ b/src/net/peer_net.h
@@ -19,7 +19,8 @@
 
    Bounds: a record has at most PEER_MAX_RECORD_BYTES, the queue of a peer at most
    PEER_QUEUE_BYTES and PEER_QUEUE_RECORDS.  A connection on which nothing arrives for
-   PEER_RECEIVE_TIMEOUT_MS is closed; an idle one gets a null call every PEER_KEEPALIVE_MS.
+   PEER_RECEIVE_TIMEOUT_MS is closed; one without answers gets a null call every PEER_KEEPALIVE_MS,
+   also when one-way messages are sent on it.
 
    Handlers and callbacks run on the loop.  They may call any function of this header except
    peer_net_close.  Arguments are valid only until the handler returns.  Strings in messages to be
@@ -66,6 +67,9 @@
   uint64_t refused_hellos; /* hellos and hello replies refused, of the peer or of this VM */
   uint64_t connects;       /* connections whose hello the peer accepted */
   uint64_t silent_closes;  /* connections closed by the receive timeout */
+  /* Shortest time until a hello or null call was answered, INT64_MAX before the first: the distance
+     of the peer, as some of these calls find both VMs idle.  */
+  int64_t shortest_answer_ms;
 };
 
 struct peer_info
--- a/src/net/peer_net_calls.c
+++ b/src/net/peer_net_calls.c
@@ -227,6 +227,7 @@
   if (h->is_call)
     return -1;
   struct call *call = find_call (c, h->xid);
+  link_answered (c, h->xid);
   /* The answer belongs to a keepalive or to a call past its deadline.  */
   if (!call)
     return 0;
--- a/src/net/peer_net_internal.h
+++ b/src/net/peer_net_internal.h
@@ -97,7 +97,9 @@
   int64_t last_received_ms;  /* time of the last input, or of the opening */
   int64_t last_keepalive_ms; /* time of the last keepalive sent */
   uint32_t hello_xid;
-  uint64_t incarnation; /* of the peer, from this connection's hello */
+  uint32_t probe_xid;    /* of the last hello or keepalive */
+  int64_t probe_sent_ms; /* 0 once it is answered */
+  uint64_t incarnation;  /* of the peer, from this connection's hello */
   struct call_list calls;
   unsigned open_calls;
   LIST_HEAD (reply_list, peer_reply) replies;
@@ -190,6 +192,7 @@
 void link_connected (struct conn *c); /* connect () has completed. */
 void link_dial_due (struct peer_net *net, struct peer *p, int64_t now_ms); /* Dials if due. */
 void link_back_off (struct peer_net *net, struct peer *p); /* Schedules the next dial. */
+void link_answered (struct conn *c, uint32_t xid);         /* A call with XID was answered. */
 void link_keepalive (struct conn *c, int64_t now_ms);      /* Sends a null call when idle. */
 int link_receive_hello (struct conn *c, const struct peer_header *h, const char *body,
                         size_t len); /* Inbound. */
--- a/src/net/peer_net_link.c
+++ b/src/net/peer_net_link.c
@@ -80,6 +80,8 @@
   c->state = CONN_HELLO;
   c->last_received_ms = clock_now_ms (net->clock);
   c->hello_xid = net->next_xid++;
+  c->probe_xid = c->hello_xid;
+  c->probe_sent_ms = c->last_received_ms;
   conn_watch (c, EV_READ);
   char *bytes
       = peer_encode_call (c->hello_xid, PEER_HELLO, &hello, PEER_MAX_RECORD_BYTES, &len, NULL);
@@ -96,11 +98,23 @@
       || now_ms - c->last_keepalive_ms < PEER_KEEPALIVE_MS)
     return;
   c->last_keepalive_ms = now_ms;
-  char *bytes
-      = peer_encode_call (c->net->next_xid++, PEER_NULL, NULL, PEER_MAX_RECORD_BYTES, &len, NULL);
+  c->probe_xid = c->net->next_xid++;
+  c->probe_sent_ms = now_ms;
+  char *bytes = peer_encode_call (c->probe_xid, PEER_NULL, NULL, PEER_MAX_RECORD_BYTES, &len, NULL);
   conn_queue (c, RECORD_CONTROL, bytes, len, NULL);
 }
 
+void
+link_answered (struct conn *c, uint32_t xid)
+{
+  if (!c->peer || c->probe_sent_ms == 0 || xid != c->probe_xid)
+    return;
+  int64_t answer_ms = clock_now_ms (c->net->clock) - c->probe_sent_ms;
+  c->probe_sent_ms = 0;
+  if (answer_ms < c->peer->stats.shortest_answer_ms)
+    c->peer->stats.shortest_answer_ms = answer_ms;
+}
+
 /* Returns PEER_NOT_DENIED when HELLO is acceptable; *OUT is the peer it names, or NULL.  */
 static enum peer_denial
 check_hello (struct peer_net *net, const peer_hello *hello, struct peer **out)
@@ -267,6 +281,7 @@
   struct peer *p;
   if (h->is_call || h->xid != c->hello_xid)
     return -1;
+  link_answered (c, h->xid);
   if (h->outcome == PEER_DENIED)
     {
       count_refusal (c->net, c->peer, c->peer->name, "hello was refused by", h->denial);
--- a/src/workflow/leader_placement.c
+++ b/src/workflow/leader_placement.c
@@ -1,5 +1,7 @@
 #include "leader_placement.h"
 
+#include <stdlib.h>
+
 void
 leader_placement_init (struct leader_placement *p)
 {
@@ -29,3 +31,26 @@
                       : LEADER_PLACEMENT_MAX_BACKOFF_MS;
   return true;
 }
+
+static int
+compare_distance (const void *a, const void *b)
+{
+  const struct voter_distance *x = a;
+  const struct voter_distance *y = b;
+  return (x->answer_ms > y->answer_ms) - (x->answer_ms < y->answer_ms);
+}
+
+struct voter_distance
+leader_placement_quorum (struct voter_distance *others, size_t count)
+{
+  size_t needed = (count + 1) / 2; /* beside this voter */
+  qsort (others, count, sizeof *others, compare_distance);
+  return others[needed - 1];
+}
+
+bool
+leader_placement_far_round (struct leader_placement *p, int64_t now_ms, int64_t duration_ms,
+                            int64_t distance_ms)
+{
+  return leader_placement_round (p, now_ms, duration_ms < distance_ms ? duration_ms : distance_ms);
+}
--- a/src/workflow/leader_placement.h
+++ b/src/workflow/leader_placement.h
@@ -5,14 +5,19 @@
    for a commit, so a leader in another region than its quorum adds a cross-region round trip each.
 
    A voter cannot measure the distances between other voters.  A leader whose quorum rounds are all
-   slow therefore transfers leadership to the voter whose answer completed the quorum; if one region
-   holds a quorum, that voter is in it.  If no voter is closer, each one tries a transfer once and
-   then backs off, with the back-off doubled after every transfer.  */
+   slow therefore transfers leadership to the voter that completes the quorum; if one region holds a
+   quorum, that voter is in it.  If no voter is closer, each one tries a transfer once and then
+   backs off, with the back-off doubled after every transfer.
+
+   Failure pattern: rounds are also slow when the voters are busy, in any region.  A round therefore
+   counts as slow only if the quorum is distant too, by the shortest answers to calls that need no
+   disk and no turn in the log (peer_net).  */
 
 #ifndef SASSAFRAS_LEADER_PLACEMENT_H
 #define SASSAFRAS_LEADER_PLACEMENT_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 /* Rounds measured in a term before a decision, 300 ms apart: a new leader calls all workers once,
@@ -24,6 +29,13 @@
 #define LEADER_PLACEMENT_BACKOFF_MS 300000      /* first one; a transfer costs 1 to 2 s of starts */
 #define LEADER_PLACEMENT_MAX_BACKOFF_MS 3600000 /* upper limit of the back-off */
 
+/* Another voter, and the shortest time in which it answered; INT64_MAX if unknown.  */
+struct voter_distance
+{
+  uint64_t node;
+  int64_t answer_ms;
+};
+
 struct leader_placement
 {
   unsigned rounds;     /* quorum rounds in this term */
@@ -36,5 +48,11 @@
 void leader_placement_elected (struct leader_placement *p); /* This VM became leader. */
 bool leader_placement_round (struct leader_placement *p, int64_t now_ms,
                              int64_t duration_ms); /* A quorum answered; true: transfer now. */
+/* The voter among OTHERS that completes a quorum together with this voter, by distance; sorts
+   OTHERS, at least one.  */
+struct voter_distance leader_placement_quorum (struct voter_distance *others, size_t count);
+/* As leader_placement_round; the quorum is complete with a voter at that distance.  */
+bool leader_placement_far_round (struct leader_placement *p, int64_t now_ms, int64_t duration_ms,
+                                 int64_t distance_ms);
 
 #endif
--- a/src/workflow/seeded_group.c
+++ b/src/workflow/seeded_group.c
@@ -414,6 +414,25 @@
   return true;
 }
 
+size_t
+seeded_group_voter_distances (const struct seeded_group *s, struct voter_distance *out, size_t size)
+{
+  const raft_members *members = group_members (s->group);
+  size_t n = 0;
+  for (u_int i = 0; i < members->members.members_len && n < size; i++)
+    {
+      const raft_member *m = &members->members.members_val[i];
+      struct peer_info info;
+      if (!m->voter || m->node == s->node)
+        continue;
+      bool known = peer_net_peer (s->net, m->node, &info);
+      out[n++] = (struct voter_distance){ .node = m->node,
+                                          .answer_ms
+                                          = known ? info.stats.shortest_answer_ms : INT64_MAX };
+    }
+  return n;
+}
+
 bool
 seeded_group_leader (const struct seeded_group *s, char ip[SEEDED_GROUP_IP_BYTES])
 {
--- a/src/workflow/seeded_group.h
+++ b/src/workflow/seeded_group.h
@@ -22,6 +22,7 @@
 
 #include "clock.h"
 #include "group.h"
+#include "leader_placement.h"
 #include "status.h"
 
 #define SEEDED_GROUP_IP_BYTES 16
@@ -64,6 +65,9 @@
                        struct status *st); /* Leader only: adds IP as a learner. */
 void seeded_group_add_peer (struct seeded_group *s,
                             const char *ip); /* IP accepted this VM's join: lets it connect. */
+/* Distance of the voters other than this VM; returns their number, at most SIZE.  */
+size_t seeded_group_voter_distances (const struct seeded_group *s, struct voter_distance *out,
+                                     size_t size);
 bool seeded_group_leader (const struct seeded_group *s,
                           char ip[SEEDED_GROUP_IP_BYTES]); /* False if unknown. */
 
--- a/src/workflow/workflow_service.c
+++ b/src/workflow/workflow_service.c
@@ -204,20 +204,37 @@
     log_event (LOG_WARN, "no-hand-over", "reason=\"%s\"", st.message);
 }
 
+/* The voter that completes a quorum by distance, or by its last answer if distances are unknown. */
+static struct voter_distance
+quorum_voter (struct workflow_service *s)
+{
+  struct voter_distance others[PEER_MAX_MEMBERS];
+  struct voter_distance last
+      = { .node = group_quorum_completed_by (s->group), .answer_ms = INT64_MAX };
+  size_t count = 0;
+  if (s->config.voter_distances)
+    count = s->config.voter_distances (s->config.arg, others, PEER_MAX_MEMBERS);
+  if (count == 0 || last.node == 0)
+    return last;
+  struct voter_distance nearest = leader_placement_quorum (others, count);
+  return nearest.answer_ms < INT64_MAX ? nearest : last;
+}
+
 /* A transfer ends the sending of orders for the rest of the term: the target may be elected at any
    time from then on.  */
 static void
 check_leader_placement (struct workflow_service *s, int64_t now_ms)
 {
   int64_t duration_ms = now_ms - s->round_began_ms;
-  uint64_t to = group_quorum_completed_by (s->group);
-  if (to == 0 || !leader_placement_round (&s->leader_placement, now_ms, duration_ms))
+  struct voter_distance to = quorum_voter (s);
+  if (to.node == 0
+      || !leader_placement_far_round (&s->leader_placement, now_ms, duration_ms, to.answer_ms))
     return;
   log_state ("leadership-moves",
-             "to=%llu reason=\"quorum rounds are slow\" shortest_ms=%lld rounds=%u",
-             (unsigned long long)to, (long long)s->leader_placement.shortest_ms,
+             "to=%llu reason=\"the quorum is distant\" shortest_ms=%lld rounds=%u",
+             (unsigned long long)to.node, (long long)s->leader_placement.shortest_ms,
              s->leader_placement.rounds);
-  transfer_leadership (s, to);
+  transfer_leadership (s, to.node);
 }
 
 static void
--- a/src/workflow/workflow_service.h
+++ b/src/workflow/workflow_service.h
@@ -16,6 +16,7 @@
 #include "clock.h"
 #include "dispatcher.h"
 #include "group.h"
+#include "leader_placement.h"
 #include "workflow.h"
 
 struct workflow_service;
@@ -26,6 +27,9 @@
   struct worker_link *link;
   int64_t lease_ms; /* see dispatcher_config */
   int64_t status_ms;
+  /* Distances of the other voters, see seeded_group_voter_distances; may be NULL.  */
+  size_t (*voter_distances) (void *arg, struct voter_distance *out, size_t size);
+  void *arg;
 };
 
 /* KNOWN: the submitted job already existed.  */
--- a/tests/test_leader_placement.c
+++ b/tests/test_leader_placement.c
@@ -111,6 +111,41 @@
     assert_false (leader_placement_round (&p, 1000 + since_ms, 30 + since_ms % 20));
 }
 
+/* Failure on hsgr-rounds-large scale-2: rounds of 50 ms and more in one region, all voters busy for
+   seconds after a change of leader; each leader gave the leadership away again.  */
+static void
+test_busy_voters_of_one_region_prevent_a_transfer (void **state)
+{
+  struct voter_distance others[] = { { 2, 61 }, { 3, 3 }, { 4, 62 }, { 5, 4 } };
+  struct leader_placement p;
+  (void)state;
+  leader_placement_init (&p);
+  leader_placement_elected (&p);
+  struct voter_distance quorum = leader_placement_quorum (others, 4);
+  assert_int_equal (quorum.node, 5);
+  for (int64_t since_ms = 0; since_ms < 60000; since_ms += ROUND_INTERVAL_MS)
+    assert_false (
+        leader_placement_far_round (&p, 1000 + since_ms, 50 + since_ms % 50, quorum.answer_ms));
+}
+
+/* A leader that is alone in its region must still move, busy or not.  */
+static void
+test_a_distant_quorum_causes_a_transfer (void **state)
+{
+  struct voter_distance others[] = { { 2, 3 }, { 3, 61 }, { 4, 62 }, { 5, 64 } };
+  struct leader_placement p;
+  int moves = 0;
+  (void)state;
+  leader_placement_init (&p);
+  leader_placement_elected (&p);
+  struct voter_distance quorum = leader_placement_quorum (others, 4);
+  assert_int_equal (quorum.node, 3);
+  for (int i = 0; i < LEADER_PLACEMENT_MIN_ROUNDS; i++)
+    moves
+        += leader_placement_far_round (&p, 1000 + i * ROUND_INTERVAL_MS, 70 + i, quorum.answer_ms);
+  assert_int_equal (moves, 1);
+}
+
 int
 main (void)
 {
@@ -119,6 +154,8 @@
           cmocka_unit_test (test_five_voters_choose_the_larger_region),
           cmocka_unit_test (test_equal_distances_stop_transfers),
           cmocka_unit_test (test_fast_rounds_prevent_a_transfer),
-          cmocka_unit_test (test_the_load_of_a_new_leader_prevents_a_transfer) };
+          cmocka_unit_test (test_the_load_of_a_new_leader_prevents_a_transfer),
+          cmocka_unit_test (test_busy_voters_of_one_region_prevent_a_transfer),
+          cmocka_unit_test (test_a_distant_quorum_causes_a_transfer) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_peer_net.c
+++ b/tests/test_peer_net.c
@@ -235,6 +235,33 @@
   free (m.chunk.chunk_val);
 }
 
+/* Guards against a distance that grows when a VM is busy: leadership then moved for no reason.  */
+static void
+test_a_busy_peer_is_not_a_distant_one (void **state)
+{
+  struct endpoint a, b;
+  (void)state;
+  open_endpoint (&a, "huron", "vm-a", 1, 100);
+  set_peer_port (&a, "vm-b", 2, 1);
+  assert_true (info_of (&a, 2).stats.shortest_answer_ms == INT64_MAX);
+  close_endpoint (&a);
+  open_pair (&a, &b);
+  step (3000); /* null calls are answered within a step */
+  assert_true (info_of (&a, 2).stats.shortest_answer_ms == 0);
+  for (int i = 0; i < 10; i++)
+    {
+      manual_clock_advance (&clk, 1000);
+      peer_net_tick (a.net);
+      manual_clock_advance (&clk, 400); /* before the answer is read */
+      run_loop (4);
+      peer_net_tick (b.net);
+    }
+  assert_true (info_of (&a, 2).stats.shortest_answer_ms == 0);
+  assert_true (connected (&a, 2));
+  close_endpoint (&a);
+  close_endpoint (&b);
+}
+
 static void
 propose (struct endpoint *e, uint64_t node, struct outcome *o)
 {
@@ -768,6 +795,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (test_messages_and_identity, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_a_busy_peer_is_not_a_distant_one, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_orders_arrive_or_are_not_sent, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_late_answer_and_timeout, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_peer_dies_during_call, set_up, tear_down),
