Look up the image of a step once, not for each worker

It is looked up once per step now, and a worker without capacity for the task is rejected by its compact entry, without reading the worker.

--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -37,6 +37,7 @@
   size_t count;
   /* Request that SCORES were computed for; SCORED is NULL before the first.  */
   const struct workflow_task *scored;
+  int image; /* of its step, see dispatch_image_id */
   bool scored_restart;
   bool scored_interference;
   size_t placed_at; /* worker that got a task since; WORKER_SELECT_NONE if none did */
@@ -263,34 +264,45 @@
 }
 
 /* Load pattern: thousands of waiting tasks and hundreds of nearly full workers.  The costly fields
-   are computed only for workers that have capacity for the task.  */
+   are computed only for workers that have capacity for the task, the others are not even read: the
+   fields of a candidate that depend on the task are reset after use.  */
 static double
-score_worker (struct dispatcher *d, struct candidates *c, const struct waiting_task *t,
+score_worker (const struct dispatcher *d, struct candidates *c, const struct waiting_task *t,
               const struct worker_request *q, size_t index)
 {
   const workflow_step *s = workflow_step_of (t->task);
-  struct dispatch_worker *w = c->workers[index];
   struct worker_candidate *candidate = &c->candidates[index];
   bool reserves = q->is_restart && q->max_per_worker > 0;
-  counter_add (&workers_scored, 1);
-  candidate->interference = 0;
-  candidate->foreign_share = 0;
   candidate->same_step = 0;
-  candidate->tail_ratio = w->pacing.worst_tail;
   if (!reserves && !worker_select_fits (candidate, q))
     return INFINITY;
+  struct dispatch_worker *w = c->workers[index];
   if (q->is_lasting)
     candidate->foreign_share = foreign_share (w, s->image);
   if (q->is_fill)
     {
-      int image = dispatch_image_id (d, s);
-      candidate->tail_ratio = tail_ratio_for (d, w, image);
+      candidate->tail_ratio = tail_ratio_for (d, w, c->image);
       if (candidate->tail_ratio <= FILL_MAX_TAIL_RATIO || q->allow_interference)
-        candidate->interference = dispatch_predict_interference (d, w, image, s->millicores);
+        candidate->interference = dispatch_predict_interference (d, w, c->image, s->millicores);
     }
   if (s->max_per_worker > 0)
     candidate->same_step = count_same_step (w, t->task);
-  return worker_select_rate (candidate, q);
+  double score = worker_select_rate (candidate, q);
+  candidate->foreign_share = 0;
+  candidate->tail_ratio = w->pacing.worst_tail;
+  candidate->interference = 0;
+  return score;
+}
+
+/* Scores all workers for the step of T.  */
+static void
+score_workers (struct dispatcher *d, struct candidates *c, const struct waiting_task *t,
+               const struct worker_request *q)
+{
+  c->image = dispatch_image_id (d, workflow_step_of (t->task));
+  for (size_t i = 0; i < c->count; i++)
+    c->scores[i] = score_worker (d, c, t, q, i);
+  counter_add (&workers_scored, (int64_t)c->count);
 }
 
 static bool
@@ -308,10 +320,12 @@
             const struct worker_request *q)
 {
   if (!has_scores_for (c, t, q))
-    for (size_t i = 0; i < c->count; i++)
-      c->scores[i] = score_worker (d, c, t, q, i);
+    score_workers (d, c, t, q);
   else if (c->placed_at < c->count)
-    c->scores[c->placed_at] = score_worker (d, c, t, q, c->placed_at);
+    {
+      c->scores[c->placed_at] = score_worker (d, c, t, q, c->placed_at);
+      counter_add (&workers_scored, 1);
+    }
   c->scored = t->task;
   c->scored_restart = q->is_restart;
   c->scored_interference = q->allow_interference;
