--- a/tests/test_order_relay.c
+++ b/tests/test_order_relay.c
@@ -522,6 +522,54 @@
     }
 }
 
+/* Copies of valid messages with one to four changed bytes, handled like received ones.  */
+static void
+test_mutated_messages_do_not_crash (void **state)
+{
+  struct rng rng;
+  struct fixture f;
+  unsigned accepted = 0;
+  const struct reported_run running = { .run = 2, .checkpoint = "saved" };
+  const struct reported_end ended = { .number = 1, .outcome = WORKFLOW_DONE, .checkpoint = "" };
+  const struct worker_lists lists
+      = { .running = &running, .running_len = 1, .ended = &ended, .ended_len = 1 };
+  (void)state;
+  rng_init (&rng, 20261205);
+  for (int round = 0; round < 2000; round++)
+    {
+      open_fixture (&f);
+      start (&f, "there", 3);
+      struct worker_link *l = order_relay_link (f.relay);
+      const struct worker_hold hold = { .to = worker_in ("there") };
+      l->ops->hold (l, &hold);
+      order_relay_flush (f.relay);
+      if (round % 2 == 0)
+        {
+          deliver (&f);
+          answer (&f, 0, WORKER_CALL_OK, NULL);
+          answer (&f, 1, WORKER_CALL_OK, &lists);
+          advance (&f, 20);
+          order_server_flush (f.server);
+        }
+      assert_int_equal (f.sent, 1);
+      struct message *m = &f.in_transit[0];
+      for (uint64_t n = 1 + rng_below (&rng, 4); n > 0; n--)
+        m->bytes.data[rng_below (&rng, m->bytes.len)] = (char)rng_below (&rng, 256);
+      orders_message decoded;
+      if (orders_decode (m->bytes.data, m->bytes.len, &decoded))
+        {
+          accepted++;
+          if (decoded.kind == ORDERS_TO_CALL)
+            order_server_receive (f.server, LEADER, &decoded.orders_message_u.orders);
+          else
+            order_relay_receive (f.relay, HELPER, &decoded.orders_message_u.answers);
+          orders_free (&decoded);
+        }
+      close_fixture (&f);
+    }
+  assert_in_range (accepted, 200, 1800); /* both accepted and refused messages occur */
+}
+
 int
 main (void)
 {
@@ -538,6 +586,7 @@
     cmocka_unit_test (test_stale_orders_are_not_executed),
     cmocka_unit_test (test_few_workers_are_called_directly),
     cmocka_unit_test (test_random_messages_are_refused),
+    cmocka_unit_test (test_mutated_messages_do_not_crash),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
