dispatcher: a worker restarted under its id gets no task before it reports

Cause: the lists of a hold can show a restart before the first report of the new incarnation arrives. The worker counted as usable at once, with the pool, labels and capacity of the earlier incarnation, though a new one may be of another kind. A placement that committed meanwhile was sent as well.

Evidence: the new test failed before, "0x1 != 0" at the number of starts.

--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -126,7 +126,7 @@
   uint64_t sequence;
   int64_t gone_ms;
   uint32_t millicores, memory_mb, accelerators;
-  bool reported; /* to this leader */
+  bool reported; /* this incarnation, to this leader */
   bool draining;
   bool gone; /* it left, or another worker has its address */
 
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -152,6 +152,7 @@
   log_event (LOG_INFO, "worker-restarted", "worker=%s born=%" PRId64 " before=%" PRId64, w->id,
              born_ms, w->born_ms);
   w->born_ms = born_ms;
+  w->reported = false;
   w->sequence = 0;
   w->clock_known = false;
   w->deadline_ms = 0;
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -496,6 +496,35 @@
   assert_int_equal (f->start_count, 0);
 }
 
+/* A restarted worker may be of another kind and pool.  Its list shows the restart first: what the
+   earlier incarnation reported must not be used for it.  */
+static void
+test_a_restarted_worker_gets_nothing_before_its_report (void **state)
+{
+  struct fixture *f = *state;
+  struct status st;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  f->now_ms += 20;
+  dispatcher_tick (f->dispatcher, f->now_ms, f->now_ms);
+  assert_int_equal (f->log_count, 1);
+  const struct worker_lists lists = {
+    .mark = fixture_last_hold (f, "w1").mark, .clock_ms = 30, .born_ms = 2000, .complete = true
+  };
+  dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_OK, &lists);
+  fixture_commit (f);
+  for (int i = 0; i < 20; i++)
+    fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 0);
+  struct worker_report r = fixture_worker (f, "w1", "10.0.0.1:1");
+  r.born_ms = 2000;
+  r.sequence = 1;
+  r.clock_ms = 450;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+}
+
 /* The worker starts to drain while the placement is uncommitted.  */
 static void
 test_a_placement_on_a_worker_that_drains_is_not_started (void **state)
@@ -973,6 +1002,7 @@
           TEST (test_a_stop_acknowledged_before_a_restart_proves_nothing),
           TEST (test_a_newer_worker_at_the_address_replaces_the_older),
           TEST (test_a_draining_worker_gets_nothing),
+          TEST (test_a_restarted_worker_gets_nothing_before_its_report),
           TEST (test_a_placement_on_a_worker_that_drains_is_not_started),
           TEST (test_a_shrunken_worker_gets_nothing_beyond_its_capacity),
           TEST (test_a_placement_on_a_worker_that_shrinks_is_not_started),
