dispatcher: a departure counts only for a worker that drains

Cause: the DELETE by which a worker leaves names an id and no incarnation, and a worker may start again under its id. A DELETE that a front repeats after a lost answer, or that the network delivers late, ended the runs of the next incarnation in the log while they went on: their tasks were placed elsewhere, the worker got no more holds, and its reports were refused for good.

Evidence: the new test failed before: "0x2 != 0x1" at the number of starts.

Why it works: a worker reports that it drains before it leaves, so only an incarnation that has done so is ended by a departure. A new incarnation has not drained. After any other departure the worker gets no task until its next report, and its runs are settled by its lists or by the end of its lease.

The tests of a worker that leaves let it drain first, as workers do; what they expect is unchanged, and they pass on the code before.

--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -128,7 +128,8 @@
   uint32_t millicores, memory_mb, accelerators;
   bool reported; /* this incarnation, to this leader */
   bool draining;
-  bool gone; /* it left, or another worker has its address */
+  bool left_undrained; /* until its next report: the departure may be of an earlier incarnation */
+  bool gone;           /* it left, or another worker has its address */
 
   /* Clock, lease and holds.  */
   bool clock_known;
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -552,7 +552,7 @@
   r->state = DISPATCH_SENT;
   bool unwanted = t->job->state != WORKFLOW_JOB_OPEN || t->state == WORKFLOW_TASK_DONE
                   || d->now_ms < t->done_until_ms;
-  bool unusable = w->draining || w->gone || !w->fenced || !w->reported
+  bool unusable = w->draining || w->left_undrained || w->gone || !w->fenced || !w->reported
                   || workflow_zone_is_out (d->config.workflow, w->zone);
   const char *obstacle = NULL;
   if (unwanted)
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -153,6 +153,7 @@
              born_ms, w->born_ms);
   w->born_ms = born_ms;
   w->reported = false;
+  w->draining = false;
   w->sequence = 0;
   w->clock_known = false;
   w->deadline_ms = 0;
@@ -269,6 +270,7 @@
   set_text (&w->pool, r->pool);
   set_labels (w, r);
   w->gone = false;
+  w->left_undrained = false;
   w->reported = true;
   w->draining = r->draining;
   w->sequence = r->sequence;
@@ -284,14 +286,24 @@
 {
   struct dispatch_worker *w = dispatch_find_worker (d, worker);
   d->now_ms = now_ms;
-  if (w)
-    dispatch_mark_gone (d, w, "the worker left");
+  if (!w)
+    return;
+  if (w->draining)
+    {
+      dispatch_mark_gone (d, w, "the worker left");
+      return;
+    }
+  /* The request names no incarnation and may come late from an earlier one.  An incarnation drains
+     before it leaves; the lists or the lease show what became of the runs of this one.  */
+  log_event (LOG_WARN, "departure-unannounced", "worker=%s born=%" PRId64, worker, w->born_ms);
+  w->left_undrained = true;
+  w->hold_now = true;
 }
 
 bool
 dispatch_usable (const struct dispatcher *d, const struct dispatch_worker *w)
 {
-  return w->address && w->reported && w->fenced && !w->draining && !w->gone
+  return w->address && w->reported && w->fenced && !w->draining && !w->left_undrained && !w->gone
          && d->now_ms - w->last_answer_ms < WORKER_SILENT_MS && d->now_ms >= w->no_room_until_ms
          && d->now_ms >= w->avoid_until_ms && !workflow_zone_is_out (d->config.workflow, w->zone);
 }
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -254,7 +254,7 @@
   fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
   fixture_tick (f, 100);
   fixture_join (f, "w2", "10.0.0.2:1");
-  dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
+  fixture_leave (f, "w1", "10.0.0.1:1");
   return &f->starts[0];
 }
 
@@ -313,7 +313,7 @@
   buffer_close (&f->log[0].entry);
   f->log_count = 0;
   dispatcher_proposed (f->dispatcher, f->now_ms, f->log[0].token, false);
-  dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
+  fixture_leave (f, "w1", "10.0.0.1:1");
   fixture_join (f, "w2", "10.0.0.2:1");
   for (int i = 0; i < 400 && f->start_count == 1; i++)
     {
@@ -496,6 +496,60 @@
   assert_int_equal (f->start_count, 0);
 }
 
+/* A departure names an id only: one that arrives late, or again, from an incarnation that has ended
+   must not end the runs of the next one, which go on.  */
+static void
+test_a_late_departure_does_not_end_runs_of_the_next_incarnation (void **state)
+{
+  struct fixture *f = *state;
+  struct status st;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  f->now_ms++;
+  struct worker_report r = fixture_worker (f, "w1", "10.0.0.1:1");
+  r.draining = true;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+  r.draining = false;
+  r.born_ms = 2000;
+  r.sequence = 1;
+  r.clock_ms = 5;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+  fixture_tick (f, 1);
+  struct worker_lists lists = {
+    .mark = fixture_last_hold (f, "w1").mark, .clock_ms = 30, .born_ms = 2000, .complete = true
+  };
+  dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_OK, &lists);
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  fixture_join (f, "w2", "10.0.0.2:1");
+  dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
+  dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
+  fixture_commit (f);
+  for (int i = 0; i < 20; i++)
+    fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+  /* The worker that is said to have left may be gone: it gets no task until it reports.  */
+  lists.mark = fixture_last_hold (f, "w1").mark;
+  lists.clock_ms = 500;
+  const struct reported_run run = fixture_running (&f->starts[0]);
+  lists.running = &run;
+  lists.running_len = 1;
+  dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_OK, &lists);
+  fixture_submit (f, 2, 1, 16, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 17);
+  for (size_t i = 1; i < f->start_count; i++)
+    assert_string_equal (f->starts[i].worker, "w2");
+  r.sequence = 2;
+  r.clock_ms = 500;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+  fixture_submit (f, 3, 1, 1, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 18);
+  assert_string_equal (f->starts[17].worker, "w1");
+}
+
 /* A restarted worker may be of another kind and pool.  Its list shows the restart first: what the
    earlier incarnation reported must not be used for it.  */
 static void
@@ -782,7 +836,7 @@
   fixture_tick (f, 20);
   assert_int_equal (f->start_count, 1);
   fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
-  dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
+  fixture_leave (f, "w1", "10.0.0.1:1");
   fixture_commit (f);
   fixture_join (f, "w2", "10.0.0.2:1");
   submit_sized (f, 2, 60, 1000, 0);
@@ -1002,6 +1056,7 @@
           TEST (test_a_stop_acknowledged_before_a_restart_proves_nothing),
           TEST (test_a_newer_worker_at_the_address_replaces_the_older),
           TEST (test_a_draining_worker_gets_nothing),
+          TEST (test_a_late_departure_does_not_end_runs_of_the_next_incarnation),
           TEST (test_a_restarted_worker_gets_nothing_before_its_report),
           TEST (test_a_placement_on_a_worker_that_drains_is_not_started),
           TEST (test_a_shrunken_worker_gets_nothing_beyond_its_capacity),
--- a/tests/workflow_fixture.h
+++ b/tests/workflow_fixture.h
@@ -229,6 +229,18 @@
   fixture_answer_hold (f, id, NULL, 0, NULL, 0);
 }
 
+/* The worker drains and leaves.  */
+static inline void
+fixture_leave (struct fixture *f, const char *id, const char *address)
+{
+  struct status st;
+  f->now_ms++;
+  struct worker_report r = fixture_worker (f, id, address);
+  r.draining = true;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+  dispatcher_worker_left (f->dispatcher, f->now_ms, id);
+}
+
 static inline void
 fixture_configure (struct fixture *f, uint64_t version, uint32_t attempts)
 {
