dispatcher: a late report to a new leader does not end a drain

Cause: a drain is not in the log; a new leader learns it from the reports. The first report that it receives may be one from before the drain that was on its way during the change of leader. Reports are compared by sequence and by the worker's clock, but a new leader has neither of them to compare the first with.

Evidence: the new test failed before: "0x1 != 0" at the number of starts.

Why it works: a worker gets no task before its first list, which carries its clock. A report that is REPORT_MAX_AGE_MS older than that list is treated as none, so the worker gets no task until the next report, which it sends every heartbeat. A report that is less late still counts, as it does for a leader that knows the worker's clock.

--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -287,9 +287,12 @@
   dispatch_update_clock (d, w, lists->clock_ms);
   if (lists->clock_ms < w->listed_clock_ms)
     return;
+  /* No earlier report or list of this worker could show that the report was late.  */
+  if (!w->fenced && lists->clock_ms - w->reported_clock_ms >= REPORT_MAX_AGE_MS)
+    w->reported = false;
   if (!w->fenced)
-    log_event (LOG_INFO, "worker-heard", "worker=%s running=%zu ended=%zu", w->id,
-               lists->running_len, lists->ended_len);
+    log_event (LOG_INFO, "worker-heard", "worker=%s running=%zu ended=%zu report_age_ms=%" PRId64,
+               w->id, lists->running_len, lists->ended_len, lists->clock_ms - w->reported_clock_ms);
   w->listed_clock_ms = lists->clock_ms;
   w->last_answer_ms = d->now_ms;
   w->fenced = true;
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -126,7 +126,8 @@
   uint64_t sequence;
   int64_t gone_ms;
   uint32_t millicores, memory_mb, accelerators;
-  bool reported; /* this incarnation, to this leader */
+  bool reported;             /* this incarnation, to this leader */
+  int64_t reported_clock_ms; /* worker's time of its last report */
   bool draining;
   bool left_undrained; /* until its next report: the departure may be of an earlier incarnation */
   bool gone;           /* it left, or another worker has its address */
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -272,6 +272,7 @@
   w->gone = false;
   w->left_undrained = false;
   w->reported = true;
+  w->reported_clock_ms = r->clock_ms;
   w->draining = r->draining;
   w->sequence = r->sequence;
   w->millicores = r->millicores;
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -550,6 +550,35 @@
   assert_string_equal (f->starts[17].worker, "w1");
 }
 
+/* A new leader has seen no report: one from before the worker drained, delivered late, must not
+   make the worker usable.  */
+static void
+test_a_late_report_to_a_new_leader_does_not_end_a_drain (void **state)
+{
+  struct fixture *f = *state;
+  struct status st;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  struct worker_report late = fixture_worker (f, "w1", "10.0.0.1:1");
+  f->now_ms += 1000;
+  struct worker_report r = fixture_worker (f, "w1", "10.0.0.1:1");
+  r.draining = true;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+  f->now_ms += 5000;
+  dispatcher_resign (f->dispatcher);
+  dispatcher_become_leader (f->dispatcher, f->now_ms, 8);
+  fixture_submit (f, 1, 1, 1, 0);
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &late, &st), 0);
+  fixture_tick (f, 1);
+  fixture_answer_hold (f, "w1", NULL, 0, NULL, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 0);
+  /* Without a drain, the next report makes it usable.  */
+  struct worker_report next = fixture_worker (f, "w1", "10.0.0.1:1");
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &next, &st), 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+}
+
 /* A restarted worker may be of another kind and pool.  Its list shows the restart first: what the
    earlier incarnation reported must not be used for it.  */
 static void
@@ -1057,6 +1086,7 @@
           TEST (test_a_newer_worker_at_the_address_replaces_the_older),
           TEST (test_a_draining_worker_gets_nothing),
           TEST (test_a_late_departure_does_not_end_runs_of_the_next_incarnation),
+          TEST (test_a_late_report_to_a_new_leader_does_not_end_a_drain),
           TEST (test_a_restarted_worker_gets_nothing_before_its_report),
           TEST (test_a_placement_on_a_worker_that_drains_is_not_started),
           TEST (test_a_shrunken_worker_gets_nothing_beyond_its_capacity),
