test_worker_calls: only a complete refusal of a start counts as one

Also that no answer (100, 307, 401, 408, 417, 425, a broken connection) makes the client send the start again, and that a refused connection is uncertain.

--- a/tests/test_worker_calls.c
+++ b/tests/test_worker_calls.c
@@ -164,6 +164,8 @@
   ev_io listener;
   ev_io connection; /* fd -1: none */
   unsigned requests;
+  const char *answer; /* to all requests; NULL: as above */
+  bool closes;        /* the connection, after that answer */
 };
 
 static void
@@ -192,7 +194,14 @@
       return;
     }
   b->requests++;
-  if (b->requests == 1)
+  if (b->answer)
+    {
+      size_t len = strlen (b->answer);
+      assert_int_equal (write (w->fd, b->answer, len), len);
+      if (b->closes)
+        close_connection (b);
+    }
+  else if (b->requests == 1)
     assert_int_equal (write (w->fd, accepted, sizeof accepted - 1), sizeof accepted - 1);
   else if (b->requests == 2)
     close_connection (b);
@@ -257,6 +266,93 @@
   close_fixture (&f);
 }
 
+#define NO_BODY "\r\nContent-Length: 0\r\n\r\n"
+#define BODY(length, body) "\r\nContent-Length: " #length "\r\n\r\n" body
+
+/* Only an answer that the worker gives without starting the task may count as a refusal, on a new
+   connection and on a reused one; no answer makes the client send the start again.  */
+static void
+test_only_a_complete_refusal_of_a_start_counts_as_one (void **state)
+{
+  static const struct
+  {
+    const char *answer;
+    bool closes;
+    enum worker_call_result result;
+  } cases[] = {
+    { "HTTP/1.1 200 OK" BODY (14, "{\"clock_ms\":1}"), false, WORKER_CALL_OK },
+    { "HTTP/1.1 200 OK" BODY (4, "\1\2{["), false, WORKER_CALL_OK },
+    { "HTTP/1.1 409 Conflict" BODY (18, "{\"reason\":\"fence\"}"), false, WORKER_CALL_FENCED },
+    { "HTTP/1.1 409 Conflict" BODY (16, "{\"reason\":\"old\"}"), false, WORKER_CALL_OLD_RUN },
+    { "HTTP/1.1 409 Conflict" BODY (17, "{\"reason\":\"late\"}"), false, WORKER_CALL_LATE },
+    { "HTTP/1.1 409 Conflict" BODY (17, "{\"reason\":\"room\"}"), false, WORKER_CALL_NO_ROOM },
+    { "HTTP/1.1 409 Conflict" BODY (19, "{\"reason\":\"ticket\"}"), false, WORKER_CALL_NO_TICKET },
+    { "HTTP/1.1 409 Conflict" BODY (4, "\1\2{["), false, WORKER_CALL_REFUSED },
+    { "HTTP/1.1 421 Misdirected Request" NO_BODY, false, WORKER_CALL_OTHER_WORKER },
+    { "HTTP/1.1 429 Too Many Requests" NO_BODY, false, WORKER_CALL_REFUSED },
+    { "HTTP/1.1 503 Service Unavailable" NO_BODY, false, WORKER_CALL_REFUSED },
+    { "HTTP/1.1 400 Bad Request" NO_BODY, false, WORKER_CALL_REFUSED },
+    { "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Service Unavailable" NO_BODY, false,
+      WORKER_CALL_REFUSED },
+    { "HTTP/1.1 100 Continue\r\n\r\n", true, WORKER_CALL_UNKNOWN },
+    { "HTTP/1.1 409 Conflict" BODY (40, "{\"reason\":\"room\"}"), true, WORKER_CALL_UNKNOWN },
+    { "HTTP/1.1 503 Service Unavailable" BODY (4, ""), true, WORKER_CALL_UNKNOWN },
+    { "HTTP/1.1 307 Temporary Redirect\r\nLocation: /sassafrasstall/run-start" NO_BODY, false,
+      WORKER_CALL_UNKNOWN },
+    { "HTTP/1.1 408 Request Timeout\r\nConnection: close" NO_BODY, true, WORKER_CALL_UNKNOWN },
+    { "HTTP/1.1 401 Unauthorized\r\nWWW-Authenticate: Basic" NO_BODY, false, WORKER_CALL_UNKNOWN },
+    { "HTTP/1.1 417 Expectation Failed" NO_BODY, false, WORKER_CALL_UNKNOWN },
+    { "HTTP/1.1 425 Too Early" NO_BODY, false, WORKER_CALL_UNKNOWN },
+    { "HTTP/1.1 500 Internal Server Error" NO_BODY, false, WORKER_CALL_UNKNOWN },
+    { "HTTP/1.1 504 Gateway Timeout" NO_BODY, false, WORKER_CALL_UNKNOWN },
+    { "\1\2\3\r\n\r\n", true, WORKER_CALL_UNKNOWN },
+    { "", true, WORKER_CALL_UNKNOWN },
+    { "", false, WORKER_CALL_UNKNOWN },
+  };
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    for (int reused = 0; reused < 2; reused++)
+      {
+        struct fixture f;
+        struct breaking_worker b;
+        open_fixture (&f);
+        open_breaking_worker (&b, &f);
+        if (reused)
+          {
+            send_start (&f);
+            ev_run (f.loop, 0);
+            assert_int_equal (f.outcome.result, WORKER_CALL_OK);
+          }
+        b.answer = cases[i].answer;
+        b.closes = cases[i].closes;
+        b.requests = 0;
+        send_start (&f);
+        ev_run (f.loop, 0);
+        if (f.outcome.result != cases[i].result || b.requests != 1 || f.outcomes != reused + 1u)
+          fail_msg ("answer %zu, reused=%d: result %d, %u requests, %d outcomes", i, reused,
+                    (int)f.outcome.result, b.requests, (int)f.outcomes);
+        close_breaking_worker (&b);
+        close_fixture (&f);
+      }
+}
+
+/* Not even the connection shows that the start was not executed: its outcome is unknown.  */
+static void
+test_a_start_to_a_closed_port_is_unknown (void **state)
+{
+  struct fixture f;
+  struct breaking_worker b;
+  (void)state;
+  open_fixture (&f);
+  open_breaking_worker (&b, &f);
+  close_breaking_worker (&b);
+  send_start (&f);
+  ev_run (f.loop, 0);
+  assert_int_equal (f.outcomes, 1);
+  assert_int_equal (f.outcome.result, WORKER_CALL_UNKNOWN);
+  close_fixture (&f);
+}
+
 int
 main (void)
 {
@@ -264,7 +360,9 @@
       = { cmocka_unit_test (test_outcome_identifies_its_order),
           cmocka_unit_test (test_an_order_is_not_sent_after_a_pause),
           cmocka_unit_test (test_pending_calls_are_freed_on_close),
-          cmocka_unit_test (test_broken_connection_does_not_repeat_a_start) };
+          cmocka_unit_test (test_broken_connection_does_not_repeat_a_start),
+          cmocka_unit_test (test_only_a_complete_refusal_of_a_start_counts_as_one),
+          cmocka_unit_test (test_a_start_to_a_closed_port_is_unknown) };
   curl_global_init (CURL_GLOBAL_DEFAULT);
   int failed = cmocka_run_group_tests (tests, NULL, NULL);
   curl_global_cleanup ();
