test_dispatcher: a late report of a worker that left does not bring it back

A report that arrives after the departure makes the worker known, but it gets no task without an answer to a hold, and an answer of another worker at its address ends it.

--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -579,6 +579,35 @@
   assert_int_equal (f->start_count, 1);
 }
 
+/* A new leader does not know who has left: a report that arrives after the departure must not bring
+   the worker back, as long as it does not answer.  */
+static void
+test_a_late_report_of_a_worker_that_left_does_not_bring_it_back (void **state)
+{
+  struct fixture *f = *state;
+  struct status st;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  struct worker_report late = fixture_worker (f, "w1", "10.0.0.1:1");
+  fixture_leave (f, "w1", "10.0.0.1:1");
+  late.sequence += 2;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &late, &st), -1);
+  dispatcher_resign (f->dispatcher);
+  dispatcher_become_leader (f->dispatcher, f->now_ms, 8);
+  fixture_submit (f, 1, 1, 1, 0);
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &late, &st), 0);
+  for (int i = 0; i < 100; i++)
+    {
+      fixture_tick (f, 20);
+      if (i % 20 == 0)
+        dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_UNKNOWN, NULL);
+    }
+  /* Another worker has its address now.  */
+  dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_OTHER_WORKER, NULL);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 0);
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &late, &st), -1);
+}
+
 /* A restarted worker may be of another kind and pool.  Its list shows the restart first: what the
    earlier incarnation reported must not be used for it.  */
 static void
@@ -1087,6 +1116,7 @@
           TEST (test_a_draining_worker_gets_nothing),
           TEST (test_a_late_departure_does_not_end_runs_of_the_next_incarnation),
           TEST (test_a_late_report_to_a_new_leader_does_not_end_a_drain),
+          TEST (test_a_late_report_of_a_worker_that_left_does_not_bring_it_back),
           TEST (test_a_restarted_worker_gets_nothing_before_its_report),
           TEST (test_a_placement_on_a_worker_that_drains_is_not_started),
           TEST (test_a_shrunken_worker_gets_nothing_beyond_its_capacity),
