peer_net: dial a peer again when its hello arrives

The hello of the restarted peer showed that it is up, but an outbound connection that waits for its next dial still waited for the end of the back-off. The digests of runners go out on that connection, so the restarted VM learned the runners up to 2 s after its start, and it refuses requests without a runner from 2 s on.

Change: an accepted hello ends the wait for the next dial. The back-off itself is kept, so a peer that can be reached in one direction only is dialed once more for each hello, not in a loop.

Test: test_peer_net:test_restarted_peer_is_dialed_after_its_hello, on the manual clock; failed before at "connected (&a, 2)" (test_peer_net.c:799), passes now.

--- a/src/net/peer_net_link.c
+++ b/src/net/peer_net_link.c
@@ -214,6 +214,7 @@
   c->incarnation = hello->incarnation;
   net->awaiting_hello--;
   drop_stale_outbound (p);
+  p->next_dial_ms = 0; /* it is up */
   peer_hello own = own_hello (net);
   char *bytes = peer_encode_result (xid, PEER_HELLO, &own, PEER_MAX_RECORD_BYTES, &len, NULL);
   conn_queue (c, RECORD_CONTROL, bytes, len, NULL);
--- a/tests/test_peer_net.c
+++ b/tests/test_peer_net.c
@@ -28,6 +28,7 @@
 static struct ev_loop *loop;
 static struct manual_clock clk;
 static struct endpoint *open_endpoints[4]; /* step runs their ticks */
+static int next_port;                      /* of the next endpoint; 0 for any */
 
 struct endpoint
 {
@@ -121,6 +122,7 @@
                uint64_t incarnation)
 {
   struct status st = { 0 };
+  char address[32];
   struct peer_net_config config = {
     .deployment = deployment,
     .vm = vm,
@@ -128,7 +130,7 @@
     .node = node,
     .incarnation = incarnation,
     .initialized = true,
-    .listen_address = "127.0.0.1:0",
+    .listen_address = address,
     .clock = &clk.clock,
     .seed = SEED + node,
     .handlers = { .raft = on_raft,
@@ -139,6 +141,8 @@
     .handler_arg = e,
   };
   memset (e, 0, sizeof *e);
+  snprintf (address, sizeof address, "127.0.0.1:%d", next_port);
+  next_port = 0;
   e->net = peer_net_open (loop, &config, &st);
   assert_non_null (e->net);
   for (int i = 0; i < 4; i++)
@@ -772,6 +776,32 @@
   close_endpoint (&a);
 }
 
+/* Guards against a VM that is back but not dialed until the back-off ends: until then it learns no
+   runners from this peer.  */
+static void
+test_restarted_peer_is_dialed_after_its_hello (void **state)
+{
+  struct endpoint a;
+  struct endpoint b;
+  (void)state;
+  open_pair (&a, &b);
+  for (uint64_t incarnation = 200; incarnation < 210; incarnation++)
+    {
+      int port = peer_net_port (b.net);
+      close_endpoint (&b);
+      step (10000); /* the back-off is at its maximum */
+      assert_false (connected (&a, 2));
+      next_port = port;
+      open_endpoint (&b, "huron", "vm-b", 2, incarnation);
+      set_peer_port (&b, "vm-a", 1, peer_net_port (a.net));
+      step (4 * STEP_MS);
+      assert_true (connected (&b, 1));
+      assert_true (connected (&a, 2));
+    }
+  close_endpoint (&a);
+  close_endpoint (&b);
+}
+
 static int
 set_up (void **state)
 {
@@ -800,6 +830,8 @@
     cmocka_unit_test_setup_teardown (test_late_answer_and_timeout, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_peer_dies_during_call, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_restart_with_new_incarnation, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_restarted_peer_is_dialed_after_its_hello, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (test_earlier_process_is_cut_off_by_the_hello_of_the_next,
                                      set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_refused_hellos, set_up, tear_down),
