intent_log: a finish belongs to the attempt that runs, not to one whose finish is open

What callers could see: after a request that did not run and its repeat that did, repeats with the same key get "in-progress" for as long as intents are kept instead of the answer. Not a second run. Found by reading while path_once was traced; not seen in a run of the daemons.

Cause: the finish looks up its attempt by customer and key and skipped only attempts whose begin is pending. An attempt that finished as not run stays in the map until its finish is answered, which takes up to 2 s when the leader is paused after it committed the entry; a repeat may begin and run in that time. The lookup mostly finds the newer attempt, but growth of the map reverses the order of equal hashes. The finish then had the number of the earlier attempt, which the cell refuses as stale, and two proposals in flight used one attempt, which the first answer frees.

Change: attempts with an open finish are skipped.

--- a/src/request/intent_log.c
+++ b/src/request/intent_log.c
@@ -93,7 +93,8 @@
   free (a);
 }
 
-/* The attempt for this key that got INTENT_NEW; attempts whose begin is pending are skipped.  */
+/* The attempt for this key that got INTENT_NEW; attempts with a pending begin or finish are
+   skipped.  */
 static struct intent_attempt *
 find_attempt (struct intent_log *l, const char *customer, const char *key)
 {
@@ -101,7 +102,8 @@
   for (; n; n = cell_map_next (n))
     {
       struct intent_attempt *a = CELL_CONTAINER (n, struct intent_attempt, node);
-      if (!a->begin_done && strcmp (a->customer, customer) == 0 && strcmp (a->key, key) == 0)
+      if (!a->begin_done && !a->finish_done && strcmp (a->customer, customer) == 0
+          && strcmp (a->key, key) == 0)
         return a;
     }
   return NULL;
