workflow: a task that crashes its workers is started apart and given up

Callers could see one task crash worker after worker without end, with all that ran beside it: a query of death.

The log knew one outcome for a run that ended with its worker, "lapsed", whether the worker was cut off, had left or had crashed, and it had no limit.

Now the end of an incarnation without a departure (a newer worker at its address, another id there, a restart under its id) judges the runs on that worker by their start (crash_blame). The last start is suspected, other young runs less so, a run at work for 10 s not. A suspected task is started apart, on the worker with least at work that answers, so that the next crash is unambiguous; at 12 points it is FAILED with its job, after two crashes under it and five starts that ended so at most. Work that ends, or lasts, clears the task. A start without an answer may never have arrived: it alone counts only at 18 points.

--- a/src/gen/workflow_proto.h
+++ b/src/gen/workflow_proto.h
@@ -25,6 +25,7 @@
 #define WORKFLOW_MAX_RUNS 2
 #define WORKFLOW_DOCUMENT_BYTES 900000
 #define WORKFLOW_MAX_PRUNE 4096
+#define WORKFLOW_MAX_BLAMES 200000
 #define WORKFLOW_SNAPSHOT_FORMAT 1
 
   typedef char *workflow_name;
@@ -152,6 +153,10 @@
     WORKFLOW_BROKEN = 5,
     WORKFLOW_ALONE = 6,
     WORKFLOW_NOT_STARTED = 7,
+    WORKFLOW_CRASHED = 8,
+    WORKFLOW_CRASHED_BESIDE = 9,
+    WORKFLOW_OUTLIVED = 10,
+    WORKFLOW_CRASHED_UNANSWERED = 11,
   };
   typedef enum workflow_outcome workflow_outcome;
 
@@ -254,6 +259,24 @@
   };
   typedef struct workflow_image workflow_image;
 
+  struct workflow_blame
+  {
+    workflow_task_ref task;
+    u_int points;
+    u_int crashes;
+  };
+  typedef struct workflow_blame workflow_blame;
+
+  struct workflow_blame_image
+  {
+    struct
+    {
+      u_int blames_len;
+      workflow_blame *blames_val;
+    } blames;
+  };
+  typedef struct workflow_blame_image workflow_blame_image;
+
   /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -276,6 +299,8 @@
   extern bool_t xdr_workflow_task_image (XDR *, workflow_task_image *);
   extern bool_t xdr_workflow_job_image (XDR *, workflow_job_image *);
   extern bool_t xdr_workflow_image (XDR *, workflow_image *);
+  extern bool_t xdr_workflow_blame (XDR *, workflow_blame *);
+  extern bool_t xdr_workflow_blame_image (XDR *, workflow_blame_image *);
 
 #else /* K&R C */
 extern bool_t xdr_workflow_name ();
@@ -297,6 +322,8 @@
 extern bool_t xdr_workflow_task_image ();
 extern bool_t xdr_workflow_job_image ();
 extern bool_t xdr_workflow_image ();
+extern bool_t xdr_workflow_blame ();
+extern bool_t xdr_workflow_blame_image ();
 
 #endif /* K&R C */
 
--- a/src/gen/workflow_proto.x
+++ b/src/gen/workflow_proto.x
@@ -13,6 +13,7 @@
 const WORKFLOW_MAX_RUNS = 2;            /* concurrent runs of a task (speculative copies) */
 const WORKFLOW_DOCUMENT_BYTES = 900000; /* keeps a command below PEER_ENTRY_BYTES */
 const WORKFLOW_MAX_PRUNE = 4096;
+const WORKFLOW_MAX_BLAMES = 200000;     /* in a snapshot */
 const WORKFLOW_SNAPSHOT_FORMAT = 1;
 
 typedef string workflow_name<WORKFLOW_NAME_BYTES>;
@@ -112,7 +113,11 @@
   WORKFLOW_LAPSED = 4,                  /* the worker's lease expired */
   WORKFLOW_BROKEN = 5,                  /* another member of the gang ended */
   WORKFLOW_ALONE = 6,                   /* the gang could not be assembled */
-  WORKFLOW_NOT_STARTED = 7              /* this run has not started and never will */
+  WORKFLOW_NOT_STARTED = 7,             /* this run has not started and never will */
+  WORKFLOW_CRASHED = 8,                 /* its worker crashed, perhaps because of this run */
+  WORKFLOW_CRASHED_BESIDE = 9,          /* its worker crashed soon after its start and later ones */
+  WORKFLOW_OUTLIVED = 10,               /* its worker crashed long after its start */
+  WORKFLOW_CRASHED_UNANSWERED = 11      /* as CRASHED, but it may not have started */
 };
 
 struct workflow_end
@@ -189,3 +194,16 @@
   workflow_name zones_out<WORKFLOW_MAX_ZONES>;
   workflow_job_image jobs<WORKFLOW_MAX_JOBS>;
 };
+
+struct workflow_blame
+{
+  workflow_task_ref task;
+  unsigned points;
+  unsigned crashes;
+};
+
+/* Follows the workflow_image in a snapshot; snapshots of earlier builds end without it.  */
+struct workflow_blame_image
+{
+  workflow_blame blames<WORKFLOW_MAX_BLAMES>;
+};
--- a/src/gen/workflow_proto_xdr.c
+++ b/src/gen/workflow_proto_xdr.c
@@ -585,3 +585,28 @@
     return FALSE;
   return TRUE;
 }
+
+bool_t
+xdr_workflow_blame (XDR *xdrs, workflow_blame *objp)
+{
+  register int32_t *buf;
+
+  if (!xdr_workflow_task_ref (xdrs, &objp->task))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->points))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->crashes))
+    return FALSE;
+  return TRUE;
+}
+
+bool_t
+xdr_workflow_blame_image (XDR *xdrs, workflow_blame_image *objp)
+{
+  register int32_t *buf;
+
+  if (!xdr_array (xdrs, (char **)&objp->blames.blames_val, (u_int *)&objp->blames.blames_len,
+                  WORKFLOW_MAX_BLAMES, sizeof (workflow_blame), (xdrproc_t)xdr_workflow_blame))
+    return FALSE;
+  return TRUE;
+}
--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "counters.h"
 #include "dispatcher_internal.h"
 
 #define PRUNE_BATCH 256
@@ -10,6 +11,9 @@
 #define MAX_SLOWDOWN 5.0        /* limits the weight of one stuck run */
 #define LOAD_LOG_PERIOD_MS 1000
 
+static struct counter given_up = { .name = "sassafras_tasks_given_up_total",
+                                   .help = "Tasks that crashed worker after worker." };
+
 static bool
 is_short (const workflow_step *s)
 {
@@ -108,7 +112,8 @@
 outcome_name (enum workflow_outcome outcome)
 {
   static const char *const names[]
-      = { "", "done", "failed", "stopped", "lapsed", "broken", "alone", "not-started" };
+      = { "",      "done",        "failed",  "stopped",        "lapsed",   "broken",
+          "alone", "not-started", "crashed", "crashed-beside", "outlived", "crashed-unanswered" };
   return names[outcome];
 }
 
@@ -199,6 +204,20 @@
   d->fill_slowdown += SLOWDOWN_SMOOTHING * (slowdown - d->fill_slowdown);
 }
 
+static void
+log_blame (const struct workflow_run *run)
+{
+  const struct workflow_task *t = run->task;
+  log_event (LOG_WARN, "task-crashed-worker",
+             "job=%016" PRIx64 " step=%u task=%u run=%u worker=%s blame=%u", t->job->spec.id,
+             t->step, t->index, run->run, run->worker, t->blame.points);
+  if (!crash_blame_is_final (&t->blame) || t->job->state != WORKFLOW_JOB_OPEN)
+    return;
+  counter_add (&given_up, 1);
+  log_event (LOG_WARN, "task-given-up", "job=%016" PRIx64 " step=%u task=%u runs=%u",
+             t->job->spec.id, t->step, t->index, t->last_run);
+}
+
 static void
 on_ended (void *arg, struct workflow_run *run, enum workflow_outcome outcome)
 {
@@ -212,6 +231,9 @@
     t->since_ms = 0;
   if (!r)
     return;
+  if (outcome == WORKFLOW_CRASHED || outcome == WORKFLOW_CRASHED_BESIDE
+      || outcome == WORKFLOW_CRASHED_UNANSWERED)
+    log_blame (run);
   if (outcome == WORKFLOW_FAILED)
     record_failure (d, r->worker);
   else if (outcome == WORKFLOW_DONE)
--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -58,7 +58,10 @@
   log_event (LOG_INFO, "start-answered",
              "job=%016" PRIx64 " step=%u task=%u run=%u worker=%s result=%s", task->job, task->step,
              task->index, run, worker, result_name (result));
-  if (!r || r->state != DISPATCH_SENT)
+  if (!r)
+    return;
+  dispatch_note_answer (d, r->worker, result);
+  if (r->state != DISPATCH_SENT)
     return;
   switch (result)
     {
@@ -74,7 +77,7 @@
       break;
     case WORKER_CALL_OTHER_WORKER:
       end_not_started (d, r, result);
-      dispatch_mark_gone (d, r->worker, "another worker has its address");
+      dispatch_mark_crashed (d, r->worker, "another worker has its address");
       break;
     default:
       end_not_started (d, r, result);
@@ -93,10 +96,11 @@
              task->index, run, worker, result_name (result));
   if (!r)
     return;
+  dispatch_note_answer (d, r->worker, result);
   r->stop_pending = false;
   r->stop_next_ms = now_ms + STOP_RETRY_MS;
   if (result == WORKER_CALL_OTHER_WORKER)
-    dispatch_mark_gone (d, r->worker, "another worker has its address");
+    dispatch_mark_crashed (d, r->worker, "another worker has its address");
   if (result != WORKER_CALL_OK)
     return;
   r->stop_settled = true;
@@ -146,6 +150,7 @@
 static void
 mark_listed (struct dispatch_run *r, const struct worker_lists *lists)
 {
+  r->crash_outcome = 0;
   if (r->settled_mark < lists->mark)
     r->settled_mark = lists->mark;
 }
@@ -268,11 +273,13 @@
     if (r->settled_mark >= lists->mark)
       continue;
     if (r->state == DISPATCH_RUNNING)
-      dispatch_propose_end (d, r, WORKFLOW_LAPSED, NULL, "the worker no longer lists it");
+      dispatch_propose_end (d, r, r->crash_outcome ? r->crash_outcome : WORKFLOW_LAPSED, NULL,
+                            "the worker no longer lists it");
     else if (r->state == DISPATCH_UNCERTAIN && r->inherited)
       dispatch_propose_end (d, r, WORKFLOW_LAPSED, NULL, "not listed after the fence was raised");
     else if (r->state == DISPATCH_UNCERTAIN && r->stop_settled)
-      dispatch_propose_end (d, r, WORKFLOW_NOT_STARTED, NULL, "not listed after a stop");
+      dispatch_propose_end (d, r, r->crash_outcome ? r->crash_outcome : WORKFLOW_NOT_STARTED, NULL,
+                            "not listed after a stop");
     else if (r->state == DISPATCH_UNCERTAIN)
       r->stop_requested = true;
   }
@@ -324,6 +331,7 @@
   struct dispatch_worker *w = dispatch_find_worker (d, worker);
   if (!w)
     return;
+  dispatch_note_answer (d, w, result);
   if (w->holds > 0)
     w->holds--;
   w->hold_next_ms = now_ms + hold_gap_ms (d, w);
@@ -337,7 +345,7 @@
   log_event (LOG_INFO, "hold-failed", "worker=%s result=%s silent_ms=%" PRId64, worker,
              result_name (result), w->fenced ? now_ms - w->last_answer_ms : 0);
   if (result == WORKER_CALL_OTHER_WORKER)
-    dispatch_mark_gone (d, w, "another worker has its address");
+    dispatch_mark_crashed (d, w, "another worker has its address");
 }
 
 /* An answer to an order of an earlier term proves nothing about the present one: that order did not
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -85,8 +85,9 @@
   bool pace_pending;
   uint32_t measure; /* last listed; lasting: tail in ms, else millicores in use */
   bool is_fill;
-  int image;        /* id in the slack model; -1: neither fill-in nor serving */
-  char *checkpoint; /* latest that the worker listed; NULL is none */
+  int image;                           /* id in the slack model; -1: neither fill-in nor serving */
+  char *checkpoint;                    /* latest that the worker listed; NULL is none */
+  enum workflow_outcome crash_outcome; /* if the restarted worker doesn't list it; 0: none */
 };
 
 TAILQ_HEAD (dispatch_runs, dispatch_run);
@@ -139,6 +140,7 @@
   int64_t deadline_ms;     /* latest lease of this incarnation, on its clock */
   int64_t lease_end_ms;    /* leader's clock; for leases that an earlier leader granted */
   int64_t last_answer_ms;  /* last answer to a hold */
+  int64_t failed_ms;       /* first order without an answer since the last answer; 0: none */
   int64_t listed_clock_ms; /* worker's time of the newest lists */
   int64_t hold_next_ms;
   uintptr_t epoch; /* of this incarnation in this term; tag of its orders */
@@ -157,6 +159,7 @@
   uint32_t failures; /* in a row */
   int64_t no_room_until_ms;
   int64_t avoid_until_ms;
+  int64_t isolated_until_ms; /* nothing else is started there */
   struct pacing pacing;
   int64_t moved_ms;                              /* last attempt to move a fill-in task away */
   uint32_t fill_millicores_of[SLACK_MAX_IMAGES]; /* millicores by fill-in image */
@@ -229,6 +232,10 @@
 void dispatch_free_worker (struct dispatcher *d, struct dispatch_worker *w);
 void dispatch_mark_gone (struct dispatcher *d, struct dispatch_worker *w,
                          const char *reason); /* That incarnation and its runs have ended. */
+void dispatch_mark_crashed (struct dispatcher *d, struct dispatch_worker *w,
+                            const char *reason); /* It did not leave: a run may be to blame. */
+void dispatch_note_answer (struct dispatcher *d, struct dispatch_worker *w,
+                           enum worker_call_result result);
 void dispatch_update_clock (struct dispatcher *d, struct dispatch_worker *w, int64_t clock_ms);
 int64_t dispatch_lease_deadline (struct dispatcher *d,
                                  struct dispatch_worker *w); /* For the next order; stored in W. */
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -40,6 +40,7 @@
   int image; /* of its step, see dispatch_image_id */
   bool scored_restart;
   bool scored_interference;
+  bool scored_isolated;
   size_t placed_at; /* worker that got a task since; WORKER_SELECT_NONE if none did */
   size_t reserved;  /* workers reserved in this tick */
   bool mostly_free; /* see MOSTLY_FREE_MAX_DECLARED_RATIO */
@@ -136,8 +137,22 @@
   return n;
 }
 
+static bool
+is_isolated (const struct workflow_task *t)
+{
+  return t->blame.points >= CRASH_BLAME_ISOLATED;
+}
+
+static void
+isolate (const struct dispatcher *d, struct dispatch_worker *w, const struct workflow_task *t)
+{
+  if (is_isolated (t))
+    w->isolated_until_ms = d->now_ms + CRASH_ISOLATION_MS;
+}
+
 static void
-update_candidate (const struct dispatch_worker *w, struct worker_candidate *candidate)
+update_candidate (const struct dispatcher *d, const struct dispatch_worker *w,
+                  struct worker_candidate *candidate)
 {
   uint32_t memory = w->used_memory_mb < w->memory_mb ? w->memory_mb - w->used_memory_mb : 0;
   uint32_t accelerators
@@ -149,6 +164,8 @@
   candidate->free_memory_mb = memory;
   candidate->free_accelerators = accelerators;
   candidate->tail_ratio = w->pacing.worst_tail;
+  candidate->answering = w->failed_ms == 0;
+  candidate->isolated = d->now_ms < w->isolated_until_ms;
 }
 
 static bool
@@ -171,7 +188,7 @@
   {
     if (!dispatch_usable (d, w))
       continue;
-    update_candidate (w, &c->candidates[c->count]);
+    update_candidate (d, w, &c->candidates[c->count]);
     declared += w->lasting_millicores + w->short_millicores;
     total += w->millicores;
     c->workers[c->count++] = w;
@@ -310,7 +327,7 @@
                 const struct worker_request *q)
 {
   return c->scored && is_same_step (c->scored, t->task) && c->scored_restart == q->is_restart
-         && c->scored_interference == q->allow_interference;
+         && c->scored_interference == q->allow_interference && c->scored_isolated == q->is_isolated;
 }
 
 /* Load pattern: steps of dozens of equal tasks, placed one after the other, and a thousand workers.
@@ -329,6 +346,7 @@
   c->scored = t->task;
   c->scored_restart = q->is_restart;
   c->scored_interference = q->allow_interference;
+  c->scored_isolated = q->is_isolated;
   c->placed_at = WORKER_SELECT_NONE;
   return worker_select_least (c->scores, c->count);
 }
@@ -343,7 +361,8 @@
                               .max_per_worker = s->max_per_worker,
                               .is_fill = s->flags & WORKFLOW_STEP_FILL,
                               .is_lasting = s->flags & WORKFLOW_STEP_LASTING,
-                              .is_restart = t->key.rank == WAITING_RESTART };
+                              .is_restart = t->key.rank == WAITING_RESTART,
+                              .is_isolated = is_isolated (t->task) };
   bool starved = q.is_fill && c->mostly_free && t->task->job->runs == 0
                  && d->now_ms - t->task->job->seen_ms > STARVED_MS;
   update_eligibility (c, t->queue->pool, s);
@@ -365,6 +384,7 @@
   struct dispatch_run *r = dispatch_add_run (d, w, t, t->last_run + 1);
   t->placing = r;
   dispatch_add_stage (d, r, SHORT_STAGE_WAIT, t->since_ms);
+  isolate (d, w, t);
   dispatch_record_start (d, t->job);
   c.workflow_command_u.place
       = (workflow_place){ .task = workflow_ref (t), .run = r->number, .worker = w->id };
@@ -406,8 +426,9 @@
 static bool
 is_unplaceable (const struct unplaceable *n, const struct waiting_task *w)
 {
-  /* A restart is always tried, so that choose can reserve a worker for it.  */
-  if (w->key.rank == WAITING_RESTART)
+  /* A restart is always tried, so that choose can reserve a worker for it.  An isolated task may
+     find no worker where others do.  */
+  if (w->key.rank == WAITING_RESTART || is_isolated (w->task))
     return false;
   if (n->last && is_same_step (n->last->task, w->task))
     return true;
@@ -515,14 +536,16 @@
         size_t index = choose (d, &c, &waiting[i]);
         if (index == WORKER_SELECT_NONE)
           {
+            count_waiting_fill (d, &waiting[i]);
+            if (is_isolated (waiting[i].task))
+              continue;
             unplaceable.last = &waiting[i];
             if (unplaceable.count < MAX_UNPLACEABLE)
               unplaceable.tasks[unplaceable.count++] = &waiting[i];
-            count_waiting_fill (d, &waiting[i]);
             continue;
           }
         propose_place (d, c.workers[index], waiting[i].task);
-        update_candidate (c.workers[index], &c.candidates[index]);
+        update_candidate (d, c.workers[index], &c.candidates[index]);
         c.placed_at = index;
         placed++;
         d->waiting--;
@@ -576,6 +599,7 @@
                                       .deadline_ms = dispatch_lease_deadline (d, w) };
   dispatch_add_stage (d, r, SHORT_STAGE_PLACE, r->sent_ms);
   r->sent_ms = d->now_ms;
+  isolate (d, w, t);
   if (w->short_millicores > 0 && w->hold_next_ms > d->now_ms + HOLD_GAP_MS)
     w->hold_next_ms = d->now_ms + HOLD_GAP_MS;
   d->config.link->ops->start (d->config.link, &order);
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -3,8 +3,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "counters.h"
+#include "crash_blame.h"
 #include "dispatcher_internal.h"
 
+static struct counter crashed
+    = { .name = "sassafras_workers_crashed_total", .help = "Workers that ended without leaving." };
+
 struct dispatch_worker *
 dispatch_find_worker (const struct dispatcher *d, const char *id)
 {
@@ -109,6 +114,57 @@
   return !w->clock_known || min_worker_clock (d, w) > w->deadline_ms + LEASE_MARGIN_MS;
 }
 
+void
+dispatch_note_answer (struct dispatcher *d, struct dispatch_worker *w,
+                      enum worker_call_result result)
+{
+  if (result != WORKER_CALL_UNKNOWN && result != WORKER_CALL_OTHER_WORKER)
+    w->failed_ms = 0;
+  else if (w->failed_ms == 0)
+    w->failed_ms = d->now_ms;
+}
+
+static struct crash_run
+crash_run_of (const struct dispatcher *d, const struct dispatch_run *r)
+{
+  return (struct crash_run){ .sent_ms = r->sent_ms,
+                             .answered = r->state == DISPATCH_RUNNING,
+                             .adopted = r->sent_ms <= d->lead_ms };
+}
+
+/* Sets crash_outcome of the runs that the end of W's incarnation ended.  A worker that drains may
+   end without having left.  */
+static void
+judge_runs (struct dispatcher *d, struct dispatch_worker *w)
+{
+  struct dispatch_run *r;
+  struct crash_scene scene;
+  if (w->draining)
+    return;
+  counter_add (&crashed, 1);
+  crash_scene_init (&scene, w->failed_ms > 0 ? w->failed_ms : d->now_ms);
+  TAILQ_FOREACH (r, &w->runs, link)
+  if (r->state != DISPATCH_ENDING && r->state != DISPATCH_PLACING)
+    {
+      const struct crash_run run = crash_run_of (d, r);
+      crash_scene_add (&scene, &run);
+    }
+  TAILQ_FOREACH (r, &w->runs, link)
+  if (r->state != DISPATCH_ENDING && r->state != DISPATCH_PLACING)
+    {
+      const struct crash_run run = crash_run_of (d, r);
+      r->crash_outcome = crash_scene_outcome (&scene, &run);
+    }
+}
+
+void
+dispatch_mark_crashed (struct dispatcher *d, struct dispatch_worker *w, const char *reason)
+{
+  if (!w->gone)
+    judge_runs (d, w);
+  dispatch_mark_gone (d, w, reason);
+}
+
 void
 dispatch_mark_gone (struct dispatcher *d, struct dispatch_worker *w, const char *reason)
 {
@@ -122,9 +178,10 @@
   TAILQ_FOREACH (r, &w->runs, link)
   {
     bool ran = r->inherited || r->state == DISPATCH_RUNNING;
+    enum workflow_outcome outcome = ran ? WORKFLOW_LAPSED : WORKFLOW_NOT_STARTED;
     if (w->holds > 0)
       r->task->retry_ms = d->now_ms + LAST_LIST_WAIT_MS;
-    dispatch_propose_end (d, r, ran ? WORKFLOW_LAPSED : WORKFLOW_NOT_STARTED, NULL, reason);
+    dispatch_propose_end (d, r, r->crash_outcome ? r->crash_outcome : outcome, NULL, reason);
   }
 }
 
@@ -151,6 +208,8 @@
   struct dispatch_run *r;
   log_event (LOG_INFO, "worker-restarted", "worker=%s born=%" PRId64 " before=%" PRId64, w->id,
              born_ms, w->born_ms);
+  judge_runs (d, w);
+  w->failed_ms = 0;
   w->born_ms = born_ms;
   w->reported = false;
   w->draining = false;
@@ -223,7 +282,7 @@
     if (r->born_ms < w->born_ms)
       return status_set (st, STATUS_STALE_INCARNATION, "worker %s took the address of %s", w->id,
                          r->id);
-    dispatch_mark_gone (d, w, "a newer worker has its address");
+    dispatch_mark_crashed (d, w, "a newer worker has its address");
   }
   return 0;
 }
--- a/src/workflow/worker_select.c
+++ b/src/workflow/worker_select.c
@@ -2,9 +2,10 @@
 
 #include <math.h>
 
-#define INTERFERENCE_WEIGHT 2.0 /* penalty at the loss limit; an unused worker gains 1 */
-#define FOREIGN_PENALTY 1e5     /* above any gap in millicores */
-#define EMPTY_FOREIGN_SHARE 0.3 /* an empty worker is preferred to one with a higher share */
+#define INTERFERENCE_WEIGHT 2.0  /* penalty at the loss limit; an unused worker gains 1 */
+#define LASTING_CRASH_WEIGHT 4.0 /* lasting tasks lose their service, others only run time */
+#define FOREIGN_PENALTY 1e5      /* above any gap in millicores */
+#define EMPTY_FOREIGN_SHARE 0.3  /* an empty worker is preferred to one with a higher share */
 /* Workers without lasting tasks are left to fill-in images that slow every serving image.  */
 #define EMPTY_WORKER_PENALTY 1.5
 /* Data on another rack doubles the run time, so any worker near the data goes first.  */
@@ -34,7 +35,10 @@
 bool
 worker_select_fits (const struct worker_candidate *r, const struct worker_request *q)
 {
-  if (!r->usable || r->free_memory_mb < q->memory_mb || r->free_accelerators < q->accelerators)
+  if (!r->usable || r->isolated || r->free_memory_mb < q->memory_mb
+      || r->free_accelerators < q->accelerators)
+    return false;
+  if (q->is_isolated && !r->answering)
     return false;
   if (q->max_per_worker > 0 && r->same_step >= q->max_per_worker)
     return false;
@@ -51,6 +55,9 @@
 worker_select_score (const struct worker_candidate *r, const struct worker_request *q)
 {
   double penalty = r->near_data ? 0 : REMOTE_DATA_PENALTY;
+  if (q->is_isolated)
+    return penalty + LASTING_CRASH_WEIGHT * r->lasting_millicores + r->short_millicores
+           + r->fill_millicores;
   if (q->is_fill)
     return penalty + INTERFERENCE_WEIGHT * r->interference
            + (r->lasting_millicores == 0 ? EMPTY_WORKER_PENALTY : 0)
--- a/src/workflow/worker_select.h
+++ b/src/workflow/worker_select.h
@@ -33,6 +33,8 @@
   uint32_t same_step;   /* tasks of the same step and occurrence there */
   bool usable;          /* alive, in the pool, has the label, not avoided */
   bool reserved;        /* capacity reserved for a lasting task that must restart */
+  bool isolated;        /* a task that may crash the worker was just started there */
+  bool answering;       /* its last answer is younger than any order without one */
   bool near_data;       /* in the rack that holds the step's data */
   double tail_ratio;    /* largest tail / target; 0 without a sample, 1 closed to the image */
   double foreign_share; /* for a lasting task; see worker_select_foreign_share */
@@ -47,7 +49,8 @@
   uint32_t max_per_worker; /* 0 is no limit */
   bool is_fill;
   bool is_lasting;
-  bool is_restart; /* a lasting task that waits for reserved capacity */
+  bool is_isolated; /* may crash the worker: preferably started where least is at work */
+  bool is_restart;  /* a lasting task that waits for reserved capacity */
   /* For a fill-in task that waited long while most of the pool is free; pacing limits the
      slowdown.  */
   bool allow_interference;
--- a/src/workflow/workflow.h
+++ b/src/workflow/workflow.h
@@ -6,12 +6,13 @@
 
    Task states: WAITING -> PLACED (one run, or two copies of a speculative step) -> WAITING again
    after a non-final end, or DONE, or FAILED.  Every placement increments the task's run number, so
-   that an order identifies a single run.  A lasting task never becomes DONE or FAILED: it returns
-   to WAITING.
+   that an order identifies a single run.  A lasting task never becomes DONE, nor FAILED
+   by failed runs: it returns to WAITING.  A task that is to blame for crashes of workers becomes
+   FAILED too (crash_blame.h).
 
-   Job states: OPEN -> COMPLETED (all tasks done), FAILED (one task failed max_attempts times) or
-   CANCELLED.  Runs of a job that is no longer open continue until their END is committed.  A job
-   that has ended and has no runs may be pruned; the caller decides when.
+   Job states: OPEN -> COMPLETED (all tasks done), FAILED (one task failed max_attempts times, or is
+   to blame for crashes) or CANCELLED.  Runs of a job that is no longer open continue until their
+   END is committed.  A job that has ended and has no runs may be pruned; the caller decides when.
 
    A worker that was unreachable may report the end of a run that had been marked as lapsed.  An end
    with outcome DONE is accepted nevertheless: the task is done and needs no further run.
@@ -32,6 +33,7 @@
 #include <sys/queue.h>
 
 #include "cell_map.h"
+#include "crash_blame.h"
 #include "machine.h"
 #include "workflow_proto.h"
 
@@ -75,6 +77,7 @@
   enum workflow_task_state state;
   uint32_t last_run; /* highest run number ever used */
   uint32_t failures;
+  struct crash_blame blame;
   char *checkpoint; /* NULL: none */
   struct workflow_run *runs[WORKFLOW_MAX_RUNS];
   bool ready;            /* in workflow.ready */
--- a/src/workflow/workflow_apply.c
+++ b/src/workflow/workflow_apply.c
@@ -258,7 +258,9 @@
     }
   if (outcome == WORKFLOW_FAILED)
     t->failures++;
-  if (outcome == WORKFLOW_FAILED && !is_lasting (t) && t->failures >= max_attempts_of (w, t->job))
+  bool exhausted
+      = outcome == WORKFLOW_FAILED && !is_lasting (t) && t->failures >= max_attempts_of (w, t->job);
+  if (exhausted || crash_blame_is_final (&t->blame))
     {
       t->state = WORKFLOW_TASK_FAILED;
       workflow_set_job_state (w, t->job, WORKFLOW_JOB_FAILED);
@@ -303,6 +305,7 @@
     }
   if (e->outcome == WORKFLOW_NOT_STARTED)
     t->job->started--;
+  crash_blame_add (&t->blame, e->outcome);
   if (w->observer.ended)
     w->observer.ended (w->observer.arg, run, e->outcome);
   remove_run (w, run);
--- a/src/workflow/workflow_snapshot.c
+++ b/src/workflow/workflow_snapshot.c
@@ -64,6 +64,43 @@
   free (image->tasks.tasks_val);
 }
 
+static void
+add_blames (const struct workflow_job *j, workflow_blame_image *out)
+{
+  uint32_t count = task_count (j);
+  for (uint32_t i = 0; i < count && out->blames.blames_len < WORKFLOW_MAX_BLAMES; i++)
+    {
+      const struct workflow_task *t = task_at (j, i);
+      u_int n = out->blames.blames_len;
+      if (t->blame.points == 0)
+        continue;
+      if ((n & (n - 1)) == 0)
+        out->blames.blames_val
+            = xrealloc (out->blames.blames_val, (n ? 2 * n : 1) * sizeof (workflow_blame));
+      out->blames.blames_val[out->blames.blames_len++] = (workflow_blame){
+        .task = workflow_ref (t), .points = t->blame.points, .crashes = t->blame.crashes
+      };
+    }
+}
+
+/* Blame is rare, so it follows the image as a list of its own.  */
+static void
+save_blames (const struct workflow *w, struct buffer *out)
+{
+  workflow_blame_image image = { .blames.blames_len = 0 };
+  const struct workflow_job *j;
+  XDR xdr;
+  TAILQ_FOREACH (j, &w->open, link)
+  add_blames (j, &image);
+  u_int size = (u_int)xdr_sizeof ((xdrproc_t)xdr_workflow_blame_image, &image);
+  buffer_reserve (out, size);
+  xdrmem_create (&xdr, out->data + out->len, size, XDR_ENCODE);
+  xdr_workflow_blame_image (&xdr, &image);
+  xdr_destroy (&xdr);
+  out->len += size;
+  free (image.blames.blames_val);
+}
+
 void
 workflow_save (struct machine *m, struct buffer *out)
 {
@@ -87,6 +124,7 @@
   for (u_int i = 0; i < image.jobs.jobs_len; i++)
     free_job_image (&image.jobs.jobs_val[i]);
   free (image.jobs.jobs_val);
+  save_blames (w, out);
 }
 
 static void
@@ -138,6 +176,24 @@
   return true;
 }
 
+static bool
+load_blames (struct workflow *w, XDR *xdr, size_t len)
+{
+  workflow_blame_image image = { .blames.blames_len = 0 };
+  if (xdr_getpos (xdr) == len)
+    return true;
+  bool ok = xdr_workflow_blame_image (xdr, &image);
+  for (u_int i = 0; ok && i < image.blames.blames_len; i++)
+    {
+      const workflow_blame *b = &image.blames.blames_val[i];
+      struct workflow_task *t = workflow_find_task (w, &b->task);
+      if (t)
+        t->blame = (struct crash_blame){ .points = b->points, .crashes = b->crashes };
+    }
+  xdr_free ((xdrproc_t)xdr_workflow_blame_image, (char *)&image);
+  return ok;
+}
+
 int
 workflow_load (struct machine *m, const void *data, size_t len, struct status *st)
 {
@@ -145,7 +201,8 @@
   XDR xdr;
   memset (&image, 0, sizeof image);
   xdrmem_create (&xdr, (char *)data, (u_int)len, XDR_DECODE);
-  bool ok = xdr_workflow_image (&xdr, &image) && load_image ((struct workflow *)m, &image);
+  bool ok = xdr_workflow_image (&xdr, &image) && load_image ((struct workflow *)m, &image)
+            && load_blames ((struct workflow *)m, &xdr, len);
   xdr_destroy (&xdr);
   xdr_free ((xdrproc_t)xdr_workflow_image, (char *)&image);
   return ok ? 0 : status_set (st, STATUS_JOURNAL_DAMAGED, "the snapshot of the jobs is malformed");
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -833,6 +833,123 @@
   assert_int_equal (workflow_find_job (&f->workflow, 1)->state, WORKFLOW_JOB_FAILED);
 }
 
+/* The worker at ADDRESS crashes and is back under another id, BORN_MS.  */
+static void
+crash_worker (struct fixture *f, const char *new_id, const char *address, int64_t born_ms)
+{
+  struct status st;
+  struct worker_report r = fixture_worker (f, new_id, address);
+  r.born_ms = born_ms;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+  fixture_commit (f);
+  fixture_tick (f, 300);
+  const struct sent_hold h = fixture_last_hold (f, new_id);
+  const struct worker_lists lists
+      = { .mark = h.mark, .clock_ms = f->now_ms, .born_ms = born_ms, .complete = true };
+  dispatcher_hold_answer (f->dispatcher, f->now_ms, new_id, WORKER_CALL_OK, &lists);
+  fixture_commit (f);
+}
+
+/* A task that crashes its worker was placed again for ever, taking down worker after worker.  */
+static void
+test_a_task_that_crashes_its_workers_is_given_up (void **state)
+{
+  struct fixture *f = *state;
+  char id[8];
+  fixture_join (f, "w0", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  for (int i = 1; i < 20; i++)
+    {
+      size_t before = f->start_count;
+      fixture_tick (f, 300);
+      if (f->start_count == before)
+        break;
+      fixture_answer_start (f, &f->starts[before], i % 2 ? WORKER_CALL_OK : WORKER_CALL_UNKNOWN);
+      snprintf (id, sizeof id, "w%d", i);
+      crash_worker (f, id, "10.0.0.1:1", 1000 + i);
+    }
+  assert_in_range (f->start_count, 3, 5);
+  assert_int_equal (workflow_find_job (&f->workflow, 1)->state, WORKFLOW_JOB_FAILED);
+}
+
+/* As above, for a worker that returns under its own id and for a change of leader between.  */
+static void
+test_a_task_that_crashes_a_restarting_worker_is_given_up (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, WORKFLOW_STEP_LASTING);
+  for (int i = 1; i < 20; i++)
+    {
+      size_t before = f->start_count;
+      fixture_tick (f, 300);
+      if (f->start_count == before)
+        break;
+      fixture_answer_start (f, &f->starts[before], WORKER_CALL_OK);
+      crash_worker (f, "w1", "10.0.0.1:1", 1000 + i);
+      if (i != 2)
+        continue;
+      struct status st;
+      struct worker_report r = fixture_worker (f, "w1", "10.0.0.1:1");
+      r.born_ms = 1000 + i;
+      dispatcher_become_leader (f->dispatcher, f->now_ms, 8);
+      assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+      fixture_tick (f, 300);
+      const struct sent_hold h = fixture_last_hold (f, "w1");
+      const struct worker_lists lists
+          = { .mark = h.mark, .clock_ms = f->now_ms, .born_ms = 1000 + i, .complete = true };
+      dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_OK, &lists);
+      fixture_commit (f);
+    }
+  assert_in_range (f->start_count, 3, 5);
+  assert_int_equal (workflow_find_job (&f->workflow, 1)->state, WORKFLOW_JOB_FAILED);
+}
+
+/* A worker that leaves, again and again, says nothing about its tasks.  */
+static void
+test_departures_of_workers_do_not_give_a_task_up (void **state)
+{
+  struct fixture *f = *state;
+  char id[8];
+  fixture_submit (f, 1, 1, 1, 0);
+  for (size_t i = 0; i < 8; i++)
+    {
+      snprintf (id, sizeof id, "w%zu", i);
+      fixture_join (f, id, "10.0.0.1:1");
+      fixture_tick (f, 300);
+      assert_int_equal (f->start_count, i + 1);
+      fixture_answer_start (f, &f->starts[i], WORKER_CALL_OK);
+      struct status st;
+      struct worker_report r = fixture_worker (f, id, "10.0.0.1:1");
+      r.draining = true;
+      r.sequence++;
+      assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+      dispatcher_worker_left (f->dispatcher, f->now_ms, id);
+      fixture_commit (f);
+    }
+  assert_int_equal (workflow_find_job (&f->workflow, 1)->state, WORKFLOW_JOB_OPEN);
+}
+
+/* A task under which a worker crashed must not take others down with it, nor hide among them.  */
+static void
+test_a_suspected_task_is_started_apart (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_tick (f, 20);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  crash_worker (f, "w2", "10.0.0.1:1", 2000);
+  fixture_tick (f, 300);
+  assert_int_equal (f->start_count, 2);
+  fixture_answer_start (f, &f->starts[1], WORKER_CALL_OK);
+  fixture_submit (f, 2, 1, 3, 0);
+  fixture_tick (f, 500);
+  assert_int_equal (f->start_count, 2);
+  fixture_tick (f, 600);
+  assert_int_equal (f->start_count, 5);
+}
+
 /* The gap that a short task leaves must not go to a lasting task while short tasks wait: on a full
    pool the short ones would starve.  */
 static void
@@ -1129,6 +1246,10 @@
           TEST (test_a_lasting_task_restarts_beside_short_ones),
           TEST (test_a_job_that_fits_nowhere_is_known),
           TEST (test_short_tasks_go_before_lasting_ones),
+          TEST (test_a_task_that_crashes_its_workers_is_given_up),
+          TEST (test_a_task_that_crashes_a_restarting_worker_is_given_up),
+          TEST (test_departures_of_workers_do_not_give_a_task_up),
+          TEST (test_a_suspected_task_is_started_apart),
           TEST (test_a_job_fails_after_its_attempts) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_workflow.c
+++ b/tests/test_workflow.c
@@ -173,6 +173,38 @@
   buffer_close (&after);
 }
 
+/* A new leader that starts from a snapshot must know which tasks crashed workers; a snapshot of an
+   earlier build ends before the blames.  */
+static void
+test_blame_survives_a_snapshot (void **state)
+{
+  struct fixture *f = *state;
+  struct buffer image;
+  struct workflow other;
+  struct status st;
+  const workflow_task_ref ref = { .job = 1, .index = 1 };
+  fixture_submit (f, 1, 1, 2, 0);
+  for (uint32_t run = 1; run <= 2; run++)
+    {
+      place (f, 1, 0, 1, run);
+      end (f, 1, 0, 1, run, WORKFLOW_CRASHED, "");
+    }
+  save (f, &image);
+  workflow_init (&other);
+  assert_int_equal (other.machine.ops->load (&other.machine, image.data, image.len, &st), 0);
+  assert_int_equal (workflow_find_task (&other, &ref)->blame.points, 8);
+  /* One blame: a count, a reference of 20 bytes, points and crashes.  */
+  size_t earlier_len = image.len - 32;
+  assert_int_equal (other.machine.ops->load (&other.machine, image.data, earlier_len, &st), 0);
+  assert_int_equal (workflow_find_task (&other, &ref)->blame.points, 0);
+  assert_int_equal (workflow_find_job (&other, 1)->state, WORKFLOW_JOB_OPEN);
+  place (f, 1, 0, 1, 3);
+  end (f, 1, 0, 1, 3, WORKFLOW_CRASHED, "");
+  assert_int_equal (workflow_find_job (&f->workflow, 1)->state, WORKFLOW_JOB_FAILED);
+  workflow_close (&other);
+  buffer_close (&image);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown (name, fixture_open, fixture_close)
 
 int
@@ -185,6 +217,7 @@
                                       TEST (test_lasting_task_restarts_after_any_outcome),
                                       TEST (test_older_configuration_is_refused),
                                       TEST (test_longest_prefix_selects_the_queue),
-                                      TEST (test_snapshot_contains_all_state) };
+                                      TEST (test_snapshot_contains_all_state),
+                                      TEST (test_blame_survives_a_snapshot) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
