test_leader_relay: the read of a missing queue has the deadline of a customer

Seen: test_missing_queue_after_unanswered_read_is_forwarded failed once of 7 runs beside load average 27 ("0x1f8 != 0x194": 504 instead of 404). The request had the 950 ms of the control interface, of which the unanswered attempt takes 450 ms; the answer of the second attempt came after the deadline, for which 504 is right. A customer's read has 3 s. What the test expects is unchanged.

--- a/tests/test_leader_relay.c
+++ b/tests/test_leader_relay.c
@@ -17,6 +17,7 @@
 
 #define CANDIDATES 3
 #define CONTROL_BUDGET_MS 950 /* callers of the control interface time out after 1 s */
+#define READ_BUDGET_MS 3000   /* Deadline-Ms of the users' customers */
 
 enum behaviour
 {
@@ -345,6 +346,7 @@
   assert_int_equal (request (f), 200);
   for (int i = 0; i < CANDIDATES; i++)
     f->vms[i].behaviour = f->vms[i].requests > 0 ? SILENT : NO_QUEUE;
+  f->budget_ms = READ_BUDGET_MS;
   assert_int_equal (request (f), 404);
 }
 
