leader_relay: learn the members of the group from the leader

A front knew the core VMs among its seeds and the leaders that it had followed. Once all of these were gone it found no leader any more: callers got 503 to everything, although the group had a leader.

The leader now names the members in its answer to a probe, which every front sends each second. They and the seeds are the candidates from then on, so that replaced VMs also leave the table of 32 candidates. An answer without members, of an older version, changes nothing.

test_leader_is_found_after_all_seeds_are_gone failed before: "0x1f8 != 0xc8" (504 instead of 200).

--- a/src/workflow/leader_relay.c
+++ b/src/workflow/leader_relay.c
@@ -1,5 +1,7 @@
 #include "leader_relay.h"
 
+#include <arpa/inet.h>
+#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -94,10 +96,18 @@
   if (c || strcmp (ip, r->config.own_ip) == 0 || r->count == RELAY_MAX_CANDIDATES)
     return c;
   c = &r->candidates[r->count++];
+  *c = (struct candidate){ .backoff_until_ms = 0 };
   snprintf (c->ip, sizeof c->ip, "%s", ip);
   return c;
 }
 
+static void
+add_seeds (struct leader_relay *r)
+{
+  for (size_t i = 0; i < r->config.seed_count; i++)
+    add_candidate (r, r->config.seeds[i]);
+}
+
 struct leader_relay *
 leader_relay_open (const struct leader_relay_config *config)
 {
@@ -109,11 +119,49 @@
   LIST_INIT (&r->calls);
   ev_init (&r->lookup, on_lookup);
   r->lookup.data = r;
-  for (size_t i = 0; i < config->seed_count; i++)
-    add_candidate (r, config->seeds[i]);
+  add_seeds (r);
   return r;
 }
 
+static bool
+is_address (const char *text)
+{
+  struct in_addr address;
+  return text && inet_pton (AF_INET, text, &address) == 1;
+}
+
+/* Replaces the candidates by MEMBERS, a JSON array of addresses, and the seeds.  */
+static void
+set_candidates (struct leader_relay *r, const json_t *members)
+{
+  struct leader_relay old = *r;
+  r->count = 0;
+  for (size_t i = 0; i < json_array_size (members); i++)
+    {
+      const char *ip = json_string_value (json_array_get (members, i));
+      if (is_address (ip))
+        add_candidate (r, ip);
+    }
+  add_seeds (r);
+  for (size_t k = 0; k < r->count; k++)
+    {
+      const struct candidate *known = find_candidate (&old, r->candidates[k].ip);
+      if (known)
+        r->candidates[k].backoff_until_ms = known->backoff_until_ms;
+    }
+}
+
+/* Reads the members that the leader named in its answer to a probe.  */
+static void
+read_members (struct leader_relay *r, const struct buffer *body)
+{
+  json_t *answer = json_loadb (body->data, body->len, 0, NULL);
+  const json_t *members = json_object_get (answer, "members");
+  if (json_array_size (members) > 0)
+    set_candidates (r, members);
+  json_decref (answer);
+}
+
 static void
 free_call (struct relay_call *c)
 {
@@ -152,6 +200,16 @@
   http_reply_redirect (req, url);
 }
 
+void
+leader_relay_confirm (struct http_request *req, const char (*members)[SEEDED_GROUP_IP_BYTES],
+                      size_t count)
+{
+  json_t *list = json_array ();
+  for (size_t i = 0; i < count; i++)
+    json_array_append_new (list, json_string (members[i]));
+  http_reply_json (req, CODE_OK, json_pack ("{s:o}", "members", list));
+}
+
 /* The presumed leader, or NULL if it is unknown or has recently failed.  */
 static const char *
 known_leader (struct leader_relay *r, int64_t now_ms)
@@ -546,6 +604,7 @@
     back_off (r, r->probe_target, now_ms);
   else if (a->code == CODE_OK)
     {
+      read_members (r, &a->body);
       record_leader (r, r->probe_target, now_ms);
       if (r->config.probe_answered)
         r->config.probe_answered (r->config.arg, r->probe_target);
--- a/src/workflow/leader_relay.h
+++ b/src/workflow/leader_relay.h
@@ -11,7 +11,9 @@
    RELAY_MIN_WAIT_MS after the request arrived or RELAY_LEADER_LOST_MS after a leader's last answer,
    whichever is later, so that the caller can retry before its deadline.
 
-   A candidate that did not answer is tried last for RELAY_BACKOFF_MS.  */
+   A candidate that did not answer is tried last for RELAY_BACKOFF_MS.  The leader names the members
+   of its group in each answer to a probe.  They and the seeds are the candidates from then on: the
+   seeds may all be replaced while this VM runs.  */
 
 #ifndef SASSAFRAS_LEADER_RELAY_H
 #define SASSAFRAS_LEADER_RELAY_H
@@ -67,5 +69,7 @@
 int64_t leader_relay_last_answer_ms (const struct leader_relay *r); /* Leader's last answer. */
 void leader_relay_refuse (struct http_request *req, const char *leader_ip,
                           int port); /* 307 to LEADER_IP, or 421 if it is NULL. */
+void leader_relay_confirm (struct http_request *req, const char (*members)[SEEDED_GROUP_IP_BYTES],
+                           size_t count); /* Leader's 200 to a probe; names MEMBERS. */
 
 #endif
--- a/src/workflow/seeded_group.c
+++ b/src/workflow/seeded_group.c
@@ -433,6 +433,18 @@
   return n;
 }
 
+size_t
+seeded_group_members (const struct seeded_group *s, char (*ips)[SEEDED_GROUP_IP_BYTES], size_t size)
+{
+  const raft_members *members = group_members (s->group);
+  size_t n = 0;
+  for (int voters = 1; voters >= 0; voters--)
+    for (u_int i = 0; i < members->members.members_len && n < size; i++)
+      if (members->members.members_val[i].voter == voters)
+        ip_of_node (members->members.members_val[i].node, ips[n++]);
+  return n;
+}
+
 bool
 seeded_group_leader (const struct seeded_group *s, char ip[SEEDED_GROUP_IP_BYTES])
 {
--- a/src/workflow/seeded_group.h
+++ b/src/workflow/seeded_group.h
@@ -68,6 +68,9 @@
 /* Distance of the voters other than this VM; returns their number, at most SIZE.  */
 size_t seeded_group_voter_distances (const struct seeded_group *s, struct voter_distance *out,
                                      size_t size);
+/* Stores the addresses of the members, voters first; returns their number, at most SIZE.  */
+size_t seeded_group_members (const struct seeded_group *s, char (*ips)[SEEDED_GROUP_IP_BYTES],
+                             size_t size);
 bool seeded_group_leader (const struct seeded_group *s,
                           char ip[SEEDED_GROUP_IP_BYTES]); /* False if unknown. */
 
--- a/tests/test_leader_relay.c
+++ b/tests/test_leader_relay.c
@@ -19,6 +19,8 @@
 #define CONTROL_BUDGET_MS 950 /* callers of the control interface time out after 1 s */
 #define READ_BUDGET_MS 3000   /* Deadline-Ms of the users' customers */
 
+#define MEMBERS "{\"members\": [\"127.0.9.1\", \"127.0.9.2\", \"bad\", 7]}"
+
 enum behaviour
 {
   ANSWERS,
@@ -48,6 +50,7 @@
   struct leader_relay *joiner; /* of a VM that asks to join the group */
   char joined_at[SEEDED_GROUP_IP_BYTES];
   int port;
+  bool names_members; /* the leader does, in its answers to probes */
   int64_t budget_ms;
   const char *method;
   int code;
@@ -61,7 +64,10 @@
   bool probe = strcmp (req->path, RELAY_PROBE_PATH) == 0;
   v->probes += probe;
   v->requests += !probe;
-  if (v->behaviour == ANSWERS || (probe && (v->behaviour == REFUSES || v->behaviour == NO_QUEUE)))
+  if (v->behaviour == ANSWERS && probe && v->fixture->names_members)
+    http_reply (req, 200, "application/json", MEMBERS, strlen (MEMBERS));
+  else if (v->behaviour == ANSWERS
+           || (probe && (v->behaviour == REFUSES || v->behaviour == NO_QUEUE)))
     http_reply (req, 200, "text/plain", "done", 4);
   else if (v->behaviour == REFUSES)
     http_reply_error (req, STATUS_OVERLOADED, "no room");
@@ -458,6 +464,32 @@
   assert_string_equal (f->joined_at, "127.0.9.2");
 }
 
+/* All seeds of a front were replaced while one leader led: the front had learned no other VM and
+   answered nothing from then on, although the group had a leader.  */
+static void
+test_leader_is_found_after_all_seeds_are_gone (void **state)
+{
+  struct fixture *f = *state;
+  static const char *const headers[] = { NULL };
+  const struct leader_relay_config config = { .loop = f->loop,
+                                              .clock = clock_real (),
+                                              .own_ip = "127.0.9.9",
+                                              .port = f->port,
+                                              .seeds = { "127.0.9.1" },
+                                              .seed_count = 1,
+                                              .headers = headers };
+  leader_relay_close (f->relay);
+  f->relay = leader_relay_open (&config);
+  f->names_members = true;
+  f->budget_ms = 3000;
+  f->vms[1].behaviour = NO_LEADER;
+  assert_int_equal (request (f), 200);
+  f->vms[0].behaviour = SILENT;
+  f->vms[1].behaviour = ANSWERS;
+  assert_int_equal (request (f), 200);
+  assert_int_equal (f->vms[1].requests, 1);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown (name, open_fixture, close_fixture)
 
 int
@@ -479,7 +511,8 @@
           TEST (test_missing_queue_after_unanswered_read_is_forwarded),
           TEST (test_refusal_after_broken_connection_gets_504),
           TEST (test_refusal_of_the_only_attempt_is_forwarded),
-          TEST (test_join_follows_a_redirect_to_a_leader_that_is_no_seed) };
+          TEST (test_join_follows_a_redirect_to_a_leader_that_is_no_seed),
+          TEST (test_leader_is_found_after_all_seeds_are_gone) };
   curl_global_init (CURL_GLOBAL_DEFAULT);
   int failed = cmocka_run_group_tests (tests, NULL, NULL);
   curl_global_cleanup ();
