--- a/src/log/raft.h
+++ b/src/log/raft.h
@@ -56,7 +56,8 @@
   int64_t retry_max_ms;         /* upper bound */
   int64_t quorum_ms;            /* a leader without replies of a quorum for this long steps down */
   int64_t commit_notice_ms;     /* delay before a commit index is sent without entries */
-  int64_t restart_ms; /* after a restart: a voter may have answered a round that it forgot */
+  int64_t restart_ms; /* no votes for this long after a restart: a leader may rely on an answer from
+                         before it */
 };
 
 /* State that must be durable beside the log.  */
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -24,7 +24,7 @@
   struct buffer body;   /* complete body */
   struct status status; /* OK, TIMEOUT, BACKEND_FAILED or BACKEND_TRUNCATED */
   bool sent;            /* at least one byte of the request may have reached the server */
-  unsigned sends; /* connections it was sent on: libcurl repeats it when a reused one breaks */
+  unsigned sends; /* times it was written; over 1 if libcurl repeated it on another connection */
   const char *location; /* Location header of a redirect, or NULL */
   long retry_after_s;   /* Retry-After header; 0 without one */
 };
@@ -40,9 +40,9 @@
   const char *const *headers; /* "Name: value" strings ended by NULL; may be NULL */
   const char *body;           /* may be NULL */
   size_t body_len;
-  long timeout_ms; /* for the request and its answer; a suspension does not count */
+  long timeout_ms; /* for the request and its answer, on the clock that stops in a suspension */
   bool once;       /* fails rather than being sent again when a reused connection breaks */
-  http_may_send_fn *may_send; /* called right before the request is written; false cancels it with
+  http_may_send_fn *may_send; /* called before each writing of the request; false cancels it with
                                  BACKEND_FAILED; may be NULL */
   http_answer_fn *done;       /* called exactly once */
   void *done_arg;             /* of both functions */
--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -303,7 +303,7 @@
   w->listed_clock_ms = lists->clock_ms;
   w->last_answer_ms = d->now_ms;
   w->fenced = true;
-  w->answering = true;
+  w->last_hold_answered = true;
   process_running (d, w, lists);
   process_ends (d, w, lists);
   end_unlisted_runs (d, w, lists);
@@ -341,7 +341,7 @@
       return;
     }
   w->hold_next_ms = now_ms + HOLD_RETRY_MS;
-  w->answering = false;
+  w->last_hold_answered = false;
   log_event (LOG_INFO, "hold-failed", "worker=%s result=%s silent_ms=%" PRId64, worker,
              result_name (result), w->fenced ? now_ms - w->last_answer_ms : 0);
   if (result == WORKER_CALL_OTHER_WORKER)
@@ -358,8 +358,10 @@
     [ORDER_START] = "start", [ORDER_STOP] = "stop", [ORDER_PACE] = "pace", [ORDER_HOLD] = "hold"
   };
   const struct dispatch_worker *w = dispatch_find_worker (d, o->worker);
-  if (!w || w->epoch == (uintptr_t)o->tag)
-    return w != NULL;
+  if (!w)
+    return false;
+  if (w->order_epoch == (uintptr_t)o->tag)
+    return true;
   counter_add (&outdated, 1);
   log_event (LOG_INFO, "answer-outdated", "worker=%s order=%s result=%s", o->worker, kinds[o->kind],
              result_name (o->result));
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -143,11 +143,12 @@
   int64_t failed_ms;       /* first order without an answer since the last answer; 0: none */
   int64_t listed_clock_ms; /* worker's time of the newest lists */
   int64_t hold_next_ms;
-  uintptr_t epoch; /* of this incarnation in this term; tag of its orders */
-  unsigned holds;  /* of this epoch, without an answer yet */
-  bool fenced;     /* has answered a hold of this leader */
-  bool hold_now;   /* don't wait for hold_next_ms */
-  bool answering;  /* the last hold was answered: ACKNOWLEDGED counts ends of this incarnation */
+  uintptr_t order_epoch;   /* of this incarnation in this term; tag of its orders */
+  unsigned holds;          /* of this epoch, without an answer yet */
+  bool fenced;             /* has answered a hold of this leader */
+  bool hold_now;           /* don't wait for hold_next_ms */
+  bool last_hold_answered; /* the last hold was answered: ACKNOWLEDGED counts ends of this
+                              incarnation */
 
   /* Ended and running tasks.  */
   uint64_t acknowledged; /* ends up to this number are committed */
@@ -190,11 +191,11 @@
   int64_t lead_ms;
   int64_t authority_until_ms;
   int64_t now_ms;
-  uint64_t mark;        /* counter of holds and settled orders */
-  uintptr_t last_epoch; /* counter of dispatch_worker.epoch; never restarts */
-  uint64_t ticks;       /* since the start of the process */
-  int64_t tick_ms;      /* of the last tick; 0 before the first */
-  double tick_lag_ms;   /* delay of ticks, smoothed */
+  uint64_t mark;              /* counter of holds and settled orders */
+  uintptr_t last_order_epoch; /* counter of dispatch_worker.order_epoch; never restarts */
+  uint64_t ticks;             /* since the start of the process */
+  int64_t tick_ms;            /* of the last tick; 0 before the first */
+  double tick_lag_ms;         /* delay of ticks, smoothed */
   unsigned first_holds; /* allowed in this tick, to workers that haven't answered this leader */
   uint64_t token;       /* of the last proposal */
   struct cell_map workers;
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -28,7 +28,7 @@
 {
   struct dispatch_worker *w = xcalloc (1, sizeof *w);
   w->id = xstrdup (id);
-  w->epoch = ++d->last_epoch;
+  w->order_epoch = ++d->last_order_epoch;
   /* The previous leader could grant leases until its authority ended, which was before this
      leader's began.  */
   w->lease_end_ms
@@ -222,7 +222,7 @@
       = d->now_ms + (int64_t)((double)d->config.lease_ms / MIN_CLOCK_RATE) + LEASE_MARGIN_MS;
   w->acknowledged = 0;
   w->hold_now = true;
-  w->epoch = ++d->last_epoch;
+  w->order_epoch = ++d->last_order_epoch;
   w->holds = 0;
   free_ends (w);
   pacing_init (&w->pacing);
@@ -375,7 +375,7 @@
                                   .address = w->address,
                                   .zone = w->zone,
                                   .fence = d->fence,
-                                  .tag = (void *)w->epoch };
+                                  .tag = (void *)w->order_epoch };
 }
 
 /* Tails matter only where fill-in tasks share the worker with lasting ones.  */
@@ -391,11 +391,12 @@
   /* A worker whose answers are lost may still get holds: renew its lease only while it answers.  It
    may also have restarted, and numbers its ends from 1 again.  */
   bool answers = d->now_ms - w->last_answer_ms < RENEW_MAX_SILENCE_MS;
-  const struct worker_hold order = { .to = dispatch_address (d, w),
-                                     .mark = ++d->mark,
-                                     .acknowledged = answers && w->answering ? w->acknowledged : 0,
-                                     .deadline_ms = answers ? dispatch_lease_deadline (d, w) : 0,
-                                     .wait_ms = w->hold_now || !w->fenced ? 0 : hold_wait_ms (w) };
+  const struct worker_hold order
+      = { .to = dispatch_address (d, w),
+          .mark = ++d->mark,
+          .acknowledged = answers && w->last_hold_answered ? w->acknowledged : 0,
+          .deadline_ms = answers ? dispatch_lease_deadline (d, w) : 0,
+          .wait_ms = w->hold_now || !w->fenced ? 0 : hold_wait_ms (w) };
   w->hold_now = false;
   w->holds++;
   d->config.link->ops->hold (d->config.link, &order);
--- a/src/workflow/leader_placement.h
+++ b/src/workflow/leader_placement.h
@@ -11,7 +11,7 @@
 
    Failure pattern: rounds are also slow when the voters are busy, in any region.  A round therefore
    counts as slow only if the quorum is distant too, by the shortest answers to calls that need no
-   disk and no turn in the log (peer_net).  */
+   disk write and no log entry (peer_net).  */
 
 #ifndef SASSAFRAS_LEADER_PLACEMENT_H
 #define SASSAFRAS_LEADER_PLACEMENT_H
