--- a/src/log/raft_internal.h
+++ b/src/log/raft_internal.h
@@ -77,10 +77,9 @@
 
   enum raft_role role;
   uint64_t leader;
-  int64_t leader_ms; /* last message of the leader */
-  int64_t
-      votes_from_ms;   /* no votes before: a leader may rely on an answer from before the restart */
-  int64_t election_ms; /* when the next election starts */
+  int64_t leader_ms;     /* last message of the leader */
+  int64_t votes_from_ms; /* no votes before, see raft_timing.restart_ms */
+  int64_t election_ms;   /* when the next election starts */
 
   uint64_t noop_index; /* first entry of this leader's term */
   uint64_t round;
