--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p bin
-for case in foreign_heartbeat late_order runner_crashes route_removed unread_post; do
+for case in last_list foreign_heartbeat late_order route_removed unread_post; do
   gcc -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra -o "bin/$case" "rig/$case.c" rig/rig.c -ljansson -pthread
 done
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -63,6 +63,8 @@
   char ip[32];
   char address[48];
   bool up;
+  bool draining;
+  int64_t list_delay_ms; /* answers to holds that list an end arrive that much later */
   int life;
   int listener;
   int fds[64]; /* open connections of this life */
@@ -96,6 +98,8 @@
 void rig_close (void); /* ends all processes, removes the temporary folder */
 void runner_open (int number, int zone);
 void runner_crash (int number);                /* its process is gone; connections are reset */
+void runner_drain (int number);                /* reports draining, at once */
+void runner_leave (int number);                /* sends its DELETE, then its process ends */
 void runner_restart (int number);              /* a new incarnation with a new id, same address */
 size_t copy_events (const struct event **out); /* all so far; stable while the rig runs */
 
