group: return after a failed disk write once the disk works again

Cause: the failure of a group was never cleared, and its process ran on: a voter that counts for the quorum and doesn't vote. Two of them in a row take the majority of three.

Change: a failed group knows no leader and tries every 500 ms to write its whole state to new files; when they are stored it takes part again. Nothing is appended to the old files, as a failed sync may have lost data that can still be read.

--- a/src/log/group.c
+++ b/src/log/group.c
@@ -13,15 +13,6 @@
 
 static struct counter leader_changes
     = { .name = "sassafras_log_leader_changes_total", .help = "Leader changes seen by groups." };
-static struct counter disk_failures
-    = { .name = "sassafras_log_disk_failures_total", .help = "Groups stopped by their disk." };
-
-static bool
-has_failed (const struct group *g)
-{
-  return !status_ok (&g->failure);
-}
-
 /* Makes the initial state of an empty store durable before the node sends any reply.  */
 static int
 init_store (struct group *g, struct store_state *state, struct status *st)
@@ -142,8 +133,8 @@
 }
 
 /* Reports a change of role, term or leader; loss of leadership completes all waiters.  */
-static void
-report_changes (struct group *g)
+void
+group_report_changes (struct group *g)
 {
   bool is_leader = group_is_leader (g);
   uint64_t term = raft_term (g->raft);
@@ -166,16 +157,6 @@
     g->config.events.leader_changed (g->config.events.arg, g);
 }
 
-void
-group_fail (struct group *g, const struct status *st)
-{
-  log_line (LOG_ERROR, "group %s: %s", g->config.name, st->message);
-  counter_add (&disk_failures, 1);
-  g->failure = *st;
-  raft_step_down (g->raft, g->now_ms);
-  report_changes (g);
-}
-
 static void
 refuse (group_done done, void *arg, const struct status *st)
 {
@@ -196,7 +177,7 @@
 group_propose (struct group *g, const void *command, size_t len, group_done done, void *arg)
 {
   struct status st;
-  if (has_failed (g))
+  if (group_has_failed (g))
     {
       refuse (done, arg, &g->failure);
       return;
@@ -223,20 +204,22 @@
 group_receive (struct group *g, const raft_message *m, int64_t now_ms)
 {
   g->now_ms = now_ms;
-  if (has_failed (g))
+  if (group_has_failed (g))
     return;
   raft_receive (g->raft, m, now_ms);
-  report_changes (g);
+  group_report_changes (g);
 }
 
 void
 group_tick (struct group *g, int64_t now_ms)
 {
   g->now_ms = now_ms;
-  if (has_failed (g))
+  if (group_has_failed (g))
+    group_recover (g);
+  if (group_has_failed (g))
     return;
   raft_tick (g->raft, now_ms);
-  report_changes (g);
+  group_report_changes (g);
 }
 
 static void
@@ -280,7 +263,7 @@
     }
   raft_written (g->raft, g->now_ms);
   group_send (g, out.after, out.after_len);
-  report_changes (g);
+  group_report_changes (g);
   group_apply (g);
   finish_confirms (g);
   if (g->change_done && raft_target_reached (g->raft))
@@ -293,7 +276,7 @@
 {
   for (int pass = 0; pass < FLUSH_MAX_PASSES; pass++)
     {
-      if (has_failed (g) || !flush_once (g))
+      if (group_has_failed (g) || !flush_once (g))
         return;
       if (!raft_has_output (g->raft))
         break;
@@ -311,7 +294,7 @@
 bool
 group_needs_flush (const struct group *g)
 {
-  if (has_failed (g))
+  if (group_has_failed (g))
     return false;
   /* The reply that confirms a round causes no output, but its waiters complete in a flush.  */
   if (confirm_is_ready (g))
@@ -377,7 +360,7 @@
 group_change_members (struct group *g, const raft_members *target, group_done done, void *arg)
 {
   struct status st;
-  if (has_failed (g))
+  if (group_has_failed (g))
     {
       refuse (done, arg, &g->failure);
       return;
@@ -429,6 +412,6 @@
   out->syncs = g->store->syncs;
   out->proposals = g->proposals;
   out->pending = g->pending;
-  out->disk_failed = has_failed (g);
+  out->disk_failed = group_has_failed (g);
   out->peers_len = raft_peers (g->raft, out->peers, PEER_MAX_MEMBERS, g->now_ms);
 }
--- a/src/log/group.h
+++ b/src/log/group.h
@@ -8,8 +8,10 @@
    group_close; `send` must not call back into the group at all.  The message passed to `send` is
    valid only during the call.
 
-   After a failed disk write the group leaves the protocol: it steps down, sends nothing, fails
-   proposals and membership changes with STATUS_DISK_FAILED and reports it in the stats.
+   After a failed disk write the group leaves the protocol: it steps down, knows no leader, sends
+   nothing, fails proposals and membership changes with STATUS_DISK_FAILED and reports it in the
+   stats.  group_tick then tries every 500 ms to write the whole state to new files; once that
+   succeeds the group takes part again, with the vote, the log and the store id that it had.
 
    First start: with an empty store and `initialized` false, `members` becomes the first member list
    and this node may vote if it is in it.  With an empty store and `initialized` true the node holds
--- a/src/log/group_apply.c
+++ b/src/log/group_apply.c
@@ -83,15 +83,14 @@
   return from;
 }
 
-static void
-take_snapshot (struct group *g)
+int
+group_save_state (struct group *g, struct status *st)
 {
   struct raft_snapshot snapshot = { .index = g->applied };
   struct buffer data;
-  struct status st;
   buffer_init (&data);
   g->config.machine->ops->save (g->config.machine, &data);
-  snapshot.term = raft_entry_at (g->raft, g->applied)->term;
+  snapshot.term = raft_entry_term (g->raft, g->applied);
   snapshot.bytes = data.len;
   raft_members_at (g->raft, g->applied, &snapshot.members);
   uint64_t from = keep_from (g, g->applied);
@@ -99,7 +98,7 @@
   size_t len = keep ? (size_t)(raft_last_index (g->raft) + 1 - from) : 0;
   struct raft_hard_state hard = raft_hard_state (g->raft);
   int rc = g->store->ops->save_snapshot (g->store, &snapshot, data.data, data.len, &hard, keep, len,
-                                         &st);
+                                         st);
   if (rc == 0)
     {
       raft_compact (g->raft, &snapshot, from);
@@ -108,8 +107,7 @@
     }
   raft_members_free (&snapshot.members);
   buffer_close (&data);
-  if (rc)
-    group_fail (g, &st);
+  return rc;
 }
 
 void
@@ -123,8 +121,10 @@
   uint64_t size = raft_log_bytes (g->raft);
   if (size < g->store->log_bytes)
     size = g->store->log_bytes;
-  if (size > limit && g->applied > g->snapshot_index && !raft_has_unwritten (g->raft))
-    take_snapshot (g);
+  struct status st;
+  if (size > limit && g->applied > g->snapshot_index && !raft_has_unwritten (g->raft)
+      && group_save_state (g, &st))
+    group_fail (g, &st);
 }
 
 /* Fills a chunk message with snapshot data and sends it.  */
--- a/src/log/group_internal.h
+++ b/src/log/group_internal.h
@@ -36,12 +36,17 @@
   bool was_leader;
   uint64_t reported_term;
   uint64_t reported_leader;
-  struct status failure; /* why the group stopped; OK while it runs */
+  struct status failure;    /* why the group stopped; OK while it runs */
+  int64_t next_recovery_ms; /* next attempt to write everything again; while stopped */
   struct buffer result;
 };
 
-void group_fail (struct group *g, const struct status *st); /* Stops the group permanently. */
-void group_apply (struct group *g);                         /* Applies what is committed. */
+void group_fail (struct group *g, const struct status *st); /* Stops until the disk works again. */
+bool group_has_failed (const struct group *g);
+void group_recover (struct group *g);        /* Makes the whole state durable and continues. */
+void group_report_changes (struct group *g); /* Of role, term and leader, to the owner. */
+int group_save_state (struct group *g, struct status *st); /* A snapshot and what follows it. */
+void group_apply (struct group *g);                        /* Applies what is committed. */
 int group_install (struct group *g, const struct raft_output *out,
                    struct status *st);       /* Stores and loads a received snapshot. */
 void group_maybe_snapshot (struct group *g); /* Takes a snapshot when the log is long. */
--- a/src/log/journal.c
+++ b/src/log/journal.c
@@ -33,11 +33,11 @@
 static int
 set_failed_status (struct journal *j, struct status *st)
 {
-  return status_set (st, STATUS_DISK_FAILED, "journal %s: %s; nothing is acknowledged any more",
-                     j->name, j->reason);
+  return status_set (st, STATUS_DISK_FAILED, "journal %s: %s; nothing is acknowledged", j->name,
+                     j->reason);
 }
 
-/* Records a failed call on FILE; later writes are refused.  */
+/* Records a failed call on FILE; later writes are refused until a snapshot is saved.  */
 static int
 record_failure (struct journal *j, const char *call, const char *file, struct status *st)
 {
@@ -275,8 +275,6 @@
 {
   struct journal *j = (struct journal *)s;
   struct buffer b;
-  if (j->failed)
-    return set_failed_status (j, st);
   buffer_init (&b);
   frame_begin (&b);
   snapshot_encode (&b, snapshot, hard->store);
@@ -288,7 +286,10 @@
   if (rc)
     return rc;
   j->snapshot_offset = offset;
-  return rewrite_log (j, hard, keep, keep_len, st);
+  if (rewrite_log (j, hard, keep, keep_len, st))
+    return -1;
+  j->failed = false;
+  return 0;
 }
 
 static int
--- a/src/log/journal.h
+++ b/src/log/journal.h
@@ -12,8 +12,10 @@
    last frame cannot be distinguished from a torn write.  A snapshot is written to a temporary file,
    synced and renamed; then the log is rewritten in the same way without the entries it covers.
 
-   After a failed write or sync the store refuses all writes with STATUS_DISK_FAILED: the kernel may
-   have dropped the dirty pages, so a later successful sync does not prove that data is durable.  */
+   After a failed write or sync the store refuses to append with STATUS_DISK_FAILED: the kernel may
+   have dropped the dirty pages, so a later successful sync does not prove that data is durable.
+   Saving a snapshot remains possible, as it writes both files anew; when it succeeds the store
+   accepts appends again.  */
 
 #ifndef SASSAFRAS_JOURNAL_H
 #define SASSAFRAS_JOURNAL_H
@@ -47,7 +49,7 @@
   /* Makes hard state and entries durable; entries replace any stored from entries[0].index on.  */
   int (*write) (struct store *s, const struct raft_hard_state *hard, const raft_entry *entries,
                 size_t len, struct status *st);
-  /* Replaces the snapshot, then the log by KEEP.  */
+  /* Replaces the snapshot, then the log by KEEP; also after a failed write.  */
   int (*save_snapshot) (struct store *s, const struct raft_snapshot *snapshot, const void *data,
                         size_t data_len, const struct raft_hard_state *hard, const raft_entry *keep,
                         size_t keep_len, struct status *st);
--- a/src/log/raft.c
+++ b/src/log/raft.c
@@ -334,6 +334,8 @@
 void
 raft_compact (struct raft *r, const struct raft_snapshot *snapshot, uint64_t keep_from)
 {
+  if (snapshot->index == r->snapshot.index)
+    r->snapshot.bytes = snapshot->bytes;
   if (snapshot->index <= r->snapshot.index || snapshot->index > r->commit)
     return;
   raft_members_copy (&r->snapshot.members, &snapshot->members);
@@ -346,6 +348,5 @@
 void
 raft_step_down (struct raft *r, int64_t now_ms)
 {
-  if (r->role != RAFT_FOLLOWER)
-    raft_become_follower (r, r->hard.term, 0, now_ms);
+  raft_become_follower (r, r->hard.term, 0, now_ms);
 }
--- a/src/log/raft.h
+++ b/src/log/raft.h
@@ -142,7 +142,7 @@
     const struct raft *r,
     int64_t now_ms); /* Voter whose reply completed the last quorum; 0 unless all voters reply. */
 void raft_peer_connected (struct raft *r, uint64_t node); /* Sends to NODE at once. */
-void raft_step_down (struct raft *r, int64_t now_ms); /* A leader or candidate becomes follower. */
+void raft_step_down (struct raft *r, int64_t now_ms); /* Becomes a follower that knows no leader. */
 
 enum raft_role raft_role (const struct raft *r);
 uint64_t raft_term (const struct raft *r);
@@ -154,7 +154,9 @@
 uint64_t raft_log_bytes (const struct raft *r);         /* bytes of the entries held */
 uint64_t raft_uncommitted_bytes (const struct raft *r); /* bytes after the commit index */
 const raft_entry *raft_entry_at (const struct raft *r, uint64_t index); /* NULL when not held */
-const raft_members *raft_latest_members (const struct raft *r);         /* latest in the log */
+uint64_t raft_entry_term (const struct raft *r,
+                          uint64_t index); /* Of an entry held or just before these, else 0. */
+const raft_members *raft_latest_members (const struct raft *r); /* latest in the log */
 void raft_members_at (const struct raft *r, uint64_t index,
                       raft_members *out); /* As of INDEX, at least the snapshot's; copied. */
 struct raft_hard_state raft_hard_state (const struct raft *r);
--- a/src/log/raft_state.c
+++ b/src/log/raft_state.c
@@ -63,6 +63,14 @@
   return raft_log_at (&r->log, index);
 }
 
+uint64_t
+raft_entry_term (const struct raft *r, uint64_t index)
+{
+  uint64_t term;
+  raft_log_term (&r->log, index, &term);
+  return term;
+}
+
 const raft_members *
 raft_latest_members (const struct raft *r)
 {
--- a/tests/log_faults.c
+++ b/tests/log_faults.c
@@ -23,12 +23,17 @@
 #define RECOVERY_MS 6000     /* time to converge afterwards */
 #define MEAN_FAULT_GAP_MS 90 /* between two faults */
 #define RENEWAL_MS 20        /* between two renewals of a leader's authority */
+#define MAX_FULL_MS 1000     /* a disk that refused a write may refuse all for this long */
+#define FULL_CHANCE 0.02     /* chance per step that a disk that failed a write is full */
+#define RESTART_CHANCE 0.005 /* chance per step that the VM of a failed disk is restarted */
 #define TRACE_TAIL_BYTES 16000
 
 struct scenario
 {
   struct sim sim;
-  struct rng rng; /* separate from the simulation's, so that each can be followed */
+  struct rng rng;      /* separate from the simulation's, so that each can be followed */
+  struct rng disk_rng; /* how long a disk stays full, and whether its VM restarts */
+  int64_t full_until_ms[SIM_MAX_NODES]; /* 0: the disk works */
   int64_t next_fault_ms;
   int64_t next_renewal_ms;
   bool changing;
@@ -86,6 +91,7 @@
   static const int voter_choices[] = { 3, 3, 3, 5, 1 };
   memset (sc, 0, sizeof *sc);
   rng_init (&sc->rng, seed * 2654435761u + 1);
+  rng_init (&sc->disk_rng, seed * 2246822519u + 3);
   struct sim_config c = { .seed = seed,
                           .voters = voter_choices[rng_below (&sc->rng, 5)],
                           .learners = (int)rng_below (&sc->rng, 3),
@@ -433,19 +439,35 @@
     }
 }
 
-/* Restarts each VM whose disk failed, as its supervisor does.  */
+/* A disk that failed a write stays full for up to MAX_FULL_MS.  Some of its VMs are restarted
+   meanwhile; the others must return without a restart.  */
 static void
-restart_stopped (struct scenario *sc)
+follow_failed_disks (struct scenario *sc)
 {
-  for (int i = 0; i < sc->sim.nodes_len; i++)
+  struct sim *s = &sc->sim;
+  for (int i = 0; i < s->nodes_len; i++)
     {
-      struct sim_node *n = &sc->sim.nodes[i];
+      struct sim_node *n = &s->nodes[i];
       struct group_stats stats;
+      if (!n->disk)
+        continue;
+      if (sc->full_until_ms[i] != 0 && sim_now_ms (s) >= sc->full_until_ms[i])
+        {
+          memory_disk_set_full (n->disk, false);
+          sc->full_until_ms[i] = 0;
+        }
       if (!n->group)
         continue;
       group_stats (n->group, &stats);
-      if (stats.disk_failed)
-        sim_crash (&sc->sim, n, 50);
+      if (!stats.disk_failed || sc->full_until_ms[i] != 0)
+        continue;
+      if (rng_chance (&sc->disk_rng, RESTART_CHANCE))
+        sim_crash (s, n, 50);
+      else if (rng_chance (&sc->disk_rng, FULL_CHANCE))
+        {
+          memory_disk_set_full (n->disk, true);
+          sc->full_until_ms[i] = sim_now_ms (s) + rng_between (&sc->disk_rng, 1, MAX_FULL_MS);
+        }
     }
 }
 
@@ -531,12 +553,12 @@
       if (n->disk)
         {
           memory_disk_fail_at (n->disk, 0);
+          memory_disk_set_full (n->disk, false);
           memory_disk_crash_at (n->disk, 0);
         }
       if (!n->group && !sc->lost[i])
         n->restart_at_ms = 0;
     }
-  restart_stopped (sc);
   sim_run_ms (s, 200);
   if (!can_recover (sc))
     return;
@@ -576,7 +598,7 @@
       issue_requests (sc);
       renew_authority (sc);
       sim_step (s);
-      restart_stopped (sc);
+      follow_failed_disks (sc);
       fail_elections (sc);
       record_repairs (sc);
     }
--- a/tests/memory_disk.c
+++ b/tests/memory_disk.c
@@ -43,6 +43,7 @@
   int calls;
   int crash_at;
   int fail_at;
+  bool full;
   bool crashed;
 };
 
@@ -164,7 +165,7 @@
       d->crashed = true;
       return rng_chance (d->rng, 0.5); /* half of the crashes come after the call's effect */
     }
-  if (d->fail_at > 0 && --d->fail_at == 0)
+  if ((d->fail_at > 0 && --d->fail_at == 0) || d->full)
     {
       errno = ENOSPC;
       return true;
@@ -274,7 +275,11 @@
 {
   struct memory_disk *d = disk_of (io);
   if (inject_fault (d))
-    return -1;
+    {
+      if (!d->crashed)
+        clear_writes (&d->files[file]);
+      return -1;
+    }
   make_durable (&d->files[file]);
   return call_result (d);
 }
@@ -369,6 +374,12 @@
   d->fail_at = calls;
 }
 
+void
+memory_disk_set_full (struct memory_disk *d, bool full)
+{
+  d->full = full;
+}
+
 bool
 memory_disk_crashed (const struct memory_disk *d)
 {
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -259,6 +259,78 @@
   sim_close (&s);
 }
 
+/* Guards against a voter that never votes again after its disk was full for some seconds: two such
+   disks, one after the other, leave three voters without a leader for good.  */
+static void
+test_full_disks_one_after_the_other (void **state)
+{
+  struct sim s;
+  struct sim_config c = make_config (3, 0);
+  (void)state;
+  sim_init (&s, &c);
+  s.delay_max_us = 2000;
+  start_all (&s);
+  assert_non_null (wait_leader (&s, 5000));
+  for (int i = 0; i < 6; i++)
+    {
+      struct sim_node *full = &s.nodes[i % 3];
+      struct group_stats stats;
+      memory_disk_set_full (full->disk, true);
+      for (int k = 0; k < 30; k++)
+        {
+          if (sim_leader (&s))
+            sim_propose (&s, sim_leader (&s), 8);
+          sim_run_ms (&s, 100);
+        }
+      group_stats (full->group, &stats);
+      assert_true (stats.disk_failed);
+      memory_disk_set_full (full->disk, false);
+      sim_run_ms (&s, 1000);
+      group_stats (full->group, &stats);
+      assert_false (stats.disk_failed);
+      assert_non_null (sim_leader (&s));
+      assert_int_equal (full->machine.index, sim_leader (&s)->machine.index);
+    }
+  assert_true (s.ok > 100);
+  assert_no_violation (&s);
+  sim_close (&s);
+}
+
+/* Guards against entries that only seem to be stored: a sync failed, the kernel dropped the data, a
+   later sync succeeded, and power was lost.  */
+static void
+test_failed_sync_then_power_loss (void **state)
+{
+  (void)state;
+  for (int call = 1; call <= 6; call++)
+    {
+      struct sim s;
+      struct sim_config c = make_config (1, 0);
+      sim_init (&s, &c);
+      start_all (&s);
+      assert_non_null (wait_leader (&s, 100));
+      sim_propose (&s, sim_leader (&s), 8);
+      sim_run_ms (&s, 100);
+      memory_disk_fail_at (s.nodes[0].disk, call);
+      for (int i = 0; i < 3; i++)
+        {
+          sim_propose (&s, &s.nodes[0], 8);
+          sim_run_ms (&s, 10);
+        }
+      sim_run_ms (&s, 4000);
+      assert_non_null (sim_leader (&s));
+      sim_propose (&s, sim_leader (&s), 8);
+      sim_run_ms (&s, 100);
+      uint64_t index = s.nodes[0].machine.index;
+      sim_crash (&s, &s.nodes[0], 0);
+      assert_non_null (wait_leader (&s, 4000));
+      sim_run_ms (&s, 100);
+      assert_true (s.nodes[0].machine.index >= index);
+      assert_no_violation (&s);
+      sim_close (&s);
+    }
+}
+
 static void
 store_status (void *arg, const struct status *st, const void *result, size_t len)
 {
@@ -633,6 +705,8 @@
           cmocka_unit_test (test_leader_replaced_within_2_s),
           cmocka_unit_test (test_a_learner_that_follows_a_busy_leader_is_promoted),
           cmocka_unit_test (test_full_disk_stops_acknowledging),
+          cmocka_unit_test (test_full_disks_one_after_the_other),
+          cmocka_unit_test (test_failed_sync_then_power_loss),
           cmocka_unit_test (test_second_loss_after_repair),
           cmocka_unit_test (test_transfer_and_confirm),
           cmocka_unit_test (test_idle_traffic),
--- a/tests/test_journal.c
+++ b/tests/test_journal.c
@@ -222,6 +222,40 @@
     }
 }
 
+/* Guards against a store that accepts appends after a failed write without having written again
+   what the failure may have lost.  */
+static void
+test_saved_snapshot_ends_a_failure (void **state)
+{
+  (void)state;
+  for (int point = 1; point < 3; point++)
+    {
+      struct store_state loaded;
+      struct status st;
+      struct memory_disk *d = memory_disk_create (&rng);
+      struct store *s = open_store (d);
+      assert_int_equal (load (s, &loaded, &st), 0);
+      assert_int_equal (save (s, 0, "", &st), 0);
+      memory_disk_fail_at (d, point);
+      assert_int_equal (write_entry (s, 1, &st), -1);
+      memory_disk_set_full (d, true);
+      assert_int_equal (save (s, 3, "state at 3", &st), -1);
+      assert_int_equal (write_entry (s, 4, &st), -1);
+      memory_disk_set_full (d, false);
+      assert_int_equal (save (s, 3, "state at 3", &st), 0);
+      assert_int_equal (write_entry (s, 4, &st), 0);
+      store_close (s);
+      memory_disk_crash (d);
+      s = open_store (d);
+      assert_int_equal (load (s, &loaded, &st), 0);
+      assert_int_equal (loaded.snapshot.index, 3);
+      assert_int_equal (last_stored (&loaded), 4);
+      store_state_free (&loaded);
+      store_close (s);
+      memory_disk_free (d);
+    }
+}
+
 static void
 test_folder_is_locked (void **state)
 {
@@ -266,6 +300,7 @@
     cmocka_unit_test (test_inner_damage_is_rejected),
     cmocka_unit_test (test_crash_at_each_write_point),
     cmocka_unit_test (test_failed_disk_stays_failed),
+    cmocka_unit_test (test_saved_snapshot_ends_a_failure),
     cmocka_unit_test (test_folder_is_locked),
   };
   log_configure (&quiet);
