dispatcher: a report of another writer ends no worker

Cause: the report was stored although no configuration names its pool, and a later start time at an address counted as proof that the worker there had ended.

Change: such a report is refused with 400 and the name of the pool. A claimed address only causes a call to the worker that had it; the address decides, by 421 or by the worker's lists. A known worker can't change its address within one start.

--- a/src/workflow/dispatcher.h
+++ b/src/workflow/dispatcher.h
@@ -75,7 +75,7 @@
 
 /* Inputs from workers.  */
 int dispatcher_report (struct dispatcher *d, int64_t now_ms, const struct worker_report *r,
-                       struct status *st); /* -1 for a stale report. */
+                       struct status *st); /* -1: stale, or STATUS_BAD_REQUEST: not of a worker. */
 void dispatcher_worker_left (struct dispatcher *d, int64_t now_ms,
                              const char *worker); /* If it drains, it and its runs have ended. */
 void dispatcher_start_answer (struct dispatcher *d, int64_t now_ms, const char *worker,
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -265,9 +265,10 @@
          && strcmp (w->address, r->address) == 0;
 }
 
-/* Two worker ids at one address are two starts of one worker: the later one is alive.  A worker
-   that had the address in its last report is the only one there: the first report of another one
-   ends it, or is refused.  */
+/* Two worker ids at one address are two starts of one process, or one of the reports is of another
+   writer.  Who is there, only the address can tell: an order to the other id is answered with
+   WORKER_CALL_OTHER_WORKER.  Until then the worker that had the address in its last report goes on,
+   and the first report of one that is not the latest start is refused.  */
 static int
 check_address (struct dispatcher *d, const struct worker_report *r, struct status *st)
 {
@@ -282,11 +283,38 @@
     if (r->born_ms < w->born_ms)
       return status_set (st, STATUS_STALE_INCARNATION, "worker %s took the address of %s", w->id,
                          r->id);
-    dispatch_mark_crashed (d, w, "a newer worker has its address");
+    w->hold_now = true;
   }
   return 0;
 }
 
+/* Refuses a report that names a pool of which the configuration knows nothing; it comes from
+   another writer.  A known worker keeps its pool when the configuration drops it: its runs go on.
+ */
+static int
+check_pool (const struct dispatcher *d, const struct dispatch_worker *w,
+            const struct worker_report *r, struct status *st)
+{
+  const struct workflow *workflow = d->config.workflow;
+  if (workflow->configuration.revision == 0 || workflow_find_pool (workflow, r->pool))
+    return 0;
+  if (w && (!w->pool || strcmp (w->pool, r->pool) == 0))
+    return 0;
+  return status_set (st, STATUS_BAD_REQUEST, "pool '%.64s' is not configured", r->pool);
+}
+
+/* A process keeps its address: another one under the same id and start is of another writer.  */
+static int
+check_same_address (const struct dispatch_worker *w, const struct worker_report *r,
+                    struct status *st)
+{
+  if (!w->address || w->gone || w->born_ms == 0 || w->born_ms != r->born_ms
+      || strcmp (w->address, r->address) == 0)
+    return 0;
+  return status_set (st, STATUS_BAD_REQUEST, "address '%.64s' is not that of worker %s, %s",
+                     r->address, r->id, w->address);
+}
+
 /* Refuses a report of an ended incarnation or one older than the last report.  */
 static int
 check_report_age (struct dispatcher *d, const struct dispatch_worker *w,
@@ -313,7 +341,9 @@
   if (!d->leading)
     return status_set (st, STATUS_NOT_LEADER, "this VM does not lead");
   struct dispatch_worker *w = dispatch_find_worker (d, r->id);
-  if (w && check_report_age (d, w, r, st) < 0)
+  if (check_pool (d, w, r, st) < 0)
+    return -1;
+  if (w && (check_report_age (d, w, r, st) < 0 || check_same_address (w, r, st) < 0))
     return -1;
   if (check_address (d, r, st) < 0)
     return -1;
