workflow: judge attempts by the limit in force only

Callers saw: a job that was accepted and at work was shown as failed after one failed run of four allowed, because its route was away for 9 s; 5 of 5 runs of the script.

Cause: a job whose queue is not configured had one attempt.

Change: without the queue, failed ends are counted and not judged, and nothing is placed. A configuration judges the waiting tasks when it takes effect, and the end of any run judges its task, so that neither a queue that comes back nor a lowered limit leads to a run beyond it.

Evidence: two tests in test_workflow failed before.

--- a/src/workflow/workflow.h
+++ b/src/workflow/workflow.h
@@ -11,8 +11,10 @@
    FAILED too (crash_blame.h).
 
    Job states: OPEN -> COMPLETED (all tasks done), FAILED (one task failed max_attempts times, or is
-   to blame for crashes) or CANCELLED.  Runs of a job that is no longer open continue until their
-   END is committed.  A job that has ended and has no runs may be pruned; the caller decides when.
+   to blame for crashes) or CANCELLED.  The attempts are those of the configuration in force; while
+   it is without the job's queue they are counted and not judged, and no run is placed.  Runs of a
+   job that is no longer open continue until their END is committed.  A job that has ended and has
+   no runs may be pruned; the caller decides when.
 
    A worker that was unreachable may report the end of a run that had been marked as lapsed.  An end
    with outcome DONE is accepted nevertheless: the task is done and needs no further run.
--- a/src/workflow/workflow_apply.c
+++ b/src/workflow/workflow_apply.c
@@ -118,6 +118,39 @@
   return false;
 }
 
+/* False while the configuration is without the job's queue, whose limit may come back with it.  */
+static bool
+has_used_its_attempts (const struct workflow *w, const struct workflow_task *t)
+{
+  if (t->failures == 0 || is_lasting (t))
+    return false;
+  const workflow_queue *q = workflow_queue_of (w, t->job);
+  return q && t->failures >= (q->max_attempts > 0 ? q->max_attempts : 1);
+}
+
+static void
+fail_task (struct workflow *w, struct workflow_task *t)
+{
+  t->state = WORKFLOW_TASK_FAILED;
+  workflow_set_job_state (w, t->job, WORKFLOW_JOB_FAILED);
+}
+
+/* A configuration may allow a task that waits for its next attempt fewer of them than it has had.
+ */
+static void
+fail_exhausted_tasks (struct workflow *w)
+{
+  struct workflow_task *t = TAILQ_FIRST (&w->ready);
+  while (t)
+    if (has_used_its_attempts (w, t))
+      {
+        fail_task (w, t); /* removes all tasks of its job from the list */
+        t = TAILQ_FIRST (&w->ready);
+      }
+    else
+      t = TAILQ_NEXT (t, link);
+}
+
 static void
 apply_configure (struct workflow *w, workflow_configuration *c, workflow_result *r)
 {
@@ -135,6 +168,7 @@
   xdr_free ((xdrproc_t)xdr_workflow_configuration, (char *)&w->configuration);
   w->configuration = *c;
   memset (c, 0, sizeof *c);
+  fail_exhausted_tasks (w);
 }
 
 void
@@ -238,13 +272,6 @@
     update_dependents (w, j, t->occurrence, t->step);
 }
 
-static uint32_t
-max_attempts_of (const struct workflow *w, struct workflow_job *j)
-{
-  const workflow_queue *q = workflow_queue_of (w, j);
-  return q && q->max_attempts > 0 ? q->max_attempts : 1;
-}
-
 /* Updates the state of T after a run of it ended and was removed.  */
 static void
 update_task (struct workflow *w, struct workflow_task *t, enum workflow_outcome outcome)
@@ -258,12 +285,9 @@
     }
   if (outcome == WORKFLOW_FAILED)
     t->failures++;
-  bool exhausted
-      = outcome == WORKFLOW_FAILED && !is_lasting (t) && t->failures >= max_attempts_of (w, t->job);
-  if (exhausted || crash_blame_is_final (&t->blame))
+  if (has_used_its_attempts (w, t) || crash_blame_is_final (&t->blame))
     {
-      t->state = WORKFLOW_TASK_FAILED;
-      workflow_set_job_state (w, t->job, WORKFLOW_JOB_FAILED);
+      fail_task (w, t);
       return;
     }
   if (has_runs (t))
--- a/tests/test_workflow.c
+++ b/tests/test_workflow.c
@@ -118,6 +118,66 @@
   assert_int_equal (workflow_find_queue (&f->workflow, "queue")->max_attempts, 7);
 }
 
+static void
+remove_queues (struct fixture *f, uint64_t version)
+{
+  workflow_command c = { .kind = WORKFLOW_CONFIGURE };
+  c.workflow_command_u.configuration.revision = version;
+  assert_true (fixture_change (f, &c));
+}
+
+/* Guards against a job that fails for good at its first failed run while a configuration is without
+   its queue, although every configuration that has the queue allows more attempts.  */
+static void
+test_a_queue_that_is_away_fails_no_job (void **state)
+{
+  struct fixture *f = *state;
+  fixture_configure (f, 2, 4);
+  fixture_submit (f, 1, 1, 1, 0);
+  struct workflow_job *j = workflow_find_job (&f->workflow, 1);
+  for (uint32_t run = 1; run <= 3; run++)
+    {
+      assert_true (place (f, 1, 0, 0, run));
+      remove_queues (f, 2 * run + 1);
+      assert_true (end (f, 1, 0, 0, run, WORKFLOW_FAILED, ""));
+      assert_int_equal (j->state, WORKFLOW_JOB_OPEN);
+      fixture_configure (f, 2 * run + 2, 4);
+      assert_int_equal (j->state, WORKFLOW_JOB_OPEN);
+    }
+  assert_true (place (f, 1, 0, 0, 4));
+  assert_true (end (f, 1, 0, 0, 4, WORKFLOW_FAILED, ""));
+  assert_int_equal (j->state, WORKFLOW_JOB_FAILED);
+}
+
+/* Guards against a run beyond max_attempts: failures counted while the queue was away, or before
+   the limit was lowered, count when the limit is in force.  */
+static void
+test_no_attempt_beyond_the_limit_in_force (void **state)
+{
+  struct fixture *f = *state;
+  fixture_configure (f, 2, 4);
+  for (uint64_t id = 1; id <= 3; id++)
+    fixture_submit (f, id, 1, 2, 0);
+  for (uint64_t id = 1; id <= 3; id++)
+    for (uint32_t run = 1; run <= 2; run++)
+      {
+        assert_true (place (f, id, 0, 0, run));
+        assert_true (end (f, id, 0, 0, run, WORKFLOW_FAILED, ""));
+      }
+  assert_true (place (f, 2, 0, 0, 3));
+  remove_queues (f, 3);
+  assert_true (place (f, 3, 0, 0, 3));
+  assert_true (end (f, 3, 0, 0, 3, WORKFLOW_LAPSED, ""));
+  fixture_configure (f, 4, 2);
+  assert_int_equal (workflow_find_job (&f->workflow, 1)->state, WORKFLOW_JOB_FAILED);
+  assert_int_equal (workflow_find_job (&f->workflow, 2)->state, WORKFLOW_JOB_OPEN);
+  assert_int_equal (workflow_find_job (&f->workflow, 3)->state, WORKFLOW_JOB_FAILED);
+  assert_true (end (f, 2, 0, 0, 3, WORKFLOW_LAPSED, ""));
+  assert_int_equal (workflow_find_job (&f->workflow, 2)->state, WORKFLOW_JOB_FAILED);
+  assert_false (place (f, 2, 0, 0, 4));
+  assert_true (TAILQ_EMPTY (&f->workflow.ready));
+}
+
 static void
 test_longest_prefix_selects_the_queue (void **state)
 {
@@ -216,6 +276,8 @@
                                       TEST (test_cancelled_job_is_not_reopened),
                                       TEST (test_lasting_task_restarts_after_any_outcome),
                                       TEST (test_older_configuration_is_refused),
+                                      TEST (test_a_queue_that_is_away_fails_no_job),
+                                      TEST (test_no_attempt_beyond_the_limit_in_force),
                                       TEST (test_longest_prefix_selects_the_queue),
                                       TEST (test_snapshot_contains_all_state),
                                       TEST (test_blame_survives_a_snapshot) };
