relay, api: do not execute orders whose sender has gone

Callers saw: tasks started in a zone whose evacuation was acknowledged.

Cause: how long a request had been unread is not known, and nobody looked whether its sender still waits. Orders on zones have no version: the last one to be executed wins.

Evidence: path_late_orders failed before (frozen follower).

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -1,10 +1,12 @@
 #include "http_server.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "log.h"
 
@@ -261,6 +263,17 @@
   free (server);
 }
 
+/* The library doesn't watch a suspended connection.  */
+bool
+http_sender_is_gone (const struct http_request *req)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (req->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  char byte;
+  ssize_t n = recv (info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 int
 http_server_port (const struct http_server *server)
 {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -8,6 +8,7 @@
 #ifndef SASSAFRAS_HTTP_SERVER_H
 #define SASSAFRAS_HTTP_SERVER_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <sys/queue.h>
@@ -58,7 +59,9 @@
 void http_server_close (struct http_server *server); /* Closes all connections; frees SERVER. */
 unsigned
 http_server_open_requests (const struct http_server *server); /* Requests not yet completed. */
-int http_server_port (const struct http_server *server);      /* Listening port. */
+bool http_sender_is_gone (
+    const struct http_request *req); /* It closed the connection, or only its sending side. */
+int http_server_port (const struct http_server *server); /* Listening port. */
 
 const char *http_header (struct http_request *req, const char *name); /* Header value or NULL. */
 const char *http_query (struct http_request *req, const char *name);  /* Query value or NULL. */
--- a/src/workflow/leader_relay.c
+++ b/src/workflow/leader_relay.c
@@ -31,6 +31,8 @@
     = { .name = "sassafras_relay_repeats_total", .help = "Attempts after the first." };
 static struct counter unanswered
     = { .name = "sassafras_relay_given_up_total", .help = "Requests without a leader's answer." };
+static struct counter abandoned
+    = { .name = "sassafras_relay_abandoned_total", .help = "Requests whose sender had gone." };
 static struct histogram relay_times
     = { .name = "sassafras_relay_ms", .help = "Time until the answer of a relayed request." };
 
@@ -274,6 +276,25 @@
     free_call (c);
 }
 
+/* The sender of C has gone.  */
+static void
+abandon_call (struct relay_call *c)
+{
+  counter_add (&abandoned, 1);
+  log_event (LOG_INFO, "relay-abandoned", "path=%s attempts=%u ran=%s", c->request->path,
+             c->attempts, ran_text (c));
+  http_reply_error (c->request, c->may_have_run ? STATUS_OUTCOME_UNKNOWN : STATUS_SENDER_GONE,
+                    "the sender closed the connection");
+  free_call (c);
+}
+
+static bool
+is_abandoned (const struct relay_call *c)
+{
+  return c->relay->config.needs_sender && c->relay->config.needs_sender (c->request)
+         && http_sender_is_gone (c->request);
+}
+
 static void
 on_deadline (struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -486,6 +507,11 @@
   int64_t now_ms = clock_now_ms (r->config.clock);
   int64_t left_ms = c->deadline_ms - now_ms;
   const char *target = known_leader (r, now_ms);
+  if (is_abandoned (c))
+    {
+      abandon_call (c);
+      return;
+    }
   if (left_ms < MIN_ATTEMPT_MS)
     {
       fail_call (c, now_ms);
--- a/src/workflow/leader_relay.h
+++ b/src/workflow/leader_relay.h
@@ -11,6 +11,10 @@
    RELAY_MIN_WAIT_MS after the request arrived or RELAY_LEADER_LOST_MS after a leader's last answer,
    whichever is later, so that the caller can retry before its deadline.
 
+   A request for which needs_sender holds is dropped before an attempt if its sender has closed the
+   connection: it may be as old as a pause of this process, and undo what its sender did since.  At
+   the leader an attempt that was given up here is recognized in the same way.
+
    A candidate that did not answer is tried last for RELAY_BACKOFF_MS.  The leader names the members
    of its group in each answer to a probe.  They and the seeds are the candidates from then on: the
    seeds may all be replaced while this VM runs.  */
@@ -54,6 +58,8 @@
   const char *const *headers; /* names of forwarded headers, NULL-terminated */
   /* Stores the leader known to this VM in IP; NULL on a VM outside the group.  */
   bool (*leader) (void *arg, char ip[SEEDED_GROUP_IP_BYTES]);
+  /* REQ must not be executed once its sender has gone; NULL: holds for no request.  */
+  bool (*needs_sender) (const struct http_request *req);
   void (*probe_answered) (void *arg, const char *ip); /* IP answered 200: it leads; may be NULL */
   void *arg;
 };
--- /dev/null
+++ b/tests/path_late_orders.sh
@@ -0,0 +1,74 @@
+#!/usr/bin/env bash
+# Guards against orders that are executed after their senders gave them up, with real processes on loopback: an
+# order read late by a VM that was frozen undoes what was acknowledged meanwhile.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=$1
+folder=$(mktemp -d)
+pids=()
+cleanup() {
+  for p in "${pids[@]}"; do kill -CONT "$p" 2>/dev/null || true; kill -9 "$p" 2>/dev/null || true; done
+  rm -rf "$folder"
+}
+trap cleanup EXIT
+fail() { echo "FAILED: $1"; tail -n 5 "$folder"/*.log; exit 1; }
+first=$((21000 + $$ % 8000))
+net=127.0.11
+seeds=$net.1:8166,$net.2:8166,$net.3:8166
+declare -A core
+for i in 1 2 3; do
+  "$build/sassafras-platform" --role=core --vm="core-$i" --data-centre="z$i" --ip="$net.$i" \
+    --listen-control="$net.$i:8166" --ports="$first,$((first + 5))" --seeds=$seeds --first-start=true \
+    --data-dir="$folder/core-$i" --lease-ms=4000 >"$folder/core-$i.log" 2>&1 &
+  core[$i]=$!
+  disown
+  pids+=($!)
+done
+curl_() { curl -s -m 1 -o "$folder/answer" -w '%{http_code}' "$@" || true; }
+wait_for() { # SECONDS COMMAND...
+  local end=$((SECONDS + $1))
+  shift
+  until "$@"; do [ $SECONDS -lt $end ] || return 1; sleep 0.1; done
+}
+config='{"version":3,"routes":[{"name":"q","host":"h.example","path_prefix":"/q/","timeout_ms":3000,"target_latency_ms":1000,"priority":0,"service":"pool","max_attempts":3,"stretch":2}],"services":[{"name":"pool","rejects_overload":true}],"limits":{}}'
+put() { [ "$(curl_ -X PUT -H 'Content-Type: application/json' -d "$config" "http://$net.2:8166/sassafrasstall/config")" = 200 ]; }
+wait_for 20 put || fail "the configuration was not accepted"
+zone() { curl_ -X "$1" "http://$net.$2:8166/sassafrasstall/evacuate/z1"; } # METHOD CORE
+leader() {
+  for i in 1 2 3; do
+    [ "$(curl_ -H 'Sassafras-Relayed: 1' "http://$net.$i:$((first + 1))/v1/leader")" = 200 ] && echo $i && return 0
+  done
+  return 1
+}
+executed() { cat "$folder"/core-*.log | grep -c "event=change-ended.*method=$1 path=/sassafrasstall/evacuate/z1 outcome=ok" || true; }
+# The order reaches a frozen VM, once a follower and once the leader, and another one acknowledges it.
+for round in follower leader; do
+  lead=$(leader) || fail "no leader"
+  frozen=$lead
+  [ $round = leader ] || frozen=$((lead % 3 + 1))
+  awake=$((frozen % 3 + 1))
+  ordered() { [ "$(zone "$1" "$awake")" = 200 ]; }
+  wait_for 5 ordered POST || fail "the first order was not acknowledged"
+  kill -STOP "${core[$frozen]}"
+  [ "$(zone DELETE "$frozen")" = 000 ] || fail "a frozen VM answered"
+  wait_for 10 ordered DELETE || fail "the withdrawal was not acknowledged"
+  wait_for 5 ordered POST || fail "the second order was not acknowledged"
+  before=$(executed DELETE)
+  kill -CONT "${core[$frozen]}"
+  sleep 3
+  after=$(executed DELETE)
+  [ "$before" = "$after" ] || fail "an old withdrawal was executed when the frozen $round woke ($before, $after)"
+done
+wait_for 5 leader >/dev/null || fail "no leader at the end"
+# The close of a sender that gave up behind a partition follows its order a moment later.
+before=$(executed DELETE)
+for i in 1 2 3; do
+  exec 3<>"/dev/tcp/$net.$i/8166"
+  printf 'DELETE /sassafrasstall/evacuate/z1 HTTP/1.1\r\nHost: h\r\n\r\n' >&3
+  sleep 0.05
+  exec 3>&-
+done
+sleep 1
+[ "$before" = "$(executed DELETE)" ] || fail "a withdrawal was executed although its sender had gone"
+grep -q 'event=\(request\|relay\)-abandoned' "$folder"/core-*.log || fail "no VM noticed that a sender had gone"
+echo "old orders were not executed: $(cat "$folder"/core-*.log | grep -c 'event=\(request\|relay\)-abandoned') dropped"
--- /dev/null
+++ b/tests/test_http_server.c
@@ -0,0 +1,141 @@
+/* Guards against a request that is executed although its sender has stopped waiting for it: the
+   server must see a close that came while the request was unread or suspended.  */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http_server.h"
+
+#define REQUEST "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+#define STEP_S 0.02
+
+struct fixture
+{
+  struct ev_loop *loop;
+  struct http_server *server;
+  struct http_request *request; /* not answered yet */
+  bool gone_when_read;
+  int sender;
+};
+
+static void
+handle (void *arg, struct http_request *req)
+{
+  struct fixture *f = arg;
+  f->request = req;
+  f->gone_when_read = http_sender_is_gone (req);
+}
+
+static void
+stop (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void)w;
+  (void)events;
+  ev_break (loop, EVBREAK_ALL);
+}
+
+static void
+run_step (struct fixture *f)
+{
+  ev_timer t;
+  ev_timer_init (&t, stop, STEP_S, 0.0);
+  ev_timer_start (f->loop, &t);
+  ev_run (f->loop, 0);
+}
+
+/* Connects and sends TEXT; the server does not run meanwhile.  */
+static int
+send_text (const struct fixture *f, const char *text)
+{
+  struct sockaddr_in to;
+  struct status st;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  assert_int_equal (http_parse_address ("127.0.0.1:0", &to, &st), 0);
+  to.sin_port = htons ((uint16_t)http_server_port (f->server));
+  assert_int_equal (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
+  assert_int_equal (send (fd, text, strlen (text), 0), (ssize_t)strlen (text));
+  return fd;
+}
+
+static int
+open_fixture (void **state)
+{
+  struct fixture *f = xcalloc (1, sizeof *f);
+  struct status st;
+  f->loop = ev_loop_new (0);
+  const struct http_server_config config
+      = { .address = "127.0.0.1:0", .max_body = 1000, .handler = handle, .handler_arg = f };
+  f->server = http_server_open (f->loop, &config, &st);
+  assert_non_null (f->server);
+  *state = f;
+  return 0;
+}
+
+static int
+close_fixture (void **state)
+{
+  struct fixture *f = *state;
+  if (f->request)
+    http_reply (f->request, 200, "text/plain", "", 0);
+  run_step (f);
+  http_server_close (f->server);
+  ev_loop_destroy (f->loop);
+  free (f);
+  return 0;
+}
+
+static void
+test_close_while_the_request_was_unread (void **state)
+{
+  struct fixture *f = *state;
+  close (send_text (f, REQUEST));
+  run_step (f);
+  assert_non_null (f->request);
+  assert_true (f->gone_when_read);
+}
+
+static void
+test_reset_while_the_request_was_suspended (void **state)
+{
+  struct fixture *f = *state;
+  const struct linger reset = { .l_onoff = 1 };
+  int fd = send_text (f, REQUEST);
+  run_step (f);
+  assert_non_null (f->request);
+  assert_false (f->gone_when_read);
+  assert_false (http_sender_is_gone (f->request));
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  close (fd);
+  assert_true (http_sender_is_gone (f->request));
+}
+
+static void
+test_sender_that_waits_is_not_gone (void **state)
+{
+  struct fixture *f = *state;
+  int fd = send_text (f, REQUEST REQUEST);
+  run_step (f);
+  assert_non_null (f->request);
+  assert_false (f->gone_when_read);
+  assert_false (http_sender_is_gone (f->request));
+  close (fd);
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown (name, open_fixture, close_fixture)
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { TEST (test_close_while_the_request_was_unread),
+                                      TEST (test_reset_while_the_request_was_suspended),
+                                      TEST (test_sender_that_waits_is_not_gone) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/test_leader_relay.c
+++ b/tests/test_leader_relay.c
@@ -6,10 +6,12 @@
 #include <stdint.h>
 
 #include <cmocka.h>
+#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "leader_relay.h"
@@ -107,6 +109,12 @@
   return server;
 }
 
+static bool
+is_post (const struct http_request *req)
+{
+  return strcmp (req->method, "POST") == 0;
+}
+
 static int
 open_fixture (void **state)
 {
@@ -121,7 +129,8 @@
                                         .own_ip = "127.0.9.9",
                                         .port = f->port,
                                         .seed_count = CANDIDATES,
-                                        .headers = headers };
+                                        .headers = headers,
+                                        .needs_sender = is_post };
   for (int i = 0; i < CANDIDATES; i++)
     {
       snprintf (config.seeds[i], sizeof config.seeds[i], "127.0.9.%d", i + 1);
@@ -168,6 +177,67 @@
   return f->code;
 }
 
+static void
+stop_loop (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void)w;
+  (void)events;
+  ev_break (loop, EVBREAK_ALL);
+}
+
+static void
+run_ms (struct fixture *f, int ms)
+{
+  ev_timer t;
+  ev_timer_init (&t, stop_loop, ms / 1000.0, 0.0);
+  ev_timer_start (f->loop, &t);
+  ev_run (f->loop, 0);
+}
+
+/* A sender that closes its connection right after the request, without reading an answer.  */
+static void
+send_and_leave (struct fixture *f, const char *method)
+{
+  struct sockaddr_in to;
+  struct status st;
+  char text[128];
+  char address[32];
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  snprintf (address, sizeof address, "127.0.9.9:%d", f->port);
+  int len = snprintf (text, sizeof text, "%s /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
+                      method);
+  assert_int_equal (http_parse_address (address, &to, &st), 0);
+  assert_int_equal (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
+  assert_int_equal (send (fd, text, (size_t)len, 0), len);
+  close (fd);
+}
+
+/* Guards against an order that is executed long after its sender gave it up and sent another one:
+   it was unread in a paused process, or waited here for a leader.  */
+static void
+test_request_whose_sender_left_is_not_relayed (void **state)
+{
+  struct fixture *f = *state;
+  f->budget_ms = 3000;
+  for (int i = 0; i < CANDIDATES; i++)
+    f->vms[i].behaviour = NO_LEADER;
+  send_and_leave (f, "POST");
+  send_and_leave (f, "PUT"); /* does not need its sender */
+  run_ms (f, 300);
+  for (int i = 0; i < CANDIDATES; i++)
+    {
+      f->vms[i].behaviour = ANSWERS;
+      f->vms[i].requests = 0;
+    }
+  run_ms (f, 300);
+  send_and_leave (f, "POST");
+  run_ms (f, 300);
+  unsigned requests = 0;
+  for (int i = 0; i < CANDIDATES; i++)
+    requests += f->vms[i].requests;
+  assert_int_equal (requests, 1);
+}
+
 /* A control caller waits for 1 s: an unresponsive leader must not use up all of it.  */
 static void
 test_unresponsive_leader_leaves_time_for_the_next (void **state)
@@ -512,7 +582,8 @@
           TEST (test_refusal_after_broken_connection_gets_504),
           TEST (test_refusal_of_the_only_attempt_is_forwarded),
           TEST (test_join_follows_a_redirect_to_a_leader_that_is_no_seed),
-          TEST (test_leader_is_found_after_all_seeds_are_gone) };
+          TEST (test_leader_is_found_after_all_seeds_are_gone),
+          TEST (test_request_whose_sender_left_is_not_relayed) };
   curl_global_init (CURL_GLOBAL_DEFAULT);
   int failed = cmocka_run_group_tests (tests, NULL, NULL);
   curl_global_cleanup ();
