workflow: a cancel of an unknown job withdraws its id

Callers saw: a backend server got work that nobody had sent. Reproduced with real processes: a front freezes with a submission in its socket, the client gives up and cancels through another front, which answers 410; when the front wakes the job is stored and runs for good.

Cause: the cancel of an unknown id left no trace, so its answer was true only until a submission arrived that was still on its way.

Change: the cancel is a command, and withdraws the id in the replicated state; a later submission is answered 404. The log decides between the two, whatever delayed the submission. The newest 8,192 ids are kept.

Evidence: path_late_orders and two tests in test_workflow failed before.

--- a/src/gen/workflow_proto.h
+++ b/src/gen/workflow_proto.h
@@ -26,6 +26,7 @@
 #define WORKFLOW_DOCUMENT_BYTES 900000
 #define WORKFLOW_MAX_PRUNE 4096
 #define WORKFLOW_MAX_BLAMES 200000
+#define WORKFLOW_MAX_WITHDRAWN 8192
 #define WORKFLOW_SNAPSHOT_FORMAT 1
 
   typedef char *workflow_name;
@@ -277,6 +278,16 @@
   };
   typedef struct workflow_blame_image workflow_blame_image;
 
+  struct workflow_withdrawn_image
+  {
+    struct
+    {
+      u_int ids_len;
+      u_quad_t *ids_val;
+    } ids;
+  };
+  typedef struct workflow_withdrawn_image workflow_withdrawn_image;
+
   /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -301,6 +312,7 @@
   extern bool_t xdr_workflow_image (XDR *, workflow_image *);
   extern bool_t xdr_workflow_blame (XDR *, workflow_blame *);
   extern bool_t xdr_workflow_blame_image (XDR *, workflow_blame_image *);
+  extern bool_t xdr_workflow_withdrawn_image (XDR *, workflow_withdrawn_image *);
 
 #else /* K&R C */
 extern bool_t xdr_workflow_name ();
@@ -324,6 +336,7 @@
 extern bool_t xdr_workflow_image ();
 extern bool_t xdr_workflow_blame ();
 extern bool_t xdr_workflow_blame_image ();
+extern bool_t xdr_workflow_withdrawn_image ();
 
 #endif /* K&R C */
 
--- a/src/gen/workflow_proto.x
+++ b/src/gen/workflow_proto.x
@@ -14,6 +14,7 @@
 const WORKFLOW_DOCUMENT_BYTES = 900000; /* keeps a command below PEER_ENTRY_BYTES */
 const WORKFLOW_MAX_PRUNE = 4096;
 const WORKFLOW_MAX_BLAMES = 200000;     /* in a snapshot */
+const WORKFLOW_MAX_WITHDRAWN = 8192;    /* in a snapshot */
 const WORKFLOW_SNAPSHOT_FORMAT = 1;
 
 typedef string workflow_name<WORKFLOW_NAME_BYTES>;
@@ -207,3 +208,9 @@
 {
   workflow_blame blames<WORKFLOW_MAX_BLAMES>;
 };
+
+/* Follows the blames; snapshots of earlier builds end without it, and earlier builds ignore it.  */
+struct workflow_withdrawn_image
+{
+  unsigned hyper ids<WORKFLOW_MAX_WITHDRAWN>; /* oldest first */
+};
--- a/src/gen/workflow_proto_xdr.c
+++ b/src/gen/workflow_proto_xdr.c
@@ -610,3 +610,14 @@
     return FALSE;
   return TRUE;
 }
+
+bool_t
+xdr_workflow_withdrawn_image (XDR *xdrs, workflow_withdrawn_image *objp)
+{
+  register int32_t *buf;
+
+  if (!xdr_array (xdrs, (char **)&objp->ids.ids_val, (u_int *)&objp->ids.ids_len,
+                  WORKFLOW_MAX_WITHDRAWN, sizeof (u_quad_t), (xdrproc_t)xdr_u_quad_t))
+    return FALSE;
+  return TRUE;
+}
--- a/src/workflow/workflow.h
+++ b/src/workflow/workflow.h
@@ -19,12 +19,13 @@
    A worker that was unreachable may report the end of a run that had been marked as lapsed.  An end
    with outcome DONE is accepted nevertheless: the task is done and needs no further run.
 
-   A cancelled id stays cancelled: submitting it again does not reopen the job, and cancelling an id
-   that was never submitted is refused with STATUS_NOT_FOUND.
+   A cancelled id stays cancelled: submitting it again does not reopen the job.  Cancelling an id
+   that was never submitted is answered with STATUS_NOT_FOUND and withdraws the id: a submission
+   that comes later is refused (see withdrawn_ids.h).
 
-   Errors in results: STATUS_NOT_FOUND (no such job, queue or task), STATUS_STALE_EPOCH (not the
-   expected run), STATUS_VERSION_CONFLICT (a configuration that is not newer; it has no effect),
-   STATUS_BAD_REQUEST (malformed).  */
+   Errors in results: STATUS_NOT_FOUND (no such job, queue or task; a withdrawn id),
+   STATUS_STALE_EPOCH (not the expected run), STATUS_VERSION_CONFLICT (a configuration that is not
+   newer; it has no effect), STATUS_BAD_REQUEST (malformed).  */
 
 #ifndef SASSAFRAS_WORKFLOW_H
 #define SASSAFRAS_WORKFLOW_H
@@ -37,6 +38,7 @@
 #include "cell_map.h"
 #include "crash_blame.h"
 #include "machine.h"
+#include "withdrawn_ids.h"
 #include "workflow_proto.h"
 
 struct workflow_job;
@@ -142,7 +144,8 @@
   workflow_configuration configuration;
   char *zones_out[WORKFLOW_MAX_ZONES];
   size_t zone_count;
-  struct cell_map jobs;          /* by id */
+  struct cell_map jobs; /* by id */
+  struct withdrawn_ids withdrawn;
   struct workflow_jobs open;     /* in submission order */
   struct workflow_jobs finished; /* in the order in which they ended */
   struct workflow_tasks ready;   /* WAITING tasks of open jobs whose dependencies are done */
--- a/src/workflow/workflow_apply.c
+++ b/src/workflow/workflow_apply.c
@@ -203,7 +203,7 @@
       r->status = STATUS_BAD_REQUEST;
       return;
     }
-  if (!workflow_find_queue (w, spec->queue))
+  if (!workflow_find_queue (w, spec->queue) || withdrawn_ids_has (&w->withdrawn, spec->id))
     {
       r->status = STATUS_NOT_FOUND;
       return;
@@ -215,10 +215,13 @@
 apply_cancel (struct workflow *w, uint64_t id, workflow_result *r)
 {
   struct workflow_job *j = workflow_find_job (w, id);
-  if (!j)
-    r->status = STATUS_NOT_FOUND;
-  else
-    workflow_set_job_state (w, j, WORKFLOW_JOB_CANCELLED);
+  if (j)
+    {
+      workflow_set_job_state (w, j, WORKFLOW_JOB_CANCELLED);
+      return;
+    }
+  withdrawn_ids_add (&w->withdrawn, id);
+  r->status = STATUS_NOT_FOUND;
 }
 
 static bool
@@ -417,6 +420,7 @@
   memset (w, 0, sizeof *w);
   w->machine.ops = &ops;
   cell_map_init (&w->jobs);
+  withdrawn_ids_init (&w->withdrawn);
   TAILQ_INIT (&w->open);
   TAILQ_INIT (&w->finished);
   TAILQ_INIT (&w->ready);
@@ -519,6 +523,7 @@
     workflow_free_job (w, j);
   while (w->zone_count > 0)
     free (w->zones_out[--w->zone_count]);
+  withdrawn_ids_clear (&w->withdrawn);
   xdr_free ((xdrproc_t)xdr_workflow_configuration, (char *)&w->configuration);
   memset (&w->configuration, 0, sizeof w->configuration);
 }
@@ -527,5 +532,6 @@
 workflow_close (struct workflow *w)
 {
   workflow_free_all (w);
+  withdrawn_ids_close (&w->withdrawn);
   cell_map_close (&w->jobs);
 }
--- a/src/workflow/workflow_snapshot.c
+++ b/src/workflow/workflow_snapshot.c
@@ -101,6 +101,24 @@
   free (image.blames.blames_val);
 }
 
+static void
+save_withdrawn (const struct workflow *w, struct buffer *out)
+{
+  workflow_withdrawn_image image = { .ids.ids_len = 0 };
+  const struct withdrawn_id *id;
+  XDR xdr;
+  image.ids.ids_val = xcalloc (w->withdrawn.map.count + 1, sizeof *image.ids.ids_val);
+  STAILQ_FOREACH (id, &w->withdrawn.list, link)
+  image.ids.ids_val[image.ids.ids_len++] = id->id;
+  u_int size = (u_int)xdr_sizeof ((xdrproc_t)xdr_workflow_withdrawn_image, &image);
+  buffer_reserve (out, size);
+  xdrmem_create (&xdr, out->data + out->len, size, XDR_ENCODE);
+  xdr_workflow_withdrawn_image (&xdr, &image);
+  xdr_destroy (&xdr);
+  out->len += size;
+  free (image.ids.ids_val);
+}
+
 void
 workflow_save (struct machine *m, struct buffer *out)
 {
@@ -125,6 +143,7 @@
     free_job_image (&image.jobs.jobs_val[i]);
   free (image.jobs.jobs_val);
   save_blames (w, out);
+  save_withdrawn (w, out);
 }
 
 static void
@@ -194,6 +213,19 @@
   return ok;
 }
 
+static bool
+load_withdrawn (struct workflow *w, XDR *xdr, size_t len)
+{
+  workflow_withdrawn_image image = { .ids.ids_len = 0 };
+  if (xdr_getpos (xdr) == len)
+    return true;
+  bool ok = xdr_workflow_withdrawn_image (xdr, &image);
+  for (u_int i = 0; ok && i < image.ids.ids_len; i++)
+    withdrawn_ids_add (&w->withdrawn, image.ids.ids_val[i]);
+  xdr_free ((xdrproc_t)xdr_workflow_withdrawn_image, (char *)&image);
+  return ok;
+}
+
 int
 workflow_load (struct machine *m, const void *data, size_t len, struct status *st)
 {
@@ -202,7 +234,8 @@
   memset (&image, 0, sizeof image);
   xdrmem_create (&xdr, (char *)data, (u_int)len, XDR_DECODE);
   bool ok = xdr_workflow_image (&xdr, &image) && load_image ((struct workflow *)m, &image)
-            && load_blames ((struct workflow *)m, &xdr, len);
+            && load_blames ((struct workflow *)m, &xdr, len)
+            && load_withdrawn ((struct workflow *)m, &xdr, len);
   xdr_destroy (&xdr);
   xdr_free ((xdrproc_t)xdr_workflow_image, (char *)&image);
   return ok ? 0 : status_set (st, STATUS_JOURNAL_DAMAGED, "the snapshot of the jobs is malformed");
--- a/tests/path_late_orders.sh
+++ b/tests/path_late_orders.sh
@@ -15,7 +15,7 @@
 first=$((21000 + $$ % 8000))
 net=127.0.11
 seeds=$net.1:8166,$net.2:8166,$net.3:8166
-declare -A core
+declare -A core front
 for i in 1 2 3; do
   "$build/sassafras-platform" --role=core --vm="core-$i" --data-centre="z$i" --ip="$net.$i" \
     --listen-control="$net.$i:8166" --ports="$first,$((first + 5))" --seeds=$seeds --first-start=true \
@@ -24,6 +24,14 @@
   disown
   pids+=($!)
 done
+for i in 1 2; do
+  "$build/sassafras-platform" --role=front --vm="front-$i" --data-centre="z$i" --ip="$net.1$i" \
+    --listen-customers="$net.1$i:8161" --listen-ready="$net.1$i:8167" --ports="$first,$((first + 5))" \
+    --seeds=$seeds >"$folder/front-$i.log" 2>&1 &
+  front[$i]=$!
+  disown
+  pids+=($!)
+done
 curl_() { curl -s -m 1 -o "$folder/answer" -w '%{http_code}' "$@" || true; }
 wait_for() { # SECONDS COMMAND...
   local end=$((SECONDS + $1))
@@ -59,6 +67,22 @@
   after=$(executed DELETE)
   [ "$before" = "$after" ] || fail "an old withdrawal was executed when the frozen $round woke ($before, $after)"
 done
+# A front freezes with a submission in its socket; the client gives up and cancels through another front.
+worker_report='{"service":"pool","address":"'$net'.21:8080","zone":"z1","slots":8,"state":"ready","capacity":{"cpu":16000,"mem_mb":64000,"gpu":0},"labels":["a","r1-1"],"clock_ms":5000,"seq":1,"born":1000}'
+job='{"spec":"150","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":150}]}'
+customer() { curl_ -X "$1" -H 'Host: h.example' "${@:4}" "http://$net.1$2:8161/q/$3"; } # METHOD FRONT ID
+report() { [ "$(curl_ -X PUT -d "$worker_report" "http://$net.2:8166/sassafrasstall/instances/w1")" = 200 ]; }
+submitted() { report && [ "$(customer POST 2 0000000000000001 -d "$job")" = 200 ]; }
+wait_for 10 submitted || fail "a job was not accepted"
+kill -STOP "${front[1]}"
+[ "$(customer POST 1 0000000000000002 -d "$job")" = 000 ] || fail "a frozen front answered"
+[ "$(customer DELETE 2 0000000000000002)" = 410 ] || fail "the cancel of an unknown job was not answered with 410"
+kill -CONT "${front[1]}"
+sleep 2
+[ "$(customer GET 2 0000000000000002)" = 410 ] || fail "a job was accepted after its cancel"
+# The same submission when it is late for another reason: the cancelled id stays cancelled.
+[ "$(customer POST 2 0000000000000002 -d "$job")" = 404 ] || fail "a job was accepted after its cancel"
+[ "$(customer GET 2 0000000000000002)" = 410 ] || fail "a job was accepted after its cancel"
 wait_for 5 leader >/dev/null || fail "no leader at the end"
 # The close of a sender that gave up behind a partition follows its order a moment later.
 before=$(executed DELETE)
--- a/tests/test_workflow.c
+++ b/tests/test_workflow.c
@@ -61,6 +61,43 @@
   assert_int_equal (workflow_find_job (&f->workflow, 1)->state, WORKFLOW_JOB_COMPLETED);
 }
 
+/* Guards against work that nobody wants any more: a submission is executed after its sender, which
+   had no answer, cancelled the job and was told that there is none.  */
+static void
+test_submission_after_its_cancel_is_refused (void **state)
+{
+  struct fixture *f = *state;
+  struct buffer image;
+  struct workflow other;
+  struct status st;
+  assert_false (fixture_cancel (f, 5));
+  assert_false (fixture_cancel (f, 5));
+  assert_false (fixture_submit (f, 5, 1, 1, 0));
+  assert_null (workflow_find_job (&f->workflow, 5));
+  assert_true (fixture_submit (f, 6, 1, 1, 0));
+  buffer_init (&image);
+  workflow_init (&other);
+  f->workflow.machine.ops->save (&f->workflow.machine, &image);
+  assert_int_equal (other.machine.ops->load (&other.machine, image.data, image.len, &st), 0);
+  assert_true (withdrawn_ids_has (&other.withdrawn, 5));
+  assert_false (withdrawn_ids_has (&other.withdrawn, 6));
+  workflow_close (&other);
+  buffer_close (&image);
+}
+
+/* Cancels of unknown ids must not fill the memory, nor a snapshot beyond its limit.  */
+static void
+test_withdrawn_ids_are_bounded (void **state)
+{
+  struct fixture *f = *state;
+  for (uint64_t id = 1; id <= WITHDRAWN_IDS_MAX + 3; id++)
+    fixture_cancel (f, id);
+  assert_int_equal (f->workflow.withdrawn.map.count, WORKFLOW_MAX_WITHDRAWN);
+  assert_true (fixture_submit (f, 3, 1, 1, 0));
+  assert_false (fixture_submit (f, 4, 1, 1, 0));
+  assert_false (fixture_submit (f, WITHDRAWN_IDS_MAX + 3, 1, 1, 0));
+}
+
 /* A run marked as lapsed turns out to be DONE: its task must not run again.  */
 static void
 test_late_end_completes_the_task (void **state)
@@ -253,8 +290,12 @@
   workflow_init (&other);
   assert_int_equal (other.machine.ops->load (&other.machine, image.data, image.len, &st), 0);
   assert_int_equal (workflow_find_task (&other, &ref)->blame.points, 8);
+  /* The ids withdrawn: a count.  A build without them ended the snapshot here.  */
+  size_t earlier_len = image.len - 4;
+  assert_int_equal (other.machine.ops->load (&other.machine, image.data, earlier_len, &st), 0);
+  assert_int_equal (workflow_find_task (&other, &ref)->blame.points, 8);
   /* One blame: a count, a reference of 20 bytes, points and crashes.  */
-  size_t earlier_len = image.len - 32;
+  earlier_len -= 32;
   assert_int_equal (other.machine.ops->load (&other.machine, image.data, earlier_len, &st), 0);
   assert_int_equal (workflow_find_task (&other, &ref)->blame.points, 0);
   assert_int_equal (workflow_find_job (&other, 1)->state, WORKFLOW_JOB_OPEN);
@@ -272,6 +313,8 @@
 {
   const struct CMUnitTest tests[] = { TEST (test_step_waits_for_its_dependency),
                                       TEST (test_task_is_executed_once),
+                                      TEST (test_submission_after_its_cancel_is_refused),
+                                      TEST (test_withdrawn_ids_are_bounded),
                                       TEST (test_late_end_completes_the_task),
                                       TEST (test_cancelled_job_is_not_reopened),
                                       TEST (test_lasting_task_restarts_after_any_outcome),
