decode: check the fields of reports for their use

Seen: a heartbeat with an address without a usable port or host was answered 200 and kept, and its calls failed for ever; one with `@`, `/`, `?` or `#` led orders to another host or path. A `clock_ms` near 2^63 overflowed a lease (ended a process under the sanitizers), and a negative number of an end hid all later ends of the worker. No process of the plain build ended.

Cause: fields were checked for their type only.

The report with an unknown state in test_invalid_reports_are_refused has a valid address now, so that the state is what is refused.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -1,6 +1,7 @@
 #include "http_server.h"
 
 #include <arpa/inet.h>
+#include <ctype.h>
 #include <errno.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -208,9 +209,9 @@
     return status_set (st, STATUS_INVALID_SETTING, "address '%s' is not ip:port", text);
   memcpy (host, text, (size_t)(colon - text));
   host[colon - text] = '\0';
+  bool is_number = isdigit ((unsigned char)colon[1]); /* strtol skips blanks and a sign */
   long port = strtol (colon + 1, &end, 10);
-  if (inet_pton (AF_INET, host, &out->sin_addr) != 1 || *end || end == colon + 1 || port < 0
-      || port > 65535)
+  if (inet_pton (AF_INET, host, &out->sin_addr) != 1 || !is_number || *end || port > 65535)
     return status_set (st, STATUS_INVALID_SETTING, "address '%s' is not ip:port", text);
   out->sin_port = htons ((uint16_t)port);
   return 0;
--- a/tests/path_platform.sh
+++ b/tests/path_platform.sh
@@ -49,6 +49,23 @@
 put() { [ "$(curl_ -X PUT -H 'Content-Type: application/json' -d "$config" "http://$net.2:8166/sassafrasstall/config")" = 200 ]; }
 wait_for 10 put || fail "the configuration was not accepted"
 [ "$(curl_ -X PUT -d '{"version":4,"routes":[' "http://$net.1:8166/sassafrasstall/config")" = 400 ] || fail "a truncated configuration was not refused"
+# Entries of another writer: refused by each VM, none ends, and the jobs below complete.
+odd_report() { # CORE ADDRESS SERVICE MORE-FIELDS
+  curl_ -X PUT -H 'Content-Type: application/json' "http://$net.$1:8166/sassafrasstall/instances/odd" --data-binary @- <<END
+{"service":"$3","address":"$2","zone":"z1","state":"ready","capacity":{"cpu":1000,"mem_mb":100},"seq":1,"born":1,$4}
+END
+}
+nested=$(printf '[%.0s' $(seq 1 20000))$(printf ']%.0s' $(seq 1 20000))
+for i in 1 2 3; do
+  for address in 127.0.0.1:99999 127.0.0.1:0 '[::1' 'http://127.0.0.1:9/' 'u@127.0.0.1:80' '127.0.0.1:80/x'; do
+    [ "$(odd_report $i "$address" pool '"clock_ms":1')" = 400 ] || fail "the address $address was not refused"
+  done
+  [ "$(odd_report $i $net.21:8080 other '"clock_ms":1')" = 400 ] || fail "an unknown service was not refused"
+  grep -q "pool 'other'" "$folder/answer" || fail "the refusal does not name the service"
+  [ "$(odd_report $i $net.29:8080 pool '"clock_ms":18446744073709551616')" = 400 ] || fail "a huge number was not refused"
+  [ "$(odd_report $i $net.29:8080 pool "\"clock_ms\":1,\"x\":$nested")" = 400 ] || fail "nested fields were not refused"
+  kill -0 "${core[$i]}" || fail "a core VM ended after an odd entry"
+done
 job='{"spec":"150","steps":[{"count":3,"cpu":1000,"mem_mb":100,"estimate_ms":150},{"count":2,"cpu":1000,"mem_mb":100,"estimate_ms":150,"after":[0]}]}'
 id() { printf '%016x' "$1"; }
 submit() { [ "$(curl_ -X POST -H 'Host: h.example' -H 'Deadline-Ms: 3000' -d "$job" "http://$net.10:8161/q/$(id "$1")")" = 200 ]; }
--- a/tests/test_platform_decode.c
+++ b/tests/test_platform_decode.c
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include <cmocka.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -106,7 +107,8 @@
           "{\"state\":\"ready\"}",
           "{\"service\":\"s\",\"address\":5,\"zone\":\"z\",\"state\":\"ready\",\"seq\":1,"
           "\"clock_ms\":1,\"capacity\":{\"cpu\":1,\"mem_mb\":1}}",
-          "{\"service\":\"s\",\"address\":\"a:1\",\"zone\":\"z\",\"state\":\"sleeping\",\"seq\":1,"
+          "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"sleeping\","
+          "\"seq\":1,"
           "\"clock_ms\":1,\"capacity\":{\"cpu\":1,\"mem_mb\":1}}" };
   (void)state;
   for (size_t i = 0; i < sizeof texts / sizeof *texts; i++)
@@ -117,6 +119,126 @@
     }
 }
 
+/* Guards against entries of another writer that are kept although nobody can be called there, or
+   that lead an order to another host or path than they seem to name.  */
+static void
+test_addresses_that_cannot_be_called_are_refused (void **state)
+{
+  static const char *const bad[] = { "127.0.0.1:99999",
+                                     "127.0.0.1:0",
+                                     "127.0.0.1:-1",
+                                     "127.0.0.1:",
+                                     "127.0.0.1",
+                                     ":80",
+                                     "[::1",
+                                     "[::1]:80",
+                                     "a b:80",
+                                     "%s%n:1",
+                                     "http://127.0.0.1:9/",
+                                     "127.0.0.1:80/x",
+                                     "u@127.0.0.1:80",
+                                     "127.0.0.1:+8",
+                                     "127.0.0.1: 80",
+                                     "127.0.0.1:80?x",
+                                     "127.0.0.1:80#x",
+                                     "127.1:80",
+                                     "127.0.0.1:18446744073709551696" };
+  (void)state;
+  for (size_t i = 0; i < sizeof bad / sizeof *bad; i++)
+    {
+      struct platform_report r;
+      struct status st;
+      char text[400];
+      snprintf (
+          text, sizeof text,
+          "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\",\"state\":\"ready\",\"seq\":1,"
+          "\"clock_ms\":1,\"capacity\":{\"cpu\":1,\"mem_mb\":1}}",
+          bad[i]);
+      assert_int_equal (platform_read_report (text, strlen (text), "i", &r, &st), -1);
+      assert_non_null (strstr (st.message, "field 'address'"));
+    }
+}
+
+/* The id is written into a header of each order.  */
+static void
+test_worker_ids_that_break_a_header_are_refused (void **state)
+{
+  char long_id[WORKFLOW_NAME_BYTES + 2];
+  memset (long_id, 'i', sizeof long_id - 1);
+  long_id[sizeof long_id - 1] = '\0';
+  const char *const bad[] = { "", "a b", "a\r\nX: y", "a\n", "\x7f", long_id };
+  (void)state;
+  for (size_t i = 0; i < sizeof bad / sizeof *bad; i++)
+    {
+      struct platform_report r;
+      struct status st;
+      assert_int_equal (platform_read_report (report, strlen (report), bad[i], &r, &st), -1);
+    }
+}
+
+/* Deeply nested fields and numbers beyond their range: refused, or ignored where nothing reads
+   them, and no process ends.  */
+static void
+test_nested_and_huge_values_are_refused (void **state)
+{
+  static const char *const numbers[]
+      = { "\"clock_ms\":9223372036854775807", "\"clock_ms\":18446744073709551616",
+          "\"clock_ms\":1e400", "\"clock_ms\":-1", "\"clock_ms\":1,\"seq\":9223372036854775808" };
+  static const int depths[] = { 100, 2000, 2100, 28900 };
+  struct platform_report r;
+  struct platform_lists l;
+  struct status st;
+  (void)state;
+  for (size_t i = 0; i < sizeof numbers / sizeof *numbers; i++)
+    {
+      char text[400];
+      snprintf (
+          text, sizeof text,
+          "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"ready\",%s,%s"
+          "\"capacity\":{\"cpu\":1,\"mem_mb\":1},\"running\":[],\"finished\":[]}",
+          numbers[i], strstr (numbers[i], "seq") ? "" : "\"seq\":1,");
+      assert_int_equal (platform_read_report (text, strlen (text), "i", &r, &st), -1);
+      if (!strstr (numbers[i], "seq"))
+        assert_int_equal (platform_read_lists (text, strlen (text), &l, &st), -1);
+    }
+  for (size_t i = 0; i < sizeof depths / sizeof *depths; i++)
+    {
+      size_t depth = (size_t)depths[i];
+      struct buffer b;
+      buffer_init (&b);
+      buffer_append (&b, report, strlen (report) - 1);
+      buffer_append (&b, ",\"x\":", 5);
+      for (size_t k = 0; k < depth; k++)
+        buffer_append (&b, "[", 1);
+      for (size_t k = 0; k < depth; k++)
+        buffer_append (&b, "]", 1);
+      buffer_append (&b, "}", 1);
+      int rc = platform_read_report (b.data, b.len, "i", &r, &st);
+      assert_int_equal (rc, depth <= 2000 ? 0 : -1);
+      if (rc == 0)
+        platform_report_free (&r);
+      buffer_close (&b);
+    }
+}
+
+static void
+test_ends_are_numbered_from_one (void **state)
+{
+  static const char *const numbers[] = { "-1", "0", "9223372036854775808", "\"1\"", "1.5" };
+  struct platform_lists l;
+  struct status st;
+  (void)state;
+  for (size_t i = 0; i < sizeof numbers / sizeof *numbers; i++)
+    {
+      char text[200];
+      snprintf (text, sizeof text,
+                "{\"clock_ms\":1,\"running\":[],\"finished\":[[%s,\"5c0e7a21d94b36f8.0.1.9\",1,"
+                "\"done\",\"\"]]}",
+                numbers[i]);
+      assert_int_equal (platform_read_lists (text, strlen (text), &l, &st), -1);
+    }
+}
+
 static void
 test_job_ids_are_parsed (void **state)
 {
@@ -199,6 +321,10 @@
       = { cmocka_unit_test (test_valid_bodies_are_decoded_in_full),
           cmocka_unit_test (test_invalid_configurations_are_refused),
           cmocka_unit_test (test_invalid_reports_are_refused),
+          cmocka_unit_test (test_addresses_that_cannot_be_called_are_refused),
+          cmocka_unit_test (test_worker_ids_that_break_a_header_are_refused),
+          cmocka_unit_test (test_nested_and_huge_values_are_refused),
+          cmocka_unit_test (test_ends_are_numbered_from_one),
           cmocka_unit_test (test_job_ids_are_parsed),
           cmocka_unit_test (test_mutated_bodies_do_not_crash_the_decoder) };
   return cmocka_run_group_tests (tests, NULL, NULL);
