operator_api: do not propose a command whose sender has gone

The daemon has the fault of the platform's orders on zones: a paused VM executes a command that its operator gave up long ago, for example the return of a data centre, after newer ones.

Change: the operators' API asks whether the sender still waits before it proposes.

Evidence: test_commands_whose_sender_left_are_not_proposed failed before (one proposal) and passes. The raw client of three tests is shared.

--- a/src/edge/operator_api.c
+++ b/src/edge/operator_api.c
@@ -223,6 +223,13 @@
 {
   struct buffer encoded;
   struct status st;
+  /* A command that was read late must not undo what the operator has changed since through another
+     VM; it has given up this request by then.  */
+  if (http_sender_is_gone (req))
+    {
+      http_reply_error (req, STATUS_SENDER_GONE, "the sender closed the connection");
+      return;
+    }
   buffer_init (&encoded);
   if (registry_encode (command, &encoded, &st) < 0)
     {
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -6,13 +6,10 @@
 #include <stdint.h>
 
 #include <cmocka.h>
-#include <arpa/inet.h>
 #include <stdlib.h>
-#include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "http_server.h"
+#include "raw_sender.h"
 
 #define REQUEST "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
 #define STEP_S 0.02
@@ -51,18 +48,11 @@
   ev_run (f->loop, 0);
 }
 
-/* Connects and sends TEXT; the server does not run meanwhile.  */
+/* The server does not run meanwhile.  */
 static int
 send_text (const struct fixture *f, const char *text)
 {
-  struct sockaddr_in to;
-  struct status st;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  assert_int_equal (http_parse_address ("127.0.0.1:0", &to, &st), 0);
-  to.sin_port = htons ((uint16_t)http_server_port (f->server));
-  assert_int_equal (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
-  assert_int_equal (send (fd, text, strlen (text), 0), (ssize_t)strlen (text));
-  return fd;
+  return raw_send ("127.0.0.1", http_server_port (f->server), text);
 }
 
 static int
--- a/tests/test_leader_relay.c
+++ b/tests/test_leader_relay.c
@@ -6,16 +6,15 @@
 #include <stdint.h>
 
 #include <cmocka.h>
-#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "leader_relay.h"
 #include "log.h"
+#include "raw_sender.h"
 
 #define CANDIDATES 3
 #define CONTROL_BUDGET_MS 950 /* callers of the control interface time out after 1 s */
@@ -196,20 +195,11 @@
 
 /* A sender that closes its connection right after the request, without reading an answer.  */
 static void
-send_and_leave (struct fixture *f, const char *method)
+send_and_leave (const struct fixture *f, const char *method)
 {
-  struct sockaddr_in to;
-  struct status st;
   char text[128];
-  char address[32];
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  snprintf (address, sizeof address, "127.0.9.9:%d", f->port);
-  int len = snprintf (text, sizeof text, "%s /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
-                      method);
-  assert_int_equal (http_parse_address (address, &to, &st), 0);
-  assert_int_equal (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
-  assert_int_equal (send (fd, text, (size_t)len, 0), len);
-  close (fd);
+  snprintf (text, sizeof text, "%s /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", method);
+  close (raw_send ("127.0.9.9", f->port, text));
 }
 
 /* Guards against an order that is executed long after its sender gave it up and sent another one:
--- a/tests/test_operator_api.c
+++ b/tests/test_operator_api.c
@@ -13,6 +13,7 @@
 
 #include "http_client.h"
 #include "operator_api.h"
+#include "raw_sender.h"
 #include "rng.h"
 
 #define FUZZ_ROUNDS 300
@@ -319,6 +320,37 @@
   close_fixture (&f);
 }
 
+static void
+stop_loop (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void)w;
+  (void)events;
+  ev_break (loop, EVBREAK_ALL);
+}
+
+/* Guards against a data centre that is returned, long after its operator gave that command up, by a
+   VM that was paused.  */
+static void
+test_commands_whose_sender_left_are_not_proposed (void **state)
+{
+  static const char body[] = "{\"request_id\":\"late\"}";
+  struct fixture f;
+  char request[200];
+  ev_timer t;
+  (void)state;
+  open_fixture (&f, NULL);
+  snprintf (request, sizeof request,
+            "POST /v1/data-centres/a/return HTTP/1.1\r\nHost: h\r\nContent-Length: %zu\r\n\r\n%s",
+            strlen (body), body);
+  close (raw_send ("127.0.0.1", http_server_port (f.server), request));
+  ev_timer_init (&t, stop_loop, 0.1, 0.0);
+  ev_timer_start (f.loop, &t);
+  ev_run (f.loop, 0);
+  assert_int_equal (f.proposer.proposals, 0);
+  assert_int_equal (http_server_open_requests (f.server), 0);
+  close_fixture (&f);
+}
+
 static void
 test_random_bodies (void **state)
 {
@@ -357,6 +389,7 @@
     cmocka_unit_test (test_token),
     cmocka_unit_test (test_outcomes_without_an_answer),
     cmocka_unit_test (test_paths_and_methods),
+    cmocka_unit_test (test_commands_whose_sender_left_are_not_proposed),
     cmocka_unit_test (test_random_bodies),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
