--- a/src/base/status.c
+++ b/src/base/status.c
@@ -30,12 +30,12 @@
   [STATUS_STALE_EPOCH] = { "stale-epoch", 409, 6, RAN_NO, false },
   [STATUS_STALE_INCARNATION] = { "stale-incarnation", 409, 6, RAN_NO, false },
   [STATUS_SHUTTING_DOWN] = { "shutting-down", 503, 9, RAN_NO, true },
-  [STATUS_SENDER_GONE] = { "sender-gone", 503, 9, RAN_NO, true },
   [STATUS_TIMEOUT] = { "timeout", 504, 10, RAN_UNKNOWN, true },
   [STATUS_DISK_FAILED] = { "disk-failed", 503, 12, RAN_NO, true },
   [STATUS_JOURNAL_DAMAGED] = { "journal-damaged", 500, 12, RAN_NO, false },
   [STATUS_INVALID_SETTING] = { "invalid-setting", 400, 2, RAN_NO, false },
   [STATUS_INTERNAL] = { "internal", 500, 13, RAN_UNKNOWN, false },
+  [STATUS_SENDER_GONE] = { "sender-gone", 503, 9, RAN_NO, true },
 };
 
 const struct status_answer *
--- a/src/base/status.h
+++ b/src/base/status.h
@@ -39,12 +39,12 @@
   STATUS_STALE_EPOCH,        /* report or command with an old epoch */
   STATUS_STALE_INCARNATION,  /* message from an earlier incarnation of a process */
   STATUS_SHUTTING_DOWN,      /* graceful shutdown has begun */
-  STATUS_SENDER_GONE,        /* the sender closed the connection before its request was executed */
   STATUS_TIMEOUT,            /* no answer in time */
   STATUS_DISK_FAILED,        /* write or fsync failed; no further acknowledgements */
   STATUS_JOURNAL_DAMAGED,    /* a record inside the journal fails its checksum */
   STATUS_INVALID_SETTING,    /* flag or environment variable out of range */
   STATUS_INTERNAL,           /* bug in this program */
+  STATUS_SENDER_GONE,        /* the sender closed the connection before its request was executed */
   STATUS_KINDS
 };
 
--- a/src/workflow/withdrawn_ids.c
+++ b/src/workflow/withdrawn_ids.c
@@ -49,7 +49,7 @@
 {
   if (withdrawn_ids_has (s, id))
     return;
-  if (s->map.count == WITHDRAWN_IDS_MAX)
+  if (s->map.count == WORKFLOW_MAX_WITHDRAWN)
     drop_oldest (s);
   struct withdrawn_id *w = xcalloc (1, sizeof *w);
   w->id = id;
--- a/src/workflow/withdrawn_ids.h
+++ b/src/workflow/withdrawn_ids.h
@@ -2,7 +2,8 @@
    state.
 
    A submission may be executed long after its sender gave it up and cancelled the job through
-   another VM: it must find the id withdrawn.  The set holds the WITHDRAWN_IDS_MAX newest ids.  */
+   another VM: it must find the id withdrawn.  The set holds the WORKFLOW_MAX_WITHDRAWN newest ids,
+   a day's worth at six per minute.  */
 
 #ifndef SASSAFRAS_WITHDRAWN_IDS_H
 #define SASSAFRAS_WITHDRAWN_IDS_H
@@ -12,8 +13,7 @@
 #include <sys/queue.h>
 
 #include "cell_map.h"
-
-#define WITHDRAWN_IDS_MAX 8192 /* about an hour at two per second */
+#include "workflow_proto.h"
 
 struct withdrawn_id
 {
--- a/src/workflow/workflow_apply.c
+++ b/src/workflow/workflow_apply.c
@@ -135,8 +135,7 @@
   workflow_set_job_state (w, t->job, WORKFLOW_JOB_FAILED);
 }
 
-/* A configuration may allow a task that waits for its next attempt fewer of them than it has had.
- */
+/* A configuration may allow fewer attempts than a task that waits for its next one has had.  */
 static void
 fail_exhausted_tasks (struct workflow *w)
 {
--- a/tests/test_workflow.c
+++ b/tests/test_workflow.c
@@ -90,12 +90,12 @@
 test_withdrawn_ids_are_bounded (void **state)
 {
   struct fixture *f = *state;
-  for (uint64_t id = 1; id <= WITHDRAWN_IDS_MAX + 3; id++)
+  for (uint64_t id = 1; id <= WORKFLOW_MAX_WITHDRAWN + 3; id++)
     fixture_cancel (f, id);
   assert_int_equal (f->workflow.withdrawn.map.count, WORKFLOW_MAX_WITHDRAWN);
   assert_true (fixture_submit (f, 3, 1, 1, 0));
   assert_false (fixture_submit (f, 4, 1, 1, 0));
-  assert_false (fixture_submit (f, WITHDRAWN_IDS_MAX + 3, 1, 1, 0));
+  assert_false (fixture_submit (f, WORKFLOW_MAX_WITHDRAWN + 3, 1, 1, 0));
 }
 
 /* A run marked as lapsed turns out to be DONE: its task must not run again.  */
