--- a/src/log/group.c
+++ b/src/log/group.c
@@ -13,6 +13,7 @@
 
 static struct counter leader_changes
     = { .name = "sassafras_log_leader_changes_total", .help = "Leader changes seen by groups." };
+
 /* Makes the initial state of an empty store durable before the node sends any reply.  */
 static int
 init_store (struct group *g, struct store_state *state, struct status *st)
