log_sim: a VM whose disk is full is started again until it works

The platform starts such a process again after a short delay, and so does the simulation now; every check after the start is as before.

--- a/tests/log_sim.c
+++ b/tests/log_sim.c
@@ -386,9 +386,11 @@
   n->checked = 0;
   n->authority_until_ms = 0;
   n->transferred = false;
-  if (!n->group && n->disk && memory_disk_crashed (n->disk))
+  bool crashed = n->disk && memory_disk_crashed (n->disk);
+  if (!n->group && (crashed || (n->disk && memory_disk_is_full (n->disk))))
     {
-      memory_disk_restart (n->disk);
+      if (crashed)
+        memory_disk_restart (n->disk);
       n->restart_at_ms = sim_now_ms (s) + 100;
       return;
     }
--- a/tests/memory_disk.c
+++ b/tests/memory_disk.c
@@ -380,6 +380,12 @@
   d->full = full;
 }
 
+bool
+memory_disk_is_full (const struct memory_disk *d)
+{
+  return d->full;
+}
+
 bool
 memory_disk_crashed (const struct memory_disk *d)
 {
--- a/tests/memory_disk.h
+++ b/tests/memory_disk.h
@@ -20,6 +20,7 @@
 void memory_disk_crash_at (struct memory_disk *d, int calls); /* Crash at the n-th write call. */
 void memory_disk_fail_at (struct memory_disk *d, int calls);  /* That call fails, disk full. */
 void memory_disk_set_full (struct memory_disk *d, bool full); /* While full all writes fail. */
+bool memory_disk_is_full (const struct memory_disk *d);
 bool memory_disk_crashed (const struct memory_disk *d);
 void memory_disk_restart (struct memory_disk *d); /* After a crash: reads return what survived. */
 void memory_disk_crash (struct memory_disk *d);   /* Power loss now, then restart. */
