--- a/tests/log_faults.c
+++ b/tests/log_faults.c
@@ -6,10 +6,10 @@
 
    Usage: log_faults [--first N] [--seeds N] [--expect-failure] [--trace]
    Each seed is one run under message loss, duplication, reordering and delay, partitions (also
-   one-way), crashes at any write point, full disks, clocks that run at different rates, membership
-   changes and replaced disks.  A failing seed is run again and the end of its trace printed.  With
-   --expect-failure the program succeeds only if some seed fails; it checks the deliberately broken
-   builds.  */
+   one-way), crashes at any write point, disks that are full for a while, clocks that run at
+   different rates, membership changes and replaced disks.  A failing seed is run again and the end
+   of its trace printed.  With --expect-failure the program succeeds only if some seed fails; it
+   checks the deliberately broken builds.  */
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -439,8 +439,21 @@
     }
 }
 
-/* A disk that failed a write stays full for up to MAX_FULL_MS.  Some of its VMs are restarted
-   meanwhile; the others must return without a restart.  */
+/* Restarts N, whose disk has failed a write, or lets the disk refuse all writes for a while.  */
+static void
+prolong_failure (struct scenario *sc, struct sim_node *n)
+{
+  struct sim *s = &sc->sim;
+  if (rng_chance (&sc->disk_rng, RESTART_CHANCE))
+    sim_crash (s, n, 50);
+  else if (rng_chance (&sc->disk_rng, FULL_CHANCE))
+    {
+      memory_disk_set_full (n->disk, true);
+      sc->full_until_ms[n->id - 1] = sim_now_ms (s) + rng_between (&sc->disk_rng, 1, MAX_FULL_MS);
+    }
+}
+
+/* Few VMs whose disk failed a write are restarted; the others must return without a restart.  */
 static void
 follow_failed_disks (struct scenario *sc)
 {
@@ -448,26 +461,18 @@
   for (int i = 0; i < s->nodes_len; i++)
     {
       struct sim_node *n = &s->nodes[i];
+      int64_t *full_until_ms = &sc->full_until_ms[i];
       struct group_stats stats;
-      if (!n->disk)
-        continue;
-      if (sc->full_until_ms[i] != 0 && sim_now_ms (s) >= sc->full_until_ms[i])
+      if (n->disk && *full_until_ms != 0 && sim_now_ms (s) >= *full_until_ms)
         {
           memory_disk_set_full (n->disk, false);
-          sc->full_until_ms[i] = 0;
+          *full_until_ms = 0;
         }
-      if (!n->group)
+      if (!n->disk || !n->group || *full_until_ms != 0)
         continue;
       group_stats (n->group, &stats);
-      if (!stats.disk_failed || sc->full_until_ms[i] != 0)
-        continue;
-      if (rng_chance (&sc->disk_rng, RESTART_CHANCE))
-        sim_crash (s, n, 50);
-      else if (rng_chance (&sc->disk_rng, FULL_CHANCE))
-        {
-          memory_disk_set_full (n->disk, true);
-          sc->full_until_ms[i] = sim_now_ms (s) + rng_between (&sc->disk_rng, 1, MAX_FULL_MS);
-        }
+      if (stats.disk_failed)
+        prolong_failure (sc, n);
     }
 }
 
