daemon: free the digest calls that are unanswered at the end

Cause: the transport reports no results once it is closed, so that the argument of a digest that is still unanswered was lost. Nothing of it is seen outside the process.

--- a/src/edge/daemon_internal.h
+++ b/src/edge/daemon_internal.h
@@ -3,6 +3,8 @@
 #ifndef SASSAFRAS_DAEMON_INTERNAL_H
 #define SASSAFRAS_DAEMON_INTERNAL_H
 
+#include <sys/queue.h>
+
 #include <ev.h>
 
 #include "cell_service.h"
@@ -31,6 +33,8 @@
   struct cell_service *cell; /* NULL for the registry */
 };
 
+struct digest_call;
+
 struct daemon
 {
   const struct settings *settings;
@@ -56,6 +60,7 @@
   int64_t registry_caught_up_ms; /* time since which all known commits are applied */
 
   struct runner_table *runners;
+  LIST_HEAD (, digest_call) digest_calls; /* without an answer */
   struct router router;
   struct limit *limit;
   struct intent_log intents;
--- a/src/edge/daemon_requests.c
+++ b/src/edge/daemon_requests.c
@@ -10,6 +10,7 @@
 /* Pending digest call to one peer.  */
 struct digest_call
 {
+  LIST_ENTRY (digest_call) link;
   struct daemon *daemon;
   struct runner_peer *peer;
 };
@@ -126,6 +127,7 @@
     runner_table_handle_reply (call->daemon->runners, call->peer, reply);
   else
     runner_table_digest_failed (call->peer);
+  LIST_REMOVE (call, link);
   free (call);
 }
 
@@ -137,6 +139,7 @@
   struct digest_call *call = xcalloc (1, sizeof *call);
   call->daemon = d;
   call->peer = peer;
+  LIST_INSERT_HEAD (&d->digest_calls, call, link);
   runner_table_make_digest (d->runners, peer, now_ms, &digest);
   limit_report (d->limit, info->name, now_ms, &digest);
   peer_call_runners (d->net, info->node, &digest, DIGEST_TIMEOUT_MS, on_digest_reply, call);
@@ -198,6 +201,13 @@
 void
 daemon_close_requests (struct daemon *d)
 {
+  struct digest_call *call;
+  /* The transport is closed and reports no results any more.  */
+  while ((call = LIST_FIRST (&d->digest_calls)) != NULL)
+    {
+      LIST_REMOVE (call, link);
+      free (call);
+    }
   proxy_close (d->proxy);
   intent_log_close (&d->intents);
   router_close (&d->router);
