group_reporter: log why a group has no leader and why a change of members waits

Without a leader nothing was logged but the requests that were given up, so the log could not tell a group that has too few voters left from one whose voters refuse each other. Three lines tell it: members-in-force with the store of each member, no-leader with each voter's last answer to a request for a vote, and member-change-waits with the learner and the reason; gauges hold both times and the number of voters. Replies to requests for votes carry the sender's last entry, in fields that were unused.

--- a/src/log/group.c
+++ b/src/log/group.c
@@ -414,5 +414,7 @@
   out->proposals = g->proposals;
   out->pending = g->pending;
   out->disk_failed = group_has_failed (g);
+  out->may_vote = raft_may_vote (g->raft);
+  out->change = raft_change_view (g->raft, g->now_ms);
   out->peers_len = raft_peers (g->raft, out->peers, PEER_MAX_MEMBERS, g->now_ms);
 }
--- a/src/log/group.h
+++ b/src/log/group.h
@@ -79,6 +79,8 @@
   uint64_t proposals; /* accepted so far */
   uint64_t pending;   /* proposals without an outcome */
   bool disk_failed;
+  bool may_vote;                  /* the member list grants this store a vote */
+  struct raft_change_view change; /* leader only */
   size_t peers_len;
   struct raft_peer_view peers[PEER_MAX_MEMBERS];
 };
--- a/src/log/raft.c
+++ b/src/log/raft.c
@@ -192,6 +192,9 @@
 {
   if (m->group != r->group || m->to != r->node || m->from == r->node)
     return;
+  /* Of any term: an empty store answers with a lower one.  */
+  if (m->type == RAFT_PRE_VOTE_REPLY || m->type == RAFT_VOTE_REPLY)
+    raft_record_vote_answer (r, m);
   if (!check_term (r, m, now_ms))
     return;
   switch (m->type)
--- a/src/log/raft.h
+++ b/src/log/raft.h
@@ -102,7 +102,37 @@
   size_t after_len;
 };
 
-/* State of a peer as known to the leader.  */
+/* Last answer of a voter to a request for a pre-vote or vote, since this node lost its leader.  */
+enum raft_vote_answer
+{
+  RAFT_VOTE_NO_ANSWER,
+  RAFT_VOTE_GRANTED,
+  RAFT_VOTE_OTHER_STORE, /* its disk is not the one that the member list names */
+  RAFT_VOTE_LONGER_LOG,  /* it holds later entries */
+  RAFT_VOTE_REFUSED,     /* it follows a leader, has restarted or prefers another candidate */
+};
+
+/* What a change of members waits for.  */
+enum raft_change_wait
+{
+  RAFT_CHANGE_NONE,        /* nothing: no change is pending, or its next step is due */
+  RAFT_CHANGE_COMMIT,      /* the last step is not committed */
+  RAFT_CHANGE_NO_REPLY,    /* the learner to promote does not reply */
+  RAFT_CHANGE_NO_STORE,    /* it has no durable store */
+  RAFT_CHANGE_SNAPSHOT,    /* it is being sent a snapshot */
+  RAFT_CHANGE_CATCHING_UP, /* it lacks entries */
+};
+
+struct raft_change_view
+{
+  enum raft_change_wait wait;
+  uint64_t node;           /* the learner, 0 for RAFT_CHANGE_NONE and RAFT_CHANGE_COMMIT */
+  uint64_t entries_behind; /* of the learner */
+  uint64_t snapshot_sent;  /* bytes of the snapshot that it has */
+  uint64_t snapshot_bytes;
+};
+
+/* State of a peer as known to the leader; VOTE_ANSWER as known to a candidate.  */
 struct raft_peer_view
 {
   uint64_t node;
@@ -111,6 +141,7 @@
   bool snapshot;    /* a snapshot is being sent */
   bool wrong_store; /* a voter whose disk was replaced: it cannot vote */
   uint64_t match;   /* last entry known to be stored there */
+  enum raft_vote_answer vote_answer;
 };
 
 struct raft;
@@ -163,6 +194,8 @@
 size_t raft_peers (const struct raft *r, struct raft_peer_view *out, size_t max,
                    int64_t now_ms);                /* Leader's view of its peers. */
 bool raft_sending_snapshot (const struct raft *r); /* A snapshot is being sent. */
+bool raft_may_vote (const struct raft *r);         /* The member list grants this store a vote. */
+struct raft_change_view raft_change_view (const struct raft *r, int64_t now_ms); /* For reports. */
 
 void raft_members_copy (raft_members *to, const raft_members *from); /* Deep copy. */
 void raft_members_free (raft_members *m);
--- a/src/log/raft_election.c
+++ b/src/log/raft_election.c
@@ -192,6 +192,8 @@
     grant = false;
   raft_message *reply = raft_queue (r, pre ? RAFT_PRE_VOTE_REPLY : RAFT_VOTE_REPLY, m->from);
   reply->granted = grant;
+  reply->log_index = raft_log_last (&r->log);
+  raft_log_term (&r->log, reply->log_index, &reply->log_term);
   if (pre && grant)
     {
       reply->term = m->term;
@@ -207,6 +209,25 @@
   raft_reset_election (r, now_ms);
 }
 
+void
+raft_record_vote_answer (struct raft *r, const raft_message *m)
+{
+  struct raft_peer *p = raft_find_peer (r, m->from);
+  uint64_t last = raft_log_last (&r->log);
+  uint64_t term;
+  raft_log_term (&r->log, last, &term);
+  if (!p)
+    return;
+  if (m->granted)
+    p->vote_answer = RAFT_VOTE_GRANTED;
+  else if (m->store != p->member_store)
+    p->vote_answer = RAFT_VOTE_OTHER_STORE;
+  else if (m->log_term > term || (m->log_term == term && m->log_index > last))
+    p->vote_answer = RAFT_VOTE_LONGER_LOG;
+  else
+    p->vote_answer = RAFT_VOTE_REFUSED;
+}
+
 void
 raft_on_vote_reply (struct raft *r, const raft_message *m, int64_t now_ms)
 {
--- a/src/log/raft_follower.c
+++ b/src/log/raft_follower.c
@@ -14,6 +14,8 @@
     raft_become_follower (r, r->hard.term, leader, now_ms);
   r->leader_ms = now_ms;
   r->election_attempts = 0;
+  for (size_t i = 0; i < r->peers_len; i++)
+    r->peers[i].vote_answer = RAFT_VOTE_NO_ANSWER;
   raft_reset_election (r, now_ms);
   if (r->hard.vote == 0)
     {
--- a/src/log/raft_internal.h
+++ b/src/log/raft_internal.h
@@ -30,6 +30,7 @@
   uint64_t store;        /* store id in its replies */
   bool store_known;
   bool granted; /* has granted its vote or pre-vote */
+  enum raft_vote_answer vote_answer;
   enum peer_state state;
   uint64_t match; /* highest entry known to be stored there */
   uint64_t mark;  /* end of the leader's log at MARK_MS */
@@ -121,12 +122,12 @@
 /* raft_election.c */
 void raft_reset_election (struct raft *r, int64_t now_ms); /* Restarts the election timeout. */
 bool raft_has_recent_leader (const struct raft *r, int64_t now_ms);
-void raft_forget_leader (struct raft *r);  /* This node may vote although it heard from a leader. */
-bool raft_may_vote (const struct raft *r); /* The member list grants this store a vote. */
+void raft_forget_leader (struct raft *r); /* This node may vote although it heard from a leader. */
 void raft_election_tick (struct raft *r, int64_t now_ms);
 void raft_start_election (struct raft *r, bool forced, int64_t now_ms); /* Requests votes. */
 void raft_count_votes (struct raft *r, int64_t now_ms);
 void raft_on_vote_request (struct raft *r, const raft_message *m, int64_t now_ms);
+void raft_record_vote_answer (struct raft *r, const raft_message *m); /* For reports only. */
 void raft_on_vote_reply (struct raft *r, const raft_message *m, int64_t now_ms);
 
 /* raft_leader.c */
--- a/src/log/raft_members.c
+++ b/src/log/raft_members.c
@@ -258,11 +258,27 @@
          || now_ms - p->caught_up_ms <= RAFT_CATCH_UP_MS;
 }
 
+/* Why learner P may not be promoted yet; RAFT_CHANGE_NONE if it may.  */
+static enum raft_change_wait
+promotion_wait (const struct raft *r, const struct raft_peer *p, int64_t now_ms)
+{
+  if (!p->store_known || !is_active (r, p, now_ms))
+    return RAFT_CHANGE_NO_REPLY;
+  if (p->store & RAFT_STORE_VOLATILE)
+    return RAFT_CHANGE_NO_STORE;
+  if (p->state == PEER_SNAPSHOT)
+    return RAFT_CHANGE_SNAPSHOT;
+  if (p->state != PEER_REPLICATE || !has_caught_up (r, p, now_ms))
+    return RAFT_CHANGE_CATCHING_UP;
+  return RAFT_CHANGE_NONE;
+}
+
+/* True if the target promotes P, a learner.  */
 static bool
-may_promote (const struct raft *r, const struct raft_peer *p, int64_t now_ms)
+is_to_promote (const struct raft *r, const struct raft_peer *p)
 {
-  return p->store_known && !(p->store & RAFT_STORE_VOLATILE) && is_active (r, p, now_ms)
-         && p->state == PEER_REPLICATE && has_caught_up (r, p, now_ms);
+  const raft_member *wanted = raft_members_find (&r->target, p->node);
+  return !p->voter && wanted && wanted->voter;
 }
 
 /* The first learner to promote; READY is true when all learners to promote may be promoted now.  */
@@ -274,10 +290,9 @@
   for (size_t i = 0; i < r->peers_len; i++)
     {
       struct raft_peer *p = &r->peers[i];
-      const raft_member *wanted = raft_members_find (&r->target, p->node);
-      if (p->voter || !wanted || !wanted->voter)
+      if (!is_to_promote (r, p))
         continue;
-      if (!may_promote (r, p, now_ms))
+      if (promotion_wait (r, p, now_ms) != RAFT_CHANGE_NONE)
         *ready = false;
       else if (!first)
         first = p;
@@ -330,3 +345,25 @@
   else
     r->target_set = false;
 }
+
+struct raft_change_view
+raft_change_view (const struct raft *r, int64_t now_ms)
+{
+  struct raft_change_view view = { .wait = RAFT_CHANGE_NONE };
+  if (r->role != RAFT_LEADER)
+    return view;
+  if (r->members_index > r->commit || r->commit < r->noop_index)
+    view.wait = RAFT_CHANGE_COMMIT;
+  for (size_t i = 0; i < r->peers_len && r->target_set && view.wait == RAFT_CHANGE_NONE; i++)
+    {
+      const struct raft_peer *p = &r->peers[i];
+      if (!is_to_promote (r, p))
+        continue;
+      view.wait = promotion_wait (r, p, now_ms);
+      view.node = view.wait == RAFT_CHANGE_NONE ? 0 : p->node;
+      view.entries_behind = raft_log_last (&r->log) - p->match;
+      view.snapshot_sent = p->state == PEER_SNAPSHOT ? p->snapshot_offset : 0;
+      view.snapshot_bytes = r->snapshot.bytes;
+    }
+  return view;
+}
--- a/src/log/raft_state.c
+++ b/src/log/raft_state.c
@@ -118,6 +118,7 @@
         .snapshot = p->state == PEER_SNAPSHOT,
         .wrong_store = p->voter && p->store_known && p->store != p->member_store,
         .match = p->match,
+        .vote_answer = p->vote_answer,
       };
     }
   return len;
--- a/src/workflow/seeded_group.c
+++ b/src/workflow/seeded_group.c
@@ -8,6 +8,7 @@
 #include <sys/random.h>
 #include <sys/stat.h>
 
+#include "group_reporter.h"
 #include "incarnation.h"
 #include "log.h"
 #include "member_sync.h"
@@ -40,6 +41,7 @@
   struct peer_net *net;
   struct group *group;
   struct member_sync sync;
+  struct group_reporter reporter;
   struct peer_activity activity[PEER_MAX_MEMBERS];
   size_t activity_count;
   char last_plan[PLAN_TEXT_BYTES]; /* as last logged */
@@ -54,13 +56,6 @@
   return inet_pton (AF_INET, ip, &address) == 1 ? ntohl (address.s_addr) : 0;
 }
 
-static void
-ip_of_node (uint64_t node, char ip[SEEDED_GROUP_IP_BYTES])
-{
-  struct in_addr address = { .s_addr = htonl ((uint32_t)node) };
-  inet_ntop (AF_INET, &address, ip, SEEDED_GROUP_IP_BYTES);
-}
-
 static void
 on_raft (void *arg, const struct peer_info *from, const raft_message *m)
 {
@@ -222,6 +217,7 @@
       return NULL;
     }
   member_sync_init (&s->sync, s->group, GROUP_NAME);
+  group_reporter_init (&s->reporter);
   return s;
 }
 
@@ -253,7 +249,7 @@
       uint64_t node = members->members.members_val[i].node;
       if (node == s->node || peer_net_peer (s->net, node, &info))
         continue;
-      ip_of_node (node, ip);
+      group_reporter_name (node, ip);
       add_peer (s, ip);
     }
 }
@@ -316,7 +312,7 @@
     {
       char ip[SEEDED_GROUP_IP_BYTES];
       const char *role = plan[i].voter ? "voter" : "learner";
-      ip_of_node (plan[i].node, ip);
+      group_reporter_name (plan[i].node, ip);
       used += (size_t)snprintf (text + used, sizeof text - used, " %s=%s", ip,
                                 plan[i].dropped ? "dropped" : role);
     }
@@ -400,6 +396,7 @@
   sync_members (s, now_ms);
   if (group_leader_node (s->group) != 0)
     s->leader_known_ms = now_ms;
+  group_reporter_tick (&s->reporter, s->group, now_ms);
 }
 
 bool
@@ -441,7 +438,7 @@
   for (int voters = 1; voters >= 0; voters--)
     for (u_int i = 0; i < members->members.members_len && n < size; i++)
       if (members->members.members_val[i].voter == voters)
-        ip_of_node (members->members.members_val[i].node, ips[n++]);
+        group_reporter_name (members->members.members_val[i].node, ips[n++]);
   return n;
 }
 
@@ -451,6 +448,6 @@
   uint64_t node = group_leader_node (s->group);
   if (node == 0)
     return false;
-  ip_of_node (node, ip);
+  group_reporter_name (node, ip);
   return true;
 }
