raft: bind a vote to the store of the candidate that requested it

A voter granted the same node a second time in one term, and a candidate counted any grant that named its term. Both hold only while a node has one disk.

A request names the candidate's own store in `round`, which votes did not use, and the reply echoes it. A voter grants once per term: no candidate repeats a request within a term. A voter of an older version echoes 0, which counts for a candidate that has a vote, as before.

--- a/src/gen/peer_proto.x
+++ b/src/gen/peer_proto.x
@@ -77,7 +77,7 @@
   unsigned hyper log_term;
   unsigned hyper commit;
   bool granted;             /* replies: vote granted, append accepted, chunk stored */
-  unsigned hyper round;     /* read-index and check-quorum round, echoed in replies */
+  unsigned hyper round;     /* of read-index and check-quorum, or a candidate's store; echoed in replies */
   unsigned int stream;      /* appends: incremented per handled rejection; echoed in replies */
   unsigned hyper store;     /* vote requests: store the candidate expects; replies: the sender's */
   raft_entry entries<PEER_MAX_ENTRIES>;
--- a/src/log/raft.h
+++ b/src/log/raft.h
@@ -18,8 +18,10 @@
    a random id, which the leader learns from the member's replies and records when it promotes the
    member.  A vote request carries the id that the candidate's member list names, and a node grants
    only a request that names its own store.  So a node that restarts with an empty disk under an id
-   that had voted never votes.  Ids with RAFT_STORE_VOLATILE set belong to stores in memory; their
-   nodes stay learners.
+   that had voted never votes.  A vote counts only for the store of the candidate that requested it,
+   and a voter grants one request per term, so a replaced disk never leads a term that its node led
+   before.  Ids with RAFT_STORE_VOLATILE set belong to stores in memory; their nodes stay
+   learners.
 
    Source: Ongaro, "Consensus: bridging theory and practice", chapters 3, 4, 6 and 9.  */
 
--- a/src/log/raft_election.c
+++ b/src/log/raft_election.c
@@ -67,6 +67,7 @@
       m->log_term = last_term;
       m->granted = forced; /* by a leadership transfer: a recent leader is ignored */
       m->store = p->member_store;
+      m->round = r->hard.store;
     }
 }
 
@@ -188,10 +189,12 @@
     grant = false;
   if (pre && grant && !may_grant_pre_vote (r, m, now_ms))
     grant = false;
-  if (!pre && r->hard.vote != 0 && r->hard.vote != m->from)
+  /* Also not to the same node again: its disk may have been replaced since.  */
+  if (!pre && r->hard.vote != 0)
     grant = false;
   raft_message *reply = raft_queue (r, pre ? RAFT_PRE_VOTE_REPLY : RAFT_VOTE_REPLY, m->from);
   reply->granted = grant;
+  reply->round = m->round;
   if (pre && grant)
     {
       reply->term = m->term;
@@ -199,11 +202,8 @@
     }
   if (pre || !grant)
     return;
-  if (r->hard.vote == 0)
-    {
-      r->hard.vote = m->from;
-      r->hard_dirty = true;
-    }
+  r->hard.vote = m->from;
+  r->hard_dirty = true;
   raft_reset_election (r, now_ms);
 }
 
@@ -218,6 +218,9 @@
   struct raft_peer *p = raft_find_peer (r, m->from);
   if (!p || !p->voter || !m->granted)
     return;
+  /* A reply to an earlier store of this node; voters of older versions send 0.  */
+  if (m->round != r->hard.store && (m->round != 0 || !raft_may_vote (r)))
+    return;
   p->granted = true;
   raft_count_votes (r, now_ms);
 }
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -492,6 +492,45 @@
   raft_destroy (r);
 }
 
+/* Guards against two leaders in one term: a voter granted its vote, the candidate lost its disk,
+   and its new store requested the vote of the same term.  */
+static void
+test_a_vote_counts_only_for_the_store_that_requested_it (void **state)
+{
+  raft_member list[] = { { .node = 1, .voter = true },
+                         { .node = 2, .voter = true },
+                         { .node = 3, .voter = true } };
+  const struct raft_snapshot start = { .members = { { 3, list } } };
+  const struct raft_hard_state hard = { .term = 5 };
+  struct rng rng;
+  (void)state;
+  rng_init (&rng, 1);
+  const struct raft_config config = { .group = 1, .node = 1, .rng = &rng };
+  struct raft *r = raft_create (&config, &hard, &start, NULL, 0, 0);
+  raft_message vote
+      = { .group = 1, .type = RAFT_VOTE_REQUEST, .from = 3, .to = 1, .term = 6, .round = 77 };
+  struct raft_output out = respond (r, &vote, 10000);
+  assert_int_equal (out.after_len, 1);
+  assert_true (out.after[0].granted);
+  assert_int_equal (out.after[0].round, 77);
+  vote.round = 78;
+  out = respond (r, &vote, 10010);
+  assert_int_equal (out.after_len, 1);
+  assert_false (out.after[0].granted);
+  raft_message forced = { .group = 1, .type = RAFT_TIMEOUT_NOW, .from = 3, .to = 1, .term = 6 };
+  raft_message reply = {
+    .group = 1, .type = RAFT_VOTE_REPLY, .from = 2, .to = 1, .term = 7, .granted = true, .round = 77
+  };
+  respond (r, &forced, 10020);
+  assert_int_equal (raft_role (r), RAFT_CANDIDATE);
+  respond (r, &reply, 10030);
+  assert_int_equal (raft_role (r), RAFT_CANDIDATE);
+  reply.round = 0;
+  respond (r, &reply, 10040);
+  assert_int_equal (raft_role (r), RAFT_LEADER);
+  raft_destroy (r);
+}
+
 struct recorder
 {
   raft_message sent[8];
@@ -697,6 +736,7 @@
           cmocka_unit_test (test_single_voter_confirms_itself),
           cmocka_unit_test (test_a_restarted_voter_elects_nobody_while_its_leader_has_authority),
           cmocka_unit_test (test_a_higher_term_does_not_release_a_voter_from_its_leader),
+          cmocka_unit_test (test_a_vote_counts_only_for_the_store_that_requested_it),
           cmocka_unit_test (test_a_message_counts_from_its_receipt_not_from_the_last_tick),
           cmocka_unit_test (test_a_leader_whose_transfer_timed_out_has_no_authority_in_its_term),
           cmocka_unit_test (test_quorum_voter_reported_only_while_all_voters_reply),
