raft: let a learner stand that refuses a vote because its log ends later

Cause, by the traces: an old leader alone holds an uncommitted list in which node 4 votes, too. The next leader's last entries reach only node 4, and its disk is lost. The old leader needs three of four votes, one of them from node 4, which must refuse: its log ends in a later term. By the log of node 4 it is a learner, so it did not stand. The third voter's log is the oldest.

Change: a node that refuses such a pre-vote stands itself, for as long as candidates ask. It needs a majority of the voters of its own list, does not count itself, and transfers its leadership to a voter once its log and list are committed.

Ongaro's section 4.2.2 asks for this: a server that is not part of its latest configuration still starts elections and does not count its own vote. Safety is unchanged: who may win and what is committed is still decided by the majority of the voters of the leader's latest list, each with one durable vote and the log check; the vote is bound to the store of the candidate since the commit before.

The simulator counts a candidate's own vote only if the list that the candidate holds gives it one.

--- a/src/log/raft.c
+++ b/src/log/raft.c
@@ -59,6 +59,7 @@
   r->durable = raft_log_last (&r->log);
   r->commit = snapshot->index;
   r->pre_vote_granted_ms = INT64_MIN / 2;
+  r->blocked_ms = INT64_MIN / 2;
   raft_forget_leader (r);
   r->votes_from_ms = r->hard.term > 0 ? now_ms + r->timing.restart_ms : now_ms;
   raft_reload_members (r);
--- a/src/log/raft.h
+++ b/src/log/raft.h
@@ -11,6 +11,12 @@
    change at a time, and only after the leader has committed an entry of its term; a learner is
    promoted after it has caught up.
 
+   A learner that refuses a candidate whose list gives it a vote, because its own log ends later,
+   stands for election itself.  It does not count its own vote (section 4.2.2 of the source), and
+   transfers its leadership to a voter once it has committed its log; it confirms no rounds.  Without
+   this the candidate needs a vote that it cannot get, and no other node may hold all committed
+   entries.
+
    A leader that has told a voter to take over may be replaced at any time from then on.  It
    confirms no more rounds and, unless it tries another transfer, steps down.
 
--- a/src/log/raft_election.c
+++ b/src/log/raft_election.c
@@ -49,6 +49,14 @@
   return self && self->voter && self->store == r->hard.store;
 }
 
+/* A learner whose log ends later than a candidate's must refuse the vote that the list of the
+   candidate gives it.  It may be the only node that can win then, and stands without a vote.  */
+static bool
+may_stand (const struct raft *r, int64_t now_ms)
+{
+  return raft_may_vote (r) || now_ms - r->blocked_ms < 2 * r->timing.election_min_ms;
+}
+
 static void
 request_votes (struct raft *r, raft_message_type type, uint64_t term, bool forced)
 {
@@ -91,7 +99,7 @@
 static void
 start_pre_vote (struct raft *r, int64_t now_ms)
 {
-  if (raft_voters (r) == 1)
+  if (raft_voters (r) == 1 && raft_may_vote (r))
     {
       raft_start_election (r, false, now_ms);
       return;
@@ -108,7 +116,7 @@
 {
   if (now_ms < r->election_ms)
     return;
-  if (!raft_may_vote (r))
+  if (!may_stand (r, now_ms))
     {
       raft_reset_election (r, now_ms);
       return;
@@ -119,7 +127,8 @@
 void
 raft_count_votes (struct raft *r, int64_t now_ms)
 {
-  size_t granted = (r->role == RAFT_PRE_CANDIDATE || r->self_granted) ? 1 : 0;
+  bool self = raft_may_vote (r) && (r->role == RAFT_PRE_CANDIDATE || r->self_granted);
+  size_t granted = self ? 1 : 0;
   for (size_t i = 0; i < r->peers_len; i++)
     if (r->peers[i].voter && r->peers[i].granted)
       granted++;
@@ -183,8 +192,11 @@
 {
   bool pre = m->type == RAFT_PRE_VOTE_REQUEST;
   bool own_store = m->store == r->hard.store && !(r->hard.store & RAFT_STORE_VOLATILE);
-  bool grant = own_store && log_is_current (r, m);
+  bool current = log_is_current (r, m);
+  bool grant = own_store && current;
   bool forced = !pre && m->granted;
+  if (pre && own_store && !current && !raft_has_recent_leader (r, now_ms))
+    r->blocked_ms = now_ms;
   if ((!forced && raft_has_recent_leader (r, now_ms)) || (pre && m->term <= r->hard.term))
     grant = false;
   if (pre && grant && !may_grant_pre_vote (r, m, now_ms))
--- a/src/log/raft_internal.h
+++ b/src/log/raft_internal.h
@@ -80,6 +80,7 @@
   int64_t leader_ms;     /* last message of the leader */
   int64_t votes_from_ms; /* no votes before, see raft_timing.restart_ms */
   int64_t election_ms;   /* when the next election starts */
+  int64_t blocked_ms;    /* last refusal of a pre-vote because this log ends later */
 
   uint64_t noop_index; /* first entry of this leader's term */
   uint64_t round;
--- a/src/log/raft_leader.c
+++ b/src/log/raft_leader.c
@@ -63,6 +63,17 @@
   return r->timing.heartbeat_ms;
 }
 
+/* A leader without a vote confirms no rounds, so nobody relies on its authority, and hands over to
+   a voter once its log and member list are committed.  */
+static void
+hand_over_to_voter (struct raft *r, int64_t now_ms)
+{
+  struct status st;
+  bool committed = r->commit >= r->noop_index && r->commit >= r->members_index;
+  if (!raft_may_vote (r) && committed && !r->transfer_to && !r->may_be_replaced)
+    raft_transfer_leadership (r, 0, now_ms, &st);
+}
+
 void
 raft_leader_tick (struct raft *r, int64_t now_ms)
 {
@@ -78,6 +89,7 @@
       raft_become_follower (r, r->hard.term, 0, now_ms);
       return;
     }
+  hand_over_to_voter (r, now_ms);
   for (size_t i = 0; i < r->peers_len; i++)
     {
       struct raft_peer *p = &r->peers[i];
@@ -395,6 +407,8 @@
 {
   if (r->role != RAFT_LEADER || r->may_be_replaced || r->commit < r->noop_index)
     return false;
+  if (!raft_may_vote (r))
+    return false;
   if (r->round_open && round >= r->round)
     return false;
   size_t confirmed = raft_self_is_voter (r) ? 1 : 0;
--- a/tests/log_sim.c
+++ b/tests/log_sim.c
@@ -139,9 +139,14 @@
   *vote = candidate;
   if (node != candidate)
     s->new_voter = node;
+  struct group *g = sim_node (s, node)->group;
   const raft_member *member = raft_members_find (&s->members, node);
+  const raft_member *own = raft_members_find (group_members (g), node);
   struct group_stats stats;
-  group_stats (sim_node (s, node)->group, &stats);
+  group_stats (g, &stats);
+  /* A candidate without a vote by its own list does not count itself.  */
+  if (node == candidate && (!own || !own->voter || own->store != stats.store))
+    return;
   if (member && member->voter && member->store != stats.store)
     sim_fail (s, "node %llu voted with store %llx, its members name %llx", ull (node),
               ull (stats.store), ull (member->store));
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -412,6 +412,86 @@
   s->partitioned[b->id - 1][a->id - 1] = true;
 }
 
+/* Runs until a leader other than OLD is elected; its first messages are lost.  */
+static struct sim_node *
+wait_muted_leader (struct sim *s, const struct sim_node *old)
+{
+  int64_t until = sim_now_ms (s) + 5000;
+  struct sim_node *leader = sim_leader (s);
+  while ((!leader || leader == old) && sim_now_ms (s) < until)
+    {
+      sim_step (s);
+      leader = sim_leader (s);
+    }
+  assert_non_null (leader);
+  assert_ptr_not_equal (leader, old);
+  sim_drop_from (s, leader->id);
+  return leader;
+}
+
+/* Guards against a group without a leader after the loss of one disk: the old leader alone holds an
+   uncommitted list in which node 4 votes, node 4 alone holds the last entries of the next leader,
+   whose disk is lost, and the list of node 4 does not give it a vote.  */
+static void
+test_last_entries_of_a_lost_leader_on_a_learner (void **state)
+{
+  (void)state;
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      struct sim s;
+      struct sim_config c = make_config (3, 0);
+      struct group_stats stats;
+      raft_member list[4];
+      const raft_members target = { { 4, list } };
+      int done = 0;
+      c.seed = seed;
+      sim_init (&s, &c);
+      s.delay_max_us = 2000;
+      start_all (&s);
+      struct sim_node *first = wait_leader (&s, 5000);
+      assert_non_null (first);
+      struct sim_node *learner = sim_add_node (&s, false);
+      sim_start (&s, learner);
+      for (int i = 0; i < 4; i++)
+        list[i] = (raft_member){ .node = s.nodes[i].id, .voter = i < 3 };
+      group_change_members (first->group, &target, count_done, &done);
+      sim_run_ms (&s, 1000);
+      assert_int_equal (done, 1);
+      sim_propose (&s, first, 8);
+      sim_run_ms (&s, 500);
+      assert_int_equal (s.ok, 1);
+      list[3].voter = true;
+      for (int i = 0; i < 4; i++)
+        cut (&s, first, &s.nodes[i]);
+      group_change_members (first->group, &target, count_done, &done);
+      for (int i = 0; i < 100 && group_members (first->group)->members.members_val[3].voter == 0;
+           i++)
+        sim_step (&s);
+      assert_true (raft_members_find (group_members (first->group), learner->id)->voter);
+      struct sim_node *second = wait_muted_leader (&s, first);
+      for (int i = 0; i < 3; i++)
+        if (&s.nodes[i] != second)
+          cut (&s, second, &s.nodes[i]);
+      sim_run_ms (&s, 1000);
+      uint64_t term = group_term (second->group);
+      group_stats (learner->group, &stats);
+      assert_int_equal (group_entry (learner->group, stats.last)->term, term);
+      sim_wipe (&s, second, 100);
+      memset (s.partitioned, 0, sizeof s.partitioned);
+      for (int i = 0; i < 80 && s.ok == 1; i++)
+        {
+          sim_propose (&s, sim_leader (&s), 8);
+          sim_run_ms (&s, 100);
+        }
+      assert_true (s.ok > 1);
+      sim_run_ms (&s, 2000);
+      assert_non_null (sim_leader (&s));
+      assert_true (sim_leader (&s) != learner);
+      assert_no_violation (&s);
+      sim_close (&s);
+    }
+}
+
 /* Guards against two leaders that act at once: a voter confirmed its leader, was killed, and after
    the restart voted for another voter that had lost that leader.  */
 static void
@@ -748,6 +828,7 @@
           cmocka_unit_test (test_full_disks_one_after_the_other),
           cmocka_unit_test (test_failed_sync_then_power_loss),
           cmocka_unit_test (test_second_loss_after_repair),
+          cmocka_unit_test (test_last_entries_of_a_lost_leader_on_a_learner),
           cmocka_unit_test (test_transfer_and_confirm),
           cmocka_unit_test (test_idle_traffic),
           cmocka_unit_test (test_snapshot_does_not_delay_heartbeats) };
