--- a/src/log/raft.h
+++ b/src/log/raft.h
@@ -11,6 +11,12 @@
    change at a time, and only after the leader has committed an entry of its term; a learner is
    promoted after it has caught up.
 
+   A learner that refuses a candidate whose list gives it a vote, because its own log ends later,
+   stands for election itself.  It does not count its own vote (section 4.2.2 of the source), and
+   transfers its leadership to a voter once it has committed its log; it confirms no rounds. Without
+   this the candidate needs a vote that it cannot get, and no other node may hold all committed
+   entries.
+
    A leader that has told a voter to take over may be replaced at any time from then on.  It
    confirms no more rounds and, unless it tries another transfer, steps down.
 
@@ -18,8 +24,10 @@
    a random id, which the leader learns from the member's replies and records when it promotes the
    member.  A vote request carries the id that the candidate's member list names, and a node grants
    only a request that names its own store.  So a node that restarts with an empty disk under an id
-   that had voted never votes.  Ids with RAFT_STORE_VOLATILE set belong to stores in memory; their
-   nodes stay learners.
+   that had voted never votes.  A vote counts only for the store of the candidate that requested it,
+   and a voter grants one request per term, so a replaced disk never leads a term that its node led
+   before.  Ids with RAFT_STORE_VOLATILE set belong to stores in memory; their nodes stay
+   learners.
 
    Source: Ongaro, "Consensus: bridging theory and practice", chapters 3, 4, 6 and 9.  */
 
