raft: promote a learner that is behind by less than an election timeout

A learner counted as caught up when everything older than 500 ms was stored there. On VMs whose loops take 100 ms and more an answer takes 300 ms, and what a learner has acknowledged is up to two answers old: it was never promoted, and the group kept too few voters for as long as it was busy.

The limit is the election timeout now, within which a group must hear of its leader anyway. test_a_busy_learner_is_promoted failed before and passes.

--- a/src/log/raft_internal.h
+++ b/src/log/raft_internal.h
@@ -9,10 +9,9 @@
 #define RAFT_APPEND_BYTES 65536u /* default target size of one append message */
 #define RAFT_WINDOW_BYTES                                                                          \
   262144u /* limit of unacknowledged bytes per peer: 30 Mbit/s over a 60 ms round trip */
-/* A learner this close behind may be promoted.  The time allows for a slow round trip and write: a
-   leader with thousands of entries a second is always hundreds of entries ahead.  */
+/* A learner this close behind may be promoted, and one that is behind by less than an election
+   timeout: a leader with thousands of entries a second is always hundreds of entries ahead.  */
 #define RAFT_CATCH_UP_ENTRIES 64u
-#define RAFT_CATCH_UP_MS 500
 /* Unacknowledged snapshot bytes per peer; at 30 Mbit/s what follows waits for 140 ms.  */
 #define RAFT_SNAPSHOT_WINDOW_BYTES 524288u
 #define RAFT_SNAPSHOT_RESEND_MS 500 /* without progress: chunks were lost with a connection */
--- a/src/log/raft_members.c
+++ b/src/log/raft_members.c
@@ -255,7 +255,7 @@
 has_caught_up (const struct raft *r, const struct raft_peer *p, int64_t now_ms)
 {
   return raft_log_last (&r->log) - p->match <= RAFT_CATCH_UP_ENTRIES
-         || now_ms - p->caught_up_ms <= RAFT_CATCH_UP_MS;
+         || now_ms - p->caught_up_ms <= r->timing.election_min_ms;
 }
 
 /* Why learner P may not be promoted yet; RAFT_CHANGE_NONE if it may.  */
