raft: promote the successor of a silent voter before removing the voter

Callers saw: no leader for good when disks were lost, no more than the group tolerates, while a voter without power or connection was being replaced.

Cause: a voter that did not answer was removed before its successor was promoted.

Change: only a voter that replies from another store than its list names is removed first, as its vote is lost anyway; all other removals follow the promotions. With one voter more, four of three or six of five, the majority grows by one and the group still bears one or two lost disks. The change needs the successor's replies, as before a promotion. ruled out keeping the lost voter beside its successor: the next change still removes it.

--- a/src/log/raft_members.c
+++ b/src/log/raft_members.c
@@ -285,18 +285,19 @@
   return first;
 }
 
-/* A member that the target removes or demotes; with ONLY_FAILED, an inactive one or one that lost
-   its disk.  Failed members are removed before promotions, the others after them.  */
+/* A member that the target removes or demotes; with ONLY_LOST_DISK, a voter whose disk was
+   replaced.  These are removed before promotions, the others after them: a voter that only does not
+   answer may return, and the group bears fewer lost disks without it.  */
 static struct raft_peer *
-next_removal (struct raft *r, int64_t now_ms, bool only_failed)
+next_removal (struct raft *r, bool only_lost_disk)
 {
   for (size_t i = 0; i < r->peers_len; i++)
     {
       struct raft_peer *p = &r->peers[i];
       const raft_member *wanted = raft_members_find (&r->target, p->node);
       bool keep = wanted && (wanted->voter || !p->voter);
-      bool failed = !is_active (r, p, now_ms) || (p->store_known && p->store != p->member_store);
-      if (!keep && (!only_failed || failed))
+      bool lost_disk = p->voter && p->store_known && p->store != p->member_store;
+      if (!keep && (!only_lost_disk || lost_disk))
         return p;
     }
   return NULL;
@@ -320,12 +321,12 @@
   struct raft_peer *promote = next_promotion (r, now_ms, &ready);
   if (!ready)
     return;
-  struct raft_peer *p = next_removal (r, now_ms, true);
+  struct raft_peer *p = next_removal (r, true);
   if (p)
     remove_member (r, p);
   else if (promote)
     change_member (r, promote->node, true, true, promote->store);
-  else if ((p = next_removal (r, now_ms, false)) != NULL)
+  else if ((p = next_removal (r, false)) != NULL)
     remove_member (r, p);
   else
     r->target_set = false;
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -412,6 +412,67 @@
   s->partitioned[b->id - 1][a->id - 1] = true;
 }
 
+static int
+count_voters (const struct sim_node *n)
+{
+  const raft_members *m = group_members (n->group);
+  int voters = 0;
+  for (u_int i = 0; i < m->members.members_len; i++)
+    voters += m->members.members_val[i].voter;
+  return voters;
+}
+
+/* Guards against a group that bears no lost disk while it replaces a voter without power, whose own
+   disk is intact: the voter was removed before its successor was promoted.  */
+static void
+test_a_disk_is_lost_while_a_stopped_voter_is_replaced (void **state)
+{
+  (void)state;
+  for (int voters = 3; voters <= 5; voters += 2)
+    for (int steps = 0; steps < 8; steps++)
+      {
+        struct sim s;
+        struct sim_config c = make_config (voters, 0);
+        raft_member list[5];
+        const raft_members target = { { (u_int)voters, list } };
+        int done = 0;
+        sim_init (&s, &c);
+        s.delay_min_us = ONE_WAY_DELAY_US;
+        s.delay_max_us = ONE_WAY_DELAY_US + 1000;
+        start_all (&s);
+        struct sim_node *leader = wait_leader (&s, 5000);
+        assert_non_null (leader);
+        struct sim_node *stopped = &s.nodes[(int)leader->id % voters];
+        sim_start (&s, sim_add_node (&s, false));
+        sim_crash (&s, stopped, -1);
+        sim_run_ms (&s, 3000);
+        sim_propose (&s, leader, 8);
+        sim_run_ms (&s, 500);
+        assert_int_equal (s.ok, 1);
+        u_int len = 0;
+        for (int i = 0; i <= voters; i++)
+          if (&s.nodes[i] != stopped)
+            list[len++] = (raft_member){ .node = s.nodes[i].id, .voter = true };
+        group_change_members (leader->group, &target, count_done, &done);
+        while (count_voters (leader) == voters)
+          sim_step (&s);
+        sim_run_ms (&s, steps * 10);
+        for (int i = 0; i <= voters; i++)
+          sim_crash (&s, &s.nodes[i], 100);
+        stopped->restart_at_ms = sim_now_ms (&s) + 100;
+        for (int i = 1; i <= (voters - 1) / 2; i++)
+          sim_wipe (&s, &s.nodes[(int)(stopped->id - 1 + i) % voters], 0);
+        for (int i = 0; i < 80 && s.ok == 1; i++)
+          {
+            sim_propose (&s, sim_leader (&s), 8);
+            sim_run_ms (&s, 100);
+          }
+        assert_true (s.ok > 1);
+        assert_no_violation (&s);
+        sim_close (&s);
+      }
+}
+
 /* Runs until a leader other than OLD is elected; its first messages are lost.  */
 static struct sim_node *
 wait_muted_leader (struct sim *s, const struct sim_node *old)
@@ -828,6 +889,7 @@
           cmocka_unit_test (test_full_disks_one_after_the_other),
           cmocka_unit_test (test_failed_sync_then_power_loss),
           cmocka_unit_test (test_second_loss_after_repair),
+          cmocka_unit_test (test_a_disk_is_lost_while_a_stopped_voter_is_replaced),
           cmocka_unit_test (test_last_entries_of_a_lost_leader_on_a_learner),
           cmocka_unit_test (test_transfer_and_confirm),
           cmocka_unit_test (test_idle_traffic),
