--- a/src/log/raft_internal.h
+++ b/src/log/raft_internal.h
@@ -14,7 +14,6 @@
 #define RAFT_CATCH_UP_ENTRIES 64u
 /* Unacknowledged snapshot bytes per peer; at 30 Mbit/s what follows waits for 140 ms.  */
 #define RAFT_SNAPSHOT_WINDOW_BYTES 524288u
-#define RAFT_SNAPSHOT_RESEND_MS 500 /* without progress: chunks were lost with a connection */
 #define RAFT_MAX_QUICK_RETRIES 12   /* pre-votes, elections and grants with short retry delays */
 
 enum peer_state
--- a/src/log/raft_leader.c
+++ b/src/log/raft_leader.c
@@ -307,7 +307,8 @@
       p->window = r->chunk_bytes;
       rewind_snapshot (p, now_ms);
     }
-  if (now_ms - p->snapshot_ms >= RAFT_SNAPSHOT_RESEND_MS)
+  /* Chunks may have been lost with a connection.  */
+  if (now_ms - p->snapshot_ms >= r->timing.heartbeat_ms)
     rewind_snapshot (p, now_ms);
   while (chunk_due (r, p))
     {
