--- a/src/log/raft_leader.c
+++ b/src/log/raft_leader.c
@@ -265,10 +265,11 @@
       = p->window < RAFT_SNAPSHOT_WINDOW_BYTES / 2 ? p->window * 2 : RAFT_SNAPSHOT_WINDOW_BYTES;
 }
 
-/* Sends again what is not acknowledged.  */
+/* Sends again what is not acknowledged, slowly at first.  */
 static void
-rewind_snapshot (struct raft_peer *p, int64_t now_ms)
+rewind_snapshot (const struct raft *r, struct raft_peer *p, int64_t now_ms)
 {
+  p->window = r->chunk_bytes;
   p->snapshot_next = p->snapshot_offset;
   p->snapshot_ms = now_ms;
   p->outstanding = false;
@@ -304,12 +305,11 @@
     {
       p->snapshot_index = r->snapshot.index;
       p->snapshot_offset = 0;
-      p->window = r->chunk_bytes;
-      rewind_snapshot (p, now_ms);
+      rewind_snapshot (r, p, now_ms);
     }
   /* Chunks may have been lost with a connection.  */
   if (now_ms - p->snapshot_ms >= r->timing.heartbeat_ms)
-    rewind_snapshot (p, now_ms);
+    rewind_snapshot (r, p, now_ms);
   while (chunk_due (r, p))
     {
       uint64_t left = r->snapshot.bytes - p->snapshot_next;
