raft_election: forget a silent leader on a node that may not vote

What callers saw: a learner or spare, a VM that was dropped from the group, or a voter whose store had been replaced, kept the last leader it had heard for ever. It answered relayed requests with a redirect to that VM, sent its own requests there, and never asked to join again, because seeded_group_needs_join holds only while no leader is known.

Cause: raft_election_tick returned before start_pre_vote on a node that may not vote, and start_pre_vote is the only place where a follower forgets a leader that has gone silent.

Why this works: such a node starts no election, so it only clears the leader, after the time within which every node of its kind hears from a leader that leads: the shortest election timeout and, for learners that get few heartbeats, their period. A later message of the leader sets it again. Votes don't depend on it: raft_has_recent_leader uses leader_ms.

--- a/src/log/raft_election.c
+++ b/src/log/raft_election.c
@@ -111,6 +111,14 @@
   request_votes (r, RAFT_PRE_VOTE_REQUEST, r->hard.term + 1, false);
 }
 
+/* A node that may not vote starts no election; a learner may get few heartbeats.  */
+static void
+forget_silent_leader (struct raft *r, int64_t now_ms)
+{
+  if (now_ms - r->leader_ms >= r->timing.election_min_ms + r->timing.learner_heartbeat_ms)
+    r->leader = 0;
+}
+
 void
 raft_election_tick (struct raft *r, int64_t now_ms)
 {
@@ -118,6 +126,7 @@
     return;
   if (!may_stand (r, now_ms))
     {
+      forget_silent_leader (r, now_ms);
       raft_reset_election (r, now_ms);
       return;
     }
--- a/tests/test_seeded_group.c
+++ b/tests/test_seeded_group.c
@@ -258,6 +258,30 @@
   assert_true (commits (s, 5));
 }
 
+/* A spare went on relaying to a leader that had lost its leadership, and never asked to join.  */
+static void
+test_a_spare_forgets_a_leader_that_is_silent (void **state)
+{
+  struct system *s = *state;
+  char ip[SEEDED_GROUP_IP_BYTES];
+  assert_true (commits (s, 5));
+  start (s, 3, false);
+  double end = ev_time () + 8;
+  while (ev_time () < end && !seeded_group_leader (s->vms[3].group, ip))
+    step (s);
+  assert_true (seeded_group_leader (s->vms[3].group, ip));
+  for (int i = 0; i < 3; i++)
+    stop (s, i);
+  end = ev_time () + 3;
+  while (ev_time () < end && seeded_group_leader (s->vms[3].group, ip))
+    step (s);
+  assert_false (seeded_group_leader (s->vms[3].group, ip));
+  end = ev_time () + 2;
+  while (ev_time () < end && !seeded_group_needs_join (s->vms[3].group))
+    step (s);
+  assert_true (seeded_group_needs_join (s->vms[3].group));
+}
+
 static void
 test_voter_without_replacement_is_kept (void **state)
 {
@@ -293,6 +317,8 @@
                                            close_system),
           cmocka_unit_test_setup_teardown (test_removed_voter_rejoins_as_a_spare, open_system,
                                            close_system),
+          cmocka_unit_test_setup_teardown (test_a_spare_forgets_a_leader_that_is_silent,
+                                           open_system, close_system),
           cmocka_unit_test (test_voter_without_replacement_is_kept),
           cmocka_unit_test (test_spares_are_promoted_in_pairs_up_to_five) };
   return cmocka_run_group_tests (tests, NULL, NULL);
