leader_relay: log and count why requests wait for a leader

relay-given-up told neither which VM this one takes for the leader nor what the last attempt met, so a target that denies, one that is silent and a group without a leader looked alike. It gains last_answer= and leader=; leader-awaited tells once a second how many requests wait, since when and after which outcome; sassafras_relay_denials_total and sassafras_relay_failures_total count denials and unanswered attempts and probes.

The test of the counters can't run without them.

--- a/src/workflow/leader_relay.c
+++ b/src/workflow/leader_relay.c
@@ -24,6 +24,7 @@
 #define MAX_REDIRECTS 3 /* VMs that redirect to each other know no leader */
 #define URL_BYTES 2048
 #define HEADER_BYTES 512
+#define REPORT_PERIOD_MS 1000 /* between lines leader-awaited */
 
 static struct counter relayed
     = { .name = "sassafras_relay_requests_total", .help = "Requests relayed to the leader." };
@@ -31,11 +32,27 @@
     = { .name = "sassafras_relay_repeats_total", .help = "Attempts after the first." };
 static struct counter unanswered
     = { .name = "sassafras_relay_given_up_total", .help = "Requests without a leader's answer." };
+static struct counter denials
+    = { .name = "sassafras_relay_denials_total",
+        .help = "Requests and probes answered by a VM that did not lead." };
+static struct counter failures = { .name = "sassafras_relay_failures_total",
+                                   .help = "Requests and probes that were not answered." };
 static struct counter abandoned
     = { .name = "sassafras_relay_abandoned_total", .help = "Requests whose sender had gone." };
 static struct histogram relay_times
     = { .name = "sassafras_relay_ms", .help = "Time until the answer of a relayed request." };
 
+/* Outcome of an attempt that did not end its request.  */
+enum attempt_outcome
+{
+  OUTCOME_NONE,       /* no attempt yet */
+  OUTCOME_DENIED,     /* the target knows no leader */
+  OUTCOME_REDIRECTED, /* the target named another VM */
+  OUTCOME_REFUSED,    /* the request was not sent */
+  OUTCOME_SILENT,     /* sent and not answered */
+  OUTCOME_DEPOSED,    /* the target lost its leadership before the outcome was known */
+};
+
 struct candidate
 {
   char ip[SEEDED_GROUP_IP_BYTES];
@@ -53,6 +70,7 @@
   unsigned redirects; /* consecutive */
   bool may_have_run;  /* an attempt may have been executed */
   bool waiting;       /* for a leader; otherwise an attempt is in progress */
+  enum attempt_outcome last_outcome;
   char target[SEEDED_GROUP_IP_BYTES];
   char headers[RELAY_MAX_HEADERS + 1][HEADER_BYTES];
   const char *header_list[RELAY_MAX_HEADERS + 2];
@@ -75,12 +93,16 @@
   int64_t last_answer_ms;
   int64_t finish_by_ms; /* upper limit of all deadlines */
   struct relay_calls calls;
-  ev_timer lookup; /* next leader lookup, active while requests wait */
+  ev_timer lookup;           /* next leader lookup, active while requests wait */
+  int64_t leader_awaited_ms; /* since when; 0 after an answer of a leader */
+  enum attempt_outcome last_outcome;
+  ev_timer report; /* next line leader-awaited */
 };
 
 static void start_attempt (struct relay_call *c);
 static void lookup (struct leader_relay *r);
 static void on_lookup (struct ev_loop *loop, ev_timer *w, int events);
+static void on_report (struct ev_loop *loop, ev_timer *w, int events);
 
 static struct candidate *
 find_candidate (struct leader_relay *r, const char *ip)
@@ -121,6 +143,8 @@
   LIST_INIT (&r->calls);
   ev_init (&r->lookup, on_lookup);
   r->lookup.data = r;
+  ev_init (&r->report, on_report);
+  r->report.data = r;
   add_seeds (r);
   return r;
 }
@@ -178,6 +202,7 @@
   struct relay_call *c;
   http_client_close (r->client);
   ev_timer_stop (r->config.loop, &r->lookup);
+  ev_timer_stop (r->config.loop, &r->report);
   while ((c = LIST_FIRST (&r->calls)) != NULL)
     free_call (c);
   free (r);
@@ -260,15 +285,37 @@
   return c->may_have_run ? "unknown" : "no";
 }
 
+static const char *
+outcome_text (enum attempt_outcome outcome)
+{
+  switch (outcome)
+    {
+    case OUTCOME_DENIED:
+      return "denied";
+    case OUTCOME_REDIRECTED:
+      return "redirected";
+    case OUTCOME_REFUSED:
+      return "refused";
+    case OUTCOME_SILENT:
+      return "silent";
+    case OUTCOME_DEPOSED:
+      return "deposed";
+    case OUTCOME_NONE:
+      break;
+    }
+  return "none";
+}
+
 static void
 fail_call (struct relay_call *c, int64_t now_ms)
 {
   /* An attempt in progress may still be executed.  */
   c->may_have_run = c->may_have_run || !c->waiting;
   counter_add (&unanswered, 1);
-  log_event (LOG_WARN, "relay-given-up", "path=%s attempts=%u after_ms=%lld last_target=%s ran=%s",
+  log_event (LOG_WARN, "relay-given-up",
+             "path=%s attempts=%u after_ms=%lld last_target=%s last_answer=%s leader=%s ran=%s",
              c->request->path, c->attempts, (long long)(now_ms - c->began_ms), c->target,
-             ran_text (c));
+             outcome_text (c->last_outcome), c->relay->leader, ran_text (c));
   http_reply_error (c->request, c->may_have_run ? STATUS_OUTCOME_UNKNOWN : STATUS_NO_QUORUM,
                     "no answer of a leader after %u attempts", c->attempts);
   c->request = NULL;
@@ -333,11 +380,73 @@
   ev_timer_start (r->config.loop, &c->deadline_timer);
 }
 
+static unsigned
+count_unanswered (const struct leader_relay *r)
+{
+  const struct relay_call *c;
+  unsigned n = 0;
+  LIST_FOREACH (c, &r->calls, link)
+  n += c->request != NULL;
+  return n;
+}
+
+static void
+arm_report (struct leader_relay *r)
+{
+  ev_timer_set (&r->report, REPORT_PERIOD_MS / MS_PER_S, 0.0);
+  ev_timer_start (r->config.loop, &r->report);
+}
+
+static void
+on_report (struct ev_loop *loop, ev_timer *w, int events)
+{
+  struct leader_relay *r = w->data;
+  int64_t since_ms = clock_now_ms (r->config.clock) - r->leader_awaited_ms;
+  unsigned waiting = count_unanswered (r);
+  (void)loop;
+  (void)events;
+  if (r->leader_awaited_ms == 0 || waiting == 0)
+    return;
+  log_event (LOG_WARN, "leader-awaited", "for_ms=%lld waiting=%u leader=%s last_answer=%s",
+             (long long)since_ms, waiting, r->leader, outcome_text (r->last_outcome));
+  arm_report (r);
+}
+
+static void
+note_leader_awaited (struct leader_relay *r)
+{
+  if (r->leader_awaited_ms == 0)
+    {
+      r->leader_awaited_ms = clock_now_ms (r->config.clock);
+      r->last_outcome = OUTCOME_NONE;
+    }
+  if (!ev_is_active (&r->report))
+    arm_report (r);
+}
+
+/* Of a request or a probe.  */
+static void
+count_outcome (struct leader_relay *r, enum attempt_outcome outcome)
+{
+  bool answered = outcome == OUTCOME_DENIED || outcome == OUTCOME_REDIRECTED;
+  counter_add (answered ? &denials : &failures, 1);
+  r->last_outcome = outcome;
+}
+
+static void
+record_outcome (struct relay_call *c, enum attempt_outcome outcome)
+{
+  note_leader_awaited (c->relay);
+  count_outcome (c->relay, outcome);
+  c->last_outcome = outcome;
+}
+
 static void
 wait_for_leader (struct relay_call *c)
 {
   struct leader_relay *r = c->relay;
   c->waiting = true;
+  note_leader_awaited (r);
   arm_deadline (c);
   if (!ev_is_active (&r->lookup))
     lookup (r);
@@ -398,6 +507,7 @@
 {
   struct candidate *leader = find_candidate (r, ip);
   r->last_answer_ms = now_ms;
+  r->leader_awaited_ms = 0;
   snprintf (r->leader, sizeof r->leader, "%s", ip);
   if (leader)
     leader->backoff_until_ms = 0;
@@ -434,10 +544,19 @@
   forget_leader (r, ip);
 }
 
+static enum attempt_outcome
+failure_of (const struct http_answer *a)
+{
+  if (a->code == CODE_GATEWAY_TIMEOUT)
+    return OUTCOME_DEPOSED;
+  return a->sent ? OUTCOME_SILENT : OUTCOME_REFUSED;
+}
+
 static void
 record_failure (struct relay_call *c, const struct http_answer *a, int64_t now_ms)
 {
   c->may_have_run = c->may_have_run || a->sent;
+  record_outcome (c, failure_of (a));
   back_off (c->relay, c->target, now_ms);
   log_event (LOG_INFO, "relay-attempt-failed", "path=%s target=%s attempt=%u sent=%d reason=\"%s\"",
              c->request->path, c->target, c->attempts, a->sent, a->status.message);
@@ -464,11 +583,13 @@
     free_call (c);
   else if (a->code == CODE_REDIRECT && a->location && ++c->redirects < MAX_REDIRECTS)
     {
+      record_outcome (c, OUTCOME_REDIRECTED);
       store_redirect (r, a->location);
       start_attempt (c);
     }
   else if (a->code == CODE_REDIRECT || a->code == CODE_MISDIRECTED)
     {
+      record_outcome (c, a->code == CODE_REDIRECT ? OUTCOME_REDIRECTED : OUTCOME_DENIED);
       forget_leader (r, a->code == CODE_REDIRECT ? r->leader : c->target);
       c->redirects = 0;
       wait_for_leader (c);
@@ -621,13 +742,20 @@
   r->probing = false;
   if (a->code == CODE_REDIRECT && a->location)
     {
+      count_outcome (r, OUTCOME_REDIRECTED);
       store_redirect (r, a->location);
       read_redirect (a->location, r->redirected_to);
     }
   else if (a->code == CODE_MISDIRECTED)
-    forget_leader (r, r->probe_target);
+    {
+      count_outcome (r, OUTCOME_DENIED);
+      forget_leader (r, r->probe_target);
+    }
   else if (a->code == 0)
-    back_off (r, r->probe_target, now_ms);
+    {
+      count_outcome (r, failure_of (a));
+      back_off (r, r->probe_target, now_ms);
+    }
   else if (a->code == CODE_OK)
     {
       read_members (r, &a->body);
--- a/tests/test_leader_relay.c
+++ b/tests/test_leader_relay.c
@@ -12,6 +12,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "counters.h"
 #include "leader_relay.h"
 #include "log.h"
 #include "raw_sender.h"
@@ -284,6 +285,41 @@
     assert_int_equal (f->vms[i].requests, 0);
 }
 
+static long
+counter_value (const char *name)
+{
+  struct buffer out;
+  buffer_init (&out);
+  counters_write (&out);
+  buffer_append (&out, "", 1);
+  char key[80];
+  snprintf (key, sizeof key, "\n%s ", name);
+  const char *line = strstr (out.data, key);
+  long value = line ? strtol (line + strlen (key), NULL, 10) : 0;
+  buffer_close (&out);
+  return value;
+}
+
+/* The lines and metrics did not tell a VM that denies from one that does not answer.  */
+static void
+test_denials_and_failures_are_counted_apart (void **state)
+{
+  struct fixture *f = *state;
+  for (int i = 0; i < CANDIDATES; i++)
+    f->vms[i].behaviour = NO_LEADER;
+  long denials = counter_value ("sassafras_relay_denials_total");
+  long failures = counter_value ("sassafras_relay_failures_total");
+  assert_int_equal (request (f), 503);
+  assert_true (counter_value ("sassafras_relay_denials_total") > denials);
+  assert_int_equal (counter_value ("sassafras_relay_failures_total"), failures);
+  denials = counter_value ("sassafras_relay_denials_total");
+  for (int i = 0; i < CANDIDATES; i++)
+    f->vms[i].behaviour = SILENT;
+  assert_int_equal (request (f), 503);
+  assert_int_equal (counter_value ("sassafras_relay_denials_total"), denials);
+  assert_true (counter_value ("sassafras_relay_failures_total") > failures);
+}
+
 /* A caller with a long timeout must not spend all of it waiting for a missing leader.  */
 static void
 test_refusal_without_leader_is_early (void **state)
@@ -562,6 +598,7 @@
           TEST (test_unanswered_attempt_gets_504),
           TEST (test_request_never_sent_gets_503),
           TEST (test_refusal_without_leader_is_early),
+          TEST (test_denials_and_failures_are_counted_apart),
           TEST (test_later_requests_are_answered_before_exit),
           TEST (test_pending_requests_are_answered_before_exit),
           TEST (test_request_waits_for_an_election),
