leader_relay: serve what waited on the VM that is elected

What callers saw: requests that reached a core VM during an election, and waited there, were refused with 503 after 0.5 to 4 s when this VM won the election, although it led by then.

Cause: a request that waits in the relay is sent when the group names a leader on another VM; find_other_leader names none on the leader itself.

Evidence: test_requests_that_wait_are_served_by_the_vm_that_is_elected fails before (503), and so do two tests about an elected VM that denies or refuses.

Why this works: once workflow_service_leads holds, this VM is the leader that the relay is told, and the requests go to its own port like those that other VMs relay to it. Deadlines, senders that have gone, and refusals after an attempt that may have been executed are judged as with any other leader; the VM denies such a request if it has lost its leadership meanwhile.

--- a/src/workflow/leader_relay.c
+++ b/src/workflow/leader_relay.c
@@ -262,7 +262,7 @@
   char ip[SEEDED_GROUP_IP_BYTES] = "";
   if (!r->config.leader)
     return;
-  if (!r->config.leader (r->config.arg, ip) || strcmp (ip, r->config.own_ip) == 0)
+  if (!r->config.leader (r->config.arg, ip))
     ip[0] = '\0';
   if (strcmp (ip, r->group_leader) == 0)
     return;
@@ -274,6 +274,8 @@
 static const char *
 reachable_leader (struct leader_relay *r, int64_t now_ms)
 {
+  if (strcmp (r->leader, r->config.own_ip) == 0)
+    return r->leader;
   const struct candidate *c = r->leader[0] ? add_candidate (r, r->leader) : NULL;
   return c && now_ms >= c->backoff_until_ms ? c->ip : NULL;
 }
--- a/src/workflow/leader_relay.h
+++ b/src/workflow/leader_relay.h
@@ -6,6 +6,9 @@
    candidates in turn.  Every relayed request must be idempotent: an unanswered attempt is repeated
    until the deadline, each time with twice the timeout of the previous one.
 
+   What waits on a member when that member is elected is sent to its own port: the answer is judged
+   as that of any other leader.
+
    A VM that denied a request or did not answer it is asked again by probes only, until it answers
    one as the leader or the group of this VM names another leader.
 
@@ -54,12 +57,13 @@
 {
   struct ev_loop *loop;
   struct clock *clock;
-  const char *own_ip; /* never used as a target */
+  const char *own_ip; /* a target only while LEADER names it */
   int port;           /* of the relayed interface, the same on every candidate */
   char seeds[SEEDED_GROUP_MAX_SEEDS][SEEDED_GROUP_IP_BYTES];
   size_t seed_count;
   const char *const *headers; /* names of forwarded headers, NULL-terminated */
-  /* Stores the leader known to this VM in IP; NULL on a VM outside the group.  */
+  /* Stores the leader known to this VM in IP, OWN_IP if this VM accepts requests as the leader;
+     NULL on a VM outside the group.  */
   bool (*leader) (void *arg, char ip[SEEDED_GROUP_IP_BYTES]);
   /* REQ must not be executed once its sender has gone; NULL: holds for no request.  */
   bool (*needs_sender) (const struct http_request *req);
--- a/tests/test_leader_relay.c
+++ b/tests/test_leader_relay.c
@@ -50,6 +50,7 @@
 {
   struct ev_loop *loop;
   struct vm vms[CANDIDATES];
+  struct vm own; /* answers what the front relays to itself */
   struct http_server *front;
   struct http_client *client;
   struct leader_relay *relay;
@@ -107,7 +108,10 @@
 handle_front (void *arg, struct http_request *req)
 {
   struct fixture *f = arg;
-  leader_relay_send (f->relay, req, f->budget_ms);
+  if (http_header (req, RELAY_HEADER))
+    handle_vm (&f->own, req);
+  else
+    leader_relay_send (f->relay, req, f->budget_ms);
 }
 
 static void
@@ -162,6 +166,7 @@
       f->vms[i].server = open_server (f, config.seeds[i], f->port, handle_vm, &f->vms[i]);
     }
   f->relay = leader_relay_open (&config);
+  f->own.fixture = f;
   f->front = open_server (f, "127.0.9.9", f->port, handle_front, f);
   f->client = http_client_open (f->loop, 0);
   *state = f;
@@ -746,6 +751,70 @@
   assert_in_range (f->vms[0].requests + f->vms[1].requests, 1, 3 * 21);
 }
 
+static void
+name_own_vm (struct ev_loop *loop, ev_timer *w, int events)
+{
+  struct fixture *f = w->data;
+  (void)loop;
+  (void)events;
+  f->group_leader = "127.0.9.9";
+}
+
+static void
+elect_own_vm_after (struct fixture *f, ev_timer *elected, double delay_s)
+{
+  ev_timer_init (elected, name_own_vm, delay_s, 0.0);
+  elected->data = f;
+  ev_timer_start (f->loop, elected);
+}
+
+/* Requests that waited for an election were refused by the VM that won it.  */
+static void
+test_requests_that_wait_are_served_by_the_vm_that_is_elected (void **state)
+{
+  struct fixture *f = *state;
+  ev_timer elected;
+  open_member (f);
+  f->group_leader = NULL;
+  elect_own_vm_after (f, &elected, 0.2);
+  assert_int_equal (request (f), 200);
+  assert_int_equal (f->own.requests, 1);
+}
+
+/* The VM that was elected may lose its leadership before it executes what has waited.  */
+static void
+test_elected_vm_that_denies_is_not_asked_again_at_once (void **state)
+{
+  struct fixture *f = *state;
+  ev_timer elected;
+  open_member (f);
+  f->group_leader = NULL;
+  f->own.behaviour = NO_LEADER;
+  for (int i = 0; i < CANDIDATES; i++)
+    f->vms[i].behaviour = NO_LEADER;
+  elect_own_vm_after (f, &elected, 0.1);
+  for (int i = 0; i < 20; i++)
+    send_request (f);
+  assert_int_equal (request (f), 503);
+  assert_in_range (f->own.requests, 1, 21);
+  assert_in_range (f->own.probes, 0, CONTROL_BUDGET_MS / RELAY_PROBE_INTERVAL_MS);
+}
+
+/* The refusal of this VM covers its own attempt, not the one before at another VM.  */
+static void
+test_refusal_of_the_elected_vm_after_unanswered_attempt_gets_504 (void **state)
+{
+  struct fixture *f = *state;
+  ev_timer elected;
+  open_member (f);
+  f->vms[0].behaviour = SILENT;
+  f->vms[1].behaviour = NO_LEADER;
+  f->own.behaviour = REFUSES;
+  elect_own_vm_after (f, &elected, 0.5);
+  assert_int_equal (request (f), 504);
+  assert_int_equal (f->own.requests, 1);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown (name, open_fixture, close_fixture)
 
 int
@@ -776,6 +845,9 @@
           TEST (test_next_leader_of_the_group_is_taken_up),
           TEST (test_overtaken_redirect_is_not_followed),
           TEST (test_two_vms_that_name_each_other_are_not_asked_without_end),
+          TEST (test_requests_that_wait_are_served_by_the_vm_that_is_elected),
+          TEST (test_elected_vm_that_denies_is_not_asked_again_at_once),
+          TEST (test_refusal_of_the_elected_vm_after_unanswered_attempt_gets_504),
           TEST (test_request_whose_sender_left_is_not_relayed) };
   curl_global_init (CURL_GLOBAL_DEFAULT);
   int failed = cmocka_run_group_tests (tests, NULL, NULL);
