platform: a core VM that was dropped finds its group without its seeds

What callers saw: a core VM that was dropped from the group while it was down, and whose seeds were all replaced before it returned, stayed outside for ever, so the group had one VM less for the next loss.

Cause: it asked only its seeds to join again, though its log names members. And the answer to a join was "{}", while the answer to a probe names the members, so a core VM learned no candidates beyond its seeds.

--- a/src/workflow/leader_relay.c
+++ b/src/workflow/leader_relay.c
@@ -167,6 +167,14 @@
   return text && inet_pton (AF_INET, text, &address) == 1;
 }
 
+void
+leader_relay_add_candidates (struct leader_relay *r, const char (*ips)[SEEDED_GROUP_IP_BYTES],
+                             size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    add_candidate (r, ips[i]);
+}
+
 /* Replaces the candidates by MEMBERS, a JSON array of addresses, and the seeds.  */
 static void
 set_candidates (struct leader_relay *r, const json_t *members)
--- a/src/workflow/leader_relay.h
+++ b/src/workflow/leader_relay.h
@@ -23,7 +23,7 @@
 
    A candidate that did not answer is tried last for RELAY_BACKOFF_MS.  The leader names the members
    of its group in each answer to a probe.  They and the seeds are the candidates from then on: the
-   seeds may all be replaced while this VM runs.  */
+   seeds may all be replaced while this VM runs.  A VM with a log knows members from it too.  */
 
 #ifndef SASSAFRAS_LEADER_RELAY_H
 #define SASSAFRAS_LEADER_RELAY_H
@@ -77,6 +77,8 @@
                         int64_t budget_ms); /* Answers REQ within BUDGET_MS. */
 void leader_relay_finish_by (struct leader_relay *r,
                              int64_t finish_by_ms); /* For current and later requests. */
+void leader_relay_add_candidates (struct leader_relay *r, const char (*ips)[SEEDED_GROUP_IP_BYTES],
+                                  size_t count); /* Until the leader names its members. */
 void leader_relay_probe (struct leader_relay *r, const char *method,
                          const char *path); /* One at a time; presumed leader or next candidate. */
 int64_t leader_relay_last_answer_ms (const struct leader_relay *r); /* Leader's last answer. */
--- a/tests/test_leader_relay.c
+++ b/tests/test_leader_relay.c
@@ -79,7 +79,8 @@
 handle_vm (void *arg, struct http_request *req)
 {
   struct vm *v = arg;
-  bool probe = strcmp (req->path, RELAY_PROBE_PATH) == 0;
+  bool probe = strcmp (req->path, RELAY_PROBE_PATH) == 0
+               || strncmp (req->path, RELAY_JOIN_PATH, strlen (RELAY_JOIN_PATH)) == 0;
   v->probes += probe;
   v->requests += !probe;
   if (v->behaviour == STALE && !probe && v->requests == 1)
@@ -178,6 +179,8 @@
 {
   struct fixture *f = *state;
   leader_relay_close (f->relay);
+  if (f->joiner)
+    leader_relay_close (f->joiner);
   http_client_close (f->client);
   http_server_close (f->front);
   for (int i = 0; i < CANDIDATES; i++)
@@ -556,27 +559,29 @@
   ev_break (loop, EVBREAK_ONE);
 }
 
-/* A VM with an empty disk whose seeds do not include the leader has to follow their redirects.
-   Before, it forgot the redirect because its own group knew no leader, and never joined again.  */
 static void
-test_join_follows_a_redirect_to_a_leader_that_is_no_seed (void **state)
+open_joiner (struct fixture *f, const char *seed, const char *other_seed)
 {
-  struct fixture *f = *state;
   static const char *const headers[] = { NULL };
-  const struct leader_relay_config config = { .loop = f->loop,
-                                              .clock = clock_real (),
-                                              .own_ip = "127.0.9.8",
-                                              .port = f->port,
-                                              .seeds = { "127.0.9.1", "127.0.9.3" },
-                                              .seed_count = 2,
-                                              .headers = headers,
-                                              .leader = know_no_leader,
-                                              .probe_answered = record_probe_answer,
-                                              .arg = f };
-  ev_timer retry, limit;
-  f->vms[0].behaviour = REDIRECTS;
-  f->vms[2].behaviour = NO_LEADER;
+  struct leader_relay_config config = { .loop = f->loop,
+                                        .clock = clock_real (),
+                                        .own_ip = "127.0.9.8",
+                                        .port = f->port,
+                                        .seed_count = other_seed ? 2 : 1,
+                                        .headers = headers,
+                                        .leader = know_no_leader,
+                                        .probe_answered = record_probe_answer,
+                                        .arg = f };
+  snprintf (config.seeds[0], sizeof config.seeds[0], "%s", seed);
+  snprintf (config.seeds[1], sizeof config.seeds[1], "%s", other_seed ? other_seed : "");
   f->joiner = leader_relay_open (&config);
+}
+
+/* Repeats the join until it is answered, at most 2 s.  */
+static void
+run_joiner (struct fixture *f)
+{
+  ev_timer retry, limit;
   ev_timer_init (&retry, send_join, 0.0, 0.02);
   ev_timer_init (&limit, give_up, 2.0, 0.0);
   retry.data = f;
@@ -585,7 +590,47 @@
   ev_run (f->loop, 0);
   ev_timer_stop (f->loop, &retry);
   ev_timer_stop (f->loop, &limit);
-  leader_relay_close (f->joiner);
+}
+
+/* A VM with an empty disk whose seeds do not include the leader has to follow their redirects.
+   Before, it forgot the redirect because its own group knew no leader, and never joined again.  */
+static void
+test_join_follows_a_redirect_to_a_leader_that_is_no_seed (void **state)
+{
+  struct fixture *f = *state;
+  f->vms[0].behaviour = REDIRECTS;
+  f->vms[2].behaviour = NO_LEADER;
+  open_joiner (f, "127.0.9.1", "127.0.9.3");
+  run_joiner (f);
+  assert_string_equal (f->joined_at, "127.0.9.2");
+}
+
+/* All seeds of a VM were replaced while it was dropped from the group: it asked only them to join
+   again, although its log names members that still are.  */
+static void
+test_join_asks_the_members_of_the_log (void **state)
+{
+  struct fixture *f = *state;
+  static const char members[][SEEDED_GROUP_IP_BYTES] = { "127.0.9.1", "127.0.9.2" };
+  f->vms[0].behaviour = SILENT;
+  open_joiner (f, "127.0.9.1", NULL);
+  leader_relay_add_candidates (f->joiner, members, 2);
+  run_joiner (f);
+  assert_string_equal (f->joined_at, "127.0.9.2");
+}
+
+/* The answer to a join named no members, so the VM knew only its seeds when they were replaced.  */
+static void
+test_join_learns_the_members_from_its_answer (void **state)
+{
+  struct fixture *f = *state;
+  f->names_members = true;
+  open_joiner (f, "127.0.9.1", NULL);
+  run_joiner (f);
+  assert_string_equal (f->joined_at, "127.0.9.1");
+  f->vms[0].behaviour = SILENT;
+  f->joined_at[0] = '\0';
+  run_joiner (f);
   assert_string_equal (f->joined_at, "127.0.9.2");
 }
 
@@ -838,6 +883,8 @@
           TEST (test_refusal_after_broken_connection_gets_504),
           TEST (test_refusal_of_the_only_attempt_is_forwarded),
           TEST (test_join_follows_a_redirect_to_a_leader_that_is_no_seed),
+          TEST (test_join_asks_the_members_of_the_log),
+          TEST (test_join_learns_the_members_from_its_answer),
           TEST (test_leader_is_found_after_all_seeds_are_gone),
           TEST (test_leader_that_denies_is_not_asked_again_at_once),
           TEST (test_redirect_of_the_named_leader_is_followed),
