--- a/src/workflow/leader_relay.h
+++ b/src/workflow/leader_relay.h
@@ -6,6 +6,12 @@
    candidates in turn.  Every relayed request must be idempotent: an unanswered attempt is repeated
    until the deadline, each time with twice the timeout of the previous one.
 
+   What waits on a member when that member is elected is sent to its own port: the answer is judged
+   as that of any other leader.
+
+   A VM that denied a request or did not answer it is asked again by probes only, until it answers
+   one as the leader or the group of this VM names another leader.
+
    At the deadline the status code tells what is known: 503 with Retry-After if no attempt can have
    reached a leader, else 504, because the request may have been executed.  The 503 is sent
    RELAY_MIN_WAIT_MS after the request arrived or RELAY_LEADER_LOST_MS after a leader's last answer,
@@ -17,7 +23,7 @@
 
    A candidate that did not answer is tried last for RELAY_BACKOFF_MS.  The leader names the members
    of its group in each answer to a probe.  They and the seeds are the candidates from then on: the
-   seeds may all be replaced while this VM runs.  */
+   seeds may all be replaced while this VM runs.  A VM with a log knows members from it too.  */
 
 #ifndef SASSAFRAS_LEADER_RELAY_H
 #define SASSAFRAS_LEADER_RELAY_H
@@ -51,12 +57,13 @@
 {
   struct ev_loop *loop;
   struct clock *clock;
-  const char *own_ip; /* never used as a target */
+  const char *own_ip; /* a target only while LEADER names it */
   int port;           /* of the relayed interface, the same on every candidate */
   char seeds[SEEDED_GROUP_MAX_SEEDS][SEEDED_GROUP_IP_BYTES];
   size_t seed_count;
   const char *const *headers; /* names of forwarded headers, NULL-terminated */
-  /* Stores the leader known to this VM in IP; NULL on a VM outside the group.  */
+  /* Stores the leader known to this VM in IP, OWN_IP if this VM accepts requests as the leader;
+     NULL on a VM outside the group.  */
   bool (*leader) (void *arg, char ip[SEEDED_GROUP_IP_BYTES]);
   /* REQ must not be executed once its sender has gone; NULL: holds for no request.  */
   bool (*needs_sender) (const struct http_request *req);
@@ -70,6 +77,8 @@
                         int64_t budget_ms); /* Answers REQ within BUDGET_MS. */
 void leader_relay_finish_by (struct leader_relay *r,
                              int64_t finish_by_ms); /* For current and later requests. */
+void leader_relay_add_candidates (struct leader_relay *r, const char (*ips)[SEEDED_GROUP_IP_BYTES],
+                                  size_t count); /* Until the leader names its members. */
 void leader_relay_probe (struct leader_relay *r, const char *method,
                          const char *path); /* One at a time; presumed leader or next candidate. */
 int64_t leader_relay_last_answer_ms (const struct leader_relay *r); /* Leader's last answer. */
--- a/tests/test_leader_relay.c
+++ b/tests/test_leader_relay.c
@@ -12,13 +12,15 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "counters.h"
 #include "leader_relay.h"
 #include "log.h"
 #include "raw_sender.h"
 
 #define CANDIDATES 3
 #define CONTROL_BUDGET_MS 950 /* callers of the control interface time out after 1 s */
-#define READ_BUDGET_MS 3000   /* Deadline-Ms of the users' customers */
+#define LATE_MS 200
+#define READ_BUDGET_MS 3000 /* Deadline-Ms of the users' customers */
 
 #define MEMBERS "{\"members\": [\"127.0.9.1\", \"127.0.9.2\", \"bad\", 7]}"
 
@@ -30,6 +32,7 @@
   NO_LEADER,
   REFUSES,  /* leads but accepts no more work */
   NO_QUEUE, /* leads; the queue has been removed */
+  STALE,    /* names the third candidate after LATE_MS, from its second request on the second */
 };
 
 struct vm
@@ -39,33 +42,57 @@
   unsigned probes;
   unsigned requests; /* from callers, without probes */
   struct http_server *server;
+  struct http_request *held; /* answered by LATE */
+  ev_timer late;
 };
 
 struct fixture
 {
   struct ev_loop *loop;
   struct vm vms[CANDIDATES];
+  struct vm own; /* answers what the front relays to itself */
   struct http_server *front;
   struct http_client *client;
   struct leader_relay *relay;
   struct leader_relay *joiner; /* of a VM that asks to join the group */
   char joined_at[SEEDED_GROUP_IP_BYTES];
   int port;
-  bool names_members; /* the leader does, in its answers to probes */
+  bool names_members;       /* the leader does, in its answers to probes */
+  const char *group_leader; /* named by the group of a member; NULL: none */
   int64_t budget_ms;
   const char *method;
   int code;
   long retry_after_s;
 };
 
+static void
+answer_late (struct ev_loop *loop, ev_timer *w, int events)
+{
+  struct vm *v = w->data;
+  (void)loop;
+  (void)events;
+  leader_relay_refuse (v->held, "127.0.9.3", v->fixture->port);
+  v->held = NULL;
+}
+
 static void
 handle_vm (void *arg, struct http_request *req)
 {
   struct vm *v = arg;
-  bool probe = strcmp (req->path, RELAY_PROBE_PATH) == 0;
+  bool probe = strcmp (req->path, RELAY_PROBE_PATH) == 0
+               || strncmp (req->path, RELAY_JOIN_PATH, strlen (RELAY_JOIN_PATH)) == 0;
   v->probes += probe;
   v->requests += !probe;
-  if (v->behaviour == ANSWERS && probe && v->fixture->names_members)
+  if (v->behaviour == STALE && !probe && v->requests == 1)
+    {
+      v->held = req;
+      ev_timer_init (&v->late, answer_late, LATE_MS / 1000.0, 0.0);
+      v->late.data = v;
+      ev_timer_start (v->fixture->loop, &v->late);
+    }
+  else if (v->behaviour == STALE)
+    leader_relay_refuse (req, "127.0.9.2", v->fixture->port);
+  else if (v->behaviour == ANSWERS && probe && v->fixture->names_members)
     http_reply (req, 200, "application/json", MEMBERS, strlen (MEMBERS));
   else if (v->behaviour == ANSWERS
            || (probe && (v->behaviour == REFUSES || v->behaviour == NO_QUEUE)))
@@ -82,7 +109,10 @@
 handle_front (void *arg, struct http_request *req)
 {
   struct fixture *f = arg;
-  leader_relay_send (f->relay, req, f->budget_ms);
+  if (http_header (req, RELAY_HEADER))
+    handle_vm (&f->own, req);
+  else
+    leader_relay_send (f->relay, req, f->budget_ms);
 }
 
 static void
@@ -137,6 +167,7 @@
       f->vms[i].server = open_server (f, config.seeds[i], f->port, handle_vm, &f->vms[i]);
     }
   f->relay = leader_relay_open (&config);
+  f->own.fixture = f;
   f->front = open_server (f, "127.0.9.9", f->port, handle_front, f);
   f->client = http_client_open (f->loop, 0);
   *state = f;
@@ -148,6 +179,8 @@
 {
   struct fixture *f = *state;
   leader_relay_close (f->relay);
+  if (f->joiner)
+    leader_relay_close (f->joiner);
   http_client_close (f->client);
   http_server_close (f->front);
   for (int i = 0; i < CANDIDATES; i++)
@@ -284,6 +317,41 @@
     assert_int_equal (f->vms[i].requests, 0);
 }
 
+static long
+counter_value (const char *name)
+{
+  struct buffer out;
+  buffer_init (&out);
+  counters_write (&out);
+  buffer_append (&out, "", 1);
+  char key[80];
+  snprintf (key, sizeof key, "\n%s ", name);
+  const char *line = strstr (out.data, key);
+  long value = line ? strtol (line + strlen (key), NULL, 10) : 0;
+  buffer_close (&out);
+  return value;
+}
+
+/* The lines and metrics did not tell a VM that denies from one that does not answer.  */
+static void
+test_denials_and_failures_are_counted_apart (void **state)
+{
+  struct fixture *f = *state;
+  for (int i = 0; i < CANDIDATES; i++)
+    f->vms[i].behaviour = NO_LEADER;
+  long denials = counter_value ("sassafras_relay_denials_total");
+  long failures = counter_value ("sassafras_relay_failures_total");
+  assert_int_equal (request (f), 503);
+  assert_true (counter_value ("sassafras_relay_denials_total") > denials);
+  assert_int_equal (counter_value ("sassafras_relay_failures_total"), failures);
+  denials = counter_value ("sassafras_relay_denials_total");
+  for (int i = 0; i < CANDIDATES; i++)
+    f->vms[i].behaviour = SILENT;
+  assert_int_equal (request (f), 503);
+  assert_int_equal (counter_value ("sassafras_relay_denials_total"), denials);
+  assert_true (counter_value ("sassafras_relay_failures_total") > failures);
+}
+
 /* A caller with a long timeout must not spend all of it waiting for a missing leader.  */
 static void
 test_refusal_without_leader_is_early (void **state)
@@ -491,27 +559,29 @@
   ev_break (loop, EVBREAK_ONE);
 }
 
-/* A VM with an empty disk whose seeds do not include the leader has to follow their redirects.
-   Before, it forgot the redirect because its own group knew no leader, and never joined again.  */
 static void
-test_join_follows_a_redirect_to_a_leader_that_is_no_seed (void **state)
+open_joiner (struct fixture *f, const char *seed, const char *other_seed)
 {
-  struct fixture *f = *state;
   static const char *const headers[] = { NULL };
-  const struct leader_relay_config config = { .loop = f->loop,
-                                              .clock = clock_real (),
-                                              .own_ip = "127.0.9.8",
-                                              .port = f->port,
-                                              .seeds = { "127.0.9.1", "127.0.9.3" },
-                                              .seed_count = 2,
-                                              .headers = headers,
-                                              .leader = know_no_leader,
-                                              .probe_answered = record_probe_answer,
-                                              .arg = f };
-  ev_timer retry, limit;
-  f->vms[0].behaviour = REDIRECTS;
-  f->vms[2].behaviour = NO_LEADER;
+  struct leader_relay_config config = { .loop = f->loop,
+                                        .clock = clock_real (),
+                                        .own_ip = "127.0.9.8",
+                                        .port = f->port,
+                                        .seed_count = other_seed ? 2 : 1,
+                                        .headers = headers,
+                                        .leader = know_no_leader,
+                                        .probe_answered = record_probe_answer,
+                                        .arg = f };
+  snprintf (config.seeds[0], sizeof config.seeds[0], "%s", seed);
+  snprintf (config.seeds[1], sizeof config.seeds[1], "%s", other_seed ? other_seed : "");
   f->joiner = leader_relay_open (&config);
+}
+
+/* Repeats the join until it is answered, at most 2 s.  */
+static void
+run_joiner (struct fixture *f)
+{
+  ev_timer retry, limit;
   ev_timer_init (&retry, send_join, 0.0, 0.02);
   ev_timer_init (&limit, give_up, 2.0, 0.0);
   retry.data = f;
@@ -520,7 +590,47 @@
   ev_run (f->loop, 0);
   ev_timer_stop (f->loop, &retry);
   ev_timer_stop (f->loop, &limit);
-  leader_relay_close (f->joiner);
+}
+
+/* A VM with an empty disk whose seeds do not include the leader has to follow their redirects.
+   Before, it forgot the redirect because its own group knew no leader, and never joined again.  */
+static void
+test_join_follows_a_redirect_to_a_leader_that_is_no_seed (void **state)
+{
+  struct fixture *f = *state;
+  f->vms[0].behaviour = REDIRECTS;
+  f->vms[2].behaviour = NO_LEADER;
+  open_joiner (f, "127.0.9.1", "127.0.9.3");
+  run_joiner (f);
+  assert_string_equal (f->joined_at, "127.0.9.2");
+}
+
+/* All seeds of a VM were replaced while it was dropped from the group: it asked only them to join
+   again, although its log names members that still are.  */
+static void
+test_join_asks_the_members_of_the_log (void **state)
+{
+  struct fixture *f = *state;
+  static const char members[][SEEDED_GROUP_IP_BYTES] = { "127.0.9.1", "127.0.9.2" };
+  f->vms[0].behaviour = SILENT;
+  open_joiner (f, "127.0.9.1", NULL);
+  leader_relay_add_candidates (f->joiner, members, 2);
+  run_joiner (f);
+  assert_string_equal (f->joined_at, "127.0.9.2");
+}
+
+/* The answer to a join named no members, so the VM knew only its seeds when they were replaced.  */
+static void
+test_join_learns_the_members_from_its_answer (void **state)
+{
+  struct fixture *f = *state;
+  f->names_members = true;
+  open_joiner (f, "127.0.9.1", NULL);
+  run_joiner (f);
+  assert_string_equal (f->joined_at, "127.0.9.1");
+  f->vms[0].behaviour = SILENT;
+  f->joined_at[0] = '\0';
+  run_joiner (f);
   assert_string_equal (f->joined_at, "127.0.9.2");
 }
 
@@ -550,6 +660,206 @@
   assert_int_equal (f->vms[1].requests, 1);
 }
 
+static bool
+name_group_leader (void *arg, char ip[SEEDED_GROUP_IP_BYTES])
+{
+  const struct fixture *f = arg;
+  if (f->group_leader)
+    snprintf (ip, SEEDED_GROUP_IP_BYTES, "%s", f->group_leader);
+  return f->group_leader != NULL;
+}
+
+/* Replaces the relay of the fixture by that of a member whose group names the first candidate.  */
+static void
+open_member (struct fixture *f)
+{
+  static const char *const headers[] = { NULL };
+  const struct leader_relay_config config = { .loop = f->loop,
+                                              .clock = clock_real (),
+                                              .own_ip = "127.0.9.9",
+                                              .port = f->port,
+                                              .seeds = { "127.0.9.1", "127.0.9.2" },
+                                              .seed_count = 2,
+                                              .headers = headers,
+                                              .leader = name_group_leader,
+                                              .arg = f };
+  f->group_leader = "127.0.9.1";
+  leader_relay_close (f->relay);
+  f->relay = leader_relay_open (&config);
+}
+
+/* A member sent each waiting request to the VM named by its group every 5 ms, although that VM did
+   not lead: 175 to 184 attempts in 0.87 s.  */
+static void
+test_leader_that_denies_is_not_asked_again_at_once (void **state)
+{
+  struct fixture *f = *state;
+  open_member (f);
+  f->vms[0].behaviour = NO_LEADER;
+  f->vms[1].behaviour = NO_LEADER;
+  for (int i = 0; i < 20; i++)
+    send_request (f);
+  assert_int_equal (request (f), 503);
+  assert_true (f->retry_after_s > 0);
+  /* Each request once, then probes.  */
+  assert_in_range (f->vms[0].requests, 1, 21);
+  assert_in_range (f->vms[0].probes, 1, CONTROL_BUDGET_MS / RELAY_PROBE_INTERVAL_MS);
+}
+
+/* A member whose group named a VM that no longer led asked that VM again and again, although it
+   named its successor.  */
+static void
+test_redirect_of_the_named_leader_is_followed (void **state)
+{
+  struct fixture *f = *state;
+  open_member (f);
+  f->vms[0].behaviour = REDIRECTS;
+  assert_int_equal (request (f), 200);
+  assert_int_equal (f->vms[1].requests, 1);
+}
+
+/* The group names a new leader before that one has confirmed its leadership and accepts.  */
+static void
+test_new_leader_is_used_once_it_accepts (void **state)
+{
+  struct fixture *f = *state;
+  ev_timer elected;
+  open_member (f);
+  f->vms[0].behaviour = NO_LEADER;
+  f->vms[1].behaviour = NO_LEADER;
+  ev_timer_init (&elected, elect_leader, 0.1, 0.0);
+  elected.data = f;
+  ev_timer_start (f->loop, &elected);
+  assert_int_equal (request (f), 200);
+  assert_in_range (f->vms[0].requests, 1, 2);
+}
+
+static void
+name_second_candidate (struct ev_loop *loop, ev_timer *w, int events)
+{
+  struct fixture *f = w->data;
+  (void)loop;
+  (void)events;
+  f->group_leader = "127.0.9.2";
+  f->vms[1].behaviour = ANSWERS;
+}
+
+/* While the VM named before denies or is silent, the group elects another one.  */
+static void
+test_next_leader_of_the_group_is_taken_up (void **state)
+{
+  struct fixture *f = *state;
+  for (int i = 0; i < 2; i++)
+    {
+      ev_timer elected;
+      open_member (f);
+      f->vms[0].behaviour = i == 0 ? NO_LEADER : SILENT;
+      f->vms[1].behaviour = NO_LEADER;
+      f->vms[1].requests = 0;
+      ev_timer_init (&elected, name_second_candidate, 0.1, 0.0);
+      elected.data = f;
+      ev_timer_start (f->loop, &elected);
+      assert_int_equal (request (f), 200);
+      assert_int_equal (f->vms[1].requests, 1);
+    }
+}
+
+/* A paused process named a leader that had been replaced by then.  */
+static void
+test_overtaken_redirect_is_not_followed (void **state)
+{
+  struct fixture *f = *state;
+  f->vms[0].behaviour = STALE;
+  f->vms[2].behaviour = SILENT;
+  open_member (f);
+  send_request (f);
+  run_ms (f, LATE_MS / 2);
+  assert_int_equal (request (f), 200);
+  assert_int_equal (request (f), 200);
+  assert_int_equal (f->vms[1].requests, 2);
+  assert_int_equal (f->vms[2].requests, 0);
+}
+
+/* VMs that name each other know no leader.  */
+static void
+test_two_vms_that_name_each_other_are_not_asked_without_end (void **state)
+{
+  struct fixture *f = *state;
+  open_member (f);
+  f->group_leader = "127.0.9.1";
+  f->vms[0].behaviour = REDIRECTS; /* to the second */
+  f->vms[1].behaviour = REDIRECTS; /* to itself */
+  for (int i = 0; i < 20; i++)
+    send_request (f);
+  assert_int_equal (request (f), 503);
+  /* Three redirects for each request, then probes.  */
+  assert_in_range (f->vms[0].requests + f->vms[1].requests, 1, 3 * 21);
+}
+
+static void
+name_own_vm (struct ev_loop *loop, ev_timer *w, int events)
+{
+  struct fixture *f = w->data;
+  (void)loop;
+  (void)events;
+  f->group_leader = "127.0.9.9";
+}
+
+static void
+elect_own_vm_after (struct fixture *f, ev_timer *elected, double delay_s)
+{
+  ev_timer_init (elected, name_own_vm, delay_s, 0.0);
+  elected->data = f;
+  ev_timer_start (f->loop, elected);
+}
+
+/* Requests that waited for an election were refused by the VM that won it.  */
+static void
+test_requests_that_wait_are_served_by_the_vm_that_is_elected (void **state)
+{
+  struct fixture *f = *state;
+  ev_timer elected;
+  open_member (f);
+  f->group_leader = NULL;
+  elect_own_vm_after (f, &elected, 0.2);
+  assert_int_equal (request (f), 200);
+  assert_int_equal (f->own.requests, 1);
+}
+
+/* The VM that was elected may lose its leadership before it executes what has waited.  */
+static void
+test_elected_vm_that_denies_is_not_asked_again_at_once (void **state)
+{
+  struct fixture *f = *state;
+  ev_timer elected;
+  open_member (f);
+  f->group_leader = NULL;
+  f->own.behaviour = NO_LEADER;
+  for (int i = 0; i < CANDIDATES; i++)
+    f->vms[i].behaviour = NO_LEADER;
+  elect_own_vm_after (f, &elected, 0.1);
+  for (int i = 0; i < 20; i++)
+    send_request (f);
+  assert_int_equal (request (f), 503);
+  assert_in_range (f->own.requests, 1, 21);
+  assert_in_range (f->own.probes, 0, CONTROL_BUDGET_MS / RELAY_PROBE_INTERVAL_MS);
+}
+
+/* The refusal of this VM covers its own attempt, not the one before at another VM.  */
+static void
+test_refusal_of_the_elected_vm_after_unanswered_attempt_gets_504 (void **state)
+{
+  struct fixture *f = *state;
+  ev_timer elected;
+  open_member (f);
+  f->vms[0].behaviour = SILENT;
+  f->vms[1].behaviour = NO_LEADER;
+  f->own.behaviour = REFUSES;
+  elect_own_vm_after (f, &elected, 0.5);
+  assert_int_equal (request (f), 504);
+  assert_int_equal (f->own.requests, 1);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown (name, open_fixture, close_fixture)
 
 int
@@ -562,6 +872,7 @@
           TEST (test_unanswered_attempt_gets_504),
           TEST (test_request_never_sent_gets_503),
           TEST (test_refusal_without_leader_is_early),
+          TEST (test_denials_and_failures_are_counted_apart),
           TEST (test_later_requests_are_answered_before_exit),
           TEST (test_pending_requests_are_answered_before_exit),
           TEST (test_request_waits_for_an_election),
@@ -572,7 +883,18 @@
           TEST (test_refusal_after_broken_connection_gets_504),
           TEST (test_refusal_of_the_only_attempt_is_forwarded),
           TEST (test_join_follows_a_redirect_to_a_leader_that_is_no_seed),
+          TEST (test_join_asks_the_members_of_the_log),
+          TEST (test_join_learns_the_members_from_its_answer),
           TEST (test_leader_is_found_after_all_seeds_are_gone),
+          TEST (test_leader_that_denies_is_not_asked_again_at_once),
+          TEST (test_redirect_of_the_named_leader_is_followed),
+          TEST (test_new_leader_is_used_once_it_accepts),
+          TEST (test_next_leader_of_the_group_is_taken_up),
+          TEST (test_overtaken_redirect_is_not_followed),
+          TEST (test_two_vms_that_name_each_other_are_not_asked_without_end),
+          TEST (test_requests_that_wait_are_served_by_the_vm_that_is_elected),
+          TEST (test_elected_vm_that_denies_is_not_asked_again_at_once),
+          TEST (test_refusal_of_the_elected_vm_after_unanswered_attempt_gets_504),
           TEST (test_request_whose_sender_left_is_not_relayed) };
   curl_global_init (CURL_GLOBAL_DEFAULT);
   int failed = cmocka_run_group_tests (tests, NULL, NULL);
