workflow_service: lead again after a transfer that the group refuses

What callers saw: suspected only, found by reading. A core VM whose group leads denies every request, with no end, and other VMs redirect to it: no job is accepted and the configuration is not served.

Cause: transfer_leadership set `transferring' before it knew whether the group accepts. A leader far from its quorum named a voter that had just gone silent and lacked entries, so it was never told to take over; the transfer lapsed after 1.3 s. When no other voter could take over (the third one's disk had been replaced) each retry was refused, `transferring' stayed set, and only the loss of leadership clears it. A transfer that was refused at once denied requests for 1.5 s for nothing.

Evidence: test_service_leads_after_a_transfer_that_nobody_takes_up, a simulated group of three, fails before: the group leads and the service still denies after 5 s (three runs of three). It passes with the change (three of three).

Why this works: a refused transfer tells no voter to take over, so the VM may lead on. Its authority ends with each attempt and comes back only with a round that the group confirms, which it does not in a term in which a voter was told to take over. A VM that stops goes on denying.

--- a/src/workflow/workflow_service.c
+++ b/src/workflow/workflow_service.c
@@ -193,15 +193,21 @@
   leader_placement_elected (&s->leader_placement);
 }
 
+/* A refused transfer tells no voter to take over: this VM goes on leading unless it stops.  */
 static void
 transfer_leadership (struct workflow_service *s, uint64_t to)
 {
   struct status st;
-  s->transferring = true;
-  s->next_transfer_ms = clock_now_ms (s->config.clock) + TRANSFER_RETRY_MS;
+  bool accepted = false;
   dispatcher_set_authority (s->dispatcher, 0);
-  if (s->group && group_is_leader (s->group) && group_transfer_leadership (s->group, to, &st) < 0)
-    log_event (LOG_WARN, "no-hand-over", "reason=\"%s\"", st.message);
+  s->next_transfer_ms = clock_now_ms (s->config.clock) + TRANSFER_RETRY_MS;
+  if (s->group && group_is_leader (s->group))
+    {
+      accepted = group_transfer_leadership (s->group, to, &st) == 0;
+      if (!accepted)
+        log_event (LOG_WARN, "no-hand-over", "reason=\"%s\"", st.message);
+    }
+  s->transferring = s->stopping || accepted;
 }
 
 /* The voter that completes a quorum by distance, or by its last answer if distances are unknown. */
--- a/tests/test_workflow_service.c
+++ b/tests/test_workflow_service.c
@@ -1,5 +1,5 @@
-/* A workflow group on one VM.  Guards against a job that is refused permanently although an earlier
-   submission by its caller is still being committed.  */
+/* Guards against a job that is refused permanently although an earlier submission by its caller is
+   still being committed, and against a service that denies while its group leads.  */
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -13,6 +13,7 @@
 #include <cmocka.h>
 
 #include "log.h"
+#include "log_sim.h"
 #include "seeded_group.h"
 #include "workflow_service.h"
 
@@ -190,9 +191,110 @@
   close_vm (&v);
 }
 
+/* The service of the leader of a simulated group whose voters are in other regions.  */
+struct distant_leader
+{
+  struct sim sim;
+  struct sim_node *leader;
+  struct manual_clock clock;
+  struct workflow_service *service;
+  uint64_t nearest; /* other voter */
+  unsigned rounds;  /* confirmed while all voters reply */
+};
+
+static size_t
+list_distances (void *arg, struct voter_distance *out, size_t size)
+{
+  struct distant_leader *l = arg;
+  size_t count = 0;
+  for (uint64_t id = 1; id <= 3 && count < size; id++)
+    if (id != l->leader->id)
+      out[count++] = (struct voter_distance){ id, id == l->nearest ? 60 : 90 };
+  l->rounds += group_quorum_completed_by (l->leader->group) != 0;
+  return count;
+}
+
+static void
+step_distant_leader (struct distant_leader *l)
+{
+  sim_step (&l->sim);
+  l->clock.time_ms = sim_local_ms (&l->sim, l->leader);
+  workflow_service_leader_changed (l->service);
+  workflow_service_tick (l->service);
+}
+
+static void
+open_distant_leader (struct distant_leader *l)
+{
+  static const struct worker_link_ops ops = { .hold = ignore_hold };
+  static struct worker_link link = { &ops };
+  const struct sim_config config = { .seed = 7, .voters = 3 };
+  memset (l, 0, sizeof *l);
+  sim_init (&l->sim, &config);
+  l->sim.delay_min_us = l->sim.delay_max_us = 30000;
+  for (int i = 0; i < 3; i++)
+    sim_start (&l->sim, &l->sim.nodes[i]);
+  for (int i = 0; i < MAX_STEPS && !sim_leader (&l->sim); i++)
+    sim_step (&l->sim);
+  l->leader = sim_leader (&l->sim);
+  assert_non_null (l->leader);
+  l->nearest = l->leader->id % 3 + 1;
+  manual_clock_init (&l->clock, sim_local_ms (&l->sim, l->leader));
+  const struct workflow_service_config service = { .clock = &l->clock.clock,
+                                                   .link = &link,
+                                                   .lease_ms = 4000,
+                                                   .status_ms = 120000,
+                                                   .voter_distances = list_distances,
+                                                   .arg = l };
+  l->service = workflow_service_open (&service);
+  workflow_service_set_group (l->service, l->leader->group);
+}
+
+static void
+close_distant_leader (struct distant_leader *l)
+{
+  sim_close (&l->sim);
+  workflow_service_close (l->service);
+}
+
+/* Guards against a service that denies for good while its group leads: the voter named to take over
+   was silent, and no other voter could take over.  */
+static void
+test_service_leads_after_a_transfer_that_nobody_takes_up (void **state)
+{
+  struct distant_leader l;
+  (void)state;
+  open_distant_leader (&l);
+  struct sim_node *silent = &l.sim.nodes[l.nearest - 1];
+  struct sim_node *replaced = &l.sim.nodes[l.nearest % 3];
+  sim_wipe (&l.sim, replaced, 100);
+  for (int i = 0; i < MAX_STEPS && l.rounds < LEADER_PLACEMENT_MIN_ROUNDS - 1; i++)
+    step_distant_leader (&l);
+  assert_true (workflow_service_leads (l.service));
+  for (int i = 0; i < 3; i++)
+    {
+      l.sim.partitioned[i][silent->id - 1] = true;
+      l.sim.partitioned[silent->id - 1][i] = true;
+    }
+  sim_propose (&l.sim, l.leader, 8);
+  for (int i = 0; i < MAX_STEPS && workflow_service_leads (l.service); i++)
+    step_distant_leader (&l);
+  assert_false (workflow_service_leads (l.service));
+  assert_true (group_is_leader (l.leader->group));
+  for (int i = 0; i < MAX_STEPS && !workflow_service_leads (l.service); i++)
+    step_distant_leader (&l);
+  assert_true (group_is_leader (l.leader->group));
+  assert_true (workflow_service_leads (l.service));
+  sim_check_end (&l.sim);
+  assert_false (l.sim.failed);
+  close_distant_leader (&l);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_uncommitted_submission_is_reported) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_uncommitted_submission_is_reported),
+          cmocka_unit_test (test_service_leads_after_a_transfer_that_nobody_takes_up) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
