raft: refuse a transfer to a voter that cannot take over

What callers saw: suspected only, found by reading. A leader that was asked to hand over to a silent voter, or to one whose disk was replaced, accepted, and refused all commands for the 1.3 s of the transfer; if that voter had every entry when it fell silent, the leader confirmed no read any more and stepped down 1.3 s later.

Cause: raft_transfer_leadership checked a named voter neither for its replies nor for its store, as best_successor does for one it chooses.

Evidence: test_leadership_is_not_transferred_to_a_voter_that_cannot_lead fails before (the transfer to the silent voter is accepted); with the check of the replies alone it fails for the voter with the replaced disk.

Why this works: a voter that has not replied for 1.9 s is unlikely to take over, and one whose store is not in the member list can't win. The caller gets NO_QUORUM and goes on leading. A voter that has been silent for less is still accepted.

--- a/src/log/raft_leader.c
+++ b/src/log/raft_leader.c
@@ -484,7 +484,8 @@
     return status_set (st, STATUS_NOT_LEADER, "node %llu does not lead group %llu",
                        (unsigned long long)r->node, (unsigned long long)r->group);
   struct raft_peer *p = to ? raft_find_peer (r, to) : best_successor (r, now_ms);
-  if (!p || !p->voter)
+  bool can_vote = p && p->voter && p->store_known && p->store == p->member_store;
+  if (!can_vote || !is_active (r, p, now_ms))
     return status_set (st, STATUS_NO_QUORUM, "no voter to take over group %llu",
                        (unsigned long long)r->group);
   r->transfer_to = p->node;
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -844,6 +844,38 @@
   sim_close (&s);
 }
 
+/* Guards against a leader that refuses commands for the duration of a transfer to a voter that
+   cannot take over: one that is silent, and one whose disk was replaced.  */
+static void
+test_leadership_is_not_transferred_to_a_voter_that_cannot_lead (void **state)
+{
+  struct sim s;
+  struct sim_config c = make_config (5, 0);
+  struct status st;
+  (void)state;
+  sim_init (&s, &c);
+  start_all (&s);
+  struct sim_node *leader = wait_leader (&s, 5000);
+  assert_non_null (leader);
+  struct sim_node *silent = &s.nodes[leader->id % 5];
+  struct sim_node *replaced = &s.nodes[(leader->id + 1) % 5];
+  sim_run_ms (&s, 1000);
+  cut (&s, leader, silent);
+  sim_wipe (&s, replaced, 100);
+  sim_run_ms (&s, 3000);
+  assert_ptr_equal (sim_leader (&s), leader);
+  assert_int_equal (group_transfer_leadership (leader->group, silent->id, &st), -1);
+  assert_int_equal (st.kind, STATUS_NO_QUORUM);
+  assert_int_equal (group_transfer_leadership (leader->group, replaced->id, &st), -1);
+  assert_int_equal (st.kind, STATUS_NO_QUORUM);
+  sim_propose (&s, leader, 8);
+  sim_run_ms (&s, 500);
+  assert_int_equal (s.ok, 1);
+  assert_ptr_equal (sim_leader (&s), leader);
+  assert_no_violation (&s);
+  sim_close (&s);
+}
+
 /* While a voter is unreachable, another voter than usual completes the quorum.  That voter must not
    be reported, since leadership would be transferred to it.  */
 static void
@@ -960,6 +992,7 @@
           cmocka_unit_test (test_a_vote_counts_only_for_the_store_that_requested_it),
           cmocka_unit_test (test_a_message_counts_from_its_receipt_not_from_the_last_tick),
           cmocka_unit_test (test_a_leader_whose_transfer_timed_out_has_no_authority_in_its_term),
+          cmocka_unit_test (test_leadership_is_not_transferred_to_a_voter_that_cannot_lead),
           cmocka_unit_test (test_quorum_voter_reported_only_while_all_voters_reply),
           cmocka_unit_test (test_confirms_as_soon_as_a_quorum_replies),
           cmocka_unit_test (test_replicates),
