http_server: refuse a body over the limit at once

Callers that announced 1 GiB or sent chunks without end were read to the end of their body, and the 4 MiB that each had filled stayed allocated until they left: 120 of them took a front to 502 MB and a core VM to 552 MB on a machine of 128 MB.

Cause: a body over the limit was only marked, and refused once it was complete.

A Content-Length over the limit is now refused with 413 from the header; the library then closes the connection without reading the body. A chunked body that outgrows the limit gets the same answer and its connection is closed in the call that brings the excess, which frees the request with its buffer. The library takes no response at that point, so the answer is written to the socket.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -125,26 +125,92 @@
   return req;
 }
 
-static void
-append_body (struct http_request *req, const char *data, size_t len)
+/* Content-Length, 0 when it is absent: a chunked body.  The library has checked the digits.  */
+static uint64_t
+announced_length (struct http_request *req)
 {
-  if (req->body.len + len > req->server->config.max_body)
-    req->too_large = true;
-  if (!req->too_large)
-    buffer_append (&req->body, data, len);
+  const char *text = http_header (req, MHD_HTTP_HEADER_CONTENT_LENGTH);
+  return text ? strtoull (text, NULL, 10) : 0;
 }
 
-static void
-run_handler (struct http_request *req)
+static int
+too_large (const struct http_request *req, struct status *st)
+{
+  return status_set (st, STATUS_TOO_LARGE, "body is over %zu bytes", req->server->config.max_body);
+}
+
+/* Before the body arrives.  A response that is queued now makes the library close the connection
+   after it, and the body is not read.  */
+static int
+check_announced (struct http_request *req, struct status *st)
+{
+  if (announced_length (req) > req->server->config.max_body)
+    return too_large (req, st);
+  return 0;
+}
+
+static int
+append_body (struct http_request *req, const char *data, size_t len, struct status *st)
+{
+  if (len > req->server->config.max_body - req->body.len)
+    return too_large (req, st);
+  buffer_append (&req->body, data, len);
+  return 0;
+}
+
+static enum MHD_Result
+begin_request (struct http_server *server, struct MHD_Connection *connection, const char *url,
+               const char *method, struct http_request **out)
 {
   struct status st;
+  struct http_request *req = *out = new_request (server, connection, url, method);
+  if (check_announced (req, &st) == 0)
+    return MHD_YES;
   req->handled = true;
-  if (req->too_large)
+  http_reply_status (req, &st);
+  http_add_header (req->response, "Connection", "close");
+  return MHD_queue_response (connection, (unsigned)req->response_code, req->response);
+}
+
+/* The library takes no response while a body arrives, it can only close the connection.  */
+static void
+send_refusal (struct http_request *req, const struct status *st)
+{
+  const struct status_answer *a = status_answer (st->kind);
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (req->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  json_t *json = http_status_json (st);
+  char *text = json ? json_dumps (json, JSON_COMPACT) : NULL;
+  struct buffer out;
+  buffer_init (&out);
+  buffer_printf (&out,
+                 "HTTP/1.1 %d Refused\r\nConnection: close\r\nContent-Type: application/json\r\n"
+                 "%sContent-Length: %zu\r\n\r\n%s",
+                 a->http_code, a->may_retry ? "Retry-After: " RETRY_AFTER_S "\r\n" : "",
+                 text ? strlen (text) : 0, text ? text : "");
+  send (info->connect_fd, out.data, out.len, MSG_DONTWAIT | MSG_NOSIGNAL);
+  buffer_close (&out);
+  json_decref (json);
+  free (text);
+}
+
+static enum MHD_Result
+receive_body (struct http_request *req, const char *data, size_t *size)
+{
+  struct status st;
+  if (append_body (req, data, *size, &st) < 0)
     {
-      status_set (&st, STATUS_TOO_LARGE, "body is over %zu bytes", req->server->config.max_body);
-      http_reply_status (req, &st);
-      return;
+      send_refusal (req, &st);
+      return MHD_NO;
     }
+  *size = 0;
+  return MHD_YES;
+}
+
+static void
+run_handler (struct http_request *req)
+{
+  req->handled = true;
   req->server->config.handler (req->server->config.handler_arg, req);
 }
 
@@ -156,16 +222,9 @@
   struct http_request *req = *user;
   (void)protocol;
   if (!req)
-    {
-      *user = new_request (server, connection, url, method);
-      return MHD_YES;
-    }
+    return begin_request (server, connection, url, method, (struct http_request **)user);
   if (*size > 0)
-    {
-      append_body (req, data, *size);
-      *size = 0;
-      return MHD_YES;
-    }
+    return receive_body (req, data, size);
   if (!req->handled)
     run_handler (req);
   if (req->response)
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -30,7 +30,6 @@
   const char *method;            /* "GET", ... */
   const char *path;              /* decoded path without the query */
   struct buffer body;            /* complete body */
-  bool too_large;                /* the body exceeded max_body and was discarded */
   bool handled;                  /* the handler has run */
   bool suspended;                /* waiting for an answer */
   struct MHD_Response *response; /* set by the reply */
@@ -44,7 +43,7 @@
 struct http_server_config
 {
   const char *address; /* "ip:port"; port 0 selects a free port */
-  size_t max_body;     /* bytes; a longer body is refused as too-large */
+  size_t max_body;     /* bytes; a longer body is refused as too-large and not read to its end */
   http_handler *handler;
   void *handler_arg;
 };
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -1,11 +1,14 @@
 /* Guards against a request that is executed although its sender has stopped waiting for it: the
-   server must see a close that came while the request was unread or suspended.  */
+   server must see a close that came while the request was unread or suspended.  Also against
+   bodies over the limits.  */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
 
 #include <cmocka.h>
+#include <errno.h>
+#include <stdio.h>
 #include <stdlib.h>
 
 #include "http_server.h"
@@ -13,6 +16,7 @@
 
 #define REQUEST "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
 #define STEP_S 0.02
+#define MAX_BODY 1000
 
 struct fixture
 {
@@ -62,7 +66,7 @@
   struct status st;
   f->loop = ev_loop_new (0);
   const struct http_server_config config
-      = { .address = "127.0.0.1:0", .max_body = 1000, .handler = handle, .handler_arg = f };
+      = { .address = "127.0.0.1:0", .max_body = MAX_BODY, .handler = handle, .handler_arg = f };
   f->server = http_server_open (f->loop, &config, &st);
   assert_non_null (f->server);
   *state = f;
@@ -121,11 +125,71 @@
 
 #define TEST(name) cmocka_unit_test_setup_teardown (name, open_fixture, close_fixture)
 
+/* Returns whether the server has closed the connection; ANSWER gets what it sent before.  */
+static bool
+read_answer (int fd, char *answer, size_t size)
+{
+  ssize_t n = recv (fd, answer, size - 1, MSG_DONTWAIT);
+  answer[n > 0 ? n : 0] = '\0';
+  char byte;
+  return recv (fd, &byte, 1, MSG_DONTWAIT) == 0 || errno == ECONNRESET;
+}
+
+static void
+test_announced_excess_is_refused_before_the_body (void **state)
+{
+  struct fixture *f = *state;
+  char answer[1024];
+  int fd = send_text (f, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n");
+  run_step (f);
+  assert_true (read_answer (fd, answer, sizeof answer));
+  assert_non_null (strstr (answer, " 413 "));
+  assert_non_null (strstr (answer, "\"ran\":\"no\""));
+  assert_null (f->request);
+  assert_int_equal (http_server_open_requests (f->server), 0);
+  close (fd);
+}
+
+static void
+test_body_that_outgrows_the_limit_is_closed (void **state)
+{
+  struct fixture *f = *state;
+  char text[2 * MAX_BODY];
+  char answer[1024];
+  snprintf (text, sizeof text,
+            "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%0*d", 1 << 30,
+            MAX_BODY + 1, 0);
+  int fd = send_text (f, text);
+  run_step (f);
+  assert_true (read_answer (fd, answer, sizeof answer));
+  assert_non_null (strstr (answer, " 413 "));
+  assert_null (f->request);
+  assert_int_equal (http_server_open_requests (f->server), 0);
+  close (fd);
+}
+
+static void
+test_body_of_the_largest_size_is_served (void **state)
+{
+  struct fixture *f = *state;
+  char text[2 * MAX_BODY];
+  snprintf (text, sizeof text, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%0*d",
+            MAX_BODY, MAX_BODY, 0);
+  int fd = send_text (f, text);
+  run_step (f);
+  assert_non_null (f->request);
+  assert_int_equal (f->request->body.len, MAX_BODY);
+  close (fd);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = { TEST (test_close_while_the_request_was_unread),
                                       TEST (test_reset_while_the_request_was_suspended),
-                                      TEST (test_sender_that_waits_is_not_gone) };
+                                      TEST (test_sender_that_waits_is_not_gone),
+                                      TEST (test_announced_excess_is_refused_before_the_body),
+                                      TEST (test_body_that_outgrows_the_limit_is_closed),
+                                      TEST (test_body_of_the_largest_size_is_served) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
