http_server: a budget of memory for the bodies of all connections

Clients that filled bodies inside the limit, and withheld the end, took a process to 496 MB (front), 524 MB (core) and 234 MB (sassafrasd) on a machine of 128 MB; chunked bodies without end did the same until each had passed 4 MiB.

Cause: each connection had a limit of its own, their sum had none; and a body could take any time.

struct memory_budget is shared by the servers of a process: an eighth of the machine's memory (--memory-mb, or SASSAFRAS_MEMORY_MB; by default what the operating system reports), a quarter of it kept for bodies up to 16 KiB. An announced body reserves its length before it is read, a chunked one as it grows; without room the answer is 503 with Retry-After, and the handler has not seen the request. The room returns when the request ends. A connection whose body brings less than 8 KiB in each of five periods of 5 s is closed: no client of the users' platform pauses so long (idle_timeout_ms is 15 s), and a server that was suspended counts one period only.

--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -40,6 +40,8 @@
     offsetof (struct settings, members_file), SETTINGS_PATH_BYTES },
   { "token-file", "<file>", "operators' token (default: none needed)", SETTING_FILE, false, NULL,
     offsetof (struct settings, token_file), SETTINGS_PATH_BYTES },
+  { "memory-mb", "<MiB>", "memory of the machine (default: that of the operating system)",
+    SETTING_MEMORY, false, NULL, offsetof (struct settings, memory_mb), sizeof (int64_t) },
   { "log-level", "<level>", "error, warn, info or debug (default: info)", SETTING_LEVEL, false,
     "info", offsetof (struct settings, log.level), sizeof (enum log_level) },
   { "log-format", "<format>", "text or json (default: text)", SETTING_FORMAT, false, "text",
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -38,6 +38,7 @@
   char token[SETTINGS_TOKEN_BYTES];         /* read from token_file; never logged */
   char plans_file[SETTINGS_PATH_BYTES];     /* for --check only */
   char customers_file[SETTINGS_PATH_BYTES]; /* for --check only */
+  int64_t memory_mb;                        /* of the machine; 0: ask the operating system */
   struct log_config log;
   struct member_list members; /* read from members_file */
 };
--- a/src/base/settings_check.c
+++ b/src/base/settings_check.c
@@ -13,6 +13,8 @@
 #include "plans.h"
 
 #define MAX_FAULT_BYTES 1024
+#define MIN_MEMORY_MB 16
+#define MAX_MEMORY_MB (16 << 20) /* 16 TiB; more is taken for a mistake */
 #define MEMBERS_FILE_BYTES (1024 * 1024)
 
 void
@@ -41,6 +43,21 @@
                    INT64_MAX - 1);
 }
 
+static void
+read_memory (struct settings *s, const char *value, const char *source,
+             struct setting_faults *faults)
+{
+  char *end;
+  errno = 0;
+  long long number = strtoll (value, &end, 10);
+  if (value[0] >= '0' && value[0] <= '9' && !*end && errno == 0 && number >= MIN_MEMORY_MB
+      && number <= MAX_MEMORY_MB)
+    s->memory_mb = number;
+  else
+    setting_fault (faults, "%s: '%s' is out of range, allowed: %d to %d", source, value,
+                   MIN_MEMORY_MB, MAX_MEMORY_MB);
+}
+
 static void
 read_text (struct settings *s, const struct setting *setting, const char *value, const char *source,
            struct setting_faults *faults)
@@ -91,6 +108,9 @@
     case SETTING_NODE:
       read_node (s, value, source, faults);
       break;
+    case SETTING_MEMORY:
+      read_memory (s, value, source, faults);
+      break;
     case SETTING_ADDRESS:
       read_address (s, setting, value, source, faults);
       break;
--- a/src/edge/daemon_http.c
+++ b/src/edge/daemon_http.c
@@ -221,11 +221,14 @@
   const struct http_server_config backend = { .address = d->settings->backends,
                                               .max_body = BACKEND_MAX_BODY_BYTES,
                                               .handler = on_backend_request,
-                                              .handler_arg = d };
+                                              .handler_arg = d,
+                                              .budget = &d->bodies };
   const struct http_server_config operators = { .address = d->settings->operators,
                                                 .max_body = OPERATOR_API_MAX_BODY_BYTES,
                                                 .handler = on_operator_request,
-                                                .handler_arg = d };
+                                                .handler_arg = d,
+                                                .budget = &d->bodies };
+  memory_budget_init (&d->bodies, d->settings->memory_mb);
   d->worker_api = (struct worker_api){ .registry = d->registry,
                                        .cells = d->cells,
                                        .cell_count = &d->cell_count };
@@ -247,5 +250,6 @@
 {
   http_server_close (d->operator_server);
   http_server_close (d->backend_server);
+  memory_budget_close (&d->bodies);
   operator_api_close (d->operator_api);
 }
--- a/src/edge/daemon_internal.h
+++ b/src/edge/daemon_internal.h
@@ -46,6 +46,7 @@
   const registry_member *self; /* in the members file */
   bool has_disk;               /* this VM stores state on disk */
 
+  struct memory_budget bodies; /* of all servers but the proxy */
   struct peer_net *net;
   struct registry *registry;
   struct registry_service *registry_service;
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -9,6 +9,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "counters.h"
 #include "log.h"
 
 #define CONNECTION_TIMEOUT_S 60
@@ -16,6 +17,15 @@
 #define MAX_CONNECTIONS 16384
 #define CONNECTION_MEMORY_BYTES 32768
 #define RETRY_AFTER_S "1"
+#define BODY_CHECK_PERIOD_S 5.0
+#define BODY_PROGRESS_BYTES 8192 /* enough in a period */
+#define MAX_SLOW_CHECKS 5        /* the first period is a part of one */
+
+static struct counter refused_bodies
+    = { .name = "sassafras_http_bodies_refused_total",
+        .help = "Bodies refused: too large, or no room in the budget." };
+static struct counter slow_bodies = { .name = "sassafras_http_slow_bodies_total",
+                                      .help = "Connections closed since their body stalled." };
 
 struct http_loop
 {
@@ -32,6 +42,7 @@
   struct http_server_config config;
   struct MHD_Daemon *daemon;
   struct http_loop *http_loop;
+  ev_timer body_timer; /* checks the progress of bodies */
   unsigned open_requests;
   LIST_HEAD (request_list, http_request) requests;
   bool closing;
@@ -111,6 +122,12 @@
   free (hl);
 }
 
+static int
+connection_fd (struct MHD_Connection *connection)
+{
+  return MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+}
+
 static struct http_request *
 new_request (struct http_server *server, struct MHD_Connection *connection, const char *path,
              const char *method)
@@ -139,14 +156,28 @@
   return status_set (st, STATUS_TOO_LARGE, "body is over %zu bytes", req->server->config.max_body);
 }
 
+/* Reserves room for a body of LEN bytes.  */
+static int
+reserve_body (struct http_request *req, size_t len, struct status *st)
+{
+  struct memory_budget *budget = req->server->config.budget;
+  if (!budget || len <= req->reserved)
+    return 0;
+  if (!memory_budget_reserve (budget, req->reserved, len))
+    return status_set (st, STATUS_OVERLOADED, "no memory for a body of %zu bytes", len);
+  req->reserved = len;
+  return 0;
+}
+
 /* Before the body arrives.  A response that is queued now makes the library close the connection
    after it, and the body is not read.  */
 static int
 check_announced (struct http_request *req, struct status *st)
 {
-  if (announced_length (req) > req->server->config.max_body)
+  uint64_t len = announced_length (req);
+  if (len > req->server->config.max_body)
     return too_large (req, st);
-  return 0;
+  return reserve_body (req, (size_t)len, st);
 }
 
 static int
@@ -154,6 +185,10 @@
 {
   if (len > req->server->config.max_body - req->body.len)
     return too_large (req, st);
+  if (reserve_body (req, req->body.len + len, st) < 0)
+    return -1;
+  if (req->body.len == 0)
+    buffer_reserve (&req->body, req->reserved);
   buffer_append (&req->body, data, len);
   return 0;
 }
@@ -167,6 +202,7 @@
   if (check_announced (req, &st) == 0)
     return MHD_YES;
   req->handled = true;
+  counter_add (&refused_bodies, 1);
   http_reply_status (req, &st);
   http_add_header (req->response, "Connection", "close");
   return MHD_queue_response (connection, (unsigned)req->response_code, req->response);
@@ -177,8 +213,6 @@
 send_refusal (struct http_request *req, const struct status *st)
 {
   const struct status_answer *a = status_answer (st->kind);
-  const union MHD_ConnectionInfo *info
-      = MHD_get_connection_info (req->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
   json_t *json = http_status_json (st);
   char *text = json ? json_dumps (json, JSON_COMPACT) : NULL;
   struct buffer out;
@@ -188,7 +222,7 @@
                  "%sContent-Length: %zu\r\n\r\n%s",
                  a->http_code, a->may_retry ? "Retry-After: " RETRY_AFTER_S "\r\n" : "",
                  text ? strlen (text) : 0, text ? text : "");
-  send (info->connect_fd, out.data, out.len, MSG_DONTWAIT | MSG_NOSIGNAL);
+  send (connection_fd (req->connection), out.data, out.len, MSG_DONTWAIT | MSG_NOSIGNAL);
   buffer_close (&out);
   json_decref (json);
   free (text);
@@ -200,6 +234,7 @@
   struct status st;
   if (append_body (req, data, *size, &st) < 0)
     {
+      counter_add (&refused_bodies, 1);
       send_refusal (req, &st);
       return MHD_NO;
     }
@@ -237,6 +272,32 @@
   return MHD_YES;
 }
 
+static bool
+is_stalled (struct http_request *req)
+{
+  bool slow = req->body.len - req->checked_len < BODY_PROGRESS_BYTES;
+  req->checked_len = req->body.len;
+  req->slow_checks = slow ? req->slow_checks + 1 : 0;
+  return req->slow_checks > MAX_SLOW_CHECKS;
+}
+
+/* The library closes the connection when it finds the socket shut down.  */
+static void
+on_body_timer (struct ev_loop *loop, ev_timer *w, int events)
+{
+  struct http_server *server = w->data;
+  struct http_request *req;
+  (void)loop;
+  (void)events;
+  LIST_FOREACH (req, &server->requests, link)
+  {
+    if (req->handled || !is_stalled (req))
+      continue;
+    counter_add (&slow_bodies, 1);
+    shutdown (connection_fd (req->connection), SHUT_RDWR);
+  }
+}
+
 static void
 on_completed (void *arg, struct MHD_Connection *connection, void **user,
               enum MHD_RequestTerminationCode code)
@@ -252,6 +313,8 @@
   if (req->response)
     MHD_destroy_response (req->response);
   buffer_close (&req->body);
+  if (server->config.budget)
+    memory_budget_release (server->config.budget, req->reserved);
   free (req);
   *user = NULL;
 }
@@ -298,6 +361,10 @@
       return NULL;
     }
   server->http_loop = http_loop_open (loop, server->daemon);
+  double check_s = config->body_check_s > 0 ? config->body_check_s : BODY_CHECK_PERIOD_S;
+  ev_timer_init (&server->body_timer, on_body_timer, check_s, check_s);
+  server->body_timer.data = server;
+  ev_timer_start (loop, &server->body_timer);
   return server;
 }
 
@@ -318,6 +385,7 @@
   LIST_FOREACH (req, &server->requests, link)
   if (req->suspended)
     MHD_resume_connection (req->connection);
+  ev_timer_stop (server->http_loop->loop, &server->body_timer);
   http_loop_close (server->http_loop);
   MHD_stop_daemon (server->daemon);
   free (server);
@@ -327,10 +395,8 @@
 bool
 http_sender_is_gone (const struct http_request *req)
 {
-  const union MHD_ConnectionInfo *info
-      = MHD_get_connection_info (req->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
   char byte;
-  ssize_t n = recv (info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  ssize_t n = recv (connection_fd (req->connection), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -3,7 +3,11 @@
    The handler runs once the complete body has arrived and may answer immediately or later; until
    then the connection is suspended.  A request is valid until its answer is sent; the handler must
    answer every request exactly once.  The proxy streams bodies, so it drives its own MHD daemon
-   through http_loop_open.  */
+   through http_loop_open.
+
+   A body that gets no room in the budget is refused as overloaded (503, Retry-After); the handler
+   does not see it.  A connection whose body brings less than 8 KiB in each of five successive
+   periods of 5 s is closed.  */
 
 #ifndef SASSAFRAS_HTTP_SERVER_H
 #define SASSAFRAS_HTTP_SERVER_H
@@ -18,6 +22,7 @@
 #include <microhttpd.h>
 
 #include "buffer.h"
+#include "memory_budget.h"
 #include "status.h"
 
 struct http_loop;   /* an MHD daemon attached to a libev loop */
@@ -30,6 +35,9 @@
   const char *method;            /* "GET", ... */
   const char *path;              /* decoded path without the query */
   struct buffer body;            /* complete body */
+  size_t reserved;               /* bytes of the budget, for the body */
+  size_t checked_len;            /* of the body, when its progress was last checked */
+  unsigned slow_checks;          /* successive ones without enough progress */
   bool handled;                  /* the handler has run */
   bool suspended;                /* waiting for an answer */
   struct MHD_Response *response; /* set by the reply */
@@ -46,6 +54,8 @@
   size_t max_body;     /* bytes; a longer body is refused as too-large and not read to its end */
   http_handler *handler;
   void *handler_arg;
+  double body_check_s;          /* period of the checks of progress, seconds; 0: 5 s */
+  struct memory_budget *budget; /* shared by the servers of a process; NULL: none */
 };
 
 struct http_loop *http_loop_open (struct ev_loop *loop,
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -17,11 +17,14 @@
 #define REQUEST "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
 #define STEP_S 0.02
 #define MAX_BODY 1000
+#define CHECK_S 0.02
+#define MAX_STEPS 500
 
 struct fixture
 {
   struct ev_loop *loop;
   struct http_server *server;
+  struct memory_budget budget;
   struct http_request *request; /* not answered yet */
   bool gone_when_read;
   int sender;
@@ -65,8 +68,13 @@
   struct fixture *f = xcalloc (1, sizeof *f);
   struct status st;
   f->loop = ev_loop_new (0);
-  const struct http_server_config config
-      = { .address = "127.0.0.1:0", .max_body = MAX_BODY, .handler = handle, .handler_arg = f };
+  memory_budget_init (&f->budget, 1);
+  const struct http_server_config config = { .address = "127.0.0.1:0",
+                                             .max_body = MAX_BODY,
+                                             .handler = handle,
+                                             .handler_arg = f,
+                                             .body_check_s = CHECK_S,
+                                             .budget = &f->budget };
   f->server = http_server_open (f->loop, &config, &st);
   assert_non_null (f->server);
   *state = f;
@@ -81,6 +89,7 @@
     http_reply (f->request, 200, "text/plain", "", 0);
   run_step (f);
   http_server_close (f->server);
+  memory_budget_close (&f->budget);
   ev_loop_destroy (f->loop);
   free (f);
   return 0;
@@ -182,6 +191,62 @@
   close (fd);
 }
 
+static void
+test_body_without_room_is_refused_as_not_run (void **state)
+{
+  struct fixture *f = *state;
+  char answer[1024];
+  size_t held = f->budget.limit - MAX_BODY / 2;
+  f->budget.used = held; /* as if held by many small bodies */
+  int fd = send_text (f, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 600\r\n\r\n");
+  run_step (f);
+  assert_true (read_answer (fd, answer, sizeof answer));
+  assert_non_null (strstr (answer, " 503 "));
+  assert_non_null (strstr (answer, "Retry-After: 1"));
+  assert_non_null (strstr (answer, "\"ran\":\"no\""));
+  assert_null (f->request);
+  close (fd);
+  fd = send_text (f, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}");
+  run_step (f);
+  assert_non_null (f->request);
+  assert_int_equal (f->budget.used, held + 2);
+  http_reply (f->request, 200, "text/plain", "", 0);
+  f->request = NULL;
+  run_step (f);
+  assert_int_equal (f->budget.used, held);
+  close (fd);
+  memory_budget_init (&f->budget, 1);
+}
+
+static void
+test_stalled_body_is_closed_and_its_room_returns (void **state)
+{
+  struct fixture *f = *state;
+  char answer[1024];
+  int fd = send_text (f, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n{");
+  run_step (f);
+  assert_int_equal (f->budget.used, 9);
+  for (int i = 0; i < MAX_STEPS && f->budget.used > 0; i++)
+    run_step (f);
+  assert_int_equal (f->budget.used, 0);
+  assert_true (read_answer (fd, answer, sizeof answer));
+  assert_null (f->request);
+  close (fd);
+}
+
+static void
+test_request_that_is_being_handled_is_not_stalled (void **state)
+{
+  struct fixture *f = *state;
+  char answer[1024];
+  int fd = send_text (f, REQUEST);
+  for (int i = 0; i < 20; i++)
+    run_step (f);
+  assert_non_null (f->request);
+  assert_false (read_answer (fd, answer, sizeof answer));
+  close (fd);
+}
+
 int
 main (void)
 {
@@ -190,6 +255,9 @@
                                       TEST (test_sender_that_waits_is_not_gone),
                                       TEST (test_announced_excess_is_refused_before_the_body),
                                       TEST (test_body_that_outgrows_the_limit_is_closed),
-                                      TEST (test_body_of_the_largest_size_is_served) };
+                                      TEST (test_body_of_the_largest_size_is_served),
+                                      TEST (test_body_without_room_is_refused_as_not_run),
+                                      TEST (test_stalled_body_is_closed_and_its_room_returns),
+                                      TEST (test_request_that_is_being_handled_is_not_stalled) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
