http_server, proxy: close the oldest idle connections when descriptors run out

Clients that connected and sent nothing kept every descriptor of a process for 60 s: with 120 connections and 96 descriptors, ordinary requests to a front, a core VM and sassafrasd had no answer.

Cause: connections were bounded at 16,384 for each server, a bound that knows nothing of the descriptors of the process.

struct connection_limit is shared by the servers of a process. A new connection with one of the last descriptors (half of RLIMIT_NOFILE, at most 256, stay free for files and outgoing connections) shuts down the two connections that have been idle for the longest time. One with a complete request is never closed; a request that completes after the shutdown is not handled. The timeout of 60 s stays as it is.

--- a/src/edge/daemon.c
+++ b/src/edge/daemon.c
@@ -177,6 +177,7 @@
 {
   struct daemon *d = new_daemon (settings);
   signal (SIGPIPE, SIG_IGN);
+  connection_limit_init (&d->connections, 0);
   open_registry (d);
   if (!d->self)
     status_set (st, STATUS_INVALID_SETTING, "vm '%s' is not in the members file", settings->vm);
@@ -215,6 +216,7 @@
   proposal_router_close (d->proposals);
   if (d->runners)
     daemon_close_requests (d);
+  connection_limit_close (&d->connections);
   registry_free (d->registry);
   free (d);
 }
--- a/src/edge/daemon_http.c
+++ b/src/edge/daemon_http.c
@@ -222,12 +222,14 @@
                                               .max_body = BACKEND_MAX_BODY_BYTES,
                                               .handler = on_backend_request,
                                               .handler_arg = d,
-                                              .budget = &d->bodies };
+                                              .budget = &d->bodies,
+                                              .connections = &d->connections };
   const struct http_server_config operators = { .address = d->settings->operators,
                                                 .max_body = OPERATOR_API_MAX_BODY_BYTES,
                                                 .handler = on_operator_request,
                                                 .handler_arg = d,
-                                                .budget = &d->bodies };
+                                                .budget = &d->bodies,
+                                                .connections = &d->connections };
   memory_budget_init (&d->bodies, d->settings->memory_mb);
   d->worker_api = (struct worker_api){ .registry = d->registry,
                                        .cells = d->cells,
--- a/src/edge/daemon_internal.h
+++ b/src/edge/daemon_internal.h
@@ -46,7 +46,8 @@
   const registry_member *self; /* in the members file */
   bool has_disk;               /* this VM stores state on disk */
 
-  struct memory_budget bodies; /* of all servers but the proxy */
+  struct connection_limit connections; /* of all servers */
+  struct memory_budget bodies;         /* of all servers but the proxy */
   struct peer_net *net;
   struct registry *registry;
   struct registry_service *registry_service;
--- a/src/edge/daemon_requests.c
+++ b/src/edge/daemon_requests.c
@@ -105,7 +105,8 @@
                                    .router = &d->router,
                                    .limit = d->limit,
                                    .intents = &d->intents.store,
-                                   .seed = rng_next (&d->rng) };
+                                   .seed = rng_next (&d->rng),
+                                   .connections = &d->connections };
   d->proxy = proxy_open (d->loop, &pc, st);
   return d->proxy ? 0 : -1;
 }
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -128,6 +128,12 @@
   return MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
 }
 
+static struct limited_connection *
+limited_connection (struct MHD_Connection *connection)
+{
+  return MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context;
+}
+
 static struct http_request *
 new_request (struct http_server *server, struct MHD_Connection *connection, const char *path,
              const char *method)
@@ -260,6 +266,8 @@
     return begin_request (server, connection, url, method, (struct http_request **)user);
   if (*size > 0)
     return receive_body (req, data, size);
+  if (!connection_limit_begin (server->config.connections, limited_connection (connection)))
+    return MHD_NO;
   if (!req->handled)
     run_handler (req);
   if (req->response)
@@ -294,7 +302,7 @@
     if (req->handled || !is_stalled (req))
       continue;
     counter_add (&slow_bodies, 1);
-    shutdown (connection_fd (req->connection), SHUT_RDWR);
+    connection_limit_shut (server->config.connections, limited_connection (req->connection));
   }
 }
 
@@ -304,10 +312,10 @@
 {
   struct http_server *server = arg;
   struct http_request *req = *user;
-  (void)connection;
   (void)code;
   if (!req)
     return;
+  connection_limit_end (server->config.connections, limited_connection (connection));
   server->open_requests--;
   LIST_REMOVE (req, link);
   if (req->response)
@@ -319,6 +327,22 @@
   *user = NULL;
 }
 
+static void
+on_connection (void *arg, struct MHD_Connection *connection, void **context,
+               enum MHD_ConnectionNotificationCode code)
+{
+  struct connection_limit *limit = ((struct http_server *)arg)->config.connections;
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      *context = xcalloc (1, sizeof (struct limited_connection));
+      connection_limit_add (limit, *context, connection_fd (connection));
+      return;
+    }
+  connection_limit_remove (limit, *context);
+  free (*context);
+  *context = NULL;
+}
+
 int
 http_parse_address (const char *text, struct sockaddr_in *out, struct status *st)
 {
@@ -350,10 +374,10 @@
   server->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, server,
       MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
-      server, MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)CONNECTION_TIMEOUT_S,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
-      MHD_OPTION_CONNECTION_LIMIT, (unsigned)MAX_CONNECTIONS, MHD_OPTION_LISTENING_ADDRESS_REUSE,
-      1U, MHD_OPTION_END);
+      server, MHD_OPTION_NOTIFY_CONNECTION, on_connection, server, MHD_OPTION_CONNECTION_TIMEOUT,
+      (unsigned)CONNECTION_TIMEOUT_S, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_CONNECTION_LIMIT, (unsigned)MAX_CONNECTIONS,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
   if (!server->daemon)
     {
       status_set (st, STATUS_INTERNAL, "cannot listen on %s", config->address);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -22,6 +22,7 @@
 #include <microhttpd.h>
 
 #include "buffer.h"
+#include "connection_limit.h"
 #include "memory_budget.h"
 #include "status.h"
 
@@ -54,8 +55,9 @@
   size_t max_body;     /* bytes; a longer body is refused as too-large and not read to its end */
   http_handler *handler;
   void *handler_arg;
-  double body_check_s;          /* period of the checks of progress, seconds; 0: 5 s */
-  struct memory_budget *budget; /* shared by the servers of a process; NULL: none */
+  double body_check_s;                  /* period of the checks of progress, seconds; 0: 5 s */
+  struct memory_budget *budget;         /* shared by the servers of a process; NULL: none */
+  struct connection_limit *connections; /* likewise */
 };
 
 struct http_loop *http_loop_open (struct ev_loop *loop,
--- a/src/request/proxy.h
+++ b/src/request/proxy.h
@@ -37,6 +37,8 @@
 #define PROXY_BATCH_DEADLINE_MS 60000
 #define PROXY_MAX_DEADLINE_MS 600000
 
+struct connection_limit;
+
 struct proxy_config
 {
   const char *address;   /* "ip:port" to listen on; port 0 selects a free one */
@@ -48,7 +50,8 @@
   struct limit *limit;
   struct intent_store *intents; /* NULL: requests with a key are refused as unavailable */
   uint64_t seed;
-  double retry_tokens; /* initial retry budget of each service; 0 in production */
+  struct connection_limit *connections; /* shared by the servers of a process; NULL: none */
+  double retry_tokens;                  /* initial retry budget of each service; 0 in production */
 };
 
 struct proxy_stats
--- a/src/request/proxy_caller.c
+++ b/src/request/proxy_caller.c
@@ -485,13 +485,15 @@
            const char *version, const char *data, size_t *size, void **user)
 {
   struct proxy_call *call = *user;
-  (void)arg;
+  const struct proxy *p = arg;
   (void)connection;
   (void)url;
   if (call->queued_response)
     return MHD_YES;
   if (!call->parsed)
     {
+      if (call->caller && !connection_limit_begin (p->config.connections, &call->caller->limited))
+        return MHD_NO;
       begin_call (call, method, version);
       return call->response && !body_is_short (call) ? queue_answer (call) : MHD_YES;
     }
@@ -529,6 +531,7 @@
   if (call->caller)
     {
       call->caller->busy = false;
+      connection_limit_end (p->config.connections, &call->caller->limited);
       if (p->draining)
         shut_down_idle (call->caller);
     }
@@ -553,10 +556,12 @@
       c->fd = info->connect_fd;
       LIST_INSERT_HEAD (&p->connections, c, link);
       p->stats.connections++;
+      connection_limit_add (p->config.connections, &c->limited, c->fd);
       *context = c;
       return;
     }
   LIST_REMOVE (c, link);
+  connection_limit_remove (p->config.connections, &c->limited);
   p->stats.connections--;
   free (c);
   *context = NULL;
--- a/src/request/proxy_internal.h
+++ b/src/request/proxy_internal.h
@@ -95,6 +95,7 @@
 {
   struct proxy *proxy;
   int fd;
+  struct limited_connection limited;
   bool busy;           /* a request is in progress on it */
   bool receive_closed; /* shut down for reading by the drain */
   LIST_ENTRY (proxy_connection) link;
