http_client: a largest answer, and a budget for the answers of workers

Workers that answered calls without end took a core VM to 890 MB on a machine of 128 MB.

Cause: http_client_send kept an answer of any length, and there was no bound on the sum over the calls.

struct http_call gains max_answer, 4 MiB by default and 256 MiB for sassafrasctl, which reads the state of whole VMs. An announced excess ends the call before the answer is read; one that outgrows the limit ends it at once, and libcurl closes the connection. A call given up counts as unanswered, as before when its connection broke.

--- a/ctl/client.c
+++ b/ctl/client.c
@@ -5,6 +5,7 @@
 
 #include "clock.h"
 
+#define MAX_ANSWER_BYTES ((size_t)256 << 20) /* the state of a VM with many jobs */
 #define URL_BYTES 512
 #define MAX_REDIRECTS 4
 
@@ -73,6 +74,7 @@
     .headers = headers,
     .body = body,
     .body_len = body ? strlen (body) : 0,
+    .max_answer = MAX_ANSWER_BYTES,
     .timeout_ms = timeout_ms,
     .done = on_answer,
     .done_arg = x,
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -4,8 +4,14 @@
 #include <string.h>
 #include <sys/queue.h>
 
+#include "counters.h"
+
 #define CONNECT_TIMEOUT_MS 1000L
 
+static struct counter refused_answers
+    = { .name = "sassafras_http_answers_refused_total",
+        .help = "Answers given up: too large, or no room in the budget." };
+
 struct transfer
 {
   http_easy_done *done;
@@ -19,6 +25,7 @@
   struct ev_loop *loop;
   CURLM *multi;
   ev_timer timer;
+  struct memory_budget *budget; /* for answers, or NULL */
   LIST_HEAD (transfer_list, transfer) transfers;
   bool closing;
 };
@@ -26,9 +33,11 @@
 /* A request of http_client_send and its answer.  */
 struct exchange
 {
+  struct http_client *client;
   struct http_call call;
   struct curl_slist *headers;
   struct http_answer answer;
+  size_t reserved; /* bytes of the budget, for the answer */
 };
 
 struct socket_watch
@@ -144,6 +153,12 @@
   return client;
 }
 
+void
+http_client_set_budget (struct http_client *client, struct memory_budget *budget)
+{
+  client->budget = budget;
+}
+
 void
 http_easy_defaults (CURL *easy, long timeout_ms)
 {
@@ -181,8 +196,18 @@
 collect_body (char *data, size_t size, size_t count, void *arg)
 {
   struct exchange *x = arg;
-  buffer_append (&x->answer.body, data, size * count);
-  return size * count;
+  struct memory_budget *budget = x->client->budget;
+  size_t len = size * count;
+  size_t total = x->answer.body.len + len;
+  if (len > x->call.max_answer - x->answer.body.len
+      || (budget && !memory_budget_reserve (budget, x->reserved, total)))
+    {
+      counter_add (&refused_answers, 1);
+      return CURL_WRITEFUNC_ERROR;
+    }
+  x->reserved = total;
+  buffer_append (&x->answer.body, data, len);
+  return len;
 }
 
 static int
@@ -206,6 +231,8 @@
 {
   curl_slist_free_all (x->headers);
   buffer_close (&x->answer.body);
+  if (x->client->budget)
+    memory_budget_release (x->client->budget, x->reserved);
   curl_easy_cleanup (easy);
   free (x);
 }
@@ -247,7 +274,10 @@
 {
   struct exchange *x = xcalloc (1, sizeof *x);
   CURL *easy = curl_easy_init ();
+  x->client = client;
   x->call = *call;
+  if (x->call.max_answer == 0)
+    x->call.max_answer = HTTP_MAX_ANSWER_BYTES;
   for (const char *const *h = call->headers; h && *h; h++)
     x->headers = curl_slist_append (x->headers, *h);
   x->headers = curl_slist_append (x->headers, "Expect:");
@@ -255,6 +285,7 @@
   curl_easy_setopt (easy, CURLOPT_URL, call->url);
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, call->method);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, x->headers);
+  curl_easy_setopt (easy, CURLOPT_MAXFILESIZE_LARGE, (curl_off_t)x->call.max_answer);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, collect_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, x);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_before_request);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -13,8 +13,11 @@
 #include <ev.h>
 
 #include "buffer.h"
+#include "memory_budget.h"
 #include "status.h"
 
+#define HTTP_MAX_ANSWER_BYTES ((size_t)4 << 20) /* default of max_answer */
+
 struct http_client;
 
 /* Answer to http_client_send; valid only inside the callback.  */
@@ -40,8 +43,10 @@
   const char *const *headers; /* "Name: value" strings ended by NULL; may be NULL */
   const char *body;           /* may be NULL */
   size_t body_len;
-  long timeout_ms; /* for the request and its answer, on the clock that stops in a suspension */
-  bool once;       /* fails rather than being sent again when a reused connection breaks */
+  size_t max_answer; /* bytes; a longer answer fails as BACKEND_FAILED and its connection is closed;
+                        0: HTTP_MAX_ANSWER_BYTES */
+  long timeout_ms;   /* for the request and its answer, on the clock that stops in a suspension */
+  bool once;         /* fails rather than being sent again when a reused connection breaks */
   http_may_send_fn *may_send; /* called before each writing of the request; false cancels it with
                                  BACKEND_FAILED; may be NULL */
   http_answer_fn *done;       /* called exactly once */
@@ -50,6 +55,9 @@
 
 struct http_client *http_client_open (struct ev_loop *loop,
                                       long max_connections_per_host); /* 0: no limit. */
+void http_client_set_budget (struct http_client *client,
+                             struct memory_budget *budget); /* For answers; one without room fails
+                                                               as BACKEND_FAILED. */
 void http_client_close (struct http_client *client); /* Cancels open transfers; no callbacks. */
 void http_client_send (struct http_client *client,
                        const struct http_call *call); /* Sends one request. */
--- a/tests/test_worker_calls.c
+++ b/tests/test_worker_calls.c
@@ -65,7 +65,7 @@
   assert_non_null (f->worker);
   snprintf (f->address, sizeof f->address, "127.0.0.1:%d", http_server_port (f->worker));
   manual_clock_init (&f->clock, 1000);
-  f->calls = worker_calls_open (f->loop, &f->clock.clock);
+  f->calls = worker_calls_open (f->loop, &f->clock.clock, NULL);
   worker_calls_set_outcome_handler (f->calls, on_outcome, f);
 }
 
