--- a/src/base/memory_budget.h
+++ b/src/base/memory_budget.h
@@ -3,7 +3,8 @@
 
    The budget is an eighth of the machine's memory, at least MEMORY_BUDGET_MIN_BYTES.  Holdings of
    up to MEMORY_BUDGET_SMALL_BYTES may use all of it, larger ones three quarters, so that large
-   bodies never keep ordinary requests out.  */
+   bodies never keep ordinary requests out.  Bodies are parsed one at a time, which may take LIMIT
+   bytes beyond the budget.  */
 
 #ifndef SASSAFRAS_MEMORY_BUDGET_H
 #define SASSAFRAS_MEMORY_BUDGET_H
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 
 #include "counters.h"
+#include "json_cost.h"
 #include "log.h"
 
 #define CONNECTION_TIMEOUT_S 60
@@ -251,7 +252,14 @@
 static void
 run_handler (struct http_request *req)
 {
+  const struct memory_budget *budget = req->server->config.budget;
   req->handled = true;
+  if (budget && json_parsed_bytes (req->body.data, req->body.len) > budget->limit)
+    {
+      counter_add (&refused_bodies, 1);
+      http_reply_error (req, STATUS_TOO_LARGE, "body has too many JSON values");
+      return;
+    }
   req->server->config.handler (req->server->config.handler_arg, req);
 }
 
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -12,6 +12,7 @@
 #include <stdlib.h>
 
 #include "http_server.h"
+#include "json_cost.h"
 #include "raw_sender.h"
 
 #define REQUEST "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
@@ -191,6 +192,27 @@
   close (fd);
 }
 
+static void
+test_body_with_too_many_values_is_refused (void **state)
+{
+  struct fixture *f = *state;
+  char answer[1024];
+  const char *text = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 7\r\n\r\n[{},{}]";
+  size_t limit = f->budget.limit;
+  f->budget.limit = json_parsed_bytes ("[{},{}]", 7) - 1;
+  int fd = send_text (f, text);
+  run_step (f);
+  read_answer (fd, answer, sizeof answer);
+  assert_non_null (strstr (answer, " 413 "));
+  assert_null (f->request);
+  close (fd);
+  f->budget.limit = limit;
+  fd = send_text (f, text);
+  run_step (f);
+  assert_non_null (f->request);
+  close (fd);
+}
+
 static void
 test_body_without_room_is_refused_as_not_run (void **state)
 {
@@ -256,6 +278,7 @@
                                       TEST (test_announced_excess_is_refused_before_the_body),
                                       TEST (test_body_that_outgrows_the_limit_is_closed),
                                       TEST (test_body_of_the_largest_size_is_served),
+                                      TEST (test_body_with_too_many_values_is_refused),
                                       TEST (test_body_without_room_is_refused_as_not_run),
                                       TEST (test_stalled_body_is_closed_and_its_room_returns),
                                       TEST (test_request_that_is_being_handled_is_not_stalled) };
