voter_plan: finish a replacement whose successor votes already

Since the successor of a silent voter is promoted before the voter is removed, a group has six voters for one commit. A plan made in that time kept the silent one as a voter for good when no other spare was left, and with more spares went on to seven and eight voters.

Change: of an even number of voters the one that is silent for the longest time goes, and of more than five the last one becomes a learner.

--- a/src/workflow/seeded_group.c
+++ b/src/workflow/seeded_group.c
@@ -292,6 +292,7 @@
           = m->node == s->node ? now_ms
                                : find_activity (s, m->node, s->leading_since_ms)->last_active_ms;
       out[n++] = (struct plan_member){ .node = m->node,
+                                       .self = m->node == s->node,
                                        .voter = m->voter,
                                        .inactive_ms = now_ms - last_active_ms };
     }
--- a/src/workflow/voter_plan.c
+++ b/src/workflow/voter_plan.c
@@ -37,6 +37,33 @@
     }
 }
 
+/* The last step of a replacement: its successor votes already.  */
+static void
+drop_silent_surplus (struct plan_member *members, size_t count)
+{
+  struct plan_member *surplus = NULL;
+  if (count_voters (members, count) % 2 != 0)
+    return;
+  for (size_t i = 0; i < count; i++)
+    if (members[i].voter && members[i].inactive_ms >= VOTER_INACTIVE_LIMIT_MS
+        && (!surplus || members[i].inactive_ms > surplus->inactive_ms))
+      surplus = &members[i];
+  if (surplus)
+    {
+      surplus->voter = false;
+      surplus->dropped = true;
+    }
+}
+
+/* Demotes the youngest voter above MAX_VOTERS, after a replaced voter has answered again.  */
+static void
+demote_surplus (struct plan_member *members, size_t count)
+{
+  for (size_t i = count; i-- > 0 && count_voters (members, count) > MAX_VOTERS;)
+    if (members[i].voter && !members[i].self)
+      members[i].voter = false;
+}
+
 static void
 drop_lost_learners (struct plan_member *members, size_t count)
 {
@@ -62,6 +89,8 @@
   for (size_t i = 0; i < count; i++)
     members[i].dropped = false;
   replace_lost_voters (members, count);
+  drop_silent_surplus (members, count);
+  demote_surplus (members, count);
   drop_lost_learners (members, count);
   if (count_voters (members, count) % 2 == 0)
     promote (members, count);
--- a/src/workflow/voter_plan.h
+++ b/src/workflow/voter_plan.h
@@ -4,8 +4,10 @@
    is not notified, and a second VM may fail a few seconds later.
 
    A voter is removed only if a responsive replacement exists, so that no vote is lost needlessly.
-   Rules: a voter inactive for VOTER_INACTIVE_LIMIT_MS is replaced by a responsive learner; an even
-   number of voters gets one more; two learners are promoted if the number is odd and below
+   The replacement is promoted first, and a plan may be made in between: of an even number of voters
+   one that is inactive goes.  Rules: a voter inactive for VOTER_INACTIVE_LIMIT_MS is replaced by a
+   responsive learner; of more than MAX_VOTERS the last is demoted; an even number of voters gets
+   one more; two learners are promoted if the number is odd and below
    MAX_VOTERS; a learner inactive for LEARNER_INACTIVE_LIMIT_MS is removed.  member_sync handles a
    voter whose disk was replaced.  A removed VM requests to join again when it knows no leader.  */
 
@@ -24,6 +26,7 @@
 struct plan_member
 {
   uint64_t node;
+  bool self;           /* this VM, which leads and stays a voter */
   bool voter;          /* in: current role; out: planned role */
   bool dropped;        /* out: to be removed */
   int64_t inactive_ms; /* since it was last active (answered within 1.9 s); 0 for this VM */
--- a/tests/log_final_faults.c
+++ b/tests/log_final_faults.c
@@ -156,6 +156,7 @@
       const raft_member *m = &members->members.members_val[i];
       int64_t inactive_ms = sim_now_ms (s) - control->last_active_ms[m->node - 1];
       out[n++] = (struct plan_member){ .node = m->node,
+                                       .self = m->node == leader->id,
                                        .voter = m->voter,
                                        .inactive_ms
                                        = m->node == leader->id ? 0 : inactive_ms * TIME_SCALE };
--- a/tests/test_seeded_group.c
+++ b/tests/test_seeded_group.c
@@ -294,6 +294,39 @@
     assert_true (members[i].voter && !members[i].dropped);
 }
 
+/* A voter that is replaced stayed one for good when the plan was made again after its successor had
+   been promoted; with more spares the group grew to seven and eight voters.  */
+static void
+test_a_silent_voter_goes_after_its_successor_came (void **state)
+{
+  struct plan_member members[7];
+  (void)state;
+  for (uint64_t spares = 0; spares < 2; spares++)
+    {
+      for (uint64_t i = 0; i < 7; i++)
+        members[i] = (struct plan_member){ .node = i + 1, .self = i == 0, .voter = i < 6 };
+      members[3].inactive_ms = VOTER_INACTIVE_LIMIT_MS;
+      voter_plan (members, 6 + spares);
+      for (uint64_t i = 0; i < 6; i++)
+        assert_true (members[i].voter == (i != 3));
+      assert_true (members[3].dropped);
+      assert_false (spares && members[6].voter);
+    }
+}
+
+/* The voter answers again before it is removed.  */
+static void
+test_six_voters_become_five (void **state)
+{
+  struct plan_member members[7];
+  (void)state;
+  for (uint64_t i = 0; i < 7; i++)
+    members[i] = (struct plan_member){ .node = i + 1, .self = i == 5, .voter = i < 6 };
+  voter_plan (members, 7);
+  for (uint64_t i = 0; i < 7; i++)
+    assert_true (members[i].voter == (i < 4 || i == 5));
+}
+
 static void
 test_spares_are_promoted_in_pairs_up_to_five (void **state)
 {
@@ -320,6 +353,8 @@
           cmocka_unit_test_setup_teardown (test_a_spare_forgets_a_leader_that_is_silent,
                                            open_system, close_system),
           cmocka_unit_test (test_voter_without_replacement_is_kept),
+          cmocka_unit_test (test_a_silent_voter_goes_after_its_successor_came),
+          cmocka_unit_test (test_six_voters_become_five),
           cmocka_unit_test (test_spares_are_promoted_in_pairs_up_to_five) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
