raft: demote a voter whose disk was replaced at once

The removal of a voter without a vote waited until all learners to promote were ready. Found by a review.

--- a/src/log/raft_members.c
+++ b/src/log/raft_members.c
@@ -301,7 +301,7 @@
 }
 
 /* A member that the target removes or demotes; with ONLY_LOST_DISK, a voter whose disk was
-   replaced.  These are removed before promotions, the others after them: a voter that only does not
+   replaced.  These are removed at once, the others after promotions: a voter that only does not
    answer may return, and the group bears fewer lost disks without it.  */
 static struct raft_peer *
 next_removal (struct raft *r, bool only_lost_disk)
@@ -334,11 +334,11 @@
     return;
   bool ready;
   struct raft_peer *promote = next_promotion (r, now_ms, &ready);
-  if (!ready)
-    return;
   struct raft_peer *p = next_removal (r, true);
   if (p)
     remove_member (r, p);
+  else if (!ready)
+    return;
   else if (promote)
     change_member (r, promote->node, true, true, promote->store);
   else if ((p = next_removal (r, false)) != NULL)
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -190,7 +190,7 @@
 
 /* Promotes two learners of a leader that commits 4,000 entries a second.  */
 static void
-promote_under_load (int64_t delay_us)
+promote_under_load (int64_t delay_us, int64_t jitter_us)
 {
   struct sim s;
   struct sim_config c = make_config (3, 0);
@@ -199,7 +199,7 @@
   c.step_ms = 5;
   sim_init (&s, &c);
   s.delay_min_us = delay_us;
-  s.delay_max_us = delay_us; /* a connection keeps the order */
+  s.delay_max_us = delay_us + jitter_us; /* with jitter, messages overtake each other */
   start_all (&s);
   struct sim_node *leader = wait_leader (&s, 5000);
   assert_non_null (leader);
@@ -234,7 +234,7 @@
 test_a_learner_that_follows_a_busy_leader_is_promoted (void **state)
 {
   (void)state;
-  promote_under_load (ONE_WAY_DELAY_US);
+  promote_under_load (ONE_WAY_DELAY_US, 1000);
 }
 
 /* Guards against learners that are never promoted since their answers take 300 ms: the group keeps
@@ -243,11 +243,12 @@
 test_a_busy_learner_is_promoted (void **state)
 {
   (void)state;
-  promote_under_load (BUSY_ONE_WAY_DELAY_US);
+  promote_under_load (BUSY_ONE_WAY_DELAY_US, 0);
 }
 
 #define STATE_BYTES 6000000                    /* of the group of 490 workers */
 #define REGION_LINK_BYTES_PER_S (60000000 / 8) /* 60 Mbit/s */
+#define SLOW_LINK_BYTES_PER_S (8000000 / 8)    /* 8 Mbit/s */
 #define CATCH_UP_MS 4000 /* a VM that is back for this long may no longer count as lost */
 #define FINAL_LEADER_LIMIT_MS 5000
 
@@ -307,6 +308,37 @@
   sim_close (&s);
 }
 
+/* A second disk is lost while the first member with a new one is still being sent its snapshot.  A
+   voter without a vote stayed one until then: of four voters all three others were needed.  */
+static void
+test_a_second_replaced_disk_is_demoted_at_once (void **state)
+{
+  struct sim s;
+  struct member_sync sync = { .group = NULL };
+  struct sim_config c = make_config (5, 0);
+  (void)state;
+  c.step_ms = 5;
+  c.state_bytes = STATE_BYTES;
+  sim_init (&s, &c);
+  s.delay_min_us = ONE_WAY_DELAY_US;
+  s.delay_max_us = ONE_WAY_DELAY_US;
+  s.link_bytes_per_s = SLOW_LINK_BYTES_PER_S;
+  start_all (&s);
+  struct sim_node *leader = wait_leader (&s, 5000);
+  assert_non_null (leader);
+  run_with_five_voters (&s, &sync, 9000);
+  sim_wipe (&s, &s.nodes[leader->id % 5], 100);
+  run_with_five_voters (&s, &sync, 1500);
+  struct sim_node *second = &s.nodes[(leader->id + 1) % 5];
+  sim_wipe (&s, second, 100);
+  run_with_five_voters (&s, &sync, 1500);
+  assert_ptr_equal (sim_leader (&s), leader);
+  assert_int_equal (s.snapshots_installed, 0);
+  assert_false (raft_members_find (group_members (leader->group), second->id)->voter);
+  assert_no_violation (&s);
+  sim_close (&s);
+}
+
 /* A leader whose disk is full acknowledges nothing, and the others replace it.  */
 static void
 test_full_disk_stops_acknowledging (void **state)
@@ -1000,6 +1032,7 @@
           cmocka_unit_test (test_a_learner_that_follows_a_busy_leader_is_promoted),
           cmocka_unit_test (test_a_busy_learner_is_promoted),
           cmocka_unit_test (test_a_replaced_disk_votes_before_two_more_are_lost),
+          cmocka_unit_test (test_a_second_replaced_disk_is_demoted_at_once),
           cmocka_unit_test (test_full_disk_stops_acknowledging),
           cmocka_unit_test (test_full_disks_one_after_the_other),
           cmocka_unit_test (test_failed_sync_then_power_loss),
