--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -566,7 +566,8 @@
     }
   assert_non_null (leader);
   assert_ptr_not_equal (leader, old);
-  sim_drop_from (s, leader->id);
+  if (leader)
+    sim_drop_from (s, leader->id);
   return leader;
 }
 
