--- a/src/workflow/group_reporter.h
+++ b/src/workflow/group_reporter.h
@@ -1,13 +1,16 @@
 /* group_reporter: log lines and gauges that tell why a group has no leader or too few voters.
 
    NOTES
-   Events, each at most once a second and only while it holds:
+   Events, the last two at most once a second and only while they hold:
 
-   members-in-force        the members in the log have changed; each with its role and the id of the
-                           store that may vote for it
-   no-leader               this VM has known no leader for REPORTER_DELAY_MS; whether it may vote,
-   its last entry, and the answer of each voter to its last request for a vote member-change-waits
-   this VM leads and a change of members has waited for REPORTER_DELAY_MS; for which learner and why
+   members-in-force: the members in the log have changed; each with its role and the id of the store
+   that may vote for it.
+
+   no-leader: this VM has known no leader for REPORTER_DELAY_MS; whether it may vote, its last
+   entry, and the last answer of each voter to its requests for a vote.
+
+   member-change-waits: this VM leads and a change of members has waited for REPORTER_DELAY_MS; for
+   which learner and why.
 
    Members are named by address: their id is their IPv4 address.  */
 
