--- a/tests/log_final_faults.c
+++ b/tests/log_final_faults.c
@@ -4,11 +4,12 @@
    fault that it must survive, because it came while the members were being changed, a snapshot was
    being sent or a member was writing its failed store again.
 
-   Usage: log_final_faults [--first N] [--seeds N] [--trace]
-   Each seed is one run.  The members are kept by voter_plan and member_sync, as in seeded_group, on
-   clocks that run ten times as fast as in the product.  After some faults, at a chosen moment, as
-   many disks are lost as the group tolerates; every other member loses power.  All start again.
-   Then a command must commit within RECOVERY_MS and all members must hold the same state.
+   Usage: log_final_faults [--first N] [--seeds N] [--state-bytes N] [--trace]
+   Each seed is one run, with snapshots of less than --state-bytes and their commands.  The members
+   are kept by voter_plan and member_sync, as in seeded_group, on clocks that run ten times as fast
+   as in the product.  After some faults, at a chosen moment, as many disks are lost as the group
+   tolerates; every other member loses power.  All start again. Then a command must commit within
+   RECOVERY_MS and all members must hold the same state.
 
    A lost disk counts as lost until its member has been back for REPLACE_MS without another fault.
    So no more disks are lost at one time than the group tolerates.  */
@@ -23,6 +24,7 @@
 #include "voter_plan.h"
 
 #define DEFAULT_SEEDS 500
+#define DEFAULT_STATE_BYTES 3000
 #define TIME_SCALE 10       /* timing of this test to that of the product */
 #define REPLACE_MS 600      /* time in which a lost disk is replaced */
 #define RECOVERY_MS 6000    /* time to converge after the final fault */
@@ -103,7 +105,7 @@
 }
 
 static void
-init_scenario (struct scenario *sc, uint64_t seed, FILE *trace)
+init_scenario (struct scenario *sc, uint64_t seed, uint64_t state_bytes, FILE *trace)
 {
   memset (sc, 0, sizeof *sc);
   rng_init (&sc->rng, seed * 2654435761u + 5);
@@ -114,7 +116,7 @@
                           .snapshot_log_bytes = 1500u + (uint64_t)rng_below (&sc->rng, 20000),
                           .append_bytes = 100u + (uint32_t)rng_below (&sc->rng, 1500),
                           .chunk_bytes = 64u + (uint32_t)rng_below (&sc->rng, 300),
-                          .state_bytes = (uint32_t)rng_below (&sc->rng, 3000),
+                          .state_bytes = (uint32_t)rng_below (&sc->rng, state_bytes),
                           .step_ms = 5,
                           .authority_ms = 70 };
   sim_init (&sc->sim, &c);
@@ -579,11 +581,12 @@
 };
 
 static bool
-run_seed (uint64_t seed, FILE *trace, struct totals *totals, char *failure, size_t failure_size)
+run_seed (uint64_t seed, uint64_t state_bytes, FILE *trace, struct totals *totals, char *failure,
+          size_t failure_size)
 {
   struct scenario *sc = xmalloc (sizeof *sc);
   struct sim *s = &sc->sim;
-  init_scenario (sc, seed, trace);
+  init_scenario (sc, seed, state_bytes, trace);
   run_until_struck (sc);
   if (!s->failed)
     recover (sc);
@@ -601,7 +604,7 @@
 }
 
 static void
-print_trace (uint64_t seed)
+print_trace (uint64_t seed, uint64_t state_bytes)
 {
   char *text = NULL;
   size_t len = 0;
@@ -610,7 +613,7 @@
   FILE *trace = open_memstream (&text, &len);
   if (!trace)
     return;
-  run_seed (seed, trace, &unused, failure, sizeof failure);
+  run_seed (seed, state_bytes, trace, &unused, failure, sizeof failure);
   fclose (trace);
   const char *tail = len > TRACE_TAIL_BYTES ? text + len - TRACE_TAIL_BYTES : text;
   printf ("end of the trace of seed %llu:\n%s\n", (unsigned long long)seed, tail);
@@ -622,6 +625,7 @@
 {
   uint64_t first = 1;
   uint64_t seeds = DEFAULT_SEEDS;
+  uint64_t state_bytes = DEFAULT_STATE_BYTES;
   FILE *trace = NULL;
   struct totals totals = { 0 };
   char failure[256];
@@ -631,11 +635,14 @@
         first = strtoull (argv[++i], NULL, 10);
       else if (strcmp (argv[i], "--seeds") == 0 && i + 1 < argc)
         seeds = strtoull (argv[++i], NULL, 10);
+      else if (strcmp (argv[i], "--state-bytes") == 0 && i + 1 < argc)
+        state_bytes = strtoull (argv[++i], NULL, 10);
       else if (strcmp (argv[i], "--trace") == 0)
         trace = stdout;
       else
         {
-          fprintf (stderr, "usage: log_final_faults [--first N] [--seeds N] [--trace]\n");
+          fprintf (stderr, "usage: log_final_faults [--first N] [--seeds N] [--state-bytes N] "
+                           "[--trace]\n");
           return 2;
         }
     }
@@ -643,11 +650,11 @@
     return 2;
   for (uint64_t seed = first; seed < first + seeds; seed++)
     {
-      if (run_seed (seed, trace, &totals, failure, sizeof failure))
+      if (run_seed (seed, state_bytes, trace, &totals, failure, sizeof failure))
         continue;
       printf ("seed %llu: %s\n", (unsigned long long)seed, failure);
       if (!trace)
-        print_trace (seed);
+        print_trace (seed, state_bytes);
       return 1;
     }
   printf ("%llu seeds: %llu acknowledged, %llu leaders, %llu snapshots loaded; final faults at any "
