--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -8,6 +8,7 @@
 #include <cmocka.h>
 #include <string.h>
 
+#include "group_internal.h"
 #include "log.h"
 #include "log_sim.h"
 #include "member_sync.h"
@@ -948,6 +949,222 @@
   sim_close (&s);
 }
 
+#define HALF_WAY_MS 300 /* of a snapshot of SNAPSHOT_BYTES on a link of LINK_BYTES_PER_S */
+#define SNAPSHOT_BYTES 2000000
+#define LINK_BYTES_PER_S (30000000 / 8)
+#define CONVERGE_LIMIT_MS 20000
+
+static void
+propose_for_snapshot (struct sim *s, struct sim_node *leader)
+{
+  for (int i = 0; i < 200; i++)
+    {
+      sim_propose (s, leader, 200);
+      sim_run_ms (s, 10);
+    }
+}
+
+/* Starts three voters and sends one of them, which is returned, half of a snapshot.  */
+static struct sim_node *
+send_half_a_snapshot (struct sim *s)
+{
+  struct sim_config c = make_config (3, 0);
+  c.state_bytes = SNAPSHOT_BYTES;
+  c.snapshot_log_bytes = 20000;
+  c.step_ms = 5;
+  sim_init (s, &c);
+  s->delay_min_us = ONE_WAY_DELAY_US;
+  s->delay_max_us = ONE_WAY_DELAY_US;
+  s->link_bytes_per_s = LINK_BYTES_PER_S;
+  start_all (s);
+  struct sim_node *leader = wait_leader (s, 5000);
+  assert_non_null (leader);
+  struct sim_node *lagging = &s->nodes[leader->id % 3];
+  sim_run_ms (s, 500);
+  sim_crash (s, lagging, -1);
+  propose_for_snapshot (s, leader);
+  lagging->restart_at_ms = sim_now_ms (s);
+  for (int i = 0; i < 1000 && !raft_sending_snapshot (leader->group->raft); i++)
+    sim_step (s);
+  sim_run_ms (s, HALF_WAY_MS);
+  assert_true (raft_sending_snapshot (leader->group->raft));
+  assert_int_equal (s->snapshots_installed, 0);
+  return lagging;
+}
+
+static void
+assert_catches_up (struct sim *s, const struct sim_node *n)
+{
+  int64_t until = sim_now_ms (s) + CONVERGE_LIMIT_MS;
+  uint64_t ok = s->ok;
+  while (sim_now_ms (s) < until
+         && (s->ok == ok || !n->group || !sim_leader (s)
+             || n->machine.index != sim_leader (s)->machine.index))
+    {
+      if (s->ok == ok)
+        sim_propose (s, sim_leader (s), 8);
+      sim_run_ms (s, 50);
+    }
+  assert_true (s->ok > ok);
+  assert_non_null (sim_leader (s));
+  assert_int_equal (n->machine.index, sim_leader (s)->machine.index);
+  assert_no_violation (s);
+}
+
+/* Guards against a leader that goes on in the middle of a snapshot whose first part is gone.  */
+static void
+test_a_member_restarts_half_way_through_a_snapshot (void **state)
+{
+  struct sim s;
+  (void)state;
+  struct sim_node *lagging = send_half_a_snapshot (&s);
+  sim_crash (&s, lagging, 100);
+  assert_catches_up (&s, lagging);
+  assert_true (s.snapshots_installed > 0);
+  sim_close (&s);
+}
+
+/* Guards against a member that mixes parts of the snapshots of two leaders.  */
+static void
+test_the_leader_changes_half_way_through_a_snapshot (void **state)
+{
+  struct sim s;
+  (void)state;
+  struct sim_node *lagging = send_half_a_snapshot (&s);
+  sim_crash (&s, sim_leader (&s), 3000);
+  assert_catches_up (&s, lagging);
+  assert_true (s.snapshots_installed > 0);
+  sim_close (&s);
+}
+
+/* Guards against a member that mixes parts of two snapshots of one leader.  */
+static void
+test_a_newer_snapshot_half_way_through_a_snapshot (void **state)
+{
+  struct sim s;
+  (void)state;
+  struct sim_node *lagging = send_half_a_snapshot (&s);
+  struct sim_node *leader = sim_leader (&s);
+  uint64_t index = leader->group->snapshot_index;
+  for (int i = 0; i < 5 * SNAPSHOT_BYTES / 4000; i++)
+    sim_propose (&s, leader, 4000);
+  sim_run_ms (&s, 10);
+  assert_true (leader->group->snapshot_index > index);
+  assert_int_equal (s.snapshots_installed, 0);
+  assert_catches_up (&s, lagging);
+  assert_true (s.snapshots_installed > 0);
+  sim_close (&s);
+}
+
+/* Guards against a transfer that ends for good, or with other content, when the network loses,
+   doubles and reorders chunks and their replies.  */
+static void
+test_chunks_of_a_snapshot_are_lost_doubled_and_overtaken (void **state)
+{
+  struct sim s;
+  (void)state;
+  struct sim_node *lagging = send_half_a_snapshot (&s);
+  s.loss = 0.1;
+  s.duplicate = 0.2;
+  s.delay_max_us = 4 * ONE_WAY_DELAY_US;
+  sim_run_ms (&s, 3000);
+  s.loss = 0;
+  assert_catches_up (&s, lagging);
+  assert_true (s.snapshots_installed > 0);
+  sim_close (&s);
+}
+
+/* Fills the disks of COUNT of the voters that follow the leader, until their stores have failed. */
+static void
+fail_stores (struct sim *s, int voters, int count)
+{
+  struct sim_config c = make_config (voters, 0);
+  sim_init (s, &c);
+  s->delay_max_us = 2000;
+  start_all (s);
+  struct sim_node *leader = wait_leader (s, 5000);
+  assert_non_null (leader);
+  sim_run_ms (s, 500);
+  for (int i = 0; i < count; i++)
+    memory_disk_set_full (s->nodes[((int)leader->id + i) % voters].disk, true);
+  for (int i = 0; i < 10; i++)
+    {
+      sim_propose (s, leader, 100);
+      sim_run_ms (s, 20);
+    }
+  for (int i = 0; i < count; i++)
+    assert_true (group_has_failed (s->nodes[((int)leader->id + i) % voters].group));
+}
+
+#define RECOVERY_WRITE_CALLS 8
+
+/* Guards against two voters that stay outside when a write of their recovery fails, too.  */
+static void
+test_two_members_recover_at_once_and_a_write_fails (void **state)
+{
+  (void)state;
+  for (int call = 1; call <= RECOVERY_WRITE_CALLS; call++)
+    {
+      struct sim s;
+      fail_stores (&s, 5, 2);
+      int first = (int)sim_leader (&s)->id;
+      for (int i = 0; i < 2; i++)
+        {
+          memory_disk_set_full (s.nodes[(first + i) % 5].disk, false);
+          memory_disk_fail_at (s.nodes[(first + i) % 5].disk, call);
+        }
+      sim_run_ms (&s, 3000);
+      for (int i = 0; i < 2; i++)
+        {
+          assert_catches_up (&s, &s.nodes[(first + i) % 5]);
+          assert_false (group_has_failed (s.nodes[(first + i) % 5].group));
+        }
+      sim_close (&s);
+    }
+}
+
+/* Guards against a store that cannot be opened, or has lost acknowledged entries, after a power
+   loss while it was written again.  */
+static void
+test_power_is_lost_while_a_store_is_written_again (void **state)
+{
+  (void)state;
+  for (int call = 1; call <= RECOVERY_WRITE_CALLS; call++)
+    {
+      struct sim s;
+      fail_stores (&s, 3, 1);
+      struct sim_node *n = &s.nodes[sim_leader (&s)->id % 3];
+      memory_disk_set_full (n->disk, false);
+      memory_disk_crash_at (n->disk, call);
+      sim_run_ms (&s, 3000);
+      assert_catches_up (&s, n);
+      assert_false (group_has_failed (n->group));
+      sim_close (&s);
+    }
+}
+
+/* Guards against a recovered voter that votes again in a term of before its failure, which the
+   simulation checks, or that is of no use to the leaders of later terms.  */
+static void
+test_a_voter_recovers_with_the_term_of_before_its_failure (void **state)
+{
+  struct sim s;
+  (void)state;
+  fail_stores (&s, 5, 1);
+  struct sim_node *first = sim_leader (&s);
+  struct sim_node *n = &s.nodes[first->id % 5];
+  sim_crash (&s, first, -1);
+  sim_run_ms (&s, 3000);
+  assert_non_null (sim_leader (&s));
+  sim_crash (&s, sim_leader (&s), -1);
+  sim_run_ms (&s, 3000);
+  memory_disk_set_full (n->disk, false);
+  sim_run_ms (&s, 1000);
+  assert_false (group_has_failed (n->group));
+  assert_catches_up (&s, n);
+  sim_close (&s);
+}
+
 int
 main (void)
 {
@@ -975,7 +1192,14 @@
           cmocka_unit_test (test_last_entries_of_a_lost_leader_on_a_learner),
           cmocka_unit_test (test_transfer_and_confirm),
           cmocka_unit_test (test_idle_traffic),
-          cmocka_unit_test (test_snapshot_does_not_delay_heartbeats) };
+          cmocka_unit_test (test_snapshot_does_not_delay_heartbeats),
+          cmocka_unit_test (test_a_member_restarts_half_way_through_a_snapshot),
+          cmocka_unit_test (test_the_leader_changes_half_way_through_a_snapshot),
+          cmocka_unit_test (test_a_newer_snapshot_half_way_through_a_snapshot),
+          cmocka_unit_test (test_chunks_of_a_snapshot_are_lost_doubled_and_overtaken),
+          cmocka_unit_test (test_two_members_recover_at_once_and_a_write_fails),
+          cmocka_unit_test (test_power_is_lost_while_a_store_is_written_again),
+          cmocka_unit_test (test_a_voter_recovers_with_the_term_of_before_its_failure) };
   log_configure (&quiet);
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
