http_server: close stalled bodies sooner while memory for bodies is scarce

Cause: the stalled bodies kept the room of large bodies until they had made no progress in five periods of 5 s.

While large bodies hold more than half of their part of the budget, two successive checks without progress suffice, at least one whole period of 5 s.

--- a/src/base/memory_budget.c
+++ b/src/base/memory_budget.c
@@ -51,6 +51,12 @@
   return true;
 }
 
+bool
+memory_budget_is_scarce (const struct memory_budget *b)
+{
+  return b->large_used > b->large_limit / 2;
+}
+
 void
 memory_budget_release (struct memory_budget *b, size_t held)
 {
--- a/src/base/memory_budget.h
+++ b/src/base/memory_budget.h
@@ -30,6 +30,8 @@
 
 /* Changes a holding from HELD to WANTED bytes; false, without a change, when there is no room.  */
 bool memory_budget_reserve (struct memory_budget *b, size_t held, size_t wanted);
+bool memory_budget_is_scarce (
+    const struct memory_budget *b); /* Large holdings use more than half of their part. */
 void memory_budget_release (struct memory_budget *b,
                             size_t held); /* Ends a holding of HELD bytes. */
 
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -21,6 +21,7 @@
 #define BODY_CHECK_PERIOD_S 5.0
 #define BODY_PROGRESS_BYTES 8192 /* enough in a period */
 #define MAX_SLOW_CHECKS 5        /* the first period is a part of one */
+#define MAX_SLOW_CHECKS_SCARCE 1 /* while the budget is scarce */
 
 static struct counter refused_bodies
     = { .name = "sassafras_http_bodies_refused_total",
@@ -294,7 +295,9 @@
   bool slow = req->body.len - req->checked_len < BODY_PROGRESS_BYTES;
   req->checked_len = req->body.len;
   req->slow_checks = slow ? req->slow_checks + 1 : 0;
-  return req->slow_checks > MAX_SLOW_CHECKS;
+  const struct memory_budget *budget = req->server->config.budget;
+  bool scarce = budget && memory_budget_is_scarce (budget);
+  return req->slow_checks > (scarce ? MAX_SLOW_CHECKS_SCARCE : MAX_SLOW_CHECKS);
 }
 
 /* The library closes the connection when it finds the socket shut down.  */
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -6,9 +6,9 @@
    through http_loop_open.
 
    A body that gets no room in the budget is refused as overloaded (503, Retry-After); the handler
-   does not see it.  One whose JSON values take more than the whole budget when
-   they are parsed is refused as too large.  A connection whose body brings less than 8 KiB in each
-   of five successive periods of 5 s is closed.  */
+   does not see it.  One whose JSON values take more than the whole budget when they are parsed is
+   refused as too large.  A connection whose body brings less than 8 KiB in each of five successive
+   periods of 5 s is closed; in one while large bodies hold more than half of their part.  */
 
 #ifndef SASSAFRAS_HTTP_SERVER_H
 #define SASSAFRAS_HTTP_SERVER_H
--- a/tests/test_memory_budget.c
+++ b/tests/test_memory_budget.c
@@ -18,7 +18,10 @@
   memory_budget_init (&b, 256);
   assert_int_equal (b.limit, 32 * MIB);
   for (int i = 0; i < 6; i++)
-    assert_true (memory_budget_reserve (&b, 0, 4 * MIB));
+    {
+      assert_int_equal (memory_budget_is_scarce (&b), i > 3);
+      assert_true (memory_budget_reserve (&b, 0, 4 * MIB));
+    }
   assert_false (memory_budget_reserve (&b, 0, MEMORY_BUDGET_SMALL_BYTES + 1));
   assert_true (memory_budget_reserve (&b, 0, MEMORY_BUDGET_SMALL_BYTES));
   assert_false (
