--- a/src/log/raft_internal.h
+++ b/src/log/raft_internal.h
@@ -14,7 +14,7 @@
 #define RAFT_CATCH_UP_ENTRIES 64u
 /* Unacknowledged snapshot bytes per peer; at 30 Mbit/s what follows waits for 140 ms.  */
 #define RAFT_SNAPSHOT_WINDOW_BYTES 524288u
-#define RAFT_MAX_QUICK_RETRIES 12   /* pre-votes, elections and grants with short retry delays */
+#define RAFT_MAX_QUICK_RETRIES 12 /* pre-votes, elections and grants with short retry delays */
 
 enum peer_state
 {
