path tests: networks of their own beside other test runs

Five path tests used fixed addresses. The address depends on the process id now, as in scripts/cluster.sh.

--- a/tests/path_early_signals.sh
+++ b/tests/path_early_signals.sh
@@ -7,7 +7,7 @@
 folder=$(mktemp -d)
 trap 'kill -9 "${pid:-}" 2>/dev/null || true; rm -rf "$folder"' EXIT
 fail() { echo "FAILED: $1"; cat "$folder/log"; exit 1; }
-net=127.0.7
+net=127.$((1 + $$ % 250)).7 # other test runs on the machine have other networks
 mkdir "$folder/disk"
 mkfifo "$folder/disk/incarnation"
 "$build/sassafras-platform" --role=core --vm=core-1 --data-centre=z1 --ip=$net.1 --listen-control=$net.1:8166 \
--- a/tests/path_full_disk.sh
+++ b/tests/path_full_disk.sh
@@ -14,7 +14,7 @@
 trap '' XFSZ # a write beyond the limit fails, as on a full disk, and doesn't end the process
 fail() { echo "FAILED: $1"; tail -n 5 "$folder"/*.log; exit 1; }
 first=$((21000 + $$ % 8000))
-net=127.0.12
+net=127.$((1 + $$ % 250)).12 # other test runs on the machine have other networks
 seeds=$net.1:8166,$net.2:8166,$net.3:8166
 declare -A core
 for i in 1 2 3; do
--- a/tests/path_late_orders.sh
+++ b/tests/path_late_orders.sh
@@ -13,7 +13,7 @@
 trap cleanup EXIT
 fail() { echo "FAILED: $1"; tail -n 5 "$folder"/*.log; exit 1; }
 first=$((21000 + $$ % 8000))
-net=127.0.11
+net=127.$((1 + $$ % 250)).11 # other test runs on the machine have other networks
 seeds=$net.1:8166,$net.2:8166,$net.3:8166
 declare -A core front
 for i in 1 2 3; do
--- a/tests/path_platform.sh
+++ b/tests/path_platform.sh
@@ -14,7 +14,7 @@
 trap cleanup EXIT
 fail() { echo "FAILED: $1"; tail -n 5 "$folder"/*.log; exit 1; }
 first=$((21000 + $$ % 8000))
-net=127.0.8
+net=127.$((1 + $$ % 250)).8 # other test runs on the machine have other networks
 seeds=$net.1:8166,$net.2:8166,$net.3:8166
 start_core() { # NUMBER FIRST-START
   "$build/sassafras-platform" --role=core --vm="core-$1" --data-centre="z$1" --ip="$net.$1" \
--- a/tests/path_rejoin.sh
+++ b/tests/path_rejoin.sh
@@ -13,7 +13,7 @@
 trap cleanup EXIT
 fail() { echo "FAILED: $1"; tail -n 5 "$folder"/*.log; exit 1; }
 first=$((21000 + $$ % 8000))
-net=127.0.19
+net=127.$((1 + $$ % 250)).19 # other test runs on the machine have other networks
 declare -A core
 start_core() { # NUMBER FIRST-START SEEDS
   "$build/sassafras-platform" --role=core --vm="core-$1" --data-centre="z$1" --ip="$net.$1" \
