--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target
 # shellcheck disable=SC2046
-gcc -std=gnu11 -O2 -Wall -Wextra -o target/review-rig-2 review/rig-2/rig.c $(pkg-config --cflags --libs jansson) -pthread
+gcc -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra -o target/review-rig-2 review/rig-2/rig.c $(pkg-config --cflags --libs jansson) -pthread
--- a/review/rig-2/lib.sh
+++ b/review/rig-2/lib.sh
@@ -1,5 +1,5 @@
 # Functions of the scripts in review/6 and later; sourced after "cd" to the root of the repository.
-# A small deployment like kmbpu-sched: three core VMs, two fronts, on addresses of one loopback network, with the
+# A small deployment with the bounds of hsgr-rounds: three core VMs, two fronts, on addresses of one loopback network, with the
 # command lines of deploy/system.toml.  Runners, client, operator and proxy are target/review-rig-2.
 #   begin FOLDER     temporary folder, free network; record.txt in FOLDER
 #   start_cores; start_core N FIRST-START; start_fronts; start_runner ID [CONTROL...]
@@ -26,7 +26,7 @@
     grep -q "$(printf '[0-9A-F]\\{2\\}%02X%02X7F:' "${net##*.}" "$(echo "$net" | cut -d. -f2)")" /proc/net/tcp || break
   done
   first=$((21000 + RANDOM % 8000))
-  zones=(- nyabugogo kicukiro huye-main)
+  zones=(- erie-east erie-west huron-owen)
   seeds=$net.1:8166,$net.2:8166,$net.3:8166
   : >"$record"
   trap finish EXIT
@@ -36,7 +36,7 @@
 start_core() { # NUMBER FIRST-START
   target/sassafras-platform --role=core --vm="core-$1" --data-centre="${zones[$1]}" --ip="$net.$1" \
     --listen-control="$net.$1:8166" --ports="$first,$((first + 15))" --seeds="$seeds" --first-start="$2" \
-    --data-dir="$work/core-$1" --lease-ms=10000 --status-s=120 --grace-s=6 --memory-mb=256 >>"$work/core-$1.log" 2>&1 &
+    --data-dir="$work/core-$1" --lease-ms=6000 --status-s=120 --grace-s=6 --memory-mb=256 >>"$work/core-$1.log" 2>&1 &
   core[$1]=$!
   pids+=($!)
   disown
@@ -58,7 +58,7 @@
   shift 2
   [ $# -gt 0 ] || set -- "$net.1:8166" "$net.2:8166" "$net.3:8166"
   runner_address[$id]=$net.$((30 + ${id//[!0-9]/})):8080
-  $rig runner "$id" "${runner_address[$id]}" allocation "${zones[$((1 + ${id//[!0-9]/} % 3))]}" 32000 "$saved" 1100 10000 "$@" \
+  $rig runner "$id" "${runner_address[$id]}" cullet-route "${zones[$((1 + ${id//[!0-9]/} % 3))]}" 16000 "$saved" 1100 6000 "$@" \
     >>"$record" 2>>"$work/runners.log" &
   runner_pid[$id]=$!
   pids+=($!)
@@ -85,10 +85,10 @@
 }
 cannot() { echo "the case couldn't run: $1"; note "couldn't run: $1"; exit_code=2; exit 2; }
 route() { # NAME PREFIX
-  echo "{\"name\":\"$1\",\"host\":\"h.example\",\"path_prefix\":\"$2\",\"kind\":\"non_idempotent\",\"timeout_ms\":3000,\"target_latency_ms\":1000,\"priority\":0,\"service\":\"allocation\",\"max_attempts\":4,\"stretch\":2.0,\"allowed_regions\":[]}"
+  echo "{\"name\":\"$1\",\"host\":\"h.example\",\"path_prefix\":\"$2\",\"kind\":\"non_idempotent\",\"timeout_ms\":3000,\"target_latency_ms\":1000,\"priority\":0,\"service\":\"cullet-route\",\"max_attempts\":4,\"stretch\":2.0,\"allowed_regions\":[]}"
 }
 configuration() { # VERSION ROUTES
-  echo "{\"version\":$1,\"routes\":[$2],\"services\":[{\"name\":\"allocation\",\"health_path\":\"/health\",\"max_conns\":64,\"protocol\":\"h1\",\"tls\":false,\"cold_start_s\":0.0,\"cold_per_s\":0.0,\"rejects_overload\":true,\"standby\":false}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}"
+  echo "{\"version\":$1,\"routes\":[$2],\"services\":[{\"name\":\"cullet-route\",\"health_path\":\"/health\",\"max_conns\":64,\"protocol\":\"h1\",\"tls\":false,\"cold_start_s\":0.0,\"cold_per_s\":0.0,\"rejects_overload\":true,\"standby\":false}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}"
 }
 configured() { # BODY
   ask PUT "$net.2:8166" /sassafrasstall/config control "$1"
--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -1,16 +1,13 @@
 /* rig: small stand-ins for the scripts in review/6 and later.
 
    rig runner ID IP:PORT SERVICE ZONE CPU CHECKPOINT-BYTES BEAT-MS MAX-HOLD-MS CONTROL...
-       A runner.  The spec of a task is its run time in milliseconds, and may begin with a word and a
-       space; after the word "fails" its runs end failed.  SIGTERM: it drains, leaves and ends.  SIGKILL: a crash.  Each line on standard output
-       is "MS RUNNER start TASK RUN", "MS RUNNER end TASK RUN HOW" or another event.
-   rig proxy LISTEN TARGET
-       Forwards connections.  SIGUSR1: a partition, bytes wait.  SIGUSR2: the partition heals.
-   rig call TIMEOUT-MS METHOD IP:PORT PATH HOST [BODY]
-       Prints the status code (000: no answer), a space and the body.
-   rig now
-       Prints the Unix time in milliseconds.  */
-#define _GNU_SOURCE
+       A runner.  The spec of a task is its run time in milliseconds, and may begin with a word and
+   a space; after the word "fails" its runs end failed.  SIGTERM: it drains, leaves and ends.
+   SIGKILL: a crash.  Each line on standard output is "MS RUNNER start TASK RUN", "MS RUNNER end
+   TASK RUN HOW" or another event. rig proxy LISTEN TARGET Forwards connections.  SIGUSR1: a
+   partition, bytes wait.  SIGUSR2: the partition heals. rig call TIMEOUT-MS METHOD IP:PORT PATH
+   HOST [BODY] Prints the status code (000: no answer), a space and the body. rig now Prints the
+   Unix time in milliseconds.  */
 #include <arpa/inet.h>
 #include <ctype.h>
 #include <errno.h>
@@ -347,7 +344,7 @@
   t->refused_run = t->run;
   struct end *e = &w.ends[w.end_count++ % MAX_ENDS];
   *e = (struct end){ .number = ++w.last_end, .run = t->run, .how = how };
-  strcpy (e->name, t->name);
+  snprintf (e->name, sizeof e->name, "%s", t->name);
   record ("end %s %d %s", t->name, (int)t->run, how);
   pthread_cond_broadcast (&ended);
 }
@@ -359,9 +356,7 @@
   int64_t now_ms = clock_of_runner ();
   for (int i = 0; i < w.task_count; i++)
     if (w.tasks[i].running && (now_ms >= w.tasks[i].ends_ms || now_ms > w.lease_ms))
-      end_task (&w.tasks[i], now_ms > w.lease_ms   ? "lapsed"
-                             : w.tasks[i].fails ? "failed"
-                                                : "done");
+      end_task (&w.tasks[i], now_ms > w.lease_ms ? "lapsed" : w.tasks[i].fails ? "failed" : "done");
 }
 
 static void *
@@ -486,8 +481,8 @@
     if (w.tasks[i].running)
       {
         char *saved = checkpoint_of (&w.tasks[i]);
-        json_array_append_new (running, json_pack ("[s, I, s, i, i]", w.tasks[i].name,
-                                                   w.tasks[i].run, saved, 50, 1));
+        json_array_append_new (
+            running, json_pack ("[s, I, s, i, i]", w.tasks[i].name, w.tasks[i].run, saved, 50, 1));
         free (saved);
       }
   int first = w.end_count > MAX_ENDS ? w.end_count - MAX_ENDS : 0;
@@ -495,8 +490,8 @@
     {
       const struct end *e = &w.ends[i % MAX_ENDS];
       if (e->number > w.acknowledged)
-        json_array_append_new (finished,
-                               json_pack ("[I, s, I, s, s]", e->number, e->name, e->run, e->how, ""));
+        json_array_append_new (
+            finished, json_pack ("[I, s, I, s, s]", e->number, e->name, e->run, e->how, ""));
     }
   return json_pack ("{s:I, s:I, s:o, s:o}", "clock_ms", (json_int_t)clock_of_runner (), "born",
                     (json_int_t)w.born_ms, "running", running, "finished", finished);
@@ -736,8 +731,8 @@
   if (argc >= 7 && strcmp (argv[1], "call") == 0)
     {
       char *body;
-      int code = call (atoi (argv[2]), argv[3], argv[4], argv[5], argv[6], argc > 7 ? argv[7] : NULL,
-                       &body);
+      int code = call (atoi (argv[2]), argv[3], argv[4], argv[5], argv[6],
+                       argc > 7 ? argv[7] : NULL, &body);
       printf ("%03d %s\n", code, body ? body : "");
       free (body);
       return 0;
