--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -20,10 +20,10 @@
 [ "${TROUBLE:-1}" = 0 ] || sleep 2.5
 if [ "${TROUBLE:-1}" != 0 ]; then
   kill -USR1 $proxy
+  cut_ms=$($rig now)
   note "r1 and core-1 are partitioned"
 fi
 wait_for 15 grep -q ' r1 left' "$record" || cannot "r1 does not leave"
-cut_ms=$($rig now)
 # It starts again under its id and gets work that takes 20 s; there is no other runner yet.
 start_r1
 long='{"spec":"long 20000","steps":[{"count":4,"cpu":1000,"mem_mb":500,"estimate_ms":20000}]}'
