Refuse jobs whose size overflows

Cause: tasks x repetitions was computed before it was compared with the limit and overflowed to 0, as did the number of stages, so the job was accepted and its stages were walked without being allocated. The log contains the job, so every restart applied it again.

Change: counts are compared with the limit before they are multiplied.

--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -63,7 +63,7 @@
   if (r->image >= 0 && (s->flags & WORKFLOW_STEP_FILL))
     w->fill_millicores_of[r->image] += (uint32_t)sign * s->millicores;
   else if (r->image >= 0)
-    w->serving_tasks_of[r->image] = (uint16_t)(w->serving_tasks_of[r->image] + sign);
+    w->serving_tasks_of[r->image] += (uint32_t)sign;
   w->used_memory_mb += (uint32_t)sign * s->memory_mb;
   w->used_accelerators += (uint32_t)sign * s->accelerators;
 }
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -164,7 +164,7 @@
   struct pacing pacing;
   int64_t moved_ms;                              /* last attempt to move a fill-in task away */
   uint32_t fill_millicores_of[SLACK_MAX_IMAGES]; /* millicores by fill-in image */
-  uint16_t serving_tasks_of[SLACK_MAX_IMAGES];   /* tasks by serving image */
+  uint32_t serving_tasks_of[SLACK_MAX_IMAGES];   /* tasks by serving image */
   struct fill_share mix[MAX_MIX];                /* recent fill-in load, smoothed */
   size_t mix_count;
   int64_t mix_ms;                               /* last update of MIX */
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -54,7 +54,7 @@
 is_due (const struct workflow_task *t, int64_t wall_ms)
 {
   const workflow_spec *s = &t->job->spec;
-  return s->repetitions == 0 || wall_ms >= s->first_start_ms + t->occurrence * s->period_ms;
+  return s->repetitions == 0 || wall_ms >= workflow_start_ms (s, t->occurrence);
 }
 
 static int64_t
--- a/src/workflow/worker_select.c
+++ b/src/workflow/worker_select.c
@@ -75,7 +75,7 @@
   for (size_t i = 0; i < count; i++)
     {
       const struct worker_candidate *r = &candidates[i];
-      bool has_capacity = r->lasting_millicores + q->millicores <= r->millicores
+      bool has_capacity = (uint64_t)r->lasting_millicores + q->millicores <= r->millicores
                           && r->free_memory_mb >= q->memory_mb
                           && r->free_accelerators >= q->accelerators;
       bool allowed = q->max_per_worker == 0 || r->same_step < q->max_per_worker;
--- a/src/workflow/workflow.c
+++ b/src/workflow/workflow.c
@@ -131,6 +131,9 @@
   const workflow_step *s = &spec->steps.steps_val[i];
   if (s->count == 0)
     return status_set (st, STATUS_BAD_REQUEST, "step %u has no tasks", i);
+  if (s->count > WORKFLOW_MAX_TASKS)
+    return status_set (st, STATUS_BAD_REQUEST, "step %u has %u tasks, limit %d", i, s->count,
+                       WORKFLOW_MAX_TASKS);
   for (u_int k = 0; k < s->after.after_len; k++)
     if (s->after.after_val[k] >= i)
       return status_set (st, STATUS_BAD_REQUEST, "step %u waits for step %u, which is not earlier",
@@ -138,10 +141,16 @@
   return 0;
 }
 
+static uint32_t
+occurrences_of (const workflow_spec *spec)
+{
+  return spec->repetitions > 0 ? spec->repetitions : 1;
+}
+
 int
-workflow_check_spec (const workflow_spec *spec, struct status *st)
+workflow_check_size (const workflow_spec *spec, struct status *st)
 {
-  uint64_t tasks = 0;
+  uint64_t tasks = 0; /* at most WORKFLOW_MAX_STEPS x WORKFLOW_MAX_TASKS, times 2^32 */
   if (spec->steps.steps_len == 0 || spec->steps.steps_len > WORKFLOW_MAX_STEPS)
     return status_set (st, STATUS_BAD_REQUEST, "%u steps, allowed are 1 to %d",
                        spec->steps.steps_len, WORKFLOW_MAX_STEPS);
@@ -151,13 +160,35 @@
         return -1;
       tasks += spec->steps.steps_val[i].count;
     }
-  tasks *= spec->repetitions > 0 ? spec->repetitions : 1;
+  tasks *= occurrences_of (spec);
   if (tasks > WORKFLOW_MAX_TASKS)
     return status_set (st, STATUS_BAD_REQUEST, "%llu tasks, limit %d", (unsigned long long)tasks,
                        WORKFLOW_MAX_TASKS);
   return 0;
 }
 
+int64_t
+workflow_start_ms (const workflow_spec *spec, uint32_t occurrence)
+{
+  int64_t offset_ms;
+  int64_t start_ms;
+  if (__builtin_mul_overflow (spec->period_ms, occurrence, &offset_ms)
+      || __builtin_add_overflow (spec->first_start_ms, offset_ms, &start_ms))
+    return INT64_MAX;
+  return start_ms;
+}
+
+int
+workflow_check_spec (const workflow_spec *spec, struct status *st)
+{
+  if (workflow_check_size (spec, st) < 0)
+    return -1;
+  if (workflow_start_ms (spec, occurrences_of (spec) - 1) > WORKFLOW_MAX_START_MS)
+    return status_set (st, STATUS_BAD_REQUEST, "occurrence %u starts after the year 9999",
+                       occurrences_of (spec) - 1);
+  return 0;
+}
+
 static bool
 has_pool (const workflow_configuration *c, const char *name)
 {
--- a/src/workflow/workflow.h
+++ b/src/workflow/workflow.h
@@ -41,6 +41,8 @@
 #include "withdrawn_ids.h"
 #include "workflow_proto.h"
 
+#define WORKFLOW_MAX_START_MS 253402300799999 /* Unix time, end of the year 9999 */
+
 struct workflow_job;
 struct workflow_task;
 
@@ -172,8 +174,13 @@
 struct workflow_stage *workflow_stage_of (const struct workflow_task *t);
 struct workflow_run *workflow_find_run (const struct workflow_task *t, uint32_t run); /* Or NULL. */
 bool workflow_job_started (const struct workflow_job *j); /* At least one task has started. */
-int workflow_check_spec (const workflow_spec *spec,
-                         struct status *st); /* Limits and dependencies; -1 and ST on error. */
+int64_t workflow_start_ms (const workflow_spec *spec,
+                           uint32_t occurrence); /* Unix time; INT64_MAX beyond its range. */
+/* For a new request: limits, dependencies and times; -1 and ST on error.  */
+int workflow_check_spec (const workflow_spec *spec, struct status *st);
+/* The part that commands and snapshots must pass too: what workflow_add_job allocates follows from
+   it.  A time that is refused today may be in a log.  */
+int workflow_check_size (const workflow_spec *spec, struct status *st);
 int workflow_check_configuration (const workflow_configuration *c,
                                   struct status *st); /* Pools exist, routes are unique. */
 void workflow_encode (const workflow_command *c, struct buffer *out); /* Appends C to OUT. */
--- a/src/workflow/workflow_apply.c
+++ b/src/workflow/workflow_apply.c
@@ -197,7 +197,7 @@
       r->known = true;
       return;
     }
-  if (workflow_check_spec (spec, &st) < 0)
+  if (workflow_check_size (spec, &st) < 0)
     {
       r->status = STATUS_BAD_REQUEST;
       return;
@@ -432,6 +432,14 @@
   return j->occurrences * j->spec.steps.steps_len;
 }
 
+/* Estimates come from requests as they are; a path beyond UINT32_MAX ms (49 days) counts as that.
+ */
+static uint32_t
+add_estimate (uint32_t path_ms, uint32_t estimate_ms)
+{
+  return estimate_ms < UINT32_MAX - path_ms ? path_ms + estimate_ms : UINT32_MAX;
+}
+
 /* Steps depend on earlier steps only, so a single pass from the last step suffices.  */
 static void
 compute_critical_path (struct workflow_job *j)
@@ -441,7 +449,7 @@
   for (u_int i = count; i-- > 0;)
     {
       const workflow_step *s = &j->spec.steps.steps_val[i];
-      j->remain_ms[i] += s->estimate_ms;
+      j->remain_ms[i] = add_estimate (j->remain_ms[i], s->estimate_ms);
       if (j->remain_ms[i] > j->critical_path_ms)
         j->critical_path_ms = j->remain_ms[i];
       for (u_int k = 0; k < s->after.after_len; k++)
--- a/src/workflow/workflow_snapshot.c
+++ b/src/workflow/workflow_snapshot.c
@@ -163,7 +163,7 @@
 load_job (struct workflow *w, workflow_job_image *in)
 {
   struct status st;
-  if (workflow_check_spec (&in->spec, &st) < 0 || in->state > WORKFLOW_JOB_CANCELLED)
+  if (workflow_check_size (&in->spec, &st) < 0 || in->state > WORKFLOW_JOB_CANCELLED)
     return false;
   struct workflow_job *j = workflow_add_job (w, &in->spec);
   if (in->tasks.tasks_len != task_count (j))
--- a/tests/test_platform_decode.c
+++ b/tests/test_platform_decode.c
@@ -221,6 +221,47 @@
     }
 }
 
+/* Guards against a job whose size or times overflow, and a worker so large that the sum of what is
+   placed there does.  The refusal names the field or the limit.  */
+static void
+test_sizes_and_times_that_overflow_are_refused (void **state)
+{
+  static const struct
+  {
+    const char *fields, *count, *reason;
+  } jobs[] = { { "\"repetitions\":2147483648,\"period_ms\":1", "2147483648", "tasks, limit 20000" },
+               { "\"repetitions\":4294967295,\"period_ms\":1", "1", "tasks, limit 20000" },
+               { "\"repetitions\":4294967296,\"period_ms\":1", "1", "repetitions" },
+               { "\"repetitions\":2,\"period_ms\":9223372036854775807", "1", "year 9999" },
+               { "\"repetitions\":2,\"period_ms\":-1", "1", "period_ms" },
+               { "\"repetitions\":0", "4294967296", "count" } };
+  static const char *const capacities[]
+      = { "\"cpu\":1073741825,\"mem_mb\":1", "\"cpu\":1,\"mem_mb\":1073741825",
+          "\"cpu\":1,\"mem_mb\":1,\"gpu\":1073741825" };
+  char text[400];
+  workflow_spec s;
+  struct platform_report r;
+  struct status st;
+  (void)state;
+  for (size_t i = 0; i < sizeof jobs / sizeof *jobs; i++)
+    {
+      snprintf (text, sizeof text,
+                "{\"spec\":\"t\",\"start_at_ms\":1,%s,\"steps\":[{\"count\":%s}]}", jobs[i].fields,
+                jobs[i].count);
+      assert_int_equal (platform_read_job (text, strlen (text), 1, "q", &s, &st), -1);
+      assert_non_null (strstr (st.message, jobs[i].reason));
+    }
+  for (size_t i = 0; i < sizeof capacities / sizeof *capacities; i++)
+    {
+      snprintf (text, sizeof text,
+                "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"ready\","
+                "\"clock_ms\":1,\"seq\":1,\"capacity\":{%s}}",
+                capacities[i]);
+      assert_int_equal (platform_read_report (text, strlen (text), "i", &r, &st), -1);
+      assert_non_null (strstr (st.message, "integer from 0 to 1073741824"));
+    }
+}
+
 static void
 test_ends_are_numbered_from_one (void **state)
 {
@@ -324,6 +365,7 @@
           cmocka_unit_test (test_addresses_that_cannot_be_called_are_refused),
           cmocka_unit_test (test_worker_ids_that_break_a_header_are_refused),
           cmocka_unit_test (test_nested_and_huge_values_are_refused),
+          cmocka_unit_test (test_sizes_and_times_that_overflow_are_refused),
           cmocka_unit_test (test_ends_are_numbered_from_one),
           cmocka_unit_test (test_job_ids_are_parsed),
           cmocka_unit_test (test_mutated_bodies_do_not_crash_the_decoder) };
--- a/tests/test_worker_select.c
+++ b/tests/test_worker_select.c
@@ -208,12 +208,24 @@
   assert_int_equal (worker_select_reserve (candidates, 3, &restart), 0);
 }
 
+/* Guards against an overflow that makes a huge task fit: no short task would get that worker.  */
+static void
+test_nothing_is_reserved_for_a_task_larger_than_every_worker (void **state)
+{
+  const struct worker_candidate candidates[] = { worker (8000, 0) };
+  const struct worker_request huge
+      = { .millicores = UINT32_MAX - 4000, .is_lasting = true, .is_restart = true };
+  (void)state;
+  assert_int_equal (worker_select_reserve (candidates, 1, &huge), WORKER_SELECT_NONE);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_small_tasks_take_the_smallest_gap),
           cmocka_unit_test (test_room_is_reserved_for_a_restart),
+          cmocka_unit_test (test_nothing_is_reserved_for_a_task_larger_than_every_worker),
           cmocka_unit_test (test_lasting_tasks_of_one_image_stay_together),
           cmocka_unit_test (test_few_workers_mix_lasting_images),
           cmocka_unit_test (test_fill_goes_where_it_does_not_interfere),
--- a/tests/test_workflow.c
+++ b/tests/test_workflow.c
@@ -215,6 +215,111 @@
   assert_true (TAILQ_EMPTY (&f->workflow.ready));
 }
 
+/* A job of STEPS steps with COUNT tasks each, REPETITIONS times.  */
+static workflow_command
+sized_job (workflow_step *list, uint32_t steps, uint32_t count, uint32_t repetitions)
+{
+  workflow_command c = { .kind = WORKFLOW_SUBMIT };
+  workflow_spec *spec = &c.workflow_command_u.spec;
+  for (uint32_t i = 0; i < steps; i++)
+    list[i] = (workflow_step){
+      .count = count, .estimate_ms = UINT32_MAX, .required_label = "", .data_rack = "", .image = ""
+    };
+  *spec = (workflow_spec){ .id = 1,
+                           .queue = "queue",
+                           .payload = "",
+                           .repetitions = repetitions,
+                           .first_start_ms = 1000,
+                           .period_ms = 1000 };
+  spec->steps.steps_val = list;
+  spec->steps.steps_len = steps;
+  return c;
+}
+
+/* Guards against a job whose number of tasks overflows: every VM that applied it ended, and ended
+   again after each restart, since the log contains the job.  */
+static void
+test_a_job_whose_task_count_overflows_is_refused (void **state)
+{
+  static const struct
+  {
+    uint32_t steps, count, repetitions;
+  } sizes[] = { { 4, 1U << 31, 1U << 31 },
+                { 2, 1U << 31, 1 },
+                { 1, UINT32_MAX, UINT32_MAX },
+                { 4, 1U << 30, 0 },
+                { WORKFLOW_MAX_STEPS, WORKFLOW_MAX_TASKS, UINT32_MAX },
+                { 4, 1, 1U << 30 },
+                { 1, 1, WORKFLOW_MAX_TASKS + 1 },
+                { 1, WORKFLOW_MAX_TASKS + 1, 0 },
+                { 2, WORKFLOW_MAX_TASKS / 2, 2 } };
+  struct fixture *f = *state;
+  workflow_step list[WORKFLOW_MAX_STEPS];
+  struct status st;
+  for (size_t i = 0; i < sizeof sizes / sizeof *sizes; i++)
+    {
+      const workflow_command c
+          = sized_job (list, sizes[i].steps, sizes[i].count, sizes[i].repetitions);
+      assert_int_equal (workflow_check_spec (&c.workflow_command_u.spec, &st), -1);
+      assert_non_null (strstr (st.message, "tasks, limit"));
+      assert_false (fixture_change (f, &c));
+      assert_null (workflow_find_job (&f->workflow, 1));
+    }
+  const workflow_command largest = sized_job (list, 2, WORKFLOW_MAX_TASKS / 4, 2);
+  assert_int_equal (workflow_check_spec (&largest.workflow_command_u.spec, &st), 0);
+  assert_true (fixture_change (f, &largest));
+}
+
+/* Guards against start times that overflow.  A request is refused; a job that an earlier build
+   accepted keeps its place in the log and in snapshots, and the occurrence never starts.  */
+static void
+test_start_times_beyond_their_range_do_not_overflow (void **state)
+{
+  static const struct
+  {
+    int64_t first_start_ms, period_ms;
+  } times[] = { { 1000, INT64_MAX }, { INT64_MAX, 1 }, { INT64_MAX / 2, INT64_MAX / 2 } };
+  struct fixture *f = *state;
+  workflow_step step;
+  struct status st;
+  for (uint64_t i = 0; i < sizeof times / sizeof *times; i++)
+    {
+      workflow_command c = sized_job (&step, 1, 1, 3);
+      workflow_spec *spec = &c.workflow_command_u.spec;
+      spec->id = i + 1;
+      assert_int_equal (workflow_check_spec (spec, &st), 0);
+      spec->first_start_ms = times[i].first_start_ms;
+      spec->period_ms = times[i].period_ms;
+      assert_int_equal (workflow_check_spec (spec, &st), -1);
+      assert_non_null (strstr (st.message, "year 9999"));
+      assert_true (fixture_change (f, &c));
+    }
+  struct buffer image;
+  struct workflow other;
+  buffer_init (&image);
+  f->workflow.machine.ops->save (&f->workflow.machine, &image);
+  workflow_init (&other);
+  assert_int_equal (other.machine.ops->load (&other.machine, image.data, image.len, &st), 0);
+  workflow_close (&other);
+  buffer_close (&image);
+}
+
+/* Guards against a long path that counts as a short one.  */
+static void
+test_estimates_of_a_long_path_do_not_overflow (void **state)
+{
+  struct fixture *f = *state;
+  workflow_step list[2];
+  u_int first = 0;
+  const workflow_command c = sized_job (list, 2, 1, 0);
+  list[1].after.after_val = &first;
+  list[1].after.after_len = 1;
+  assert_true (fixture_change (f, &c));
+  const struct workflow_job *j = workflow_find_job (&f->workflow, 1);
+  assert_int_equal (j->critical_path_ms, UINT32_MAX);
+  assert_int_equal (j->remain_ms[0], UINT32_MAX);
+}
+
 static void
 test_longest_prefix_selects_the_queue (void **state)
 {
@@ -321,6 +426,9 @@
                                       TEST (test_older_configuration_is_refused),
                                       TEST (test_a_queue_that_is_away_fails_no_job),
                                       TEST (test_no_attempt_beyond_the_limit_in_force),
+                                      TEST (test_a_job_whose_task_count_overflows_is_refused),
+                                      TEST (test_start_times_beyond_their_range_do_not_overflow),
+                                      TEST (test_estimates_of_a_long_path_do_not_overflow),
                                       TEST (test_longest_prefix_selects_the_queue),
                                       TEST (test_snapshot_contains_all_state),
                                       TEST (test_blame_survives_a_snapshot) };
