Confirm a departure by calling the worker

Cause: a departure names no incarnation. One of an earlier incarnation that arrived late, while the present one drained, was taken for the end of the present one, and its runs were committed as lapsed while they ran.

Change: a departure makes the leader call the worker. A refused connection confirms it, once no hold is open; an answer 2 s later refutes it; silence leaves the tasks to the lease.

Four tests took the departure alone for the end of the worker. They now add what a worker that has ended does, a refused call or an answer for another id, and check the same outcome.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -1,5 +1,6 @@
 #include "http_client.h"
 
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
@@ -242,6 +243,7 @@
 {
   long code = 0;
   long request_bytes = 0;
+  long os_error = 0;
   char *location = NULL;
   curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &code);
   curl_easy_getinfo (easy, CURLINFO_REQUEST_SIZE, &request_bytes);
@@ -251,6 +253,8 @@
   x->answer.retry_after_s = (long)retry_after;
   x->answer.code = (int)code;
   x->answer.sent = request_bytes > 0;
+  curl_easy_getinfo (easy, CURLINFO_OS_ERRNO, &os_error);
+  x->answer.refused = result == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED;
   x->answer.location = location;
   if (result == CURLE_OPERATION_TIMEDOUT)
     status_set (&x->answer.status, STATUS_TIMEOUT, "no answer in %ld ms", x->call.timeout_ms);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -27,6 +27,7 @@
   struct buffer body;   /* complete body */
   struct status status; /* OK, TIMEOUT, BACKEND_FAILED or BACKEND_TRUNCATED */
   bool sent;            /* at least one byte of the request may have reached the server */
+  bool refused;         /* the last connection was refused: nobody listened at the address */
   unsigned sends; /* times it was written; over 1 if libcurl repeated it on another connection */
   const char *location; /* Location header of a redirect, or NULL */
   long retry_after_s;   /* Retry-After header; 0 without one */
--- a/src/workflow/dispatcher.h
+++ b/src/workflow/dispatcher.h
@@ -77,7 +77,7 @@
 int dispatcher_report (struct dispatcher *d, int64_t now_ms, const struct worker_report *r,
                        struct status *st); /* -1: stale, or STATUS_BAD_REQUEST: not of a worker. */
 void dispatcher_worker_left (struct dispatcher *d, int64_t now_ms,
-                             const char *worker); /* If it drains, it and its runs have ended. */
+                             const char *worker); /* Ended if its address refuses the next hold. */
 void dispatcher_start_answer (struct dispatcher *d, int64_t now_ms, const char *worker,
                               const workflow_task_ref *task, uint32_t run,
                               enum worker_call_result result);
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -39,9 +39,11 @@
 #define STOP_RETRY_MS 300        /* between two stop orders for one run */
 #define NO_ROOM_PAUSE_MS 400     /* no tasks for a worker that refused for lack of capacity */
 #define START_RETRY_MS 100       /* wait of a task whose start was refused */
-/* The last list of ends of a worker that left may arrive after its departure, on another
-   connection; a hold's answer crosses two regions in 60 ms.  */
+/* The last list of ends of a worker that is gone may arrive after the proof, on another connection;
+   a hold's answer crosses two regions in 60 ms.  */
 #define LAST_LIST_WAIT_MS 200
+/* A worker ends within it after its departure; one that still answers then hasn't left.  */
+#define DEPARTURE_END_MS 2000
 #define GONE_RETENTION_MS 60000 /* gone workers are kept, to refuse late reports */
 #define AVOID_MIN_MS 1000       /* after the second failure in a row; doubles */
 #define AVOID_MAX_MS 16000
@@ -131,6 +133,7 @@
   int64_t reported_clock_ms; /* worker's time of its last report */
   bool draining;
   bool left_undrained; /* until its next report: the departure may be of an earlier incarnation */
+  int64_t left_ms;     /* departure while it drains, until a call shows whose it is; 0: none */
   bool gone;           /* it left, or another worker has its address */
 
   /* Clock, lease and holds.  */
@@ -237,6 +240,8 @@
                             const char *reason); /* It did not leave: a run may be to blame. */
 void dispatch_note_answer (struct dispatcher *d, struct dispatch_worker *w,
                            enum worker_call_result result);
+void dispatch_note_listener (struct dispatcher *d, struct dispatch_worker *w,
+                             bool listens); /* A hold was answered, or its address refused it. */
 void dispatch_update_clock (struct dispatcher *d, struct dispatch_worker *w, int64_t clock_ms);
 int64_t dispatch_lease_deadline (struct dispatcher *d,
                                  struct dispatch_worker *w); /* For the next order; stored in W. */
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -118,7 +118,8 @@
 dispatch_note_answer (struct dispatcher *d, struct dispatch_worker *w,
                       enum worker_call_result result)
 {
-  if (result != WORKER_CALL_UNKNOWN && result != WORKER_CALL_OTHER_WORKER)
+  if (result != WORKER_CALL_UNKNOWN && result != WORKER_CALL_NO_LISTENER
+      && result != WORKER_CALL_OTHER_WORKER)
     w->failed_ms = 0;
   else if (w->failed_ms == 0)
     w->failed_ms = d->now_ms;
@@ -213,6 +214,7 @@
   w->born_ms = born_ms;
   w->reported = false;
   w->draining = false;
+  w->left_ms = 0;
   w->sequence = 0;
   w->clock_known = false;
   w->deadline_ms = 0;
@@ -376,18 +378,35 @@
 {
   struct dispatch_worker *w = dispatch_find_worker (d, worker);
   d->now_ms = now_ms;
-  if (!w)
+  if (!w || w->gone)
     return;
+  /* The request names no incarnation and may come late from an earlier one, also while this one
+     drains.  If it is of this one, its address refuses the next hold; else the lists or the lease
+     show what becomes of its runs.  */
+  w->hold_now = true;
   if (w->draining)
     {
-      dispatch_mark_gone (d, w, "the worker left");
+      log_event (LOG_INFO, "departure-received", "worker=%s born=%" PRId64, worker, w->born_ms);
+      w->left_ms = now_ms;
       return;
     }
-  /* The request names no incarnation and may come late from an earlier one.  An incarnation drains
-     before it leaves; the lists or the lease show what became of the runs of this one.  */
+  /* An incarnation drains before it leaves.  */
   log_event (LOG_WARN, "departure-unannounced", "worker=%s born=%" PRId64, worker, w->born_ms);
   w->left_undrained = true;
-  w->hold_now = true;
+}
+
+void
+dispatch_note_listener (struct dispatcher *d, struct dispatch_worker *w, bool listens)
+{
+  if (w->left_ms == 0)
+    return;
+  if (listens && d->now_ms - w->left_ms >= DEPARTURE_END_MS)
+    {
+      log_event (LOG_WARN, "departure-refuted", "worker=%s born=%" PRId64, w->id, w->born_ms);
+      w->left_ms = 0;
+    }
+  else if (!listens && w->holds == 0) /* an open hold may still bring its last list */
+    dispatch_mark_gone (d, w, "the worker left");
 }
 
 bool
@@ -471,8 +490,14 @@
         dispatch_free_worker (d, w);
       return;
     }
-  if (d->now_ms - w->last_answer_ms >= WORKER_SILENT_MS && !idle && lease_is_over (d, w))
-    lapse_runs (d, w);
+  if (d->now_ms - w->last_answer_ms >= WORKER_SILENT_MS && lease_is_over (d, w))
+    {
+      lapse_runs (d, w);
+      if (idle && w->left_ms > 0)
+        dispatch_mark_gone (d, w, "the worker left and is silent");
+    }
+  if (w->gone)
+    return;
   if (!w->address)
     {
       if (idle)
--- a/src/workflow/worker_link.h
+++ b/src/workflow/worker_link.h
@@ -14,7 +14,7 @@
 #include "orders_proto.h"
 #include "workflow_proto.h"
 
-/* Result of an order.  In all but OK and UNKNOWN the worker did nothing.  */
+/* Result of an order.  In all but OK, UNKNOWN and NO_LISTENER the worker did nothing.  */
 enum worker_call_result
 {
   WORKER_CALL_OK,
@@ -26,6 +26,7 @@
   WORKER_CALL_REFUSED,      /* malformed, or the worker is unhealthy */
   WORKER_CALL_OTHER_WORKER, /* another worker id has the address; the intended one is gone */
   WORKER_CALL_UNKNOWN,      /* no answer: may have been executed, or be executed later */
+  WORKER_CALL_NO_LISTENER,  /* as UNKNOWN, and then the address refused a connection; holds only */
 };
 
 struct worker_address
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -286,6 +286,8 @@
 {
   struct fixture *f = *state;
   const struct sent_start *s = start_on_a_leaving_worker (f);
+  fixture_tick (f, 20);
+  dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_OTHER_WORKER, NULL);
   fixture_commit (f);
   fixture_tick (f, 20);
   fixture_tick (f, 20);
@@ -638,6 +640,134 @@
   assert_string_equal (f->starts[17].worker, "w1");
 }
 
+/* A task of w1, which drains; w2 is idle.  */
+static const struct sent_start *
+start_on_a_draining_worker (struct fixture *f)
+{
+  struct status st;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  fixture_tick (f, 100);
+  const struct reported_run run = fixture_running (&f->starts[0]);
+  fixture_answer_hold (f, "w1", &run, 1, NULL, 0);
+  fixture_join (f, "w2", "10.0.0.2:1");
+  struct worker_report r = fixture_worker (f, "w1", "10.0.0.1:1");
+  r.draining = true;
+  r.sequence++;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+  fixture_tick (f, 20);
+  return &f->starts[0];
+}
+
+/* Guards against two runs of a task: a departure of an earlier incarnation that arrives while the
+   present one drains ended the runs of the present one.  It goes on to answer.  */
+static void
+test_a_late_departure_does_not_end_runs_of_an_incarnation_that_drains (void **state)
+{
+  struct fixture *f = *state;
+  const struct reported_run run = fixture_running (start_on_a_draining_worker (f));
+  dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
+  dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
+  fixture_commit (f);
+  for (int i = 0; i < 200; i++)
+    {
+      fixture_tick (f, 20);
+      if (i == 50) /* the same request, once more */
+        dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
+      fixture_answer_hold (f, "w1", &run, 1, NULL, 0);
+      fixture_answer_hold (f, "w2", NULL, 0, NULL, 0);
+    }
+  assert_int_equal (f->start_count, 1);
+  assert_int_equal (f->stop_count, 0);
+  assert_false (TAILQ_EMPTY (&f->workflow.runs));
+  /* Its own departure follows.  */
+  dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
+  fixture_refuse_holds (f, "w1");
+  fixture_commit (f);
+  for (int i = 0; i < 20; i++)
+    fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 2);
+  assert_string_equal (f->starts[1].worker, "w2");
+}
+
+/* The departure is called at once, and its tasks start elsewhere as soon as the address refuses. */
+static void
+test_a_departure_counts_once_the_address_refuses_a_hold (void **state)
+{
+  struct fixture *f = *state;
+  start_on_a_draining_worker (f);
+  size_t holds = f->hold_count;
+  fixture_refuse_holds (f, "w1"); /* alone, it proves nothing */
+  fixture_commit (f);
+  assert_false (TAILQ_EMPTY (&f->workflow.runs));
+  dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
+  fixture_tick (f, 20);
+  assert_true (f->hold_count > holds);
+  assert_int_equal (f->start_count, 1);
+  fixture_refuse_holds (f, "w1");
+  fixture_commit (f);
+  fixture_tick (f, 20);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 2);
+}
+
+/* A worker that left and can't be reached may be one that drains behind a partition: its tasks wait
+   for its lease.  Then it counts as gone, and is called no more.  */
+static void
+test_tasks_of_a_worker_that_left_and_is_silent_wait_for_its_lease (void **state)
+{
+  struct fixture *f = *state;
+  start_on_a_draining_worker (f);
+  int64_t left_ms = f->now_ms;
+  dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
+  while (f->start_count == 1 && f->now_ms < left_ms + 20000)
+    {
+      fixture_tick (f, 20);
+      dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_UNKNOWN, NULL);
+      fixture_answer_hold (f, "w2", NULL, 0, NULL, 0);
+    }
+  assert_int_equal (f->start_count, 2);
+  assert_true (f->now_ms >= left_ms + FIXTURE_LEASE_MS - 200);
+  assert_true (f->now_ms < left_ms + FIXTURE_LEASE_MS + 1000);
+  fixture_tick (f, 20);
+  size_t holds = 0;
+  for (int i = 0; i < 100; i++)
+    {
+      size_t before = f->hold_count;
+      fixture_tick (f, 20);
+      fixture_answer_hold (f, "w2", NULL, 0, NULL, 0);
+      for (size_t k = before; k < f->hold_count; k++)
+        holds += strcmp (f->holds[k].worker, "w1") == 0;
+    }
+  assert_int_equal (holds, 0);
+}
+
+/* Guards against two runs of a task: the last list of a worker that left came later than the
+   departure, by more than a fixed time, and its end was not waited for.  */
+static void
+test_a_departure_waits_for_the_answer_of_an_open_hold (void **state)
+{
+  struct fixture *f = *state;
+  const struct sent_start *s = start_on_a_draining_worker (f);
+  fixture_tick (f, 2000);
+  dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
+  fixture_tick (f, 20);
+  dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_NO_LISTENER, NULL);
+  fixture_commit (f);
+  for (int i = 0; i < 8; i++)
+    fixture_tick (f, 100);
+  const struct reported_end end = fixture_ended (s, 1, WORKFLOW_DONE);
+  fixture_answer_hold (f, "w1", NULL, 0, &end, 1);
+  fixture_refuse_holds (f, "w1");
+  for (int i = 0; i < 100; i++)
+    fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+  assert_int_equal (workflow_find_job (&f->workflow, 1)->state, WORKFLOW_JOB_COMPLETED);
+}
+
 /* A new leader has seen no report: one from before the worker drained, delivered late, must not
    make the worker usable.  */
 static void
@@ -677,6 +807,7 @@
   fixture_join (f, "w1", "10.0.0.1:1");
   struct worker_report late = fixture_worker (f, "w1", "10.0.0.1:1");
   fixture_leave (f, "w1", "10.0.0.1:1");
+  fixture_refuse_holds (f, "w1");
   late.sequence += 2;
   assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &late, &st), -1);
   dispatcher_resign (f->dispatcher);
@@ -1018,6 +1149,7 @@
       r.sequence++;
       assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
       dispatcher_worker_left (f->dispatcher, f->now_ms, id);
+      fixture_refuse_holds (f, id);
       fixture_commit (f);
     }
   assert_int_equal (workflow_find_job (&f->workflow, 1)->state, WORKFLOW_JOB_OPEN);
@@ -1105,6 +1237,7 @@
   assert_int_equal (f->start_count, 1);
   fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
   fixture_leave (f, "w1", "10.0.0.1:1");
+  fixture_refuse_holds (f, "w1");
   fixture_commit (f);
   fixture_join (f, "w2", "10.0.0.2:1");
   submit_sized (f, 2, 60, 1000, 0);
@@ -1328,6 +1461,10 @@
           TEST (test_a_known_worker_keeps_a_pool_that_is_no_longer_configured),
           TEST (test_a_draining_worker_gets_nothing),
           TEST (test_a_late_departure_does_not_end_runs_of_the_next_incarnation),
+          TEST (test_a_late_departure_does_not_end_runs_of_an_incarnation_that_drains),
+          TEST (test_a_departure_counts_once_the_address_refuses_a_hold),
+          TEST (test_tasks_of_a_worker_that_left_and_is_silent_wait_for_its_lease),
+          TEST (test_a_departure_waits_for_the_answer_of_an_open_hold),
           TEST (test_a_late_report_to_a_new_leader_does_not_end_a_drain),
           TEST (test_a_late_report_of_a_worker_that_left_does_not_bring_it_back),
           TEST (test_a_restarted_worker_gets_nothing_before_its_report),
--- a/tests/workflow_fixture.h
+++ b/tests/workflow_fixture.h
@@ -241,6 +241,14 @@
   dispatcher_worker_left (f->dispatcher, f->now_ms, id);
 }
 
+/* The worker's process has ended: its open holds fail, and its address refuses connections.  */
+static inline void
+fixture_refuse_holds (struct fixture *f, const char *id)
+{
+  for (int i = 0; i < 2; i++) /* two holds are open at most */
+    dispatcher_hold_answer (f->dispatcher, f->now_ms, id, WORKER_CALL_NO_LISTENER, NULL);
+}
+
 static inline void
 fixture_configure (struct fixture *f, uint64_t version, uint32_t attempts)
 {
