Keep the jobs of a queue that gets another name

Cause: callers select a queue by host and path, jobs referred to it by its name only.

Change: a job stores the host and path of its queue (job_origin) and belongs to the queue that is there now, or else to the queue of its name.

--- a/src/gen/workflow_proto.h
+++ b/src/gen/workflow_proto.h
@@ -288,6 +288,23 @@
   };
   typedef struct workflow_withdrawn_image workflow_withdrawn_image;
 
+  struct workflow_origin
+  {
+    workflow_name host;
+    workflow_name path_prefix;
+  };
+  typedef struct workflow_origin workflow_origin;
+
+  struct workflow_origin_image
+  {
+    struct
+    {
+      u_int origins_len;
+      workflow_origin *origins_val;
+    } origins;
+  };
+  typedef struct workflow_origin_image workflow_origin_image;
+
   /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -313,6 +330,8 @@
   extern bool_t xdr_workflow_blame (XDR *, workflow_blame *);
   extern bool_t xdr_workflow_blame_image (XDR *, workflow_blame_image *);
   extern bool_t xdr_workflow_withdrawn_image (XDR *, workflow_withdrawn_image *);
+  extern bool_t xdr_workflow_origin (XDR *, workflow_origin *);
+  extern bool_t xdr_workflow_origin_image (XDR *, workflow_origin_image *);
 
 #else /* K&R C */
 extern bool_t xdr_workflow_name ();
@@ -337,6 +356,8 @@
 extern bool_t xdr_workflow_blame ();
 extern bool_t xdr_workflow_blame_image ();
 extern bool_t xdr_workflow_withdrawn_image ();
+extern bool_t xdr_workflow_origin ();
+extern bool_t xdr_workflow_origin_image ();
 
 #endif /* K&R C */
 
--- a/src/gen/workflow_proto.x
+++ b/src/gen/workflow_proto.x
@@ -214,3 +214,17 @@
 {
   unsigned hyper ids<WORKFLOW_MAX_WITHDRAWN>; /* oldest first */
 };
+
+/* Place of the queue of a job when the job was submitted; both "": not known.  */
+struct workflow_origin
+{
+  workflow_name host;
+  workflow_name path_prefix;
+};
+
+/* Follows the withdrawn ids; snapshots of earlier builds end without it, and earlier builds ignore
+   it.  One for each job, in the order of the jobs in the image.  */
+struct workflow_origin_image
+{
+  workflow_origin origins<WORKFLOW_MAX_JOBS>;
+};
--- a/src/gen/workflow_proto_xdr.c
+++ b/src/gen/workflow_proto_xdr.c
@@ -621,3 +621,26 @@
     return FALSE;
   return TRUE;
 }
+
+bool_t
+xdr_workflow_origin (XDR *xdrs, workflow_origin *objp)
+{
+  register int32_t *buf;
+
+  if (!xdr_workflow_name (xdrs, &objp->host))
+    return FALSE;
+  if (!xdr_workflow_name (xdrs, &objp->path_prefix))
+    return FALSE;
+  return TRUE;
+}
+
+bool_t
+xdr_workflow_origin_image (XDR *xdrs, workflow_origin_image *objp)
+{
+  register int32_t *buf;
+
+  if (!xdr_array (xdrs, (char **)&objp->origins.origins_val, (u_int *)&objp->origins.origins_len,
+                  WORKFLOW_MAX_JOBS, sizeof (workflow_origin), (xdrproc_t)xdr_workflow_origin))
+    return FALSE;
+  return TRUE;
+}
--- a/src/workflow/workflow.c
+++ b/src/workflow/workflow.c
@@ -30,14 +30,9 @@
 }
 
 const workflow_queue *
-workflow_queue_of (const struct workflow *w, struct workflow_job *j)
+workflow_queue_of (const struct workflow *w, const struct workflow_job *j)
 {
-  if (j->queue_revision != w->configuration.revision)
-    {
-      j->queue = workflow_find_queue (w, j->spec.queue);
-      j->queue_revision = w->configuration.revision;
-    }
-  return j->queue;
+  return job_origin_queue (j->origin, &w->configuration);
 }
 
 const workflow_queue *
--- a/src/workflow/workflow.h
+++ b/src/workflow/workflow.h
@@ -37,6 +37,7 @@
 
 #include "cell_map.h"
 #include "crash_blame.h"
+#include "job_origin.h"
 #include "machine.h"
 #include "withdrawn_ids.h"
 #include "workflow_proto.h"
@@ -114,15 +115,14 @@
   uint32_t started;              /* placed runs, without those that never started */
   uint32_t runs;                 /* runs without a committed end */
   struct workflow_stage *stages; /* [occurrence * steps + step] */
-  const workflow_queue *queue;   /* cached for QUEUE_REVISION; use workflow_queue_of */
-  uint64_t queue_revision;
-  int64_t seen_ms;           /* leader: when it first saw the job */
-  struct queue_sizes *sizes; /* leader: sizes of the queue, once SEEN_MS is set */
-  int size;                  /* leader: enum size_class among the jobs of its queue */
-  bool start_counted;        /* leader: counted among the started jobs of its size */
-  int64_t ended_ms;          /* leader: when it first saw the job ended; 0 while open */
-  uint64_t critical_path_ms; /* critical path by the estimates in the spec */
-  uint32_t *remain_ms;       /* critical path from each step, inclusive, to the end of the job */
+  struct job_origin *origin;     /* of its queue; use workflow_queue_of */
+  int64_t seen_ms;               /* leader: when it first saw the job */
+  struct queue_sizes *sizes;     /* leader: sizes of the queue, once SEEN_MS is set */
+  int size;                      /* leader: enum size_class among the jobs of its queue */
+  bool start_counted;            /* leader: counted among the started jobs of its size */
+  int64_t ended_ms;              /* leader: when it first saw the job ended; 0 while open */
+  uint64_t critical_path_ms;     /* critical path by the estimates in the spec */
+  uint32_t *remain_ms; /* critical path from each step, inclusive, to the end of the job */
 };
 
 TAILQ_HEAD (workflow_jobs, workflow_job);
@@ -147,6 +147,7 @@
   char *zones_out[WORKFLOW_MAX_ZONES];
   size_t zone_count;
   struct cell_map jobs; /* by id */
+  struct job_origins origins;
   struct withdrawn_ids withdrawn;
   struct workflow_jobs open;     /* in submission order */
   struct workflow_jobs finished; /* in the order in which they ended */
@@ -160,8 +161,9 @@
 struct workflow_job *workflow_find_job (const struct workflow *w, uint64_t id); /* Or NULL. */
 const workflow_queue *workflow_find_queue (const struct workflow *w,
                                            const char *name); /* By name, or NULL. */
-const workflow_queue *workflow_queue_of (const struct workflow *w,
-                                         struct workflow_job *j); /* Looked up once per revision. */
+const workflow_queue *
+workflow_queue_of (const struct workflow *w,
+                   const struct workflow_job *j); /* The queue that J belongs to now, or NULL. */
 const workflow_queue *
 workflow_match_queue (const struct workflow *w, const char *host,
                       const char *path); /* Longest matching prefix of PATH at HOST, or NULL. */
--- a/src/workflow/workflow_apply.c
+++ b/src/workflow/workflow_apply.c
@@ -420,6 +420,7 @@
   w->machine.ops = &ops;
   cell_map_init (&w->jobs);
   withdrawn_ids_init (&w->withdrawn);
+  LIST_INIT (&w->origins);
   TAILQ_INIT (&w->open);
   TAILQ_INIT (&w->finished);
   TAILQ_INIT (&w->ready);
@@ -461,12 +462,24 @@
     }
 }
 
+void
+workflow_set_origin (struct workflow *w, struct workflow_job *j, const char *host,
+                     const char *path_prefix)
+{
+  struct job_origin *before = j->origin;
+  j->origin = job_origin_add_job (&w->origins, host, path_prefix, j->spec.queue);
+  if (before)
+    job_origin_remove_job (before);
+}
+
 struct workflow_job *
 workflow_add_job (struct workflow *w, workflow_spec *spec)
 {
   struct workflow_job *j = xcalloc (1, sizeof *j);
   j->spec = *spec;
   memset (spec, 0, sizeof *spec);
+  const workflow_queue *q = workflow_find_queue (w, j->spec.queue);
+  workflow_set_origin (w, j, q ? q->host : "", q ? q->path_prefix : "");
   j->occurrences = j->spec.repetitions > 0 ? j->spec.repetitions : 1;
   compute_critical_path (j);
   j->stages = xcalloc (stage_count (j), sizeof *j->stages);
@@ -511,6 +524,7 @@
     }
   free (j->stages);
   free (j->remain_ms);
+  job_origin_remove_job (j->origin);
   cell_map_remove (&w->jobs, &j->node);
   if (j->state == WORKFLOW_JOB_OPEN)
     TAILQ_REMOVE (&w->open, j, link);
--- a/src/workflow/workflow_snapshot.c
+++ b/src/workflow/workflow_snapshot.c
@@ -119,6 +119,28 @@
   free (image.ids.ids_val);
 }
 
+static void
+save_origins (const struct workflow *w, struct buffer *out)
+{
+  workflow_origin_image image = { .origins.origins_len = 0 };
+  const struct workflow_job *j;
+  XDR xdr;
+  image.origins.origins_val = xcalloc (w->jobs.count + 1, sizeof (workflow_origin));
+  TAILQ_FOREACH (j, &w->open, link)
+  image.origins.origins_val[image.origins.origins_len++]
+      = (workflow_origin){ .host = j->origin->host, .path_prefix = j->origin->path_prefix };
+  TAILQ_FOREACH (j, &w->finished, link)
+  image.origins.origins_val[image.origins.origins_len++]
+      = (workflow_origin){ .host = j->origin->host, .path_prefix = j->origin->path_prefix };
+  u_int size = (u_int)xdr_sizeof ((xdrproc_t)xdr_workflow_origin_image, &image);
+  buffer_reserve (out, size);
+  xdrmem_create (&xdr, out->data + out->len, size, XDR_ENCODE);
+  xdr_workflow_origin_image (&xdr, &image);
+  xdr_destroy (&xdr);
+  out->len += size;
+  free (image.origins.origins_val);
+}
+
 void
 workflow_save (struct machine *m, struct buffer *out)
 {
@@ -144,6 +166,7 @@
   free (image.jobs.jobs_val);
   save_blames (w, out);
   save_withdrawn (w, out);
+  save_origins (w, out);
 }
 
 static void
@@ -226,6 +249,34 @@
   return ok;
 }
 
+/* The jobs are in the lists in the order in which they were saved.  */
+static bool
+load_origins (struct workflow *w, XDR *xdr, size_t len)
+{
+  workflow_origin_image image = { .origins.origins_len = 0 };
+  struct workflow_job *j;
+  u_int n = 0;
+  if (xdr_getpos (xdr) == len)
+    return true;
+  bool ok = xdr_workflow_origin_image (xdr, &image) && image.origins.origins_len == w->jobs.count;
+  const workflow_origin *origins = image.origins.origins_val;
+  if (ok)
+    {
+      TAILQ_FOREACH (j, &w->open, link)
+      {
+        workflow_set_origin (w, j, origins[n].host, origins[n].path_prefix);
+        n++;
+      }
+      TAILQ_FOREACH (j, &w->finished, link)
+      {
+        workflow_set_origin (w, j, origins[n].host, origins[n].path_prefix);
+        n++;
+      }
+    }
+  xdr_free ((xdrproc_t)xdr_workflow_origin_image, (char *)&image);
+  return ok;
+}
+
 int
 workflow_load (struct machine *m, const void *data, size_t len, struct status *st)
 {
@@ -235,7 +286,8 @@
   xdrmem_create (&xdr, (char *)data, (u_int)len, XDR_DECODE);
   bool ok = xdr_workflow_image (&xdr, &image) && load_image ((struct workflow *)m, &image)
             && load_blames ((struct workflow *)m, &xdr, len)
-            && load_withdrawn ((struct workflow *)m, &xdr, len);
+            && load_withdrawn ((struct workflow *)m, &xdr, len)
+            && load_origins ((struct workflow *)m, &xdr, len);
   xdr_destroy (&xdr);
   xdr_free ((xdrproc_t)xdr_workflow_image, (char *)&image);
   return ok ? 0 : status_set (st, STATUS_JOURNAL_DAMAGED, "the snapshot of the jobs is malformed");
--- a/tests/path_platform.sh
+++ b/tests/path_platform.sh
@@ -89,6 +89,25 @@
 [ "$(curl_ -H 'Host: h.example' "http://$net.10:8161/other/$(id 1)")" = 404 ] || fail "an unknown queue was not answered with 404"
 curl_ "http://$net.$lead:8166/sassafrasstall/config" >/dev/null
 grep -q '"version":3' "$folder/answer" || fail "the configuration was not read back"
+# The queue gets another name: a job that lasts is known below the same path as before, and can be cancelled.
+submit_lasting() {
+  [ "$(curl_ -X POST -H 'Host: h.example' -H 'Deadline-Ms: 3000' -d '{"spec":"100000","steps":[{"count":1,"cpu":1000,"mem_mb":100,"perpetual":true}]}' \
+    "http://$net.10:8161/q/$(id 30)")" = 200 ]
+}
+running() {
+  curl_ -H 'Host: h.example' "http://$net.10:8161/q/$(id 30)" >/dev/null
+  grep -q '"running"' "$folder/answer"
+}
+wait_for 10 submit_lasting || fail "the job that lasts was not accepted"
+wait_for 10 running || fail "the job that lasts does not run"
+config=${config/\"version\":3/\"version\":5}
+config=${config/\"name\":\"q\"/\"name\":\"renamed\"}
+wait_for 10 put || fail "the configuration with another name was not accepted"
+running || fail "the job is not known after its queue was renamed: $(cat "$folder/answer")"
+[ "$(curl_ -H 'Host: h.example' "http://$net.10:8161/q/$(id 1)")" = 200 ] || fail "an ended job is not known after its queue was renamed"
+[ "$(curl_ -X DELETE -H 'Host: h.example' "http://$net.10:8161/q/$(id 30)")" = 200 ] || fail "the job can't be cancelled after its queue was renamed"
+ended() { cat "$folder"/worker-*.log | grep -q "^end $(id 30)"; }
+wait_for 10 ended || fail "a task runs on after its job was cancelled"
 twice=$(cat "$folder"/worker-*.log | awk '$1=="start"{n[$2]++; if (n[$2]>1) print $2} $1=="end"{n[$2]--}' | head -3)
 starts=$(cat "$folder"/worker-*.log | grep -c '^start')
 echo "20 of 20 jobs completed, $starts starts for 100 tasks, leader killed once"
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -981,6 +981,25 @@
   assert_int_equal (f->start_count, 1);
 }
 
+/* Guards against a step that never starts because its queue got another name meanwhile.  */
+static void
+test_a_step_starts_after_its_queue_was_renamed (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 2, 1, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  fixture_configure_queue (f, 2, 2, "renamed", "/q/");
+  fixture_tick (f, 100);
+  const struct reported_end end = fixture_ended (&f->starts[0], 1, WORKFLOW_DONE);
+  fixture_answer_hold (f, "w1", NULL, 0, &end, 1);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 2);
+  assert_int_equal (f->starts[1].task.step, 1);
+}
+
 static void
 test_without_authority_nothing_is_ordered (void **state)
 {
@@ -1473,6 +1492,7 @@
           TEST (test_a_placement_on_a_worker_that_shrinks_is_not_started),
           TEST (test_a_zone_that_is_out_gets_nothing),
           TEST (test_a_cancelled_job_is_stopped_until_acknowledged),
+          TEST (test_a_step_starts_after_its_queue_was_renamed),
           TEST (test_without_authority_nothing_is_ordered),
           TEST (test_a_placement_committed_after_the_authority_is_not_started),
           TEST (test_unknown_run_is_stopped),
--- a/tests/test_workflow.c
+++ b/tests/test_workflow.c
@@ -321,19 +321,102 @@
 }
 
 static void
-test_longest_prefix_selects_the_queue (void **state)
+save (struct fixture *f, struct buffer *out)
+{
+  buffer_init (out);
+  f->workflow.machine.ops->save (&f->workflow.machine, out);
+}
+
+static const workflow_queue *
+queue_of (const struct workflow *w, uint64_t job)
+{
+  return workflow_queue_of (w, workflow_find_job (w, job));
+}
+
+/* Guards against jobs that callers are told don't exist, and that never go on, after their queue
+   got another name: callers know a queue by its host and path.  One that moves keeps its jobs by
+   its name, unless another queue took its place.  */
+static void
+test_a_renamed_queue_keeps_its_jobs (void **state)
 {
   struct fixture *f = *state;
-  assert_non_null (workflow_match_queue (&f->workflow, "host", "/q/1"));
-  assert_null (workflow_match_queue (&f->workflow, "host", "/p/1"));
-  assert_null (workflow_match_queue (&f->workflow, "other", "/q/1"));
+  struct workflow *w = &f->workflow;
+  fixture_submit (f, 1, 2, 1, 0);
+  fixture_configure_queue (f, 2, 2, "renamed", "/q/");
+  assert_string_equal (queue_of (w, 1)->name, "renamed");
+  assert_ptr_equal (queue_of (w, 1), workflow_match_queue (w, "host", "/q/1"));
+  fixture_configure_queue (f, 3, 2, "queue", "/moved/");
+  assert_ptr_equal (queue_of (w, 1), workflow_match_queue (w, "host", "/moved/1"));
+  fixture_configure_queue (f, 4, 2, "other", "/elsewhere/");
+  assert_null (queue_of (w, 1));
+  fixture_configure_queue (f, 5, 1, "renamed", "/q/");
+  assert_true (place (f, 1, 0, 0, 1));
+  assert_true (end (f, 1, 0, 0, 1, WORKFLOW_FAILED, ""));
+  assert_int_equal (workflow_find_job (w, 1)->state, WORKFLOW_JOB_FAILED);
 }
 
+/* Two queues exchange their names: each job stays with the callers that submitted it.  */
 static void
-save (struct fixture *f, struct buffer *out)
+test_queues_that_exchange_names_keep_their_jobs (void **state)
 {
-  buffer_init (out);
-  f->workflow.machine.ops->save (&f->workflow.machine, out);
+  struct fixture *f = *state;
+  workflow_queue q[2] = { { .name = "queue", .host = "host", .path_prefix = "/q/", .pool = "pool" },
+                          { .name = "b", .host = "host", .path_prefix = "/b/", .pool = "pool" } };
+  workflow_pool p = { .name = "pool" };
+  workflow_command c = { .kind = WORKFLOW_CONFIGURE };
+  workflow_configuration *config = &c.workflow_command_u.configuration;
+  *config = (workflow_configuration){ .revision = 2, .queues = { 2, q }, .pools = { 1, &p } };
+  q[0].timeout_ms = q[1].timeout_ms = 1000;
+  assert_true (fixture_change (f, &c));
+  fixture_submit (f, 1, 1, 1, 0);
+  config->revision = 3;
+  q[0].name = "b";
+  q[1].name = "queue";
+  assert_true (fixture_change (f, &c));
+  assert_string_equal (queue_of (&f->workflow, 1)->path_prefix, "/q/");
+}
+
+/* The place of a queue must survive a snapshot, which has the queue's name only.  A snapshot of an
+   earlier build takes the place from the configuration in it.  */
+static void
+test_the_place_of_a_queue_survives_a_snapshot (void **state)
+{
+  struct fixture *f = *state;
+  struct buffer image;
+  struct workflow other;
+  struct status st;
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_submit (f, 2, 1, 1, 0);
+  fixture_cancel (f, 1);
+  save (f, &image);
+  size_t earlier_len = image.len - 36; /* without a count and two places */
+  for (int i = 0; i < 2; i++)
+    {
+      workflow_init (&other);
+      assert_int_equal (
+          other.machine.ops->load (&other.machine, image.data, i ? earlier_len : image.len, &st),
+          0);
+      assert_string_equal (workflow_find_job (&other, 1)->origin->path_prefix, "/q/");
+      workflow_close (&other);
+    }
+  buffer_close (&image);
+  fixture_configure_queue (f, 2, 2, "renamed", "/q/");
+  save (f, &image);
+  workflow_init (&other);
+  assert_int_equal (other.machine.ops->load (&other.machine, image.data, image.len, &st), 0);
+  for (uint64_t id = 1; id <= 2; id++)
+    assert_string_equal (queue_of (&other, id)->name, "renamed");
+  workflow_close (&other);
+  buffer_close (&image);
+}
+
+static void
+test_longest_prefix_selects_the_queue (void **state)
+{
+  struct fixture *f = *state;
+  assert_non_null (workflow_match_queue (&f->workflow, "host", "/q/1"));
+  assert_null (workflow_match_queue (&f->workflow, "host", "/p/1"));
+  assert_null (workflow_match_queue (&f->workflow, "other", "/q/1"));
 }
 
 /* Loading a snapshot must produce the same state as applying the log.  */
@@ -395,8 +478,13 @@
   workflow_init (&other);
   assert_int_equal (other.machine.ops->load (&other.machine, image.data, image.len, &st), 0);
   assert_int_equal (workflow_find_task (&other, &ref)->blame.points, 8);
+  /* Origins: a count, and host and path of the job's queue with their lengths.  A build without
+     them ended the snapshot here.  */
+  size_t earlier_len = image.len - 20;
+  assert_int_equal (other.machine.ops->load (&other.machine, image.data, earlier_len, &st), 0);
+  assert_int_equal (workflow_find_task (&other, &ref)->blame.points, 8);
   /* The ids withdrawn: a count.  A build without them ended the snapshot here.  */
-  size_t earlier_len = image.len - 4;
+  earlier_len -= 4;
   assert_int_equal (other.machine.ops->load (&other.machine, image.data, earlier_len, &st), 0);
   assert_int_equal (workflow_find_task (&other, &ref)->blame.points, 8);
   /* One blame: a count, a reference of 20 bytes, points and crashes.  */
@@ -429,6 +517,9 @@
                                       TEST (test_a_job_whose_task_count_overflows_is_refused),
                                       TEST (test_start_times_beyond_their_range_do_not_overflow),
                                       TEST (test_estimates_of_a_long_path_do_not_overflow),
+                                      TEST (test_a_renamed_queue_keeps_its_jobs),
+                                      TEST (test_queues_that_exchange_names_keep_their_jobs),
+                                      TEST (test_the_place_of_a_queue_survives_a_snapshot),
                                       TEST (test_longest_prefix_selects_the_queue),
                                       TEST (test_snapshot_contains_all_state),
                                       TEST (test_blame_survives_a_snapshot) };
--- a/tests/workflow_fixture.h
+++ b/tests/workflow_fixture.h
@@ -249,12 +249,14 @@
     dispatcher_hold_answer (f->dispatcher, f->now_ms, id, WORKER_CALL_NO_LISTENER, NULL);
 }
 
+/* A configuration with one queue.  */
 static inline void
-fixture_configure (struct fixture *f, uint64_t version, uint32_t attempts)
+fixture_configure_queue (struct fixture *f, uint64_t version, uint32_t attempts, char *name,
+                         char *path_prefix)
 {
-  workflow_queue q = { .name = "queue",
+  workflow_queue q = { .name = name,
                        .host = "host",
-                       .path_prefix = "/q/",
+                       .path_prefix = path_prefix,
                        .pool = "pool",
                        .max_attempts = attempts,
                        .stretch_milli = 2000,
@@ -273,6 +275,12 @@
   assert_true (fixture_change (f, &c));
 }
 
+static inline void
+fixture_configure (struct fixture *f, uint64_t version, uint32_t attempts)
+{
+  fixture_configure_queue (f, version, attempts, "queue", "/q/");
+}
+
 /* Submits a job with a chain of STEPS steps, each of COUNT single-core tasks.  */
 static inline bool
 fixture_submit (struct fixture *f, uint64_t id, uint32_t steps, uint32_t count, uint32_t flags)
