Keep the failures of one job from closing a pool

Cause: all failed ends in a row counted against their worker, also those of one job, and tasks that last never end the row. An avoided worker got nothing, even if no other one could take a task.

Change: at most two failures of a job count in a row, none of a run that was at work for 10 s. After 1.5 s a task that no other worker can take starts on an avoided one.

--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -177,16 +177,29 @@
 }
 
 static void
-record_failure (struct dispatcher *d, struct dispatch_worker *w)
+count_failure (struct dispatch_worker *w, uint64_t job)
 {
-  w->failures++;
+  int of_job = 0;
+  for (size_t i = 0; i < w->failures; i++)
+    of_job += w->failed_jobs[i] == job;
+  if (of_job < MAX_COUNTED_FAILURES_PER_JOB && w->failures < MAX_COUNTED_FAILURES)
+    w->failed_jobs[w->failures++] = job;
+}
+
+static void
+record_failure (struct dispatcher *d, const struct dispatch_run *r)
+{
+  struct dispatch_worker *w = r->worker;
+  int64_t pause_ms = AVOID_MIN_MS;
+  if (r->running_ms > 0 && d->now_ms - r->running_ms > FAILURE_PROBATION_MS)
+    return;
+  count_failure (w, r->task->job->spec.id);
   if (w->failures < 2)
     return;
-  int64_t pause_ms = AVOID_MIN_MS;
-  for (uint32_t i = 2; i < w->failures && pause_ms < AVOID_MAX_MS; i++)
+  for (size_t i = 2; i < w->failures && pause_ms < AVOID_MAX_MS; i++)
     pause_ms *= 2;
   w->avoid_until_ms = d->now_ms + pause_ms;
-  log_event (LOG_INFO, "worker-avoided", "worker=%s failures=%u for_ms=%" PRId64, w->id,
+  log_event (LOG_INFO, "worker-avoided", "worker=%s failures=%zu for_ms=%" PRId64, w->id,
              w->failures, pause_ms);
 }
 
@@ -235,7 +248,7 @@
       || outcome == WORKFLOW_CRASHED_UNANSWERED)
     log_blame (run);
   if (outcome == WORKFLOW_FAILED)
-    record_failure (d, r->worker);
+    record_failure (d, r);
   else if (outcome == WORKFLOW_DONE)
     {
       dispatch_add_stage (d, r, SHORT_STAGE_COMMIT, r->ended_ms);
@@ -477,7 +490,7 @@
   d->load_log_next_ms = d->now_ms + LOAD_LOG_PERIOD_MS;
   TAILQ_FOREACH (w, &d->worker_list, link)
   {
-    usable += dispatch_usable (d, w);
+    usable += dispatch_usable (d, w) && !dispatch_is_avoided (d, w);
     paced_workers += w->pacing.percent < PACING_FULL_PERCENT;
     fill += w->fill_millicores;
     fill_paced += (uint64_t)w->fill_millicores * w->pacing.percent / PACING_FULL_PERCENT;
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -47,6 +47,11 @@
 #define GONE_RETENTION_MS 60000 /* gone workers are kept, to refuse late reports */
 #define AVOID_MIN_MS 1000       /* after the second failure in a row; doubles */
 #define AVOID_MAX_MS 16000
+#define MAX_COUNTED_FAILURES 6 /* in a row; give AVOID_MAX_MS */
+/* A job whose tasks always fail says little about a worker: two of its failures make its next tasks
+   go elsewhere, more must not keep other jobs away.  */
+#define MAX_COUNTED_FAILURES_PER_JOB 2
+#define FAILURE_PROBATION_MS 10000 /* a run that was at work for longer doesn't count */
 /* Tails are averages over half a second, so the fill-in mix is smoothed in the same way.  */
 #define MIX_TIME_CONSTANT_MS 300.0
 #define MAX_MIX 16             /* fill-in images tracked per worker */
@@ -160,7 +165,8 @@
   uint32_t lasting_millicores, short_millicores, fill_millicores, used_memory_mb, used_accelerators;
 
   /* Failures, interference and pacing.  */
-  uint32_t failures; /* in a row */
+  uint64_t failed_jobs[MAX_COUNTED_FAILURES]; /* ids, by counted failure since an end as done */
+  size_t failures;                            /* number of FAILED_JOBS */
   int64_t no_room_until_ms;
   int64_t avoid_until_ms;
   int64_t isolated_until_ms; /* nothing else is started there */
@@ -250,6 +256,8 @@
                                         const struct dispatch_worker *w); /* For an order. */
 void dispatch_tick_worker (struct dispatcher *d, struct dispatch_worker *w);
 bool dispatch_usable (const struct dispatcher *d, const struct dispatch_worker *w);
+bool dispatch_is_avoided (const struct dispatcher *d,
+                          const struct dispatch_worker *w); /* Only for tasks without a choice. */
 
 /* dispatcher_interference.c */
 void dispatch_update_mix (struct dispatcher *d,
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -41,8 +41,10 @@
   bool scored_restart;
   bool scored_interference;
   bool scored_isolated;
+  bool scored_avoided;
   size_t placed_at; /* worker that got a task since; WORKER_SELECT_NONE if none did */
   size_t reserved;  /* workers reserved in this tick */
+  size_t avoided;   /* number of avoided workers */
   bool mostly_free; /* see MOSTLY_FREE_MAX_DECLARED_RATIO */
   /* Request that USABLE and NEAR_DATA were set for; NULL before the first task.  */
   const char *pool;
@@ -166,6 +168,7 @@
   candidate->tail_ratio = w->pacing.worst_tail;
   candidate->answering = w->failed_ms == 0;
   candidate->isolated = d->now_ms < w->isolated_until_ms;
+  candidate->avoided = dispatch_is_avoided (d, w);
 }
 
 static bool
@@ -181,6 +184,7 @@
   c->placed_at = WORKER_SELECT_NONE;
   c->count = 0;
   c->reserved = 0;
+  c->avoided = 0;
   c->pool = NULL;
   c->label = NULL;
   c->rack = NULL;
@@ -188,9 +192,14 @@
   {
     if (!dispatch_usable (d, w))
       continue;
-    update_candidate (d, w, &c->candidates[c->count]);
-    declared += w->lasting_millicores + w->short_millicores;
-    total += w->millicores;
+    struct worker_candidate *candidate = &c->candidates[c->count];
+    update_candidate (d, w, candidate);
+    c->avoided += candidate->avoided;
+    if (!candidate->avoided)
+      {
+        declared += w->lasting_millicores + w->short_millicores;
+        total += w->millicores;
+      }
     c->workers[c->count++] = w;
   }
   c->mostly_free = (double)declared < MOSTLY_FREE_MAX_DECLARED_RATIO * (double)total;
@@ -289,9 +298,9 @@
 {
   const workflow_step *s = workflow_step_of (t->task);
   struct worker_candidate *candidate = &c->candidates[index];
-  bool reserves = q->is_restart && q->max_per_worker > 0;
+  bool counts_step = q->max_per_worker > 0 && (q->is_restart || c->avoided > 0);
   candidate->same_step = 0;
-  if (!reserves && !worker_select_fits (candidate, q))
+  if (!counts_step && !worker_select_fits (candidate, q))
     return INFINITY;
   struct dispatch_worker *w = c->workers[index];
   if (q->is_lasting)
@@ -327,7 +336,8 @@
                 const struct worker_request *q)
 {
   return c->scored && is_same_step (c->scored, t->task) && c->scored_restart == q->is_restart
-         && c->scored_interference == q->allow_interference && c->scored_isolated == q->is_isolated;
+         && c->scored_interference == q->allow_interference && c->scored_isolated == q->is_isolated
+         && c->scored_avoided == q->allow_avoided;
 }
 
 /* Load pattern: steps of dozens of equal tasks, placed one after the other, and a thousand workers.
@@ -347,10 +357,20 @@
   c->scored_restart = q->is_restart;
   c->scored_interference = q->allow_interference;
   c->scored_isolated = q->is_isolated;
+  c->scored_avoided = q->allow_avoided;
   c->placed_at = WORKER_SELECT_NONE;
   return worker_select_least (c->scores, c->count);
 }
 
+/* A task that only avoided workers can take gets one after STARVED_MS: attempts are limited, and
+   what makes the workers fail may be over by then.  */
+static bool
+may_use_avoided (const struct dispatcher *d, const struct candidates *c,
+                 const struct workflow_task *t)
+{
+  return c->avoided > 0 && t->since_ms > 0 && d->now_ms - t->since_ms >= STARVED_MS;
+}
+
 static size_t
 choose (struct dispatcher *d, struct candidates *c, const struct waiting_task *t)
 {
@@ -372,6 +392,12 @@
       q.allow_interference = true;
       index = choose_for (d, c, t, &q);
     }
+  if (index == WORKER_SELECT_NONE && may_use_avoided (d, c, t->task)
+      && !worker_select_can_wait (c->candidates, c->count, &q))
+    {
+      q.allow_avoided = true;
+      index = choose_for (d, c, t, &q);
+    }
   if (index == WORKER_SELECT_NONE && q.is_restart)
     reserve (c, &q);
   return index;
@@ -517,19 +543,21 @@
   struct candidates c = { .workers = NULL };
   size_t n = list_waiting (d, wall_ms, &waiting);
   size_t placed = 0;
-  struct unplaceable unplaceable = { .count = 0 };
+  /* Without and with the avoided workers.  */
+  struct unplaceable unplaceables[2] = { { .count = 0 }, { .count = 0 } };
   d->waiting = (uint32_t)n;
   d->waiting_fill = 0;
   bool has_candidates = (n > 0 || has_slow_pace (d)) && list_candidates (d, &c);
-  unplaceable.mostly_free = has_candidates && c.mostly_free;
+  unplaceables[0].mostly_free = unplaceables[1].mostly_free = has_candidates && c.mostly_free;
   if (has_candidates)
     move_paced_tasks (d, &c);
   if (has_candidates)
     for (size_t i = 0; i < n && placed < MAX_PLACED_PER_TICK; i++)
       {
-        if (is_unplaceable (&unplaceable, &waiting[i]))
+        struct unplaceable *unplaceable = &unplaceables[may_use_avoided (d, &c, waiting[i].task)];
+        if (is_unplaceable (unplaceable, &waiting[i]))
           {
-            unplaceable.last = &waiting[i];
+            unplaceable->last = &waiting[i];
             count_waiting_fill (d, &waiting[i]);
             continue;
           }
@@ -539,9 +567,9 @@
             count_waiting_fill (d, &waiting[i]);
             if (is_isolated (waiting[i].task))
               continue;
-            unplaceable.last = &waiting[i];
-            if (unplaceable.count < MAX_UNPLACEABLE)
-              unplaceable.tasks[unplaceable.count++] = &waiting[i];
+            unplaceable->last = &waiting[i];
+            if (unplaceable->count < MAX_UNPLACEABLE)
+              unplaceable->tasks[unplaceable->count++] = &waiting[i];
             continue;
           }
         propose_place (d, c.workers[index], waiting[i].task);
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -414,7 +414,13 @@
 {
   return w->address && w->reported && w->fenced && !w->draining && !w->left_undrained && !w->gone
          && d->now_ms - w->last_answer_ms < WORKER_SILENT_MS && d->now_ms >= w->no_room_until_ms
-         && d->now_ms >= w->avoid_until_ms && !workflow_zone_is_out (d->config.workflow, w->zone);
+         && !workflow_zone_is_out (d->config.workflow, w->zone);
+}
+
+bool
+dispatch_is_avoided (const struct dispatcher *d, const struct dispatch_worker *w)
+{
+  return d->now_ms < w->avoid_until_ms;
 }
 
 struct worker_address
--- a/src/workflow/worker_select.c
+++ b/src/workflow/worker_select.c
@@ -40,6 +40,8 @@
     return false;
   if (q->is_isolated && !r->answering)
     return false;
+  if (r->avoided && !q->allow_avoided)
+    return false;
   if (q->max_per_worker > 0 && r->same_step >= q->max_per_worker)
     return false;
   if (r->reserved && !q->is_fill && !q->is_restart)
@@ -67,6 +69,26 @@
   return penalty + undeclared_millicores (r) - q->millicores;
 }
 
+/* The task fits on R beside the lasting tasks there.  */
+static bool
+fits_beside_lasting (const struct worker_candidate *r, const struct worker_request *q)
+{
+  bool allowed = q->max_per_worker == 0 || r->same_step < q->max_per_worker;
+  return r->usable && !r->avoided && allowed && r->free_memory_mb >= q->memory_mb
+         && r->free_accelerators >= q->accelerators
+         && (uint64_t)r->lasting_millicores + q->millicores <= r->millicores;
+}
+
+bool
+worker_select_can_wait (const struct worker_candidate *candidates, size_t count,
+                        const struct worker_request *q)
+{
+  for (size_t i = 0; i < count; i++)
+    if (fits_beside_lasting (&candidates[i], q))
+      return true;
+  return false;
+}
+
 size_t
 worker_select_reserve (const struct worker_candidate *candidates, size_t count,
                        const struct worker_request *q)
@@ -75,11 +97,7 @@
   for (size_t i = 0; i < count; i++)
     {
       const struct worker_candidate *r = &candidates[i];
-      bool has_capacity = (uint64_t)r->lasting_millicores + q->millicores <= r->millicores
-                          && r->free_memory_mb >= q->memory_mb
-                          && r->free_accelerators >= q->accelerators;
-      bool allowed = q->max_per_worker == 0 || r->same_step < q->max_per_worker;
-      if (!r->usable || r->reserved || !has_capacity || !allowed)
+      if (r->reserved || !fits_beside_lasting (r, q))
         continue;
       if (best == WORKER_SELECT_NONE || r->short_millicores < candidates[best].short_millicores)
         best = i;
--- a/src/workflow/worker_select.h
+++ b/src/workflow/worker_select.h
@@ -31,7 +31,8 @@
   uint32_t free_memory_mb;
   uint32_t free_accelerators;
   uint32_t same_step;   /* tasks of the same step and occurrence there */
-  bool usable;          /* alive, in the pool, has the label, not avoided */
+  bool usable;          /* alive, in the pool, has the label */
+  bool avoided;         /* what was started there failed */
   bool reserved;        /* capacity reserved for a lasting task that must restart */
   bool isolated;        /* a task that may crash the worker was just started there */
   bool answering;       /* its last answer is younger than any order without one */
@@ -51,6 +52,7 @@
   bool is_lasting;
   bool is_isolated; /* may crash the worker: preferably started where least is at work */
   bool is_restart;  /* a lasting task that waits for reserved capacity */
+  bool allow_avoided;
   /* For a fill-in task that waited long while most of the pool is free; pacing limits the
      slowdown.  */
   bool allow_interference;
@@ -61,6 +63,10 @@
 bool worker_select_fits (const struct worker_candidate *r, const struct worker_request *q);
 /* Lower is better; for a worker that the task fits on.  */
 double worker_select_score (const struct worker_candidate *r, const struct worker_request *q);
+/* True if a worker that is not avoided could take the task once the short tasks there have ended.
+ */
+bool worker_select_can_wait (const struct worker_candidate *candidates, size_t count,
+                             const struct worker_request *q);
 /* Index of the worker to reserve for Q, which fits on no worker now: with enough capacity beside
    its lasting tasks and the fewest short millicores; or WORKER_SELECT_NONE.  Without a reservation
    each gap that a short task leaves goes to the next short task, and a larger task never starts. */
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -1071,6 +1071,140 @@
   assert_int_equal (workflow_find_job (&f->workflow, 1)->state, WORKFLOW_JOB_FAILED);
 }
 
+/* Submits a job of COUNT tasks on W1, the only worker; all that start there end failed.  ENDS
+   counts the ends of the worker.  */
+static void
+fail_job (struct fixture *f, uint64_t id, uint32_t count, uint64_t *ends)
+{
+  struct reported_end list[16];
+  size_t first = f->start_count;
+  fixture_submit (f, id, 1, count, 0);
+  fixture_tick (f, 20);
+  size_t started = f->start_count - first;
+  assert_int_equal (started, count);
+  for (size_t i = 0; i < started; i++)
+    {
+      assert_string_equal (f->starts[first + i].worker, "w1");
+      fixture_answer_start (f, &f->starts[first + i], WORKER_CALL_OK);
+      list[i] = fixture_ended (&f->starts[first + i], ++*ends, WORKFLOW_FAILED);
+    }
+  fixture_tick (f, 100);
+  fixture_answer_hold (f, "w1", NULL, 0, list, started);
+}
+
+/* Joins W1, on which one job after the other fails: it is avoided for as long as possible.  */
+static void
+join_avoided_worker (struct fixture *f)
+{
+  uint64_t ends = 0;
+  fixture_configure (f, 2, 1);
+  fixture_join (f, "w1", "10.0.0.1:1");
+  for (uint64_t id = 1; id <= 6; id++)
+    {
+      fixture_tick (f, 17000);
+      fixture_answer_hold (f, "w1", NULL, 0, NULL, 0);
+      fail_job (f, id, 1, &ends);
+    }
+}
+
+/* Ticks until another start, at most LIMIT_MS; all workers answer with empty lists.  */
+static int64_t
+time_to_next_start (struct fixture *f, int64_t limit_ms)
+{
+  int64_t from_ms = f->now_ms;
+  size_t before = f->start_count;
+  while (f->start_count == before && f->now_ms - from_ms < limit_ms)
+    {
+      size_t sent = f->hold_count;
+      fixture_tick (f, 20);
+      for (size_t i = sent; i < f->hold_count; i++)
+        fixture_answer_hold (f, f->holds[i].worker, NULL, 0, NULL, 0);
+    }
+  return f->now_ms - from_ms;
+}
+
+/* Guards against a pool that is closed by the tasks of one job that always fail: each of them
+   counted as a failure of its worker, and other jobs waited for up to 16 s.  */
+static void
+test_failures_of_one_job_do_not_keep_others_from_a_worker (void **state)
+{
+  struct fixture *f = *state;
+  uint64_t ends = 0;
+  fixture_configure (f, 2, 1);
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fail_job (f, 1, 16, &ends);
+  fixture_submit (f, 2, 1, 1, 0);
+  assert_true (time_to_next_start (f, 20000) <= 1100);
+}
+
+/* Guards against a lasting task without a run while the only workers that it fits on are avoided,
+   idle and sound: for as long as they were avoided, up to 16 s, nothing started there.  */
+static void
+test_a_task_without_a_choice_starts_on_an_avoided_worker (void **state)
+{
+  struct fixture *f = *state;
+  join_avoided_worker (f);
+  fixture_submit (f, 7, 1, 1, WORKFLOW_STEP_LASTING);
+  assert_true (time_to_next_start (f, 20000) <= 2000);
+  assert_string_equal (f->starts[f->start_count - 1].worker, "w1");
+}
+
+/* The other worker is full of short tasks, which end: the task waits for it, as attempts are
+   limited and an avoided worker may fail all that it starts.  */
+static void
+test_a_task_waits_for_a_busy_worker_rather_than_take_an_avoided_one (void **state)
+{
+  struct fixture *f = *state;
+  join_avoided_worker (f);
+  fixture_join (f, "w2", "10.0.0.2:1");
+  f->start_count = 0;
+  fixture_submit (f, 7, 1, 17, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 16);
+  struct reported_run running[16];
+  for (int i = 0; i < 16; i++)
+    {
+      assert_string_equal (f->starts[i].worker, "w2");
+      fixture_answer_start (f, &f->starts[i], WORKER_CALL_OK);
+      running[i] = fixture_running (&f->starts[i]);
+    }
+  for (int i = 0; i < 150; i++)
+    {
+      fixture_tick (f, 20);
+      fixture_answer_hold (f, "w1", NULL, 0, NULL, 0);
+      fixture_answer_hold (f, "w2", running, 16, NULL, 0);
+    }
+  assert_int_equal (f->start_count, 16);
+}
+
+/* A lasting task may fail at any time; after long work that says nothing about its worker.  */
+static void
+test_a_failure_after_long_work_does_not_count_against_the_worker (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 3, WORKFLOW_STEP_LASTING);
+  fixture_tick (f, 20);
+  struct reported_run running[3];
+  struct reported_end ends[3];
+  assert_int_equal (f->start_count, 3);
+  for (int i = 0; i < 3; i++)
+    {
+      fixture_answer_start (f, &f->starts[i], WORKER_CALL_OK);
+      running[i] = fixture_running (&f->starts[i]);
+      ends[i] = fixture_ended (&f->starts[i], (uint64_t)i + 1, WORKFLOW_FAILED);
+    }
+  for (int i = 0; i < 110; i++)
+    {
+      fixture_tick (f, 100);
+      fixture_answer_hold (f, "w1", running, 3, NULL, 0);
+    }
+  fixture_tick (f, 100);
+  fixture_answer_hold (f, "w1", NULL, 0, ends, 3);
+  assert_true (time_to_next_start (f, 20000) <= 40);
+  assert_int_equal (f->start_count, 6);
+}
+
 /* The worker OLD_ID at ADDRESS crashes and is back under NEW_ID, BORN_MS.  */
 static void
 crash_worker (struct fixture *f, const char *old_id, const char *new_id, const char *address,
@@ -1503,6 +1637,10 @@
           TEST (test_a_task_that_crashes_a_restarting_worker_is_given_up),
           TEST (test_departures_of_workers_do_not_give_a_task_up),
           TEST (test_a_suspected_task_is_started_apart),
+          TEST (test_failures_of_one_job_do_not_keep_others_from_a_worker),
+          TEST (test_a_task_without_a_choice_starts_on_an_avoided_worker),
+          TEST (test_a_task_waits_for_a_busy_worker_rather_than_take_an_avoided_one),
+          TEST (test_a_failure_after_long_work_does_not_count_against_the_worker),
           TEST (test_a_job_fails_after_its_attempts) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_worker_select.c
+++ b/tests/test_worker_select.c
@@ -219,6 +219,23 @@
   assert_int_equal (worker_select_reserve (candidates, 1, &huge), WORKER_SELECT_NONE);
 }
 
+static void
+test_an_avoided_worker_is_for_tasks_without_a_choice (void **state)
+{
+  struct worker_candidate candidates[] = { worker (0, 0), worker (16000, 0) };
+  struct worker_request q = { .millicores = 4000, .is_lasting = true, .is_restart = true };
+  (void)state;
+  candidates[0].avoided = true;
+  assert_int_equal (choose_best (candidates, 2, &q), WORKER_SELECT_NONE);
+  assert_int_equal (worker_select_reserve (candidates, 2, &q), WORKER_SELECT_NONE);
+  assert_false (worker_select_can_wait (candidates, 2, &q));
+  q.allow_avoided = true;
+  assert_int_equal (choose_best (candidates, 2, &q), 0);
+  candidates[1].lasting_millicores = 0;
+  candidates[1].short_millicores = 16000;
+  assert_true (worker_select_can_wait (candidates, 2, &q));
+}
+
 int
 main (void)
 {
@@ -231,6 +248,7 @@
           cmocka_unit_test (test_fill_goes_where_it_does_not_interfere),
           cmocka_unit_test (test_fill_without_interference_leaves_the_empty_workers),
           cmocka_unit_test (test_a_starved_job_runs_despite_interference),
+          cmocka_unit_test (test_an_avoided_worker_is_for_tasks_without_a_choice),
           cmocka_unit_test (test_limits_hold) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
