Refuse orders of a worker's former life in its next one

Callers saw: tasks were started again after their end "done" had been acknowledged, after workers had started again under their ids and were cut off.

Cause: a hold that acknowledges ends names a worker id only. The next life under that id executed it, since libcurl wrote it again when the connection broke, or since it came late. That life numbers its ends from 1 and forgot its first ones before they were listed; the leader took their runs for lapsed.

Change: the fence of a worker's orders rises with each of its restarts, and nothing is started before a hold under it was answered. An acknowledgement is carried until one hold with it was answered, by a hold that does not wait and is written once. A life that one may have reached before its first hold gets short tasks only after a run there was stopped and its end listed. Ends count as recorded at their commit, which saves the hold that this costs.

A test required a start after a hold that had not raised the fence; it now requires that there is none. Another fails the first hold with an acknowledgement, since later ones carry none.

--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -28,6 +28,12 @@
     short_stages_add (stage, d->now_ms - since_ms);
 }
 
+bool
+dispatch_survives_lost_end (const struct workflow_task *t)
+{
+  return workflow_step_of (t)->flags & (WORKFLOW_STEP_LASTING | WORKFLOW_STEP_SPECULATIVE);
+}
+
 bool
 dispatch_has_authority (const struct dispatcher *d)
 {
@@ -247,6 +253,8 @@
   if (outcome == WORKFLOW_CRASHED || outcome == WORKFLOW_CRASHED_BESIDE
       || outcome == WORKFLOW_CRASHED_UNANSWERED)
     log_blame (run);
+  if (r->end_number > 0 && outcome == r->proposed_outcome)
+    dispatch_note_recorded (r->worker, r->end_number);
   if (outcome == WORKFLOW_FAILED)
     record_failure (d, r);
   else if (outcome == WORKFLOW_DONE)
@@ -355,7 +363,8 @@
   struct workflow_job *j;
   dispatcher_resign (d);
   d->leading = true;
-  d->fence = fence;
+  d->first_fence = fence;
+  d->last_fence = fence;
   d->now_ms = now_ms;
   d->lead_ms = now_ms;
   d->tick_ms = 0;
@@ -415,7 +424,7 @@
 {
   const struct dispatch_worker *w = r->worker;
   const struct worker_stop order
-      = { .to = dispatch_address (d, w), .task = workflow_ref (r->task), .run = r->number };
+      = { .to = dispatch_address (w), .task = workflow_ref (r->task), .run = r->number };
   r->stop_pending = true;
   log_event (LOG_INFO, "stop-sent", "job=%016" PRIx64 " step=%u task=%u run=%u worker=%s",
              r->task->job->spec.id, r->task->step, r->task->index, r->number, w->id);
@@ -432,7 +441,7 @@
 send_pace (struct dispatcher *d, struct dispatch_run *r)
 {
   const struct dispatch_worker *w = r->worker;
-  const struct worker_pace order = { .to = dispatch_address (d, w),
+  const struct worker_pace order = { .to = dispatch_address (w),
                                      .task = workflow_ref (r->task),
                                      .run = r->number,
                                      .percent = target_pace (d, r) };
--- a/src/workflow/dispatcher.h
+++ b/src/workflow/dispatcher.h
@@ -21,10 +21,15 @@
    doesn't list it; that incarnation of the worker has ended; or its lease has expired even on the
    slowest clock that the worker may have.  An uncertain order is settled by a stop order for that
    run, after which the worker refuses a late start of it.  The first hold of a leader raises the
-   worker's fence, which settles the orders of all earlier leaders.
+   worker's fence, which settles the orders of all earlier leaders; the first hold after a restart
+   of the worker raises it again, which settles the orders to its earlier incarnation.
 
    Holds.  A hold is the periodic call to a worker: it renews the lease, returns the lists of
-   running and ended runs, and acknowledges the ends that are committed.
+   running and ended runs, and acknowledges the ends that are committed.  An acknowledgement that
+   reaches the next incarnation of the worker makes it forget ends that it has not listed, so each
+   is carried until one hold with it was answered.  While one may have reached an incarnation, a
+   task that must not run again after it is done is started there alone and stopped at once; an end
+   that is listed shows that none is lost.
 
    Use: call dispatcher_tick every DISPATCHER_TICK_MS and after a group of inputs.  */
 
@@ -41,6 +46,8 @@
 #include "workflow.h"
 
 #define DISPATCHER_TICK_MS 20
+#define DISPATCHER_FENCES                                                                          \
+  ((uint64_t)1 << 20) /* of one leadership; one for each restart of a worker */
 
 struct dispatcher;
 
@@ -64,7 +71,8 @@
 
 /* Leadership.  */
 void dispatcher_become_leader (struct dispatcher *d, int64_t now_ms,
-                               uint64_t fence); /* Own log applied; FENCE is the term. */
+                               uint64_t fence); /* Own log applied; uses DISPATCHER_FENCES from
+                                                   FENCE on, all above those of earlier leaders. */
 void dispatcher_resign (struct dispatcher *d);  /* Drops all state. */
 void dispatcher_set_authority (struct dispatcher *d,
                                int64_t until_ms); /* No other leader can exist before UNTIL_MS. */
--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -21,9 +21,13 @@
   return names[result];
 }
 
+/* Where ends may be lost, a run is stopped as soon as it is known to run: long before it can be
+   done, and its end shows whether ends are listed.  */
 static void
 mark_running (struct dispatcher *d, struct dispatch_run *r)
 {
+  if (r->worker->may_lose_ends && !dispatch_survives_lost_end (r->task))
+    r->stop_requested = true;
   dispatch_add_stage (d, r, SHORT_STAGE_START, r->sent_ms);
   r->state = DISPATCH_RUNNING;
   r->running_ms = d->now_ms;
@@ -127,8 +131,7 @@
 stop_unknown_run (struct dispatcher *d, const struct dispatch_worker *w,
                   const struct reported_run *h)
 {
-  const struct worker_stop order
-      = { .to = dispatch_address (d, w), .task = h->task, .run = h->run };
+  const struct worker_stop order = { .to = dispatch_address (w), .task = h->task, .run = h->run };
   log_event (LOG_WARN, "stranger-stopped", "job=%016" PRIx64 " step=%u task=%u run=%u worker=%s",
              h->task.job, h->task.step, h->task.index, h->run, w->id);
   d->config.link->ops->stop (d->config.link, &order);
@@ -212,6 +215,16 @@
     }
 }
 
+void
+dispatch_note_recorded (struct dispatch_worker *w, uint64_t number)
+{
+  struct listed_end *e;
+  STAILQ_FOREACH (e, &w->ends, link)
+  if (e->number == number)
+    e->recorded = true;
+  advance_cursor (w);
+}
+
 /* H is the end of a run that has another end in the log, or proposed to it.  Returns true while it
    must be committed before it is acknowledged.  */
 static bool
@@ -257,6 +270,7 @@
       if (r->state == DISPATCH_ENDING && r->proposed_outcome != WORKFLOW_DONE)
         record_late_end (d, w, h);
       dispatch_propose_end (d, r, h->outcome, h->checkpoint, "the worker listed its end");
+      r->end_number = r->proposed_outcome == h->outcome ? h->number : 0;
     }
   advance_cursor (w);
 }
@@ -277,7 +291,12 @@
       dispatch_propose_end (d, r, r->crash_outcome ? r->crash_outcome : WORKFLOW_LAPSED, NULL,
                             "the worker no longer lists it");
     else if (r->state == DISPATCH_UNCERTAIN && r->inherited)
-      dispatch_propose_end (d, r, WORKFLOW_LAPSED, NULL, "not listed after the fence was raised");
+      {
+        /* Without any run or end it may have restarted under the earlier leader, which alone knew
+           what was on its way.  */
+        w->may_lose_ends = w->may_lose_ends || (lists->running_len == 0 && lists->ended_len == 0);
+        dispatch_propose_end (d, r, WORKFLOW_LAPSED, NULL, "not listed after the fence was raised");
+      }
     else if (r->state == DISPATCH_UNCERTAIN && r->stop_settled)
       dispatch_propose_end (d, r, r->crash_outcome ? r->crash_outcome : WORKFLOW_NOT_STARTED, NULL,
                             "not listed after a stop");
@@ -286,12 +305,30 @@
   }
 }
 
+/* The hold with MARK was answered: what it acknowledged is forgotten there.  */
+static void
+note_acknowledged (struct dispatcher *d, struct dispatch_worker *w, uint64_t mark)
+{
+  if (mark == w->ack_mark)
+    {
+      w->confirmed = w->ack_number;
+      w->ack_mark = 0;
+    }
+  if (d->now_ms - w->ack_lost_ms >= ORDER_MAX_DELAY_MS)
+    w->ack_lost_ms = 0;
+}
+
 static void
 process_lists (struct dispatcher *d, struct dispatch_worker *w, const struct worker_lists *lists)
 {
   if (lists->born_ms > 0 && lists->born_ms < w->born_ms)
     return;
-  dispatch_update_incarnation (d, w, lists->born_ms);
+  /* A hold to the earlier incarnation did not raise the fence of this one.  */
+  if (dispatch_update_incarnation (d, w, lists->born_ms))
+    return;
+  note_acknowledged (d, w, lists->mark);
+  if (lists->ended_len > 0)
+    w->may_lose_ends = false;
   dispatch_update_clock (d, w, lists->clock_ms);
   if (lists->clock_ms < w->listed_clock_ms)
     return;
@@ -344,6 +381,9 @@
     }
   w->hold_next_ms = now_ms + HOLD_RETRY_MS;
   w->last_hold_answered = false;
+  if (w->ack_mark > 0 && (result == WORKER_CALL_UNKNOWN || result == WORKER_CALL_NO_LISTENER))
+    w->ack_lost_ms = w->ack_sent_ms;
+  w->ack_mark = 0;
   log_event (LOG_INFO, "hold-failed", "worker=%s result=%s silent_ms=%" PRId64, worker,
              result_name (result), w->fenced ? now_ms - w->last_answer_ms : 0);
   if (result == WORKER_CALL_OTHER_WORKER)
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -88,6 +88,7 @@
   int64_t running_ms;     /* when it became known to run; 0 before */
   int64_t sent_ms;        /* last start order, or start of leadership; while PLACING: chosen */
   int64_t ended_ms;       /* when its end was proposed; 0 before */
+  uint64_t end_number;    /* of the listed end that was proposed; 0: none */
   uint32_t paced_percent; /* acknowledged by the worker */
   bool pace_pending;
   uint32_t measure; /* last listed; lasting: tail in ms, else millicores in use */
@@ -157,9 +158,18 @@
   bool hold_now;           /* don't wait for hold_next_ms */
   bool last_hold_answered; /* the last hold was answered: ACKNOWLEDGED counts ends of this
                               incarnation */
+  uint64_t fence;          /* of its orders; above those to its earlier incarnations */
 
   /* Ended and running tasks.  */
   uint64_t acknowledged; /* ends up to this number are committed */
+  uint64_t confirmed;    /* a hold that acknowledged them up to this number was answered */
+  uint64_t ack_mark;     /* open hold that carries an acknowledgement; 0: none */
+  uint64_t ack_number;   /* that it carries */
+  int64_t ack_sent_ms;
+  int64_t ack_lost_ms; /* last hold with an acknowledgement and without an answer; 0: none that
+                          may still be executed */
+  bool may_lose_ends;  /* such a hold may have reached this incarnation: its first ends may never
+                          be listed */
   struct listed_ends ends;
   struct dispatch_runs runs;
   uint32_t lasting_millicores, short_millicores, fill_millicores, used_memory_mb, used_accelerators;
@@ -196,7 +206,8 @@
 {
   struct dispatcher_config config;
   bool leading;
-  uint64_t fence;
+  uint64_t first_fence; /* of this leadership */
+  uint64_t last_fence;  /* highest in use */
   int64_t lead_ms;
   int64_t authority_until_ms;
   int64_t now_ms;
@@ -236,6 +247,9 @@
                                         const workflow_task_ref *task,
                                         uint32_t number); /* NULL: no longer tracked. */
 
+bool dispatch_survives_lost_end (
+    const struct workflow_task *t); /* T may run again although a run of it is done. */
+
 /* dispatcher_worker.c */
 struct dispatch_worker *dispatch_find_worker (const struct dispatcher *d, const char *id);
 struct dispatch_worker *dispatch_add_worker (struct dispatcher *d, const char *id);
@@ -251,14 +265,18 @@
 void dispatch_update_clock (struct dispatcher *d, struct dispatch_worker *w, int64_t clock_ms);
 int64_t dispatch_lease_deadline (struct dispatcher *d,
                                  struct dispatch_worker *w); /* For the next order; stored in W. */
-void dispatch_update_incarnation (struct dispatcher *d, struct dispatch_worker *w, int64_t born_ms);
-struct worker_address dispatch_address (const struct dispatcher *d,
-                                        const struct dispatch_worker *w); /* For an order. */
+bool dispatch_update_incarnation (struct dispatcher *d, struct dispatch_worker *w,
+                                  int64_t born_ms); /* True if W has restarted. */
+struct worker_address dispatch_address (const struct dispatch_worker *w); /* For an order. */
 void dispatch_tick_worker (struct dispatcher *d, struct dispatch_worker *w);
 bool dispatch_usable (const struct dispatcher *d, const struct dispatch_worker *w);
 bool dispatch_is_avoided (const struct dispatcher *d,
                           const struct dispatch_worker *w); /* Only for tasks without a choice. */
 
+/* dispatcher_answer.c */
+void dispatch_note_recorded (struct dispatch_worker *w,
+                             uint64_t number); /* That end is committed as listed. */
+
 /* dispatcher_interference.c */
 void dispatch_update_mix (struct dispatcher *d,
                           struct dispatch_worker *w); /* Before samples are added. */
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -29,6 +29,7 @@
   struct dispatch_worker *w = xcalloc (1, sizeof *w);
   w->id = xstrdup (id);
   w->order_epoch = ++d->last_order_epoch;
+  w->fence = d->last_fence; /* the worker may have been known before, with any lower one */
   /* The previous leader could grant leases until its authority ended, which was before this
      leader's began.  */
   w->lease_end_ms
@@ -194,6 +195,7 @@
   if (r->state == DISPATCH_SENT)
     r->state = DISPATCH_UNCERTAIN;
   r->settled_mark = ++d->mark;
+  r->end_number = 0;
   r->stop_settled = false;
   r->stop_pending = false;
   r->stop_next_ms = d->now_ms;
@@ -201,8 +203,26 @@
   r->pace_pending = false;
 }
 
+/* A hold that acknowledged ends of the earlier incarnation may have been executed by the new one,
+   or be executed before that has seen its fence.  The new one numbers its ends from 1, so it would
+   forget its first ends before they are listed.  */
+static void
+note_restart_beside_acknowledgement (struct dispatch_worker *w)
+{
+  if (w->ack_mark > 0)
+    w->ack_lost_ms = w->ack_sent_ms;
+  w->may_lose_ends = w->ack_lost_ms > 0;
+  if (w->may_lose_ends)
+    log_event (LOG_WARN, "ends-may-be-lost", "worker=%s born=%" PRId64 " acknowledged=%" PRIu64,
+               w->id, w->born_ms, w->ack_number);
+  w->acknowledged = 0;
+  w->confirmed = 0;
+  w->ack_mark = 0;
+}
+
 /* The worker restarted under its id: its earlier runs are gone, it has a new clock and has seen no
-   fence.  An order to the earlier incarnation may still reach the new one.  */
+   fence.  An order to the earlier incarnation may still reach the new one, which refuses it once it
+   has seen the higher fence of its own orders.  */
 static void
 begin_incarnation (struct dispatcher *d, struct dispatch_worker *w, int64_t born_ms)
 {
@@ -222,7 +242,9 @@
   w->fenced = false;
   w->lease_end_ms
       = d->now_ms + (int64_t)((double)d->config.lease_ms / MIN_CLOCK_RATE) + LEASE_MARGIN_MS;
-  w->acknowledged = 0;
+  note_restart_beside_acknowledgement (w);
+  if (d->last_fence < d->first_fence + DISPATCHER_FENCES - 1)
+    w->fence = ++d->last_fence;
   w->hold_now = true;
   w->order_epoch = ++d->last_order_epoch;
   w->holds = 0;
@@ -232,15 +254,15 @@
   forget_answers (d, r);
 }
 
-void
+bool
 dispatch_update_incarnation (struct dispatcher *d, struct dispatch_worker *w, int64_t born_ms)
 {
-  if (born_ms <= w->born_ms)
-    return;
-  if (w->born_ms > 0)
+  bool restarted = w->born_ms > 0 && born_ms > w->born_ms;
+  if (restarted)
     begin_incarnation (d, w, born_ms);
-  else
+  else if (w->born_ms == 0)
     w->born_ms = born_ms;
+  return restarted;
 }
 
 static void
@@ -424,12 +446,12 @@
 }
 
 struct worker_address
-dispatch_address (const struct dispatcher *d, const struct dispatch_worker *w)
+dispatch_address (const struct dispatch_worker *w)
 {
   return (struct worker_address){ .worker = w->id,
                                   .address = w->address,
                                   .zone = w->zone,
-                                  .fence = d->fence,
+                                  .fence = w->fence,
                                   .tag = (void *)w->order_epoch };
 }
 
@@ -444,14 +466,24 @@
 send_hold (struct dispatcher *d, struct dispatch_worker *w)
 {
   /* A worker whose answers are lost may still get holds: renew its lease only while it answers.  It
-   may also have restarted, and numbers its ends from 1 again.  */
+   may also have restarted, and numbers its ends from 1 again.  An acknowledgement is carried until
+   a hold with it was answered, and by one hold at a time that doesn't wait, so that few of them are
+   on their way when a worker restarts.  */
   bool answers = d->now_ms - w->last_answer_ms < RENEW_MAX_SILENCE_MS;
-  const struct worker_hold order
-      = { .to = dispatch_address (d, w),
-          .mark = ++d->mark,
-          .acknowledged = answers && w->last_hold_answered ? w->acknowledged : 0,
-          .deadline_ms = answers ? dispatch_lease_deadline (d, w) : 0,
-          .wait_ms = w->hold_now || !w->fenced ? 0 : hold_wait_ms (w) };
+  bool acknowledges
+      = answers && w->last_hold_answered && w->ack_mark == 0 && w->acknowledged > w->confirmed;
+  bool waits = !w->hold_now && w->fenced && !acknowledges;
+  const struct worker_hold order = { .to = dispatch_address (w),
+                                     .mark = ++d->mark,
+                                     .acknowledged = acknowledges ? w->acknowledged : 0,
+                                     .deadline_ms = answers ? dispatch_lease_deadline (d, w) : 0,
+                                     .wait_ms = waits ? hold_wait_ms (w) : 0 };
+  if (acknowledges)
+    {
+      w->ack_mark = order.mark;
+      w->ack_number = order.acknowledged;
+      w->ack_sent_ms = d->now_ms;
+    }
   w->hold_now = false;
   w->holds++;
   d->config.link->ops->hold (d->config.link, &order);
--- a/src/workflow/worker_select.c
+++ b/src/workflow/worker_select.c
@@ -10,6 +10,7 @@
 #define EMPTY_WORKER_PENALTY 1.5
 /* Data on another rack doubles the run time, so any worker near the data goes first.  */
 #define REMOTE_DATA_PENALTY 1e6
+#define PROBE_PENALTY 1e7 /* the run is stopped at once: any other worker goes first */
 
 static double
 unused_millicores (const struct worker_candidate *r)
@@ -42,6 +43,8 @@
     return false;
   if (r->avoided && !q->allow_avoided)
     return false;
+  if (r->may_lose_ends && !q->survives_lost_end && (r->probed || !q->can_probe))
+    return false;
   if (q->max_per_worker > 0 && r->same_step >= q->max_per_worker)
     return false;
   if (r->reserved && !q->is_fill && !q->is_restart)
@@ -57,6 +60,8 @@
 worker_select_score (const struct worker_candidate *r, const struct worker_request *q)
 {
   double penalty = r->near_data ? 0 : REMOTE_DATA_PENALTY;
+  if (r->may_lose_ends && !q->survives_lost_end)
+    penalty += PROBE_PENALTY;
   if (q->is_isolated)
     return penalty + LASTING_CRASH_WEIGHT * r->lasting_millicores + r->short_millicores
            + r->fill_millicores;
@@ -74,8 +79,8 @@
 fits_beside_lasting (const struct worker_candidate *r, const struct worker_request *q)
 {
   bool allowed = q->max_per_worker == 0 || r->same_step < q->max_per_worker;
-  return r->usable && !r->avoided && allowed && r->free_memory_mb >= q->memory_mb
-         && r->free_accelerators >= q->accelerators
+  return r->usable && !r->avoided && (!r->may_lose_ends || q->survives_lost_end) && allowed
+         && r->free_memory_mb >= q->memory_mb && r->free_accelerators >= q->accelerators
          && (uint64_t)r->lasting_millicores + q->millicores <= r->millicores;
 }
 
--- a/src/workflow/worker_select.h
+++ b/src/workflow/worker_select.h
@@ -33,6 +33,8 @@
   uint32_t same_step;   /* tasks of the same step and occurrence there */
   bool usable;          /* alive, in the pool, has the label */
   bool avoided;         /* what was started there failed */
+  bool may_lose_ends;   /* the end of a run may never be listed */
+  bool probed;          /* with MAY_LOSE_ENDS: a run shows whether it is */
   bool reserved;        /* capacity reserved for a lasting task that must restart */
   bool isolated;        /* a task that may crash the worker was just started there */
   bool answering;       /* its last answer is younger than any order without one */
@@ -53,6 +55,8 @@
   bool is_isolated; /* may crash the worker: preferably started where least is at work */
   bool is_restart;  /* a lasting task that waits for reserved capacity */
   bool allow_avoided;
+  bool survives_lost_end; /* may run again although a run of it is done */
+  bool can_probe;         /* runs for so long that a stop comes before its end */
   /* For a fill-in task that waited long while most of the pool is free; pacing limits the
      slowdown.  */
   bool allow_interference;
--- a/src/workflow/workflow_service.c
+++ b/src/workflow/workflow_service.c
@@ -189,7 +189,7 @@
   log_state ("leadership-gained", "term=%llu applied=%llu",
              (unsigned long long)group_term (s->group),
              (unsigned long long)group_applied_index (s->group));
-  dispatcher_become_leader (s->dispatcher, now_ms, group_term (s->group));
+  dispatcher_become_leader (s->dispatcher, now_ms, group_term (s->group) * DISPATCHER_FENCES);
   leader_placement_elected (&s->leader_placement);
 }
 
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -372,8 +372,6 @@
   fixture_tick (f, 100);
   fixture_answer_hold (f, "w1", NULL, 0, &end, 1);
   fixture_tick (f, 100);
-  fixture_answer_hold (f, "w1", NULL, 0, &end, 1);
-  fixture_tick (f, 100);
   assert_int_equal (fixture_last_hold (f, "w1").acknowledged, 1);
   dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_UNKNOWN, NULL);
   fixture_tick (f, 300);
@@ -383,6 +381,288 @@
   assert_int_equal (fixture_last_hold (f, "w1").acknowledged, 1);
 }
 
+/* Answers the last hold to WORKER, whose present life began at BORN_MS.  */
+static void
+answer_as (struct fixture *f, const char *worker, int64_t born_ms,
+           const struct reported_run *running, size_t running_len, const struct reported_end *ended,
+           size_t ended_len)
+{
+  const struct worker_lists lists = { .mark = fixture_last_hold (f, worker).mark,
+                                      .clock_ms = f->now_ms,
+                                      .born_ms = born_ms,
+                                      .running = running,
+                                      .running_len = running_len,
+                                      .ended = ended,
+                                      .ended_len = ended_len,
+                                      .complete = true };
+  dispatcher_hold_answer (f->dispatcher, f->now_ms, worker, WORKER_CALL_OK, &lists);
+  fixture_commit (f);
+}
+
+/* W1 has listed an end, and the hold that acknowledges it has just been sent.  */
+static void
+send_acknowledgement (struct fixture *f)
+{
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_tick (f, 20);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  fixture_tick (f, 100);
+  const struct reported_end end = fixture_ended (&f->starts[0], 1, WORKFLOW_DONE);
+  fixture_answer_hold (f, "w1", NULL, 0, &end, 1);
+  fixture_tick (f, 100);
+  assert_int_equal (fixture_last_hold (f, "w1").acknowledged, 1);
+}
+
+/* W1 restarts under its id, at BORN_MS, and answers the first hold of its new life.  */
+static void
+restart_worker (struct fixture *f, int64_t born_ms)
+{
+  struct status st;
+  struct worker_report r = fixture_worker (f, "w1", "10.0.0.1:1");
+  r.born_ms = born_ms;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+  fixture_tick (f, 20);
+  answer_as (f, "w1", born_ms, NULL, 0, NULL, 0);
+}
+
+/* Guards against an acknowledgement that reaches the next life of its worker, which numbers its
+   ends from 1 again and forgets them unseen: few holds carry one, and none of them waits.  */
+static void
+test_an_acknowledgement_is_carried_until_it_was_answered (void **state)
+{
+  struct fixture *f = *state;
+  send_acknowledgement (f);
+  assert_int_equal (fixture_last_hold (f, "w1").wait_ms, 0);
+  fixture_answer_hold (f, "w1", NULL, 0, NULL, 0);
+  for (int i = 0; i < 10; i++)
+    {
+      fixture_tick (f, 500);
+      assert_int_equal (fixture_last_hold (f, "w1").acknowledged, 0);
+      assert_true (fixture_last_hold (f, "w1").wait_ms > 0);
+      fixture_answer_hold (f, "w1", NULL, 0, NULL, 0);
+    }
+}
+
+/* Guards against orders to the former life of a worker that its present life executes: it refuses
+   them by their fence, in each order of restarts and changes of leader.  */
+static void
+test_orders_to_a_restarted_worker_have_a_higher_fence (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_join (f, "w2", "10.0.0.2:1");
+  uint64_t first = fixture_last_hold (f, "w1").fence;
+  restart_worker (f, 2000);
+  uint64_t second = fixture_last_hold (f, "w1").fence;
+  assert_true (second > first);
+  /* A second restart shows in a list first, in the answer to a hold of the second life.  */
+  fixture_tick (f, 2000);
+  answer_as (f, "w1", 3000, NULL, 0, NULL, 0);
+  fixture_tick (f, 20);
+  assert_true (fixture_last_hold (f, "w1").fence > second);
+  fixture_tick (f, 2000);
+  assert_true (fixture_last_hold (f, "w2").fence == first);
+  /* A worker that the leader has forgotten may come back.  */
+  fixture_join (f, "w3", "10.0.0.3:1");
+  assert_true (fixture_last_hold (f, "w3").fence > second);
+  dispatcher_become_leader (f->dispatcher, f->now_ms, first + DISPATCHER_FENCES);
+  fixture_join (f, "w4", "10.0.0.4:1");
+  assert_true (fixture_last_hold (f, "w4").fence > fixture_last_hold (f, "w3").fence);
+}
+
+/* Guards against a task that runs again after it was done: its end was forgotten unseen, as a hold
+   to the former life of its worker was executed by the present one, and the run counted as lapsed.
+   Until an end is listed there, a run is stopped at once, and only one is started.  */
+static void
+test_a_life_that_an_acknowledgement_may_have_reached_is_probed (void **state)
+{
+  struct fixture *f = *state;
+  send_acknowledgement (f);
+  restart_worker (f, 2000);
+  f->start_count = 0;
+  fixture_submit (f, 2, 1, 4, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  fixture_tick (f, 20);
+  assert_int_equal (f->stop_count, 1);
+  dispatcher_stop_answer (f->dispatcher, f->now_ms, "w1", &f->stops[0].task, f->stops[0].run,
+                          WORKER_CALL_OK);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+  /* Its end isn't listed: the next run is another probe.  */
+  answer_as (f, "w1", 2000, NULL, 0, NULL, 0);
+  fixture_tick (f, 100);
+  answer_as (f, "w1", 2000, NULL, 0, NULL, 0);
+  fixture_tick (f, 200);
+  assert_int_equal (f->start_count, 2);
+  fixture_answer_start (f, &f->starts[1], WORKER_CALL_OK);
+  fixture_tick (f, 20);
+  assert_int_equal (f->stop_count, 2);
+  /* This one is: the worker takes tasks again.  */
+  const struct reported_end end = fixture_ended (&f->starts[1], 2, WORKFLOW_STOPPED);
+  answer_as (f, "w1", 2000, NULL, 0, &end, 1);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 6);
+  for (size_t i = 2; i < f->start_count; i++)
+    fixture_answer_start (f, &f->starts[i], WORKER_CALL_OK);
+  fixture_tick (f, 500);
+  assert_int_equal (f->stop_count, 2);
+}
+
+/* Guards against a worker that gets nothing until it restarts, as all tasks there are short.  */
+static void
+test_short_tasks_probe_a_worker_when_they_must (void **state)
+{
+  struct fixture *f = *state;
+  send_acknowledgement (f);
+  restart_worker (f, 2000);
+  f->start_count = 0;
+  workflow_step step = { .count = 2,
+                         .millicores = 1000,
+                         .estimate_ms = 100,
+                         .required_label = "",
+                         .data_rack = "",
+                         .image = "" };
+  workflow_command c = { .kind = WORKFLOW_SUBMIT };
+  c.workflow_command_u.spec = (workflow_spec){ .id = 2, .queue = "queue", .payload = "" };
+  c.workflow_command_u.spec.steps.steps_val = &step;
+  c.workflow_command_u.spec.steps.steps_len = 1;
+  assert_true (fixture_change (f, &c));
+  for (int i = 0; i < 70; i++)
+    {
+      fixture_tick (f, 20);
+      answer_as (f, "w1", 2000, NULL, 0, NULL, 0);
+    }
+  assert_int_equal (f->start_count, 0);
+  for (int i = 0; i < 10; i++)
+    {
+      fixture_tick (f, 20);
+      answer_as (f, "w1", 2000, NULL, 0, NULL, 0);
+    }
+  assert_int_equal (f->start_count, 1);
+}
+
+/* Guards against an end that is acknowledged before it is committed, because an end with its number
+   in the former life of the worker is committed meanwhile.  */
+static void
+test_an_end_of_a_former_life_acknowledges_nothing (void **state)
+{
+  struct fixture *f = *state;
+  struct status st;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_tick (f, 20);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  fixture_tick (f, 100);
+  const struct reported_end first = fixture_ended (&f->starts[0], 1, WORKFLOW_DONE);
+  struct worker_lists lists = { .mark = fixture_last_hold (f, "w1").mark,
+                                .clock_ms = f->now_ms,
+                                .born_ms = 1000,
+                                .ended = &first,
+                                .ended_len = 1,
+                                .complete = true };
+  dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_OK, &lists);
+  assert_int_equal (f->log_count, 1);
+  struct worker_report r = fixture_worker (f, "w1", "10.0.0.1:1");
+  r.born_ms = 2000;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+  dispatcher_tick (f->dispatcher, f->now_ms, f->now_ms);
+  /* An end of a run that the log doesn't have yet, under the same number.  */
+  fixture_submit (f, 2, 1, 1, 0);
+  const workflow_place place = { .task = { .job = 2 }, .run = 1, .worker = "w1" };
+  workflow_command c = { .kind = WORKFLOW_PLACE };
+  c.workflow_command_u.place = place;
+  assert_true (fixture_change (f, &c));
+  const struct reported_end second
+      = { .number = 1, .task = { .job = 2 }, .run = 1, .outcome = WORKFLOW_DONE, .checkpoint = "" };
+  lists.mark = fixture_last_hold (f, "w1").mark;
+  lists.born_ms = 2000;
+  lists.ended = &second;
+  dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_OK, &lists);
+  assert_int_equal (f->log_count, 2);
+  /* Only the end of the former life commits.  */
+  assert_true (fixture_apply (f, f->log[0].entry.data, f->log[0].entry.len));
+  f->now_ms += 100;
+  dispatcher_tick (f->dispatcher, f->now_ms, f->now_ms);
+  assert_int_equal (fixture_last_hold (f, "w1").acknowledged, 0);
+  fixture_commit (f);
+}
+
+/* A task that lasts is restarted however it ends, so its end may be lost.  */
+static void
+test_a_lasting_task_needs_no_probe (void **state)
+{
+  struct fixture *f = *state;
+  send_acknowledgement (f);
+  restart_worker (f, 2000);
+  f->start_count = 0;
+  fixture_submit (f, 2, 1, 4, WORKFLOW_STEP_LASTING);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 4);
+  for (size_t i = 0; i < f->start_count; i++)
+    fixture_answer_start (f, &f->starts[i], WORKER_CALL_OK);
+  fixture_tick (f, 500);
+  assert_int_equal (f->stop_count, 0);
+}
+
+/* A hold without an answer may be executed seconds later: by the next life, or the one after it,
+   but by none that begins later than that.  */
+static void
+test_a_lost_acknowledgement_concerns_restarts_for_seconds_only (void **state)
+{
+  static const struct
+  {
+    int64_t silent_ms;
+    int restarts;
+    size_t starts;
+  } cases[] = { { 100, 1, 1 }, { 100, 2, 1 }, { 16000, 1, 4 } };
+  struct fixture *f = *state;
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      if (i > 0)
+        {
+          fixture_close (state);
+          fixture_open (state);
+          f = *state;
+        }
+      send_acknowledgement (f);
+      dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_UNKNOWN, NULL);
+      fixture_tick (f, cases[i].silent_ms);
+      fixture_tick (f, 300);
+      fixture_answer_hold (f, "w1", NULL, 0, NULL, 0);
+      for (int k = 0; k < cases[i].restarts; k++)
+        restart_worker (f, 2000 + k);
+      f->start_count = 0;
+      fixture_submit (f, 2, 1, 4, 0);
+      fixture_tick (f, 20);
+      assert_int_equal (f->start_count, cases[i].starts);
+    }
+}
+
+/* The leader that sent the acknowledgement is gone when the next one finds a worker without the
+   runs that the log has there: it may be another life of it.  */
+static void
+test_a_new_leader_probes_a_worker_that_lost_its_runs (void **state)
+{
+  struct fixture *f = *state;
+  struct status st;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 4, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 4);
+  dispatcher_become_leader (f->dispatcher, f->now_ms, 7 + DISPATCHER_FENCES);
+  struct worker_report r = fixture_worker (f, "w1", "10.0.0.1:1");
+  r.born_ms = 2000;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+  fixture_tick (f, 20);
+  f->start_count = 0;
+  answer_as (f, "w1", 2000, NULL, 0, NULL, 0);
+  fixture_tick (f, 200);
+  assert_int_equal (f->start_count, 1);
+}
+
 /* A worker that restarts accepts orders before its first report is received: a start that it
    accepted runs, and must not be repeated elsewhere when the restart becomes known.  */
 static void
@@ -839,7 +1119,7 @@
   f->now_ms += 20;
   dispatcher_tick (f->dispatcher, f->now_ms, f->now_ms);
   assert_int_equal (f->log_count, 1);
-  const struct worker_lists lists = {
+  struct worker_lists lists = {
     .mark = fixture_last_hold (f, "w1").mark, .clock_ms = 30, .born_ms = 2000, .complete = true
   };
   dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_OK, &lists);
@@ -853,6 +1133,12 @@
   r.clock_ms = 450;
   assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
   fixture_tick (f, 20);
+  /* The list came with the answer to a hold that did not raise the fence.  */
+  assert_int_equal (f->start_count, 0);
+  lists.mark = fixture_last_hold (f, "w1").mark;
+  lists.clock_ms = 480;
+  dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_OK, &lists);
+  fixture_tick (f, 20);
   assert_int_equal (f->start_count, 1);
 }
 
@@ -1607,6 +1893,14 @@
           TEST (test_a_restarted_worker_has_lost_its_runs),
           TEST (test_a_start_accepted_after_a_restart_is_not_repeated),
           TEST (test_a_silent_worker_gets_no_acknowledgement),
+          TEST (test_an_acknowledgement_is_carried_until_it_was_answered),
+          TEST (test_orders_to_a_restarted_worker_have_a_higher_fence),
+          TEST (test_a_life_that_an_acknowledgement_may_have_reached_is_probed),
+          TEST (test_short_tasks_probe_a_worker_when_they_must),
+          TEST (test_an_end_of_a_former_life_acknowledges_nothing),
+          TEST (test_a_lasting_task_needs_no_probe),
+          TEST (test_a_lost_acknowledgement_concerns_restarts_for_seconds_only),
+          TEST (test_a_new_leader_probes_a_worker_that_lost_its_runs),
           TEST (test_a_stop_acknowledged_before_a_restart_proves_nothing),
           TEST (test_a_claimed_address_ends_a_worker_only_once_the_address_says_so),
           TEST (test_a_false_claim_of_an_address_changes_nothing),
--- a/tests/test_worker_calls.c
+++ b/tests/test_worker_calls.c
@@ -354,11 +354,13 @@
 }
 
 static void
-send_hold (struct fixture *f)
+send_hold (struct fixture *f, uint64_t acknowledged)
 {
   struct worker_link *l = worker_calls_link (f->calls);
   const struct worker_hold order
-      = { .to = { .worker = "w1", .address = f->address, .zone = "a", .fence = 3 }, .mark = 5 };
+      = { .to = { .worker = "w1", .address = f->address, .zone = "a", .fence = 3 },
+          .mark = 5,
+          .acknowledged = acknowledged };
   l->ops->hold (l, &order);
 }
 
@@ -374,17 +376,42 @@
   open_breaking_worker (&b, &f);
   b.answer = "";
   b.closes = true;
-  send_hold (&f);
+  send_hold (&f, 0);
   ev_run (f.loop, 0);
   assert_int_equal (f.outcome.result, WORKER_CALL_UNKNOWN);
   close_breaking_worker (&b);
-  send_hold (&f);
+  send_hold (&f, 0);
   ev_run (f.loop, 0);
   assert_int_equal (f.outcomes, 2);
   assert_int_equal (f.outcome.result, WORKER_CALL_NO_LISTENER);
   close_fixture (&f);
 }
 
+/* Guards against an acknowledgement that reaches the next life of its worker, because the client
+   writes a hold again when its connection breaks.  A hold without one may be repeated.  */
+static void
+test_broken_connection_does_not_repeat_an_acknowledgement (void **state)
+{
+  (void)state;
+  for (uint64_t acknowledged = 0; acknowledged < 2; acknowledged++)
+    {
+      struct fixture f;
+      struct breaking_worker b;
+      open_fixture (&f);
+      open_breaking_worker (&b, &f);
+      send_start (&f);
+      ev_run (f.loop, 0);
+      send_hold (&f, acknowledged);
+      ev_run (f.loop, 0);
+      assert_int_equal (f.outcomes, 2);
+      assert_int_equal (b.requests, acknowledged ? 2 : 3);
+      if (acknowledged)
+        assert_int_equal (f.outcome.result, WORKER_CALL_UNKNOWN);
+      close_breaking_worker (&b);
+      close_fixture (&f);
+    }
+}
+
 int
 main (void)
 {
@@ -395,7 +422,8 @@
           cmocka_unit_test (test_broken_connection_does_not_repeat_a_start),
           cmocka_unit_test (test_only_a_complete_refusal_of_a_start_counts_as_one),
           cmocka_unit_test (test_a_start_to_a_closed_port_is_unknown),
-          cmocka_unit_test (test_only_a_refused_connection_shows_that_nobody_listens) };
+          cmocka_unit_test (test_only_a_refused_connection_shows_that_nobody_listens),
+          cmocka_unit_test (test_broken_connection_does_not_repeat_an_acknowledgement) };
   curl_global_init (CURL_GLOBAL_DEFAULT);
   int failed = cmocka_run_group_tests (tests, NULL, NULL);
   curl_global_cleanup ();
--- a/tests/workflow_fixture.h
+++ b/tests/workflow_fixture.h
@@ -35,6 +35,7 @@
   uint64_t acknowledged;
   uint64_t fence;
   int64_t deadline_ms;
+  uint32_t wait_ms;
   void *tag;
 };
 
@@ -107,6 +108,7 @@
                            .acknowledged = o->acknowledged,
                            .fence = o->to.fence,
                            .deadline_ms = o->deadline_ms,
+                           .wait_ms = o->wait_ms,
                            .tag = o->to.tag };
   snprintf (h->worker, sizeof h->worker, "%s", o->to.worker);
 }
