--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -489,6 +489,22 @@
   d->config.link->ops->hold (d->config.link, &order);
 }
 
+static bool
+is_silent (const struct dispatch_worker *w, int64_t now_ms)
+{
+  return now_ms - w->last_answer_ms >= WORKER_SILENT_MS;
+}
+
+bool
+dispatcher_awaits_leases (const struct dispatcher *d, int64_t now_ms)
+{
+  const struct dispatch_worker *w;
+  TAILQ_FOREACH (w, &d->worker_list, link)
+  if (!w->gone && !TAILQ_EMPTY (&w->runs) && is_silent (w, now_ms))
+    return true;
+  return false;
+}
+
 static void
 lapse_runs (struct dispatcher *d, struct dispatch_worker *w)
 {
@@ -528,7 +544,7 @@
         dispatch_free_worker (d, w);
       return;
     }
-  if (d->now_ms - w->last_answer_ms >= WORKER_SILENT_MS && lease_is_over (d, w))
+  if (is_silent (w, d->now_ms) && lease_is_over (d, w))
     {
       lapse_runs (d, w);
       if (idle && w->left_ms > 0)
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -115,6 +115,38 @@
   assert_true (f->now_ms < silent_ms + FIXTURE_LEASE_MS + 3000);
 }
 
+/* Guards against a voluntary change of leader while tasks wait for the leases of lost workers: the
+   next leader waits for a whole lease again (deploy/days/zones.toml, LOST).  */
+static void
+test_leases_that_tasks_wait_for_are_known (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, WORKFLOW_STEP_LASTING);
+  fixture_tick (f, 20);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  fixture_tick (f, 20);
+  const struct reported_run run = fixture_running (&f->starts[0]);
+  fixture_answer_hold (f, "w1", &run, 1, NULL, 0);
+  assert_false (dispatcher_awaits_leases (f->dispatcher, f->now_ms));
+  fixture_join (f, "w2", "10.0.0.2:1"); /* silent as well, without a run */
+  dispatcher_become_leader (f->dispatcher, f->now_ms, 7 + DISPATCHER_FENCES);
+  int64_t lead_ms = f->now_ms;
+  fixture_join (f, "w2", "10.0.0.2:1");
+  while (!TAILQ_EMPTY (&f->workflow.runs) && f->now_ms - lead_ms < 20000)
+    {
+      assert_true (dispatcher_awaits_leases (f->dispatcher, f->now_ms));
+      f->now_ms += 20;
+      dispatcher_set_authority (f->dispatcher, f->now_ms + 1000);
+      dispatcher_tick (f->dispatcher, f->now_ms, f->now_ms);
+      if (f->log_count > 0)
+        break;
+    }
+  assert_true (f->now_ms - lead_ms >= FIXTURE_LEASE_MS);
+  fixture_commit (f);
+  assert_false (dispatcher_awaits_leases (f->dispatcher, f->now_ms));
+}
+
 /* Orders of an earlier leader are known from the log only: the first hold under the new fence shows
    what runs, and nothing is restarted before it.  */
 static void
@@ -1884,6 +1916,7 @@
           TEST (test_an_unanswered_start_is_settled_before_the_next),
           TEST (test_an_unanswered_start_that_is_listed_runs_on),
           TEST (test_runs_of_a_silent_worker_lapse_once_and_in_time),
+          TEST (test_leases_that_tasks_wait_for_are_known),
           TEST (test_a_new_leader_learns_before_it_starts),
           TEST (test_a_new_leader_waits_for_leases_it_did_not_give),
           TEST (test_an_answer_to_a_hold_of_an_earlier_term_proves_nothing),
