Refuse jobs beyond half of a core VM's memory

Seen while looking for other bounds of the same class: 85 jobs of the largest size allowed took 361 MB of a leader that was started for a machine of 256 MB. A process that runs out of memory ends, and again after each restart.

Cause: each job had a limit, all jobs together had none.

Change: the leader refuses a submission with 503 and Retry-After when the jobs, those being committed and the new one would take more than half of the memory, by an estimate of which the state machine keeps the sum.

--- a/src/base/memory_budget.c
+++ b/src/base/memory_budget.c
@@ -14,11 +14,16 @@
   return pages > 0 && page_bytes > 0 ? (uint64_t)pages * (uint64_t)page_bytes : 0;
 }
 
+uint64_t
+memory_machine_bytes (int64_t machine_mb)
+{
+  return machine_mb > 0 ? (uint64_t)machine_mb * BYTES_PER_MB : physical_bytes ();
+}
+
 void
 memory_budget_init (struct memory_budget *b, int64_t machine_mb)
 {
-  uint64_t machine = machine_mb > 0 ? (uint64_t)machine_mb * BYTES_PER_MB : physical_bytes ();
-  size_t limit = (size_t)(machine / MACHINE_SHARE);
+  size_t limit = (size_t)(memory_machine_bytes (machine_mb) / MACHINE_SHARE);
   if (limit < MEMORY_BUDGET_MIN_BYTES)
     limit = MEMORY_BUDGET_MIN_BYTES;
   *b = (struct memory_budget){ .limit = limit, .large_limit = limit / 4 * 3 };
--- a/src/base/memory_budget.h
+++ b/src/base/memory_budget.h
@@ -25,6 +25,7 @@
 };
 
 /* MACHINE_MB: memory of the machine in MiB; 0 takes that of the operating system.  */
+uint64_t memory_machine_bytes (int64_t machine_mb);
 void memory_budget_init (struct memory_budget *b, int64_t machine_mb);
 void memory_budget_close (struct memory_budget *b); /* Everything must have been released. */
 
--- a/src/workflow/workflow.c
+++ b/src/workflow/workflow.c
@@ -6,6 +6,11 @@
 
 #include "workflow_internal.h"
 
+/* With the part of the leader, and the copy while a snapshot is written.  */
+#define JOB_BYTES 1500
+#define STEP_BYTES 800
+#define TASK_BYTES 320
+
 struct workflow_job *
 workflow_find_job (const struct workflow *w, uint64_t id)
 {
@@ -162,6 +167,16 @@
   return 0;
 }
 
+uint64_t
+workflow_job_bytes (const workflow_spec *spec)
+{
+  uint64_t bytes = JOB_BYTES + 2 * strlen (spec->payload);
+  for (u_int i = 0; i < spec->steps.steps_len; i++)
+    bytes += STEP_BYTES
+             + (uint64_t)spec->steps.steps_val[i].count * occurrences_of (spec) * TASK_BYTES;
+  return bytes;
+}
+
 int64_t
 workflow_start_ms (const workflow_spec *spec, uint32_t occurrence)
 {
--- a/src/workflow/workflow.h
+++ b/src/workflow/workflow.h
@@ -147,6 +147,7 @@
   char *zones_out[WORKFLOW_MAX_ZONES];
   size_t zone_count;
   struct cell_map jobs; /* by id */
+  uint64_t job_bytes;   /* of all jobs, by workflow_job_bytes */
   struct job_origins origins;
   struct withdrawn_ids withdrawn;
   struct workflow_jobs open;     /* in submission order */
@@ -178,6 +179,7 @@
 bool workflow_job_started (const struct workflow_job *j); /* At least one task has started. */
 int64_t workflow_start_ms (const workflow_spec *spec,
                            uint32_t occurrence); /* Unix time; INT64_MAX beyond its range. */
+uint64_t workflow_job_bytes (const workflow_spec *spec); /* Memory for the job, estimated. */
 /* For a new request: limits, dependencies and times; -1 and ST on error.  */
 int workflow_check_spec (const workflow_spec *spec, struct status *st);
 /* The part that commands and snapshots must pass too: what workflow_add_job allocates follows from
--- a/src/workflow/workflow_apply.c
+++ b/src/workflow/workflow_apply.c
@@ -481,6 +481,7 @@
   const workflow_queue *q = workflow_find_queue (w, j->spec.queue);
   workflow_set_origin (w, j, q ? q->host : "", q ? q->path_prefix : "");
   j->occurrences = j->spec.repetitions > 0 ? j->spec.repetitions : 1;
+  w->job_bytes += workflow_job_bytes (&j->spec);
   compute_critical_path (j);
   j->stages = xcalloc (stage_count (j), sizeof *j->stages);
   for (uint32_t i = 0; i < stage_count (j); i++)
@@ -522,6 +523,7 @@
         free_task (w, &j->stages[i].tasks[k]);
       free (j->stages[i].tasks);
     }
+  w->job_bytes -= workflow_job_bytes (&j->spec);
   free (j->stages);
   free (j->remain_ms);
   job_origin_remove_job (j->origin);
--- a/src/workflow/workflow_service.c
+++ b/src/workflow/workflow_service.c
@@ -40,6 +40,7 @@
   LIST_ENTRY (pending_change) link;
   struct workflow_service *service;
   uint64_t submitted_job; /* id; 0 for changes that submit none */
+  uint64_t job_bytes;
   workflow_change_done *done;
   void *arg;
   int64_t began_ms;
@@ -60,6 +61,7 @@
   struct dispatcher *dispatcher;
   struct group *group;
   LIST_HEAD (, pending_change) changes; /* whose outcome is pending */
+  uint64_t submitted_bytes;             /* of their jobs */
   struct proposals outcomes;            /* queued: the dispatcher is not reentrant */
   bool leading;
   bool stopping;
@@ -311,6 +313,7 @@
     status_set (&outcome, (enum status_kind)r.status, "refused by the state of the jobs");
   histogram_add (&change_times, (double)(clock_now_ms (c->service->config.clock) - c->began_ms));
   LIST_REMOVE (c, link);
+  c->service->submitted_bytes -= c->job_bytes;
   c->done (c->arg, &outcome, r.known);
   free (c);
 }
@@ -325,7 +328,11 @@
     .service = s, .done = done, .arg = arg, .began_ms = clock_now_ms (s->config.clock)
   };
   if (command->kind == WORKFLOW_SUBMIT)
-    c->submitted_job = command->workflow_command_u.spec.id;
+    {
+      c->submitted_job = command->workflow_command_u.spec.id;
+      c->job_bytes = workflow_job_bytes (&command->workflow_command_u.spec);
+      s->submitted_bytes += c->job_bytes;
+    }
   LIST_INSERT_HEAD (&s->changes, c, link);
   buffer_init (&entry);
   workflow_encode (command, &entry);
@@ -343,6 +350,14 @@
   return false;
 }
 
+bool
+workflow_service_has_room (const struct workflow_service *s, const workflow_spec *spec)
+{
+  uint64_t limit = s->config.max_job_bytes;
+  return limit == 0
+         || s->workflow.job_bytes + s->submitted_bytes + workflow_job_bytes (spec) <= limit;
+}
+
 static void
 on_confirmed (void *arg, const struct status *st, const void *result, size_t len)
 {
--- a/src/workflow/workflow_service.h
+++ b/src/workflow/workflow_service.h
@@ -27,6 +27,7 @@
   struct worker_link *link;
   int64_t lease_ms; /* see dispatcher_config */
   int64_t status_ms;
+  uint64_t max_job_bytes; /* memory for all jobs; 0: no limit */
   /* Distances of the other voters, see seeded_group_voter_distances; may be NULL.  */
   size_t (*voter_distances) (void *arg, struct voter_distance *out, size_t size);
   void *arg;
@@ -54,6 +55,9 @@
                               workflow_change_done *done, void *arg); /* Commits C. */
 bool workflow_service_is_submitting (const struct workflow_service *s,
                                      uint64_t job); /* A submission may still be committed. */
+bool workflow_service_has_room (
+    const struct workflow_service *s,
+    const workflow_spec *spec); /* Beside all jobs and the submissions that may be committed. */
 void workflow_service_read (struct workflow_service *s, workflow_read_done *done,
                             void *arg); /* Confirms leadership, then calls DONE. */
 
--- a/tests/path_platform.sh
+++ b/tests/path_platform.sh
@@ -19,7 +19,7 @@
 start_core() { # NUMBER FIRST-START
   "$build/sassafras-platform" --role=core --vm="core-$1" --data-centre="z$1" --ip="$net.$1" \
     --listen-control="$net.$1:8166" --ports="$first,$((first + 5))" --seeds=$seeds --first-start="$2" \
-    --data-dir="$folder/core-$1" --lease-ms=4000 >>"$folder/core-$1.log" 2>&1 &
+    --data-dir="$folder/core-$1" --lease-ms=4000 --memory-mb=256 >>"$folder/core-$1.log" 2>&1 &
   core[$1]=$!
   disown
   pids+=($!)
@@ -110,6 +110,23 @@
 wait_for 10 ended || fail "a task runs on after its job was cancelled"
 twice=$(cat "$folder"/worker-*.log | awk '$1=="start"{n[$2]++; if (n[$2]>1) print $2} $1=="end"{n[$2]--}' | head -3)
 starts=$(cat "$folder"/worker-*.log | grep -c '^start')
+# Jobs that together would take more than the memory for them are refused, with the time to come back, and no VM ends.
+full='{"spec":"1","repetitions":1,"start_at_ms":4102444800000,"period_ms":1,"steps":[{"count":20000,"cpu":1000,"mem_mb":100}]}'
+accepted=0
+code=200
+for n in $(seq 100 140); do
+  code=$(curl_ -D "$folder/head" -X POST -H 'Host: h.example' -H 'Deadline-Ms: 3000' -d "$full" "http://$net.10:8161/q/$(id "$n")")
+  [ "$code" = 200 ] || break
+  accepted=$((accepted + 1))
+done
+[ "$code" = 503 ] || fail "$accepted jobs of 20,000 tasks were accepted on VMs of 256 MiB, then: $code"
+grep -qi '^Retry-After: 30' "$folder/head" || fail "the refusal does not tell when to come back"
+[ $accepted -ge 15 ] || fail "only $accepted jobs were accepted"
+for i in 1 2 3; do
+  kill -0 "${core[$i]}" || fail "a core VM ended"
+  [ "$(awk '/VmRSS/ {print $2}' "/proc/${core[$i]}/status")" -lt 262144 ] || fail "core-$i takes over 256 MiB"
+done
+echo "$accepted jobs of 20,000 tasks accepted"
 echo "20 of 20 jobs completed, $starts starts for 100 tasks, leader killed once"
 [ -z "$twice" ] || echo "started on two workers (lines of different files are not in order): $twice"
 [ "$starts" -ge 100 ] && [ "$starts" -le 130 ] || fail "$starts starts for 100 tasks"
--- a/tests/test_workflow.c
+++ b/tests/test_workflow.c
@@ -270,6 +270,44 @@
   assert_true (fixture_change (f, &largest));
 }
 
+/* Guards against an account of the jobs' memory that drifts: it would refuse all jobs, or none.  */
+static void
+test_the_memory_of_jobs_is_released_with_them (void **state)
+{
+  struct fixture *f = *state;
+  struct buffer image;
+  struct workflow other;
+  struct status st;
+  workflow_step list[4];
+  workflow_command c = sized_job (list, 4, 100, 5);
+  for (uint64_t id = 1; id <= 3; id++)
+    {
+      c.workflow_command_u.spec.id = id;
+      assert_true (fixture_change (f, &c));
+    }
+  uint64_t each = workflow_job_bytes (&c.workflow_command_u.spec);
+  assert_true (each > (uint64_t)4 * 100 * 5 * sizeof (struct workflow_task));
+  assert_true (f->workflow.job_bytes == 3 * each);
+  assert_true (fixture_change (f, &c)); /* known */
+  assert_true (f->workflow.job_bytes == 3 * each);
+  buffer_init (&image);
+  f->workflow.machine.ops->save (&f->workflow.machine, &image);
+  workflow_init (&other);
+  for (int i = 0; i < 2; i++) /* the second replaces the first */
+    assert_int_equal (other.machine.ops->load (&other.machine, image.data, image.len, &st), 0);
+  assert_true (other.job_bytes == 3 * each);
+  workflow_close (&other);
+  buffer_close (&image);
+  uint64_t ids[] = { 1, 2, 3 };
+  workflow_command p = { .kind = WORKFLOW_PRUNE };
+  p.workflow_command_u.prune.prune_val = ids;
+  p.workflow_command_u.prune.prune_len = 3;
+  for (int i = 0; i < 3; i++)
+    fixture_cancel (f, ids[i]);
+  assert_true (fixture_change (f, &p));
+  assert_true (f->workflow.job_bytes == 0);
+}
+
 /* Guards against start times that overflow.  A request is refused; a job that an earlier build
    accepted keeps its place in the log and in snapshots, and the occurrence never starts.  */
 static void
@@ -515,6 +553,7 @@
                                       TEST (test_a_queue_that_is_away_fails_no_job),
                                       TEST (test_no_attempt_beyond_the_limit_in_force),
                                       TEST (test_a_job_whose_task_count_overflows_is_refused),
+                                      TEST (test_the_memory_of_jobs_is_released_with_them),
                                       TEST (test_start_times_beyond_their_range_do_not_overflow),
                                       TEST (test_estimates_of_a_long_path_do_not_overflow),
                                       TEST (test_a_renamed_queue_keeps_its_jobs),
--- a/tests/test_workflow_service.c
+++ b/tests/test_workflow_service.c
@@ -20,6 +20,7 @@
 #define STEP_S 0.02
 #define MAX_STEPS 500
 #define JOB 0x1234
+#define JOB_MEMORY_BYTES 4000 /* for one job with one task */
 
 struct vm
 {
@@ -87,8 +88,11 @@
   v->loop = ev_loop_new (0);
   snprintf (v->folder, sizeof v->folder, "/tmp/test-workflow-service-XXXXXX");
   assert_non_null (mkdtemp (v->folder));
-  const struct workflow_service_config service
-      = { .clock = clock_real (), .link = &link, .lease_ms = 4000, .status_ms = 120000 };
+  const struct workflow_service_config service = { .clock = clock_real (),
+                                                   .link = &link,
+                                                   .lease_ms = 4000,
+                                                   .status_ms = 120000,
+                                                   .max_job_bytes = JOB_MEMORY_BYTES };
   v->service = workflow_service_open (&service);
   struct seeded_group_config group = { .loop = v->loop,
                                        .clock = clock_real (),
@@ -142,15 +146,15 @@
   workflow_service_change (v->service, &c, on_changed, v);
 }
 
-static void
-submit (struct vm *v)
+static workflow_command
+submission (void)
 {
-  workflow_step s = { .count = 1,
-                      .millicores = 1000,
-                      .estimate_ms = 100,
-                      .required_label = "",
-                      .data_rack = "",
-                      .image = "" };
+  static workflow_step s = { .count = 1,
+                             .millicores = 1000,
+                             .estimate_ms = 100,
+                             .required_label = "",
+                             .data_rack = "",
+                             .image = "" };
   workflow_command c = { .kind = WORKFLOW_SUBMIT };
   workflow_spec *spec = &c.workflow_command_u.spec;
   spec->id = JOB;
@@ -158,6 +162,13 @@
   spec->payload = "";
   spec->steps.steps_val = &s;
   spec->steps.steps_len = 1;
+  return c;
+}
+
+static void
+submit (struct vm *v)
+{
+  const workflow_command c = submission ();
   workflow_service_change (v->service, &c, on_changed, v);
 }
 
@@ -191,6 +202,31 @@
   close_vm (&v);
 }
 
+/* Guards against jobs that are accepted one by one until the process runs out of memory: those that
+   may still be committed count too.  */
+static void
+test_submissions_beyond_the_memory_for_jobs_have_no_room (void **state)
+{
+  struct vm v;
+  const workflow_command next = submission ();
+  const workflow_spec *spec = &next.workflow_command_u.spec;
+  (void)state;
+  open_vm (&v);
+  for (int i = 0; i < MAX_STEPS && !workflow_service_leads (v.service); i++)
+    step (&v);
+  configure (&v);
+  await_outcomes (&v, 1);
+  assert_true (workflow_service_has_room (v.service, spec));
+  submit (&v);
+  assert_false (workflow_service_has_room (v.service, spec));
+  await_outcomes (&v, 2);
+  assert_false (workflow_service_has_room (v.service, spec));
+  submit (&v); /* known: it takes no memory once that is certain */
+  await_outcomes (&v, 3);
+  assert_true (workflow_service_state (v.service)->job_bytes <= JOB_MEMORY_BYTES);
+  close_vm (&v);
+}
+
 /* The service of the leader of a simulated group whose voters are in other regions.  */
 struct distant_leader
 {
@@ -295,6 +331,7 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_uncommitted_submission_is_reported),
+          cmocka_unit_test (test_submissions_beyond_the_memory_for_jobs_have_no_room),
           cmocka_unit_test (test_service_leads_after_a_transfer_that_nobody_takes_up) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
