Restart lasting tasks on a new connection

Cause: a restart on another worker that had been lost less than 2.8 s before was written to an open connection. Without an answer it stays uncertain, and the next start waits for 15 s, the longest delay of an order.

Change: such a start uses a connection of its own, made by the leader. If none is established, nothing was written: the run ends as not started and the task goes to another worker at once; the unreachable one gets nothing until it answers.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -294,6 +294,7 @@
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, x);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_before_request);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, x);
+  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, call->on_new_connection ? 1L : 0L);
   if (call->body)
     {
       curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE, (long)call->body_len);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -48,6 +48,7 @@
                         0: HTTP_MAX_ANSWER_BYTES */
   long timeout_ms;   /* for the request and its answer, on the clock that stops in a suspension */
   bool once;         /* fails rather than being sent again when a reused connection breaks */
+  bool on_new_connection;
   http_may_send_fn *may_send; /* called before each writing of the request; false cancels it with
                                  BACKEND_FAILED; may be NULL */
   http_answer_fn *done;       /* called exactly once */
--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -16,8 +16,8 @@
 result_name (enum worker_call_result result)
 {
   static const char *const names[]
-      = { "ok",        "fenced",  "old-run",    "late",    "no-room",
-          "no-ticket", "refused", "other-life", "unknown", "no-listener" };
+      = { "ok",      "fenced",     "old-run", "late",        "no-room", "no-ticket",
+          "refused", "other-life", "unknown", "no-listener", "not-sent" };
   return names[result];
 }
 
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -150,6 +150,8 @@
   int64_t lease_end_ms;    /* leader's clock; for leases that an earlier leader granted */
   int64_t last_answer_ms;  /* last answer to a hold */
   int64_t failed_ms;       /* first order without an answer since the last answer; 0: none */
+  bool unreached;          /* a start found no connection since the last answer */
+  bool was_unreached;      /* at any time: a helper may reach it where this VM doesn't */
   int64_t listed_clock_ms; /* worker's time of the newest lists */
   int64_t hold_next_ms;
   uintptr_t order_epoch;   /* of this incarnation in this term; tag of its orders */
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -637,12 +637,16 @@
       dispatch_propose_end (d, r, WORKFLOW_NOT_STARTED, NULL, obstacle);
       return;
     }
+  /* What took its last worker may have taken W too: an order that is written to a lost worker stays
+     uncertain for ORDER_MAX_DELAY_MS, one that finds no connection fails at once.  */
+  bool is_restart = r->number > 1 && workflow_step_of (t)->flags & WORKFLOW_STEP_LASTING;
   const struct worker_start order = { .to = dispatch_address (w),
                                       .task = workflow_ref (t),
                                       .run = r->number,
                                       .payload = t->job->spec.payload,
                                       .checkpoint = t->checkpoint ? t->checkpoint : "",
-                                      .deadline_ms = dispatch_lease_deadline (d, w) };
+                                      .deadline_ms = dispatch_lease_deadline (d, w),
+                                      .on_new_connection = is_restart && !w->was_unreached };
   dispatch_add_stage (d, r, SHORT_STAGE_PLACE, r->sent_ms);
   r->sent_ms = d->now_ms;
   isolate (d, w, t);
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -119,11 +119,14 @@
 dispatch_note_answer (struct dispatcher *d, struct dispatch_worker *w,
                       enum worker_call_result result)
 {
-  if (result != WORKER_CALL_UNKNOWN && result != WORKER_CALL_NO_LISTENER
-      && result != WORKER_CALL_OTHER_WORKER)
+  bool answered = result != WORKER_CALL_UNKNOWN && result != WORKER_CALL_NO_LISTENER
+                  && result != WORKER_CALL_NOT_SENT && result != WORKER_CALL_OTHER_WORKER;
+  if (answered)
     w->failed_ms = 0;
   else if (w->failed_ms == 0)
     w->failed_ms = d->now_ms;
+  w->unreached = !answered && (w->unreached || result == WORKER_CALL_NOT_SENT);
+  w->was_unreached = w->was_unreached || w->unreached;
 }
 
 static struct crash_run
@@ -435,8 +438,8 @@
 dispatch_usable (const struct dispatcher *d, const struct dispatch_worker *w)
 {
   return w->address && w->reported && w->fenced && !w->draining && !w->left_undrained && !w->gone
-         && d->now_ms - w->last_answer_ms < WORKER_SILENT_MS && d->now_ms >= w->no_room_until_ms
-         && !workflow_zone_is_out (d->config.workflow, w->zone);
+         && !w->unreached && d->now_ms - w->last_answer_ms < WORKER_SILENT_MS
+         && d->now_ms >= w->no_room_until_ms && !workflow_zone_is_out (d->config.workflow, w->zone);
 }
 
 bool
--- a/src/workflow/order_relay.c
+++ b/src/workflow/order_relay.c
@@ -181,7 +181,7 @@
 relay_start (struct worker_link *l, const struct worker_start *o)
 {
   struct order_relay *r = (struct order_relay *)l;
-  struct helper *h = choose_helper (r, &o->to);
+  struct helper *h = o->on_new_connection ? NULL : choose_helper (r, &o->to);
   if (!h)
     {
       r->config.direct->ops->start (r->config.direct, o);
--- a/src/workflow/orders_codec.c
+++ b/src/workflow/orders_codec.c
@@ -138,7 +138,7 @@
 static bool
 answer_valid (const relayed_answer *a)
 {
-  if (a->result > WORKER_CALL_NO_LISTENER)
+  if (a->result > WORKER_CALL_NOT_SENT)
     return false;
   for (u_int i = 0; a->lists && i < a->lists->ended.ended_len; i++)
     {
--- a/src/workflow/worker_link.h
+++ b/src/workflow/worker_link.h
@@ -14,7 +14,7 @@
 #include "orders_proto.h"
 #include "workflow_proto.h"
 
-/* Result of an order.  In all but OK, UNKNOWN and NO_LISTENER the worker did nothing.  */
+/* Result of an order.  In all but OK, UNKNOWN and NO_LISTENER the worker did nothing, and won't. */
 enum worker_call_result
 {
   WORKER_CALL_OK,
@@ -27,6 +27,7 @@
   WORKER_CALL_OTHER_WORKER, /* another worker id has the address; the intended one is gone */
   WORKER_CALL_UNKNOWN,      /* no answer: may have been executed, or be executed later */
   WORKER_CALL_NO_LISTENER,  /* as UNKNOWN, and then the address refused a connection; holds only */
+  WORKER_CALL_NOT_SENT,     /* no connection, so that no byte was written; starts only */
 };
 
 struct worker_address
@@ -46,6 +47,7 @@
   const char *payload;
   const char *checkpoint; /* "" is none */
   int64_t deadline_ms;    /* lease, on the worker's clock */
+  bool on_new_connection; /* an unreachable worker then gives NOT_SENT rather than UNKNOWN */
 };
 
 struct worker_stop
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -115,6 +115,38 @@
   assert_true (f->now_ms < silent_ms + FIXTURE_LEASE_MS + 3000);
 }
 
+/* Guards against a lasting task without a run for 15 s and more: it was restarted on a worker that
+   had been lost too, and the order, written to an old connection, stayed uncertain.  */
+static void
+test_a_restart_on_a_lost_worker_moves_on_at_once (void **state)
+{
+  struct fixture *f = *state;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, WORKFLOW_STEP_LASTING);
+  fixture_tick (f, 20);
+  assert_false (f->starts[0].on_new_connection);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  fixture_leave (f, "w1", "10.0.0.1:1");
+  fixture_refuse_holds (f, "w1");
+  fixture_commit (f);
+  fixture_join (f, "w2", "10.0.0.2:1");
+  fixture_tick (f, 300);
+  assert_int_equal (f->start_count, 2);
+  assert_true (f->starts[1].on_new_connection);
+  fixture_join (f, "w3", "10.0.0.3:1");
+  fixture_answer_start (f, &f->starts[1], WORKER_CALL_NOT_SENT);
+  fixture_tick (f, 120);
+  assert_int_equal (f->start_count, 3);
+  assert_string_equal (f->starts[2].worker, "w3");
+  /* W2 answers, and may be reached by a helper only: the next start is sent as any other.  */
+  fixture_answer_start (f, &f->starts[2], WORKER_CALL_NOT_SENT);
+  fixture_answer_hold (f, "w2", NULL, 0, NULL, 0);
+  fixture_tick (f, 120);
+  assert_int_equal (f->start_count, 4);
+  assert_string_equal (f->starts[3].worker, "w2");
+  assert_false (f->starts[3].on_new_connection);
+}
+
 /* Guards against a voluntary change of leader while tasks wait for the leases of lost workers: the
    next leader waits for a whole lease again (deploy/days/zones.toml, LOST).  */
 static void
@@ -1917,6 +1949,7 @@
           TEST (test_an_unanswered_start_that_is_listed_runs_on),
           TEST (test_runs_of_a_silent_worker_lapse_once_and_in_time),
           TEST (test_leases_that_tasks_wait_for_are_known),
+          TEST (test_a_restart_on_a_lost_worker_moves_on_at_once),
           TEST (test_a_new_leader_learns_before_it_starts),
           TEST (test_a_new_leader_waits_for_leases_it_did_not_give),
           TEST (test_an_answer_to_a_hold_of_an_earlier_term_proves_nothing),
--- a/tests/test_order_relay.c
+++ b/tests/test_order_relay.c
@@ -501,6 +501,26 @@
   close_fixture (&f);
 }
 
+/* A helper may have an old connection to a lost worker, on which a start would stay uncertain.  */
+static void
+test_a_start_on_a_new_connection_is_not_relayed (void **state)
+{
+  struct fixture f;
+  (void)state;
+  open_fixture (&f);
+  struct worker_link *l = order_relay_link (f.relay);
+  const struct worker_start o = { .to = worker_in ("there"),
+                                  .run = 3,
+                                  .payload = "spec",
+                                  .checkpoint = "",
+                                  .on_new_connection = true };
+  l->ops->start (l, &o);
+  assert_int_equal (f.direct.count, 1);
+  turn (&f);
+  assert_int_equal (f.remote.count, 0);
+  close_fixture (&f);
+}
+
 /* Messages of another version or corrupted ones must neither crash nor be taken for answers.  */
 static void
 test_random_messages_are_refused (void **state)
@@ -585,6 +605,7 @@
     cmocka_unit_test (test_stopping_helper_gets_no_orders),
     cmocka_unit_test (test_stale_orders_are_not_executed),
     cmocka_unit_test (test_few_workers_are_called_directly),
+    cmocka_unit_test (test_a_start_on_a_new_connection_is_not_relayed),
     cmocka_unit_test (test_random_messages_are_refused),
     cmocka_unit_test (test_mutated_messages_do_not_crash),
   };
--- a/tests/workflow_fixture.h
+++ b/tests/workflow_fixture.h
@@ -25,6 +25,7 @@
   workflow_task_ref task;
   uint32_t run;
   int64_t deadline_ms;
+  bool on_new_connection;
   char checkpoint[64];
 };
 
@@ -78,7 +79,10 @@
 {
   struct fixture *f = (struct fixture *)l;
   struct sent_start *s = &f->starts[f->start_count++];
-  *s = (struct sent_start){ .task = o->task, .run = o->run, .deadline_ms = o->deadline_ms };
+  *s = (struct sent_start){ .task = o->task,
+                            .run = o->run,
+                            .deadline_ms = o->deadline_ms,
+                            .on_new_connection = o->on_new_connection };
   snprintf (s->worker, sizeof s->worker, "%s", o->to.worker);
   snprintf (s->checkpoint, sizeof s->checkpoint, "%s", o->checkpoint);
 }
