--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -29,7 +29,7 @@
 }
 
 bool
-dispatch_survives_lost_end (const struct workflow_task *t)
+dispatch_is_repeatable (const struct workflow_task *t)
 {
   return workflow_step_of (t)->flags & (WORKFLOW_STEP_LASTING | WORKFLOW_STEP_SPECULATIVE);
 }
--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -26,7 +26,7 @@
 static void
 mark_running (struct dispatcher *d, struct dispatch_run *r)
 {
-  if (r->worker->may_lose_ends && !dispatch_survives_lost_end (r->task))
+  if (r->worker->may_lose_ends && !dispatch_is_repeatable (r->task))
     r->stop_requested = true;
   dispatch_add_stage (d, r, SHORT_STAGE_START, r->sent_ms);
   r->state = DISPATCH_RUNNING;
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -249,8 +249,8 @@
                                         const workflow_task_ref *task,
                                         uint32_t number); /* NULL: no longer tracked. */
 
-bool dispatch_survives_lost_end (
-    const struct workflow_task *t); /* T may run again although a run of it is done. */
+bool dispatch_is_repeatable (
+    const struct workflow_task *t); /* T may run again after a run of it was done. */
 
 /* dispatcher_worker.c */
 struct dispatch_worker *dispatch_find_worker (const struct dispatcher *d, const char *id);
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -44,10 +44,10 @@
   bool scored_interference;
   bool scored_isolated;
   bool scored_avoided;
-  size_t placed_at; /* worker that got a task since; WORKER_SELECT_NONE if none did */
-  size_t reserved;  /* workers reserved in this tick */
-  size_t limited;   /* workers that are avoided or may lose ends */
-  bool mostly_free; /* see MOSTLY_FREE_MAX_DECLARED_RATIO */
+  size_t placed_at;  /* worker that got a task since; WORKER_SELECT_NONE if none did */
+  size_t reserved;   /* workers reserved in this tick */
+  size_t restricted; /* workers that are avoided or may lose ends */
+  bool mostly_free;  /* see MOSTLY_FREE_MAX_DECLARED_RATIO */
   /* Request that USABLE and NEAR_DATA were set for; NULL before the first task.  */
   const char *pool;
   const char *label;
@@ -159,7 +159,7 @@
 {
   const struct dispatch_run *r;
   TAILQ_FOREACH (r, &w->runs, link)
-  if (!dispatch_survives_lost_end (r->task))
+  if (!dispatch_is_repeatable (r->task))
     return true;
   return false;
 }
@@ -198,7 +198,7 @@
   c->placed_at = WORKER_SELECT_NONE;
   c->count = 0;
   c->reserved = 0;
-  c->limited = 0;
+  c->restricted = 0;
   c->pool = NULL;
   c->label = NULL;
   c->rack = NULL;
@@ -208,7 +208,7 @@
       continue;
     struct worker_candidate *candidate = &c->candidates[c->count];
     update_candidate (d, w, candidate);
-    c->limited += candidate->avoided || candidate->may_lose_ends;
+    c->restricted += candidate->avoided || candidate->may_lose_ends;
     if (!candidate->avoided)
       {
         declared += w->lasting_millicores + w->short_millicores;
@@ -312,7 +312,7 @@
 {
   const workflow_step *s = workflow_step_of (t->task);
   struct worker_candidate *candidate = &c->candidates[index];
-  bool counts_step = q->max_per_worker > 0 && (q->is_restart || c->limited > 0);
+  bool counts_step = q->max_per_worker > 0 && (q->is_restart || c->restricted > 0);
   candidate->same_step = 0;
   if (!counts_step && !worker_select_fits (candidate, q))
     return INFINITY;
@@ -376,31 +376,31 @@
   return worker_select_least (c->scores, c->count);
 }
 
-/* A task that only limited workers can take gets one after STARVED_MS: attempts are limited, and
+/* A task that only restricted workers can take gets one after STARVED_MS: attempts are limited, and
    what makes the workers fail may be over by then; short tasks leave it to longer ones to be
    stopped at once where ends may be lost.  */
 static bool
-may_use_limited (const struct dispatcher *d, const struct candidates *c,
-                 const struct workflow_task *t)
+may_use_restricted (const struct dispatcher *d, const struct candidates *c,
+                    const struct workflow_task *t)
 {
-  return c->limited > 0 && t->since_ms > 0 && d->now_ms - t->since_ms >= STARVED_MS;
+  return c->restricted > 0 && t->since_ms > 0 && d->now_ms - t->since_ms >= STARVED_MS;
 }
 
 static size_t
 choose (struct dispatcher *d, struct candidates *c, const struct waiting_task *t)
 {
   const workflow_step *s = workflow_step_of (t->task);
-  struct worker_request q
-      = { .millicores = s->millicores,
-          .memory_mb = s->memory_mb,
-          .accelerators = s->accelerators,
-          .max_per_worker = s->max_per_worker,
-          .is_fill = s->flags & WORKFLOW_STEP_FILL,
-          .is_lasting = s->flags & WORKFLOW_STEP_LASTING,
-          .is_restart = t->key.rank == WAITING_RESTART,
-          .is_isolated = is_isolated (t->task),
-          .survives_lost_end = dispatch_survives_lost_end (t->task),
-          .can_probe = s->estimate_ms >= PROBE_MIN_ESTIMATE_MS || may_use_limited (d, c, t->task) };
+  struct worker_request q = { .millicores = s->millicores,
+                              .memory_mb = s->memory_mb,
+                              .accelerators = s->accelerators,
+                              .max_per_worker = s->max_per_worker,
+                              .is_fill = s->flags & WORKFLOW_STEP_FILL,
+                              .is_lasting = s->flags & WORKFLOW_STEP_LASTING,
+                              .is_restart = t->key.rank == WAITING_RESTART,
+                              .is_isolated = is_isolated (t->task),
+                              .is_repeatable = dispatch_is_repeatable (t->task),
+                              .can_probe = s->estimate_ms >= PROBE_MIN_ESTIMATE_MS
+                                           || may_use_restricted (d, c, t->task) };
   bool starved = q.is_fill && c->mostly_free && t->task->job->runs == 0
                  && d->now_ms - t->task->job->seen_ms > STARVED_MS;
   update_eligibility (c, t->queue->pool, s);
@@ -410,7 +410,7 @@
       q.allow_interference = true;
       index = choose_for (d, c, t, &q);
     }
-  if (index == WORKER_SELECT_NONE && may_use_limited (d, c, t->task)
+  if (index == WORKER_SELECT_NONE && may_use_restricted (d, c, t->task)
       && !worker_select_can_wait (c->candidates, c->count, &q))
     {
       q.allow_avoided = true;
@@ -561,7 +561,7 @@
   struct candidates c = { .workers = NULL };
   size_t n = list_waiting (d, wall_ms, &waiting);
   size_t placed = 0;
-  /* Without and with the limited workers.  */
+  /* Without and with the restricted workers.  */
   struct unplaceable unplaceables[2] = { { .count = 0 }, { .count = 0 } };
   d->waiting = (uint32_t)n;
   d->waiting_fill = 0;
@@ -572,7 +572,8 @@
   if (has_candidates)
     for (size_t i = 0; i < n && placed < MAX_PLACED_PER_TICK; i++)
       {
-        struct unplaceable *unplaceable = &unplaceables[may_use_limited (d, &c, waiting[i].task)];
+        struct unplaceable *unplaceable
+            = &unplaceables[may_use_restricted (d, &c, waiting[i].task)];
         if (is_unplaceable (unplaceable, &waiting[i]))
           {
             unplaceable->last = &waiting[i];
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -210,7 +210,7 @@
    or be executed before that has seen its fence.  The new one numbers its ends from 1, so it would
    forget its first ends before they are listed.  */
 static void
-note_restart_beside_acknowledgement (struct dispatch_worker *w)
+reset_acknowledgements (struct dispatch_worker *w)
 {
   if (w->ack_mark > 0)
     w->ack_lost_ms = w->ack_sent_ms;
@@ -234,6 +234,8 @@
              born_ms, w->born_ms);
   judge_runs (d, w);
   w->failed_ms = 0;
+  w->unreached = false;
+  w->was_unreached = false;
   w->born_ms = born_ms;
   w->reported = false;
   w->draining = false;
@@ -245,7 +247,7 @@
   w->fenced = false;
   w->lease_end_ms
       = d->now_ms + (int64_t)((double)d->config.lease_ms / MIN_CLOCK_RATE) + LEASE_MARGIN_MS;
-  note_restart_beside_acknowledgement (w);
+  reset_acknowledgements (w);
   if (d->last_fence < d->first_fence + DISPATCHER_FENCES - 1)
     w->fence = ++d->last_fence;
   w->hold_now = true;
--- a/src/workflow/worker_select.c
+++ b/src/workflow/worker_select.c
@@ -43,7 +43,7 @@
     return false;
   if (r->avoided && !q->allow_avoided)
     return false;
-  if (r->may_lose_ends && !q->survives_lost_end && (r->probed || !q->can_probe))
+  if (r->may_lose_ends && !q->is_repeatable && (r->probed || !q->can_probe))
     return false;
   if (q->max_per_worker > 0 && r->same_step >= q->max_per_worker)
     return false;
@@ -60,7 +60,7 @@
 worker_select_score (const struct worker_candidate *r, const struct worker_request *q)
 {
   double penalty = r->near_data ? 0 : REMOTE_DATA_PENALTY;
-  if (r->may_lose_ends && !q->survives_lost_end)
+  if (r->may_lose_ends && !q->is_repeatable)
     penalty += PROBE_PENALTY;
   if (q->is_isolated)
     return penalty + LASTING_CRASH_WEIGHT * r->lasting_millicores + r->short_millicores
@@ -79,7 +79,7 @@
 fits_beside_lasting (const struct worker_candidate *r, const struct worker_request *q)
 {
   bool allowed = q->max_per_worker == 0 || r->same_step < q->max_per_worker;
-  return r->usable && !r->avoided && (!r->may_lose_ends || q->survives_lost_end) && allowed
+  return r->usable && !r->avoided && (!r->may_lose_ends || q->is_repeatable) && allowed
          && r->free_memory_mb >= q->memory_mb && r->free_accelerators >= q->accelerators
          && (uint64_t)r->lasting_millicores + q->millicores <= r->millicores;
 }
--- a/src/workflow/worker_select.h
+++ b/src/workflow/worker_select.h
@@ -55,8 +55,8 @@
   bool is_isolated; /* may crash the worker: preferably started where least is at work */
   bool is_restart;  /* a lasting task that waits for reserved capacity */
   bool allow_avoided;
-  bool survives_lost_end; /* may run again although a run of it is done */
-  bool can_probe;         /* runs for so long that a stop comes before its end */
+  bool is_repeatable; /* may run again after a run of it was done */
+  bool can_probe;     /* runs for so long that a stop comes before its end */
   /* For a fill-in task that waited long while most of the pool is free; pacing limits the
      slowdown.  */
   bool allow_interference;
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -445,7 +445,7 @@
   assert_int_equal (fixture_last_hold (f, "w1").acknowledged, 1);
 }
 
-/* Answers the last hold to WORKER, whose present life began at BORN_MS.  */
+/* Answers the last hold to WORKER, whose present incarnation began at BORN_MS.  */
 static void
 answer_as (struct fixture *f, const char *worker, int64_t born_ms,
            const struct reported_run *running, size_t running_len, const struct reported_end *ended,
@@ -478,7 +478,7 @@
   assert_int_equal (fixture_last_hold (f, "w1").acknowledged, 1);
 }
 
-/* W1 restarts under its id, at BORN_MS, and answers the first hold of its new life.  */
+/* W1 restarts under its id, at BORN_MS, and answers the first hold of its new incarnation.  */
 static void
 restart_worker (struct fixture *f, int64_t born_ms)
 {
@@ -490,8 +490,8 @@
   answer_as (f, "w1", born_ms, NULL, 0, NULL, 0);
 }
 
-/* Guards against an acknowledgement that reaches the next life of its worker, which numbers its
-   ends from 1 again and forgets them unseen: few holds carry one, and none of them waits.  */
+/* Guards against an acknowledgement that reaches the next incarnation of its worker, which numbers
+   its ends from 1 again and forgets them unseen: few holds carry one, and none of them waits.  */
 static void
 test_an_acknowledgement_is_carried_until_it_was_answered (void **state)
 {
@@ -508,8 +508,8 @@
     }
 }
 
-/* Guards against orders to the former life of a worker that its present life executes: it refuses
-   them by their fence, in each order of restarts and changes of leader.  */
+/* Guards against orders to an earlier incarnation of a worker that the present one executes: it
+   refuses them by their fence, in each order of restarts and changes of leader.  */
 static void
 test_orders_to_a_restarted_worker_have_a_higher_fence (void **state)
 {
@@ -520,7 +520,7 @@
   restart_worker (f, 2000);
   uint64_t second = fixture_last_hold (f, "w1").fence;
   assert_true (second > first);
-  /* A second restart shows in a list first, in the answer to a hold of the second life.  */
+  /* A second restart shows in a list first, in the answer to a hold of the second incarnation.  */
   fixture_tick (f, 2000);
   answer_as (f, "w1", 3000, NULL, 0, NULL, 0);
   fixture_tick (f, 20);
@@ -536,10 +536,10 @@
 }
 
 /* Guards against a task that runs again after it was done: its end was forgotten unseen, as a hold
-   to the former life of its worker was executed by the present one, and the run counted as lapsed.
-   Until an end is listed there, a run is stopped at once, and only one is started.  */
+   to an earlier incarnation of its worker was executed by the present one, and the run counted as
+   lapsed. Until an end is listed there, a run is stopped at once, and only one is started.  */
 static void
-test_a_life_that_an_acknowledgement_may_have_reached_is_probed (void **state)
+test_an_incarnation_that_an_acknowledgement_may_have_reached_is_probed (void **state)
 {
   struct fixture *f = *state;
   send_acknowledgement (f);
@@ -609,9 +609,9 @@
 }
 
 /* Guards against an end that is acknowledged before it is committed, because an end with its number
-   in the former life of the worker is committed meanwhile.  */
+   in an earlier incarnation of the worker is committed meanwhile.  */
 static void
-test_an_end_of_a_former_life_acknowledges_nothing (void **state)
+test_an_end_of_an_earlier_incarnation_acknowledges_nothing (void **state)
 {
   struct fixture *f = *state;
   struct status st;
@@ -646,7 +646,7 @@
   lists.ended = &second;
   dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_OK, &lists);
   assert_int_equal (f->log_count, 2);
-  /* Only the end of the former life commits.  */
+  /* Only the end of the earlier incarnation commits.  */
   assert_true (fixture_apply (f, f->log[0].entry.data, f->log[0].entry.len));
   f->now_ms += 100;
   dispatcher_tick (f->dispatcher, f->now_ms, f->now_ms);
@@ -671,8 +671,8 @@
   assert_int_equal (f->stop_count, 0);
 }
 
-/* A hold without an answer may be executed seconds later: by the next life, or the one after it,
-   but by none that begins later than that.  */
+/* A hold without an answer may be executed seconds later: by the next incarnation, or the one after
+   it, but by none that begins later than that.  */
 static void
 test_a_lost_acknowledgement_concerns_restarts_for_seconds_only (void **state)
 {
@@ -706,7 +706,7 @@
 }
 
 /* The leader that sent the acknowledgement is gone when the next one finds a worker without the
-   runs that the log has there: it may be another life of it.  */
+   runs that the log has there: it may be another incarnation of it.  */
 static void
 test_a_new_leader_probes_a_worker_that_lost_its_runs (void **state)
 {
@@ -1961,9 +1961,9 @@
           TEST (test_a_silent_worker_gets_no_acknowledgement),
           TEST (test_an_acknowledgement_is_carried_until_it_was_answered),
           TEST (test_orders_to_a_restarted_worker_have_a_higher_fence),
-          TEST (test_a_life_that_an_acknowledgement_may_have_reached_is_probed),
+          TEST (test_an_incarnation_that_an_acknowledgement_may_have_reached_is_probed),
           TEST (test_short_tasks_probe_a_worker_when_they_must),
-          TEST (test_an_end_of_a_former_life_acknowledges_nothing),
+          TEST (test_an_end_of_an_earlier_incarnation_acknowledges_nothing),
           TEST (test_a_lasting_task_needs_no_probe),
           TEST (test_a_lost_acknowledgement_concerns_restarts_for_seconds_only),
           TEST (test_a_new_leader_probes_a_worker_that_lost_its_runs),
--- a/tests/test_worker_calls.c
+++ b/tests/test_worker_calls.c
@@ -410,8 +410,8 @@
   close_fixture (&f);
 }
 
-/* Guards against an acknowledgement that reaches the next life of its worker, because the client
-   writes a hold again when its connection breaks.  A hold without one may be repeated.  */
+/* Guards against an acknowledgement that reaches the next incarnation of its worker, because the
+   client writes a hold again when its connection breaks.  A hold without one may be repeated.  */
 static void
 test_broken_connection_does_not_repeat_an_acknowledgement (void **state)
 {
