--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -134,33 +134,35 @@
   int64_t born_ms;
   uint64_t sequence;
   int64_t gone_ms;
-  uint32_t millicores, memory_mb, accelerators;
-  bool reported;             /* this incarnation, to this leader */
   int64_t reported_clock_ms; /* worker's time of its last report */
+  int64_t left_ms; /* departure while it drains, until a call shows whose it is; 0: none */
+  uint32_t millicores, memory_mb, accelerators;
+  bool reported; /* this incarnation, to this leader */
   bool draining;
   bool left_undrained; /* until its next report: the departure may be of an earlier incarnation */
-  int64_t left_ms;     /* departure while it drains, until a call shows whose it is; 0: none */
   bool gone;           /* it left, or another worker has its address */
 
   /* Clock, lease and holds.  */
-  bool clock_known;
   int64_t clock_ms;        /* of the worker, read not later than clock_at_ms */
   int64_t clock_at_ms;     /* leader's time */
   int64_t deadline_ms;     /* latest lease of this incarnation, on its clock */
   int64_t lease_end_ms;    /* leader's clock; for leases that an earlier leader granted */
   int64_t last_answer_ms;  /* last answer to a hold */
   int64_t failed_ms;       /* first order without an answer since the last answer; 0: none */
-  bool unreached;          /* a start found no connection since the last answer */
-  bool was_unreached;      /* at any time: a helper may reach it where this VM doesn't */
   int64_t listed_clock_ms; /* worker's time of the newest lists */
   int64_t hold_next_ms;
-  uintptr_t order_epoch;   /* of this incarnation in this term; tag of its orders */
-  unsigned holds;          /* of this epoch, without an answer yet */
+  uintptr_t order_epoch; /* of this incarnation in this term; tag of its orders */
+  uint64_t fence;        /* of its orders; above those to its earlier incarnations */
+  unsigned holds;        /* of this epoch, without an answer yet */
+  bool clock_known;
+  bool unreached;          /* a start found no connection since the last answer */
+  bool was_unreached;      /* at any time: a helper may reach it where this VM doesn't */
   bool fenced;             /* has answered a hold of this leader */
   bool hold_now;           /* don't wait for hold_next_ms */
   bool last_hold_answered; /* the last hold was answered: ACKNOWLEDGED counts ends of this
                               incarnation */
-  uint64_t fence;          /* of its orders; above those to its earlier incarnations */
+  bool may_lose_ends;      /* an acknowledgement may have reached this incarnation: its first ends
+                              may never be listed */
 
   /* Ended and running tasks.  */
   uint64_t acknowledged; /* ends up to this number are committed */
@@ -170,8 +172,6 @@
   int64_t ack_sent_ms;
   int64_t ack_lost_ms; /* last hold with an acknowledgement and without an answer; 0: none that
                           may still be executed */
-  bool may_lose_ends;  /* such a hold may have reached this incarnation: its first ends may never
-                          be listed */
   struct listed_ends ends;
   struct dispatch_runs runs;
   uint32_t lasting_millicores, short_millicores, fill_millicores, used_memory_mb, used_accelerators;
