--- a/src/workflow/workflow_snapshot.c
+++ b/src/workflow/workflow_snapshot.c
@@ -6,6 +6,19 @@
 
 static char empty_string[] = "";
 
+/* Appends IMAGE, which PROC encodes.  */
+static void
+append_section (struct buffer *out, xdrproc_t proc, void *image)
+{
+  XDR xdr;
+  u_int size = (u_int)xdr_sizeof (proc, image);
+  buffer_reserve (out, size);
+  xdrmem_create (&xdr, out->data + out->len, size, XDR_ENCODE);
+  proc (&xdr, image);
+  xdr_destroy (&xdr);
+  out->len += size;
+}
+
 static uint32_t
 task_count (const struct workflow_job *j)
 {
@@ -89,15 +102,9 @@
 {
   workflow_blame_image image = { .blames.blames_len = 0 };
   const struct workflow_job *j;
-  XDR xdr;
   TAILQ_FOREACH (j, &w->open, link)
   add_blames (j, &image);
-  u_int size = (u_int)xdr_sizeof ((xdrproc_t)xdr_workflow_blame_image, &image);
-  buffer_reserve (out, size);
-  xdrmem_create (&xdr, out->data + out->len, size, XDR_ENCODE);
-  xdr_workflow_blame_image (&xdr, &image);
-  xdr_destroy (&xdr);
-  out->len += size;
+  append_section (out, (xdrproc_t)xdr_workflow_blame_image, &image);
   free (image.blames.blames_val);
 }
 
@@ -106,16 +113,10 @@
 {
   workflow_withdrawn_image image = { .ids.ids_len = 0 };
   const struct withdrawn_id *id;
-  XDR xdr;
   image.ids.ids_val = xcalloc (w->withdrawn.map.count + 1, sizeof *image.ids.ids_val);
   STAILQ_FOREACH (id, &w->withdrawn.list, link)
   image.ids.ids_val[image.ids.ids_len++] = id->id;
-  u_int size = (u_int)xdr_sizeof ((xdrproc_t)xdr_workflow_withdrawn_image, &image);
-  buffer_reserve (out, size);
-  xdrmem_create (&xdr, out->data + out->len, size, XDR_ENCODE);
-  xdr_workflow_withdrawn_image (&xdr, &image);
-  xdr_destroy (&xdr);
-  out->len += size;
+  append_section (out, (xdrproc_t)xdr_workflow_withdrawn_image, &image);
   free (image.ids.ids_val);
 }
 
@@ -124,7 +125,6 @@
 {
   workflow_origin_image image = { .origins.origins_len = 0 };
   const struct workflow_job *j;
-  XDR xdr;
   image.origins.origins_val = xcalloc (w->jobs.count + 1, sizeof (workflow_origin));
   TAILQ_FOREACH (j, &w->open, link)
   image.origins.origins_val[image.origins.origins_len++]
@@ -132,12 +132,7 @@
   TAILQ_FOREACH (j, &w->finished, link)
   image.origins.origins_val[image.origins.origins_len++]
       = (workflow_origin){ .host = j->origin->host, .path_prefix = j->origin->path_prefix };
-  u_int size = (u_int)xdr_sizeof ((xdrproc_t)xdr_workflow_origin_image, &image);
-  buffer_reserve (out, size);
-  xdrmem_create (&xdr, out->data + out->len, size, XDR_ENCODE);
-  xdr_workflow_origin_image (&xdr, &image);
-  xdr_destroy (&xdr);
-  out->len += size;
+  append_section (out, (xdrproc_t)xdr_workflow_origin_image, &image);
   free (image.origins.origins_val);
 }
 
@@ -147,7 +142,6 @@
   struct workflow *w = (struct workflow *)m;
   workflow_image image = { .format = WORKFLOW_SNAPSHOT_FORMAT, .configuration = w->configuration };
   const struct workflow_job *j;
-  XDR xdr;
   image.zones_out.zones_out_val = w->zones_out;
   image.zones_out.zones_out_len = (u_int)w->zone_count;
   image.jobs.jobs_val = xcalloc (w->jobs.count + 1, sizeof (workflow_job_image));
@@ -155,12 +149,7 @@
   save_job (j, &image.jobs.jobs_val[image.jobs.jobs_len++]);
   TAILQ_FOREACH (j, &w->finished, link)
   save_job (j, &image.jobs.jobs_val[image.jobs.jobs_len++]);
-  u_int size = (u_int)xdr_sizeof ((xdrproc_t)xdr_workflow_image, &image);
-  buffer_reserve (out, size);
-  xdrmem_create (&xdr, out->data + out->len, size, XDR_ENCODE);
-  xdr_workflow_image (&xdr, &image);
-  xdr_destroy (&xdr);
-  out->len += size;
+  append_section (out, (xdrproc_t)xdr_workflow_image, &image);
   for (u_int i = 0; i < image.jobs.jobs_len; i++)
     free_job_image (&image.jobs.jobs_val[i]);
   free (image.jobs.jobs_val);
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -445,24 +445,6 @@
   assert_int_equal (fixture_last_hold (f, "w1").acknowledged, 1);
 }
 
-/* Answers the last hold to WORKER, whose present incarnation began at BORN_MS.  */
-static void
-answer_as (struct fixture *f, const char *worker, int64_t born_ms,
-           const struct reported_run *running, size_t running_len, const struct reported_end *ended,
-           size_t ended_len)
-{
-  const struct worker_lists lists = { .mark = fixture_last_hold (f, worker).mark,
-                                      .clock_ms = f->now_ms,
-                                      .born_ms = born_ms,
-                                      .running = running,
-                                      .running_len = running_len,
-                                      .ended = ended,
-                                      .ended_len = ended_len,
-                                      .complete = true };
-  dispatcher_hold_answer (f->dispatcher, f->now_ms, worker, WORKER_CALL_OK, &lists);
-  fixture_commit (f);
-}
-
 /* W1 has listed an end, and the hold that acknowledges it has just been sent.  */
 static void
 send_acknowledgement (struct fixture *f)
@@ -487,7 +469,7 @@
   r.born_ms = born_ms;
   assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
   fixture_tick (f, 20);
-  answer_as (f, "w1", born_ms, NULL, 0, NULL, 0);
+  fixture_answer_as (f, "w1", born_ms, NULL, 0, NULL, 0);
 }
 
 /* Guards against an acknowledgement that reaches the next incarnation of its worker, which numbers
@@ -522,7 +504,7 @@
   assert_true (second > first);
   /* A second restart shows in a list first, in the answer to a hold of the second incarnation.  */
   fixture_tick (f, 2000);
-  answer_as (f, "w1", 3000, NULL, 0, NULL, 0);
+  fixture_answer_as (f, "w1", 3000, NULL, 0, NULL, 0);
   fixture_tick (f, 20);
   assert_true (fixture_last_hold (f, "w1").fence > second);
   fixture_tick (f, 2000);
@@ -556,9 +538,9 @@
   fixture_tick (f, 20);
   assert_int_equal (f->start_count, 1);
   /* Its end isn't listed: the next run is another probe.  */
-  answer_as (f, "w1", 2000, NULL, 0, NULL, 0);
+  fixture_answer_as (f, "w1", 2000, NULL, 0, NULL, 0);
   fixture_tick (f, 100);
-  answer_as (f, "w1", 2000, NULL, 0, NULL, 0);
+  fixture_answer_as (f, "w1", 2000, NULL, 0, NULL, 0);
   fixture_tick (f, 200);
   assert_int_equal (f->start_count, 2);
   fixture_answer_start (f, &f->starts[1], WORKER_CALL_OK);
@@ -566,7 +548,7 @@
   assert_int_equal (f->stop_count, 2);
   /* This one is: the worker takes tasks again.  */
   const struct reported_end end = fixture_ended (&f->starts[1], 2, WORKFLOW_STOPPED);
-  answer_as (f, "w1", 2000, NULL, 0, &end, 1);
+  fixture_answer_as (f, "w1", 2000, NULL, 0, &end, 1);
   fixture_tick (f, 20);
   assert_int_equal (f->start_count, 6);
   for (size_t i = 2; i < f->start_count; i++)
@@ -597,13 +579,13 @@
   for (int i = 0; i < 70; i++)
     {
       fixture_tick (f, 20);
-      answer_as (f, "w1", 2000, NULL, 0, NULL, 0);
+      fixture_answer_as (f, "w1", 2000, NULL, 0, NULL, 0);
     }
   assert_int_equal (f->start_count, 0);
   for (int i = 0; i < 10; i++)
     {
       fixture_tick (f, 20);
-      answer_as (f, "w1", 2000, NULL, 0, NULL, 0);
+      fixture_answer_as (f, "w1", 2000, NULL, 0, NULL, 0);
     }
   assert_int_equal (f->start_count, 1);
 }
@@ -722,7 +704,7 @@
   assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
   fixture_tick (f, 20);
   f->start_count = 0;
-  answer_as (f, "w1", 2000, NULL, 0, NULL, 0);
+  fixture_answer_as (f, "w1", 2000, NULL, 0, NULL, 0);
   fixture_tick (f, 200);
   assert_int_equal (f->start_count, 1);
 }
--- a/tests/workflow_fixture.h
+++ b/tests/workflow_fixture.h
@@ -207,14 +207,16 @@
   return f->holds[0];
 }
 
+/* Answers the last hold to WORKER, whose present incarnation began at BORN_MS.  */
 static inline void
-fixture_answer_hold (struct fixture *f, const char *worker, const struct reported_run *running,
-                     size_t running_len, const struct reported_end *ended, size_t ended_len)
+fixture_answer_as (struct fixture *f, const char *worker, int64_t born_ms,
+                   const struct reported_run *running, size_t running_len,
+                   const struct reported_end *ended, size_t ended_len)
 {
   struct sent_hold h = fixture_last_hold (f, worker);
   const struct worker_lists lists = { .mark = h.mark,
                                       .clock_ms = f->now_ms,
-                                      .born_ms = 1000,
+                                      .born_ms = born_ms,
                                       .running = running,
                                       .running_len = running_len,
                                       .ended = ended,
@@ -224,6 +226,13 @@
   fixture_commit (f);
 }
 
+static inline void
+fixture_answer_hold (struct fixture *f, const char *worker, const struct reported_run *running,
+                     size_t running_len, const struct reported_end *ended, size_t ended_len)
+{
+  fixture_answer_as (f, worker, 1000, running, running_len, ended, ended_len);
+}
+
 /* Registers a worker and answers its first hold with empty lists, which makes it usable.  */
 static inline void
 fixture_join (struct fixture *f, const char *id, const char *address)
