Let a refusal just before a departure confirm it

Lasting tasks of workers that had left waited for the lease of 10 s.

The open hold breaks when the process ends, 54 ms before the departure came from the other region; the machine was gone when the next hold was sent.

Change: a refusal counts if no hold was answered since, in either order, once no hold is open.

Measured: test_a_refusal_just_before_the_departure_confirms_it failed before.

--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -342,7 +342,7 @@
   w->last_answer_ms = d->now_ms;
   w->fenced = true;
   w->last_hold_answered = true;
-  dispatch_note_listener (d, w, true);
+  dispatch_note_hold (d, w, WORKER_CALL_OK);
   process_running (d, w, lists);
   process_ends (d, w, lists);
   end_unlisted_runs (d, w, lists);
@@ -388,8 +388,8 @@
              result_name (result), w->fenced ? now_ms - w->last_answer_ms : 0);
   if (result == WORKER_CALL_OTHER_WORKER)
     dispatch_mark_crashed (d, w, "another worker has its address");
-  else if (result == WORKER_CALL_NO_LISTENER)
-    dispatch_note_listener (d, w, false);
+  else
+    dispatch_note_hold (d, w, result);
 }
 
 /* An answer to an order of an earlier term proves nothing about the present one: that order did not
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -140,6 +140,7 @@
   bool reported; /* this incarnation, to this leader */
   bool draining;
   bool left_undrained; /* until its next report: the departure may be of an earlier incarnation */
+  bool refuses;        /* its address refused a connection, and no hold was answered since */
   bool gone;           /* it left, or another worker has its address */
 
   /* Clock, lease and holds.  */
@@ -262,8 +263,8 @@
                             const char *reason); /* It did not leave: a run may be to blame. */
 void dispatch_note_answer (struct dispatcher *d, struct dispatch_worker *w,
                            enum worker_call_result result);
-void dispatch_note_listener (struct dispatcher *d, struct dispatch_worker *w,
-                             bool listens); /* A hold was answered, or its address refused it. */
+void dispatch_note_hold (struct dispatcher *d, struct dispatch_worker *w,
+                         enum worker_call_result result); /* What it says about a departure. */
 void dispatch_update_clock (struct dispatcher *d, struct dispatch_worker *w, int64_t clock_ms);
 int64_t dispatch_lease_deadline (struct dispatcher *d,
                                  struct dispatch_worker *w); /* For the next order; stored in W. */
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -240,6 +240,7 @@
   w->reported = false;
   w->draining = false;
   w->left_ms = 0;
+  w->refuses = false;
   w->sequence = 0;
   w->clock_known = false;
   w->deadline_ms = 0;
@@ -400,6 +401,14 @@
   return 0;
 }
 
+static void
+confirm_departure (struct dispatcher *d, struct dispatch_worker *w)
+{
+  /* An open hold may still bring its last list.  */
+  if (w->left_ms > 0 && w->refuses && w->holds == 0)
+    dispatch_mark_gone (d, w, "the worker left");
+}
+
 void
 dispatcher_worker_left (struct dispatcher *d, int64_t now_ms, const char *worker)
 {
@@ -415,6 +424,7 @@
     {
       log_event (LOG_INFO, "departure-received", "worker=%s born=%" PRId64, worker, w->born_ms);
       w->left_ms = now_ms;
+      confirm_departure (d, w);
       return;
     }
   /* An incarnation drains before it leaves.  */
@@ -423,17 +433,18 @@
 }
 
 void
-dispatch_note_listener (struct dispatcher *d, struct dispatch_worker *w, bool listens)
+dispatch_note_hold (struct dispatcher *d, struct dispatch_worker *w, enum worker_call_result result)
 {
-  if (w->left_ms == 0)
-    return;
-  if (listens && d->now_ms - w->left_ms >= DEPARTURE_END_MS)
+  if (result == WORKER_CALL_OK)
+    w->refuses = false;
+  else if (result == WORKER_CALL_NO_LISTENER)
+    w->refuses = true;
+  if (result == WORKER_CALL_OK && w->left_ms > 0 && d->now_ms - w->left_ms >= DEPARTURE_END_MS)
     {
       log_event (LOG_WARN, "departure-refuted", "worker=%s born=%" PRId64, w->id, w->born_ms);
       w->left_ms = 0;
     }
-  else if (!listens && w->holds == 0) /* an open hold may still bring its last list */
-    dispatch_mark_gone (d, w, "the worker left");
+  confirm_departure (d, w);
 }
 
 bool
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -1024,11 +1024,13 @@
 test_a_departure_counts_once_the_address_refuses_a_hold (void **state)
 {
   struct fixture *f = *state;
-  start_on_a_draining_worker (f);
-  size_t holds = f->hold_count;
+  const struct reported_run run = fixture_running (start_on_a_draining_worker (f));
   fixture_refuse_holds (f, "w1"); /* alone, it proves nothing */
   fixture_commit (f);
   assert_false (TAILQ_EMPTY (&f->workflow.runs));
+  fixture_tick (f, 300);
+  fixture_answer_hold (f, "w1", &run, 1, NULL, 0);
+  size_t holds = f->hold_count;
   dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
   fixture_tick (f, 20);
   assert_true (f->hold_count > holds);
@@ -1040,6 +1042,36 @@
   assert_int_equal (f->start_count, 2);
 }
 
+/* Failure in load test hsgr-rounds-grown hunt-5c05-39 (LOST): a worker's address refused a hold 54
+   ms before its departure arrived from another region, and its machine was gone when the next hold
+   was sent: its tasks waited for the lease of 10 s.  */
+static void
+test_a_refusal_just_before_the_departure_confirms_it (void **state)
+{
+  struct fixture *f = *state;
+  for (int open = 0; open < 2; open++)
+    {
+      if (open)
+        {
+          fixture_close (state);
+          fixture_open (state);
+          f = *state;
+        }
+      start_on_a_draining_worker (f);
+      fixture_refuse_holds (f, "w1");
+      if (open) /* the next hold is on its way, to a machine that is gone */
+        fixture_tick (f, 300);
+      dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
+      if (open)
+        dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_UNKNOWN, NULL);
+      fixture_commit (f);
+      fixture_tick (f, 20);
+      fixture_tick (f, 300);
+      assert_int_equal (f->start_count, 2);
+      assert_string_equal (f->starts[1].worker, "w2");
+    }
+}
+
 /* A worker that left and can't be reached may be one that drains behind a partition: its tasks wait
    for its lease.  Then it counts as gone, and is called no more.  */
 static void
@@ -1958,6 +1990,7 @@
           TEST (test_a_late_departure_does_not_end_runs_of_the_next_incarnation),
           TEST (test_a_late_departure_does_not_end_runs_of_an_incarnation_that_drains),
           TEST (test_a_departure_counts_once_the_address_refuses_a_hold),
+          TEST (test_a_refusal_just_before_the_departure_confirms_it),
           TEST (test_tasks_of_a_worker_that_left_and_is_silent_wait_for_its_lease),
           TEST (test_a_departure_waits_for_the_answer_of_an_open_hold),
           TEST (test_a_late_report_to_a_new_leader_does_not_end_a_drain),
