Keep leadership while workers with runs drain

Cause: leadership moved to a closer voter 1.2 s before workers left. The next leader did not know that they drained, so their departures were no proof, and their tasks waited for the lease of 10 s.

Change: it is put off while workers that drain have runs, too.

--- a/src/workflow/dispatcher.h
+++ b/src/workflow/dispatcher.h
@@ -78,9 +78,9 @@
                                int64_t until_ms); /* No other leader can exist before UNTIL_MS. */
 bool dispatcher_has_authority (const struct dispatcher *d,
                                int64_t now_ms); /* Leads, and no other leader can exist now. */
-bool dispatcher_awaits_leases (
-    const struct dispatcher *d,
-    int64_t now_ms); /* Runs of silent workers wait for their leases; a next leader begins anew. */
+/* Workers that are silent or drain have runs.  A next leader doesn't know since when, and waits for
+   a whole lease of those that are gone by then.  */
+bool dispatcher_awaits_workers (const struct dispatcher *d, int64_t now_ms);
 void dispatcher_proposed (struct dispatcher *d, int64_t now_ms, uint64_t token,
                           bool applied); /* Applied, or certain never to be. */
 
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -512,11 +512,11 @@
 }
 
 bool
-dispatcher_awaits_leases (const struct dispatcher *d, int64_t now_ms)
+dispatcher_awaits_workers (const struct dispatcher *d, int64_t now_ms)
 {
   const struct dispatch_worker *w;
   TAILQ_FOREACH (w, &d->worker_list, link)
-  if (!w->gone && !TAILQ_EMPTY (&w->runs) && is_silent (w, now_ms))
+  if (!w->gone && !TAILQ_EMPTY (&w->runs) && (w->draining || is_silent (w, now_ms)))
     return true;
   return false;
 }
--- a/src/workflow/workflow_service.c
+++ b/src/workflow/workflow_service.c
@@ -229,12 +229,13 @@
 }
 
 /* A transfer ends the sending of orders for the rest of the term: the target may be elected at any
-   time from then on.  The target would also wait anew for the leases of silent workers, and their
-   lasting tasks would have no run for twice as long.  */
+   time from then on.  The target would also wait anew for the leases of silent workers, and of
+   those that leave before it knows that they drain: their lasting tasks would have no run
+   meanwhile.  */
 static void
 check_leader_placement (struct workflow_service *s, int64_t now_ms)
 {
-  if (dispatcher_awaits_leases (s->dispatcher, now_ms))
+  if (dispatcher_awaits_workers (s->dispatcher, now_ms))
     return;
   int64_t duration_ms = now_ms - s->round_began_ms;
   struct voter_distance to = quorum_voter (s);
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -160,14 +160,14 @@
   fixture_tick (f, 20);
   const struct reported_run run = fixture_running (&f->starts[0]);
   fixture_answer_hold (f, "w1", &run, 1, NULL, 0);
-  assert_false (dispatcher_awaits_leases (f->dispatcher, f->now_ms));
+  assert_false (dispatcher_awaits_workers (f->dispatcher, f->now_ms));
   fixture_join (f, "w2", "10.0.0.2:1"); /* silent as well, without a run */
   dispatcher_become_leader (f->dispatcher, f->now_ms, 7 + DISPATCHER_FENCES);
   int64_t lead_ms = f->now_ms;
   fixture_join (f, "w2", "10.0.0.2:1");
   while (!TAILQ_EMPTY (&f->workflow.runs) && f->now_ms - lead_ms < 20000)
     {
-      assert_true (dispatcher_awaits_leases (f->dispatcher, f->now_ms));
+      assert_true (dispatcher_awaits_workers (f->dispatcher, f->now_ms));
       f->now_ms += 20;
       dispatcher_set_authority (f->dispatcher, f->now_ms + 1000);
       dispatcher_tick (f->dispatcher, f->now_ms, f->now_ms);
@@ -176,7 +176,44 @@
     }
   assert_true (f->now_ms - lead_ms >= FIXTURE_LEASE_MS);
   fixture_commit (f);
-  assert_false (dispatcher_awaits_leases (f->dispatcher, f->now_ms));
+  assert_false (dispatcher_awaits_workers (f->dispatcher, f->now_ms));
+}
+
+/* A task of w1, which drains; w2 is idle.  */
+static const struct sent_start *
+start_on_a_draining_worker (struct fixture *f)
+{
+  struct status st;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, 0);
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  fixture_tick (f, 100);
+  const struct reported_run run = fixture_running (&f->starts[0]);
+  fixture_answer_hold (f, "w1", &run, 1, NULL, 0);
+  fixture_join (f, "w2", "10.0.0.2:1");
+  struct worker_report r = fixture_worker (f, "w1", "10.0.0.1:1");
+  r.draining = true;
+  r.sequence++;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+  fixture_tick (f, 20);
+  return &f->starts[0];
+}
+
+/* Failure in load test hsgr-rounds-grown scale-1, seed 861277368414 (LOST): leadership was handed
+   over 1.2 s before workers left.  The next leader did not know that they drained, and their tasks
+   waited for the lease.  */
+static void
+test_leadership_is_kept_while_workers_drain (void **state)
+{
+  struct fixture *f = *state;
+  start_on_a_draining_worker (f);
+  assert_true (dispatcher_awaits_workers (f->dispatcher, f->now_ms));
+  dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
+  fixture_refuse_holds (f, "w1");
+  fixture_commit (f);
+  assert_false (dispatcher_awaits_workers (f->dispatcher, f->now_ms));
 }
 
 /* Orders of an earlier leader are known from the log only: the first hold under the new fence shows
@@ -966,28 +1003,6 @@
   assert_string_equal (f->starts[17].worker, "w1");
 }
 
-/* A task of w1, which drains; w2 is idle.  */
-static const struct sent_start *
-start_on_a_draining_worker (struct fixture *f)
-{
-  struct status st;
-  fixture_join (f, "w1", "10.0.0.1:1");
-  fixture_submit (f, 1, 1, 1, 0);
-  fixture_tick (f, 20);
-  assert_int_equal (f->start_count, 1);
-  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
-  fixture_tick (f, 100);
-  const struct reported_run run = fixture_running (&f->starts[0]);
-  fixture_answer_hold (f, "w1", &run, 1, NULL, 0);
-  fixture_join (f, "w2", "10.0.0.2:1");
-  struct worker_report r = fixture_worker (f, "w1", "10.0.0.1:1");
-  r.draining = true;
-  r.sequence++;
-  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
-  fixture_tick (f, 20);
-  return &f->starts[0];
-}
-
 /* Guards against two runs of a task: a departure of an earlier incarnation that arrives while the
    present one drains ended the runs of the present one.  It goes on to answer.  */
 static void
@@ -1963,6 +1978,7 @@
           TEST (test_an_unanswered_start_that_is_listed_runs_on),
           TEST (test_runs_of_a_silent_worker_lapse_once_and_in_time),
           TEST (test_leases_that_tasks_wait_for_are_known),
+          TEST (test_leadership_is_kept_while_workers_drain),
           TEST (test_a_restart_on_a_lost_worker_moves_on_at_once),
           TEST (test_a_new_leader_learns_before_it_starts),
           TEST (test_a_new_leader_waits_for_leases_it_did_not_give),
