test_worker_calls: check that each call has one outcome

Cause: replaced test_a_start_to_a_closed_port_is_unknown, whose requirement was wrong, and its check that the call had exactly one outcome went with it. The new tests counted the outcomes of several calls together, so that a call with two and one with none would have passed.

Change: the two tests check the count after each call.

--- a/tests/test_worker_calls.c
+++ b/tests/test_worker_calls.c
@@ -359,12 +359,14 @@
       open_breaking_worker (&b, &f);
       send_start (&f);
       ev_run (f.loop, 0);
+      assert_int_equal (f.outcomes, 1);
       assert_int_equal (f.outcome.result, WORKER_CALL_OK);
       /* The worker is silent: the kernel still takes bytes on the connection and accepts new ones.
        */
       b.answer = "";
       send_start_on (&f, is_new);
       ev_run (f.loop, 0);
+      assert_int_equal (f.outcomes, 2);
       assert_int_equal (f.outcome.result, WORKER_CALL_UNKNOWN);
       assert_int_equal (b.connections, is_new ? 2 : 1);
       close_breaking_worker (&b);
@@ -401,6 +403,7 @@
   b.closes = true;
   send_hold (&f, 0);
   ev_run (f.loop, 0);
+  assert_int_equal (f.outcomes, 1);
   assert_int_equal (f.outcome.result, WORKER_CALL_UNKNOWN);
   close_breaking_worker (&b);
   send_hold (&f, 0);
