log: write whole lines to a pipe

Cause: log_flush wrote the whole buffer at once. A pipe that is nearly full takes a part of a write above PIPE_BUF, which may end inside a line; when the process ends before the rest is written, the next line runs into it.

Change: one write takes whole lines of up to PIPE_BUF bytes, which a pipe takes as a whole or not at all.

Measured: test_what_a_full_pipe_holds_ends_with_a_whole_line failed before and passes; test_log 5 of 5.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,6 +1,7 @@
 #include "log.h"
 
 #include <fcntl.h>
+#include <limits.h>
 #include <stdarg.h>
 #include <stdint.h>
 #include <stdio.h>
@@ -11,6 +12,9 @@
 #include <jansson.h>
 
 #define LINE_BYTES 1024
+/* A pipe takes a write of up to PIPE_BUF bytes as a whole or not at all.  A larger one may stop
+   inside a line, and the process may end before it has written the rest.  */
+#define WRITE_BYTES PIPE_BUF
 
 /* Global: every module logs, and passing a handle everywhere would only repeat the same
    pointer.  */
@@ -169,18 +173,34 @@
   add_event (LOG_WARN, "lines-left-out", text);
 }
 
+/* Length of the whole lines from START on that one write takes.  */
+static size_t
+lines_to_write (size_t start)
+{
+  const char *text = events.bytes + start;
+  if (events.len - start <= WRITE_BYTES)
+    return events.len - start;
+  const char *end = memrchr (text, '\n', WRITE_BYTES);
+  return end ? (size_t)(end + 1 - text) : WRITE_BYTES;
+}
+
 void
 log_flush (void)
 {
+  size_t written = 0;
   if (events.len == 0)
     return;
   if (!events.nonblocking)
     set_nonblocking ();
-  ssize_t n = write (STDOUT_FILENO, events.bytes, events.len);
-  if (n <= 0)
-    return;
-  events.len -= (size_t)n;
-  memmove (events.bytes, events.bytes + n, events.len);
+  while (written < events.len)
+    {
+      ssize_t n = write (STDOUT_FILENO, events.bytes + written, lines_to_write (written));
+      if (n <= 0)
+        break;
+      written += (size_t)n;
+    }
+  events.len -= written;
+  memmove (events.bytes, events.bytes + written, events.len);
   if (events.len == 0)
     report_dropped ();
 }
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -166,6 +166,44 @@
   free (text);
 }
 
+/* Guards against a line that ends in the middle, and runs into the first line of the next process,
+   when the process is killed while its reader is slow.  */
+static void
+test_what_a_full_pipe_holds_ends_with_a_whole_line (void **state)
+{
+  const struct log_config config = { .level = LOG_INFO };
+  int ends[2];
+  (void)state;
+  log_configure (&config);
+  sleep (1); /* the limit of lines per second starts afresh */
+  assert_int_equal (pipe (ends), 0);
+  assert_int_equal (fcntl (ends[0], F_SETFL, O_NONBLOCK), 0);
+  assert_int_equal (fcntl (ends[1], F_SETFL, O_NONBLOCK), 0);
+  int before = dup (STDOUT_FILENO);
+  fflush (stdout);
+  dup2 (ends[1], STDOUT_FILENO);
+  for (unsigned i = 0; i < PIPE_LINES; i++)
+    log_event (LOG_INFO, "run", "number=%u check=%u", i, i);
+  log_flush ();
+  char *text = calloc (PIPE_LINES, 100);
+  size_t len = 0;
+  ssize_t n;
+  while ((n = read (ends[0], text + len, READ_BYTES)) > 0)
+    len += (size_t)n;
+  assert_true (len > 0 && len < PIPE_LINES * 100);
+  assert_int_equal (text[len - 1], '\n');
+  for (len = 1; len > 0;) /* the rest, for the tests that follow */
+    {
+      log_flush ();
+      len = drain (ends[0], text, 0);
+    }
+  dup2 (before, STDOUT_FILENO);
+  close (before);
+  close (ends[0]);
+  close (ends[1]);
+  free (text);
+}
+
 int
 main (void)
 {
@@ -173,6 +211,7 @@
       = { cmocka_unit_test (test_a_warning_is_kept_when_lines_are_left_out),
           cmocka_unit_test (test_a_change_of_state_is_kept_when_lines_are_left_out),
           cmocka_unit_test (test_a_change_of_state_finds_a_place_in_a_full_buffer),
-          cmocka_unit_test (test_a_slow_reader_gets_whole_lines) };
+          cmocka_unit_test (test_a_slow_reader_gets_whole_lines),
+          cmocka_unit_test (test_what_a_full_pipe_holds_ends_with_a_whole_line) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
