Give votes to spare members near the leader

Cause: with five votes among six VMs in two regions the leader's region often has two of them, so each commit waits for another region.

--- a/src/decide/voter_plan.c
+++ b/src/decide/voter_plan.c
@@ -55,13 +55,63 @@
     }
 }
 
-/* Demotes the youngest voter above MAX_VOTERS, after a replaced voter has answered again.  */
+/* The voter that is demoted first: the most distant, of equally distant ones the youngest.  */
+static struct plan_member *
+find_farthest_voter (struct plan_member *members, size_t count)
+{
+  struct plan_member *farthest = NULL;
+  for (size_t i = count; i-- > 0;)
+    if (members[i].voter && !members[i].self
+        && (!farthest || members[i].distance_ms > farthest->distance_ms))
+      farthest = &members[i];
+  return farthest;
+}
+
+/* After a replaced voter has answered again, or a near learner was promoted.  */
 static void
 demote_surplus (struct plan_member *members, size_t count)
 {
-  for (size_t i = count; i-- > 0 && count_voters (members, count) > MAX_VOTERS;)
-    if (members[i].voter && !members[i].self)
-      members[i].voter = false;
+  struct plan_member *surplus;
+  while (count_voters (members, count) > MAX_VOTERS
+         && (surplus = find_farthest_voter (members, count)) != NULL)
+    surplus->voter = false;
+}
+
+static bool
+is_near (const struct plan_member *m)
+{
+  return m->self || m->distance_ms < VOTER_DISTANT_MS;
+}
+
+static bool
+is_responsive (const struct plan_member *m)
+{
+  return !m->dropped && m->inactive_ms < SPARE_INACTIVE_LIMIT_MS;
+}
+
+/* Gives the vote of the most distant voter to a near learner.  */
+static void
+bring_quorum_near (struct plan_member *members, size_t count)
+{
+  struct plan_member *spare = NULL;
+  size_t near_voters = 0;
+  size_t near_members = 0;
+  size_t needed = MAX_VOTERS / 2 + 1;
+  for (size_t i = 0; i < count; i++)
+    {
+      if (members[i].voter && (!is_responsive (&members[i]) || members[i].distance_ms == INT64_MAX))
+        return;
+      near_voters += members[i].voter && is_near (&members[i]);
+      near_members += is_responsive (&members[i]) && is_near (&members[i]);
+      if (!members[i].voter && is_responsive (&members[i]) && is_near (&members[i]) && !spare)
+        spare = &members[i];
+    }
+  struct plan_member *farthest = find_farthest_voter (members, count);
+  if (count_voters (members, count) != MAX_VOTERS || near_voters >= needed || near_members < needed
+      || !spare || !farthest || is_near (farthest))
+    return;
+  spare->voter = true;
+  farthest->voter = false;
 }
 
 static void
@@ -102,4 +152,5 @@
       promote (members, count);
       promote (members, count);
     }
+  bring_quorum_near (members, count);
 }
--- a/src/workflow/seeded_group.c
+++ b/src/workflow/seeded_group.c
@@ -22,6 +22,7 @@
 #define PLAN_TEXT_BYTES 512
 /* Time without a leader; an election takes longer, but a needless join request does no harm.  */
 #define JOIN_DELAY_MS 1000
+#define NEAR_QUORUM_DELAY_MS 1500  /* of a leadership; its transfer follows after 3.3 s */
 #define JOIN_REQUEST_VALID_MS 1500 /* a joining VM repeats its request several times per second */
 #define MAX_FLUSH_ROUNDS 8         /* the results of a flush often cause further proposals */
 
@@ -279,6 +280,19 @@
     }
 }
 
+/* Not known during the first seconds of a leadership, when members may not be what they were.  */
+static int64_t
+distance_of (const struct seeded_group *s, uint64_t node, int64_t now_ms)
+{
+  struct peer_info info;
+  if (node == s->node)
+    return 0;
+  if (s->config.any_voters || now_ms - s->leading_since_ms < NEAR_QUORUM_DELAY_MS
+      || !peer_net_peer (s->net, node, &info))
+    return INT64_MAX;
+  return info.stats.shortest_answer_ms;
+}
+
 /* Lists the members in the log and the VMs that have requested to join.  */
 static size_t
 list_members (struct seeded_group *s, int64_t now_ms, struct plan_member *out)
@@ -294,12 +308,13 @@
       out[n++] = (struct plan_member){ .node = m->node,
                                        .self = m->node == s->node,
                                        .voter = m->voter,
-                                       .inactive_ms = now_ms - last_active_ms };
+                                       .inactive_ms = now_ms - last_active_ms,
+                                       .distance_ms = distance_of (s, m->node, now_ms) };
     }
   for (size_t i = 0; i < s->activity_count && n < PEER_MAX_MEMBERS; i++)
     if (!raft_members_find (members, s->activity[i].node) && s->activity[i].node != s->node
         && now_ms - s->activity[i].join_request_ms < JOIN_REQUEST_VALID_MS)
-      out[n++] = (struct plan_member){ .node = s->activity[i].node };
+      out[n++] = (struct plan_member){ .node = s->activity[i].node, .distance_ms = INT64_MAX };
   return n;
 }
 
--- a/src/workflow/seeded_group.h
+++ b/src/workflow/seeded_group.h
@@ -43,6 +43,7 @@
   size_t seed_count;
   const char *data_dir;
   bool first_start;
+  bool any_voters; /* votes stay with the members that have them, near or not */
   struct machine *machine;
   void (*leader_changed) (void *arg);
   /* Both callbacks may be NULL.  */
--- a/tests/log_final_faults.c
+++ b/tests/log_final_faults.c
@@ -4,7 +4,7 @@
    fault that it must survive, because it came while the members were being changed, a snapshot was
    being sent or a member was writing its failed store again.
 
-   Usage: log_final_faults [--first N] [--seeds N] [--state-bytes N] [--trace]
+   Usage: log_final_faults [--first N] [--seeds N] [--state-bytes N] [--regions] [--trace]
    Each seed is one run, with snapshots of less than --state-bytes and their commands.  The members
    are kept by voter_plan and member_sync, as in seeded_group, on clocks that run ten times as fast
    as in the product.  After some faults, at a chosen moment, as many disks are lost as the group
@@ -88,6 +88,7 @@
   enum victims victims;
   int64_t propose_ms; /* FORM_AFTER_PROPOSAL: when the fault follows, 0: no proposal yet */
   bool moment_met;
+  bool regions; /* votes move to members near the leader */
 };
 
 static struct raft_timing
@@ -105,9 +106,10 @@
 }
 
 static void
-init_scenario (struct scenario *sc, uint64_t seed, uint64_t state_bytes, FILE *trace)
+init_scenario (struct scenario *sc, uint64_t seed, uint64_t state_bytes, bool regions, FILE *trace)
 {
   memset (sc, 0, sizeof *sc);
+  sc->regions = regions;
   rng_init (&sc->rng, seed * 2654435761u + 5);
   int voters = rng_chance (&sc->rng, 0.5) ? 3 : 5;
   struct sim_config c = { .seed = seed,
@@ -141,6 +143,13 @@
 
 /* ---- the members, as seeded_group keeps them ---- */
 
+/* With regions the members with even and odd numbers are far from each other.  */
+static int64_t
+distance_ms (const struct scenario *sc, uint64_t leader, uint64_t node)
+{
+  return sc->regions && leader % 2 != node % 2 ? 2 * VOTER_DISTANT_MS : 0;
+}
+
 static size_t
 list_members (struct scenario *sc, struct control *control, const struct sim_node *leader,
               struct plan_member *out)
@@ -161,12 +170,13 @@
                                        .self = m->node == leader->id,
                                        .voter = m->voter,
                                        .inactive_ms
-                                       = m->node == leader->id ? 0 : inactive_ms * TIME_SCALE };
+                                       = m->node == leader->id ? 0 : inactive_ms * TIME_SCALE,
+                                       .distance_ms = distance_ms (sc, leader->id, m->node) };
     }
   for (int i = 0; i < s->nodes_len; i++)
     if (s->nodes[i].group && !raft_members_find (members, s->nodes[i].id)
         && !s->partitioned[i][leader->id - 1])
-      out[n++] = (struct plan_member){ .node = s->nodes[i].id };
+      out[n++] = (struct plan_member){ .node = s->nodes[i].id, .distance_ms = INT64_MAX };
   return n;
 }
 
@@ -583,12 +593,12 @@
 };
 
 static bool
-run_seed (uint64_t seed, uint64_t state_bytes, FILE *trace, struct totals *totals, char *failure,
-          size_t failure_size)
+run_seed (uint64_t seed, uint64_t state_bytes, bool regions, FILE *trace, struct totals *totals,
+          char *failure, size_t failure_size)
 {
   struct scenario *sc = xmalloc (sizeof *sc);
   struct sim *s = &sc->sim;
-  init_scenario (sc, seed, state_bytes, trace);
+  init_scenario (sc, seed, state_bytes, regions, trace);
   run_until_struck (sc);
   if (!s->failed)
     recover (sc);
@@ -606,7 +616,7 @@
 }
 
 static void
-print_trace (uint64_t seed, uint64_t state_bytes)
+print_trace (uint64_t seed, uint64_t state_bytes, bool regions)
 {
   char *text = NULL;
   size_t len = 0;
@@ -615,7 +625,7 @@
   FILE *trace = open_memstream (&text, &len);
   if (!trace)
     return;
-  run_seed (seed, state_bytes, trace, &unused, failure, sizeof failure);
+  run_seed (seed, state_bytes, regions, trace, &unused, failure, sizeof failure);
   fclose (trace);
   const char *tail = len > TRACE_TAIL_BYTES ? text + len - TRACE_TAIL_BYTES : text;
   printf ("end of the trace of seed %llu:\n%s\n", (unsigned long long)seed, tail);
@@ -628,6 +638,7 @@
   uint64_t first = 1;
   uint64_t seeds = DEFAULT_SEEDS;
   uint64_t state_bytes = DEFAULT_STATE_BYTES;
+  bool regions = false;
   FILE *trace = NULL;
   struct totals totals = { 0 };
   char failure[256];
@@ -639,12 +650,14 @@
         seeds = strtoull (argv[++i], NULL, 10);
       else if (strcmp (argv[i], "--state-bytes") == 0 && i + 1 < argc)
         state_bytes = strtoull (argv[++i], NULL, 10);
+      else if (strcmp (argv[i], "--regions") == 0)
+        regions = true;
       else if (strcmp (argv[i], "--trace") == 0)
         trace = stdout;
       else
         {
           fprintf (stderr, "usage: log_final_faults [--first N] [--seeds N] [--state-bytes N] "
-                           "[--trace]\n");
+                           "[--regions] [--trace]\n");
           return 2;
         }
     }
@@ -652,11 +665,11 @@
     return 2;
   for (uint64_t seed = first; seed < first + seeds; seed++)
     {
-      if (run_seed (seed, state_bytes, trace, &totals, failure, sizeof failure))
+      if (run_seed (seed, state_bytes, regions, trace, &totals, failure, sizeof failure))
         continue;
       printf ("seed %llu: %s\n", (unsigned long long)seed, failure);
       if (!trace)
-        print_trace (seed, state_bytes);
+        print_trace (seed, state_bytes, regions);
       return 1;
     }
   printf ("%llu seeds: %llu acknowledged, %llu leaders, %llu snapshots loaded; final faults at any "
