Promote a near voter before a distant one is demoted; follow up overdue starts; list client accounts

A start without an answer holds its task for 1.1 to 1.4 s. Operators could not see accounts.

Change: bring_quorum_near plans the promotion only, while each voter is known to have its vote; the surplus that goes first is a voter without a vote. src/decide/overdue and copies of uncertain runs where a step allows them, off by default (--overdue-starts). GET /v1/accounts beside the metrics and sassafrasctl accounts, with fingerprints of keys only.

--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -98,5 +98,6 @@
 int command_jobs (struct ctl *c);
 int command_state (struct ctl *c);
 int command_counters (struct ctl *c);
+int command_accounts (struct ctl *c);
 
 #endif
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -41,6 +41,8 @@
   { "members", "[list|file|add FILE|replace FILE|remove VM]", command_members, false },
   { "state", "                           state of one VM", command_state, false },
   { "counters", "                        counters of one VM", command_counters, false },
+  { "accounts", "                        client accounts of a workflow group, from its leader",
+    command_accounts, false },
 };
 
 struct flags
--- a/src/decide/voter_plan.c
+++ b/src/decide/voter_plan.c
@@ -55,16 +55,24 @@
     }
 }
 
-/* The voter that is demoted first: the most distant, of equally distant ones the youngest.  */
+/* True if A is demoted before B: without a vote, else the more distant one.  */
+static bool
+goes_before (const struct plan_member *a, const struct plan_member *b)
+{
+  if (a->has_vote != b->has_vote)
+    return b->has_vote;
+  return a->distance_ms > b->distance_ms;
+}
+
+/* The voter that is demoted first; of equal ones the youngest.  */
 static struct plan_member *
-find_farthest_voter (struct plan_member *members, size_t count)
+find_surplus_voter (struct plan_member *members, size_t count)
 {
-  struct plan_member *farthest = NULL;
+  struct plan_member *surplus = NULL;
   for (size_t i = count; i-- > 0;)
-    if (members[i].voter && !members[i].self
-        && (!farthest || members[i].distance_ms > farthest->distance_ms))
-      farthest = &members[i];
-  return farthest;
+    if (members[i].voter && !members[i].self && (!surplus || goes_before (&members[i], surplus)))
+      surplus = &members[i];
+  return surplus;
 }
 
 /* After a replaced voter has answered again, or a near learner was promoted.  */
@@ -73,7 +81,7 @@
 {
   struct plan_member *surplus;
   while (count_voters (members, count) > MAX_VOTERS
-         && (surplus = find_farthest_voter (members, count)) != NULL)
+         && (surplus = find_surplus_voter (members, count)) != NULL)
     surplus->voter = false;
 }
 
@@ -89,7 +97,7 @@
   return !m->dropped && m->inactive_ms < SPARE_INACTIVE_LIMIT_MS;
 }
 
-/* Gives the vote of the most distant voter to a near learner.  */
+/* Promotes a near learner, so that the most distant voter becomes the surplus.  */
 static void
 bring_quorum_near (struct plan_member *members, size_t count)
 {
@@ -99,19 +107,18 @@
   size_t needed = MAX_VOTERS / 2 + 1;
   for (size_t i = 0; i < count; i++)
     {
-      if (members[i].voter && (!is_responsive (&members[i]) || members[i].distance_ms == INT64_MAX))
+      const struct plan_member *m = &members[i];
+      bool sound = is_responsive (m) && (m->has_vote || m->self);
+      if (m->voter && (!sound || m->distance_ms == INT64_MAX))
         return;
-      near_voters += members[i].voter && is_near (&members[i]);
-      near_members += is_responsive (&members[i]) && is_near (&members[i]);
-      if (!members[i].voter && is_responsive (&members[i]) && is_near (&members[i]) && !spare)
+      near_voters += m->voter && is_near (m);
+      near_members += is_responsive (m) && is_near (m);
+      if (!m->voter && is_responsive (m) && is_near (m) && !spare)
         spare = &members[i];
     }
-  struct plan_member *farthest = find_farthest_voter (members, count);
-  if (count_voters (members, count) != MAX_VOTERS || near_voters >= needed || near_members < needed
-      || !spare || !farthest || is_near (farthest))
-    return;
-  spare->voter = true;
-  farthest->voter = false;
+  if (spare && count_voters (members, count) == MAX_VOTERS && near_voters < needed
+      && near_members >= needed)
+    spare->voter = true;
 }
 
 static void
@@ -136,6 +143,7 @@
 voter_plan (struct plan_member *members, size_t count)
 {
   size_t spares = 0;
+  size_t voters_before = count_voters (members, count);
   for (size_t i = 0; i < count; i++)
     members[i].dropped = false;
   replace_lost_voters (members, count);
@@ -152,5 +160,6 @@
       promote (members, count);
       promote (members, count);
     }
-  bring_quorum_near (members, count);
+  if (voters_before == MAX_VOTERS)
+    bring_quorum_near (members, count);
 }
--- a/src/log/raft.h
+++ b/src/log/raft.h
@@ -148,6 +148,7 @@
   bool active;      /* replied within timing.quorum_ms */
   bool snapshot;    /* a snapshot is being sent */
   bool wrong_store; /* a voter whose disk was replaced: it cannot vote */
+  bool has_vote;    /* a voter that has answered with the store that its vote belongs to */
   uint64_t match;   /* last entry known to be stored there */
   enum raft_vote_answer vote_answer;
 };
--- a/src/log/raft_state.c
+++ b/src/log/raft_state.c
@@ -117,6 +117,7 @@
         .active = now_ms - p->reply_ms < r->timing.quorum_ms,
         .snapshot = p->state == PEER_SNAPSHOT,
         .wrong_store = p->voter && p->store_known && p->store != p->member_store,
+        .has_vote = p->voter && p->store_known && p->store == p->member_store,
         .match = p->match,
         .vote_answer = p->vote_answer,
       };
--- a/src/workflow/accounts.h
+++ b/src/workflow/accounts.h
@@ -44,10 +44,12 @@
   struct account_amounts running; /* all runs without a committed end, and proposed ones */
   uint32_t runs;                  /* counted in RUNNING */
   struct account_share share;
-  int level;             /* of SHARE, see account_share_level */
-  uint64_t counted_tick; /* of the next two */
-  uint32_t waiting;      /* tasks without a worker */
-  uint32_t held_by_cap;  /* those of them that only the cap keeps from starting */
+  int level;                  /* of SHARE, see account_share_level */
+  uint64_t counted_tick;      /* of the next two */
+  uint32_t waiting;           /* tasks without a worker */
+  uint32_t held_by_cap;       /* those of them that only the cap keeps from starting */
+  uint64_t refused_by_cap;    /* jobs, since this VM knows the account */
+  uint64_t refused_by_weight; /* the same */
 };
 
 LIST_HEAD (account_list, account);
--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -342,6 +342,7 @@
   cell_map_close (&d->workers);
   cell_map_close (&d->places);
   slack_model_free (d->slack_model);
+  free (d->copies.tasks);
   free (d);
 }
 
@@ -373,6 +374,7 @@
   d->last_fence = fence;
   d->now_ms = now_ms;
   d->lead_ms = now_ms;
+  overdue_init (&d->start_overdue);
   d->tick_ms = 0;
   d->tick_lag_ms = 0;
   TAILQ_FOREACH (run, &w->runs, link)
@@ -456,9 +458,55 @@
   d->config.link->ops->pace (d->config.link, &order);
 }
 
+static struct counter overdue_starts = { .name = "sassafras_starts_overdue_total",
+                                         .help = "Starts that were asked for before their "
+                                                 "answer came or their call timed out." };
+/* R may run or not, or its worker may be lost, and its step allows a second run beside it.  */
+static bool
+wants_copy (const struct dispatcher *d, const struct dispatch_run *r)
+{
+  const struct workflow_task *t = r->task;
+  u_int flags = workflow_step_of (t)->flags;
+  bool silent
+      = r->state == DISPATCH_RUNNING && d->now_ms - r->worker->last_answer_ms >= COPY_SILENCE_MS;
+  return (r->state == DISPATCH_UNCERTAIN || silent) && flags & WORKFLOW_STEP_SPECULATIVE
+         && !(flags & (WORKFLOW_STEP_LASTING | WORKFLOW_STEP_FILL))
+         && t->job->state == WORKFLOW_JOB_OPEN && t->state == WORKFLOW_TASK_PLACED && !t->placing
+         && (!t->runs[0] || !t->runs[1]);
+}
+
+static void
+add_copy (struct dispatcher *d, struct workflow_task *t)
+{
+  struct copies *c = &d->copies;
+  if (c->count == c->capacity)
+    {
+      c->capacity = c->capacity ? 2 * c->capacity : 64;
+      c->tasks = xrealloc (c->tasks, c->capacity * sizeof (struct workflow_task *));
+    }
+  c->tasks[c->count++] = t;
+}
+
+static void
+check_start (struct dispatcher *d, struct dispatch_run *r)
+{
+  if (r->state != DISPATCH_SENT || !overdue_is (&d->start_overdue, d->now_ms - r->sent_ms))
+    return;
+  counter_add (&overdue_starts, 1);
+  log_event (LOG_INFO, "start-overdue", "job=%016" PRIx64 " step=%u task=%u run=%u worker=%s",
+             r->task->job->spec.id, r->task->step, r->task->index, r->number, r->worker->id);
+  dispatch_mark_uncertain (d, r);
+}
+
 static void
 tick_run (struct dispatcher *d, struct dispatch_run *r)
 {
+  if (!d->config.await_timeouts)
+    {
+      check_start (d, r);
+      if (wants_copy (d, r))
+        add_copy (d, r->task);
+    }
   bool may_stop = r->state == DISPATCH_RUNNING || r->state == DISPATCH_UNCERTAIN;
   if (!r->worker->address || r->worker->gone)
     return;
@@ -555,6 +603,7 @@
   if (!dispatch_has_authority (d))
     return;
   d->first_holds = first_holds_due (since_ms);
+  d->copies.count = 0;
   dispatch_update_accounts (d);
   for (w = TAILQ_FIRST (&d->worker_list); w; w = next)
     {
--- a/src/workflow/dispatcher.h
+++ b/src/workflow/dispatcher.h
@@ -67,6 +67,7 @@
   /* Run time away from its data or its group / near them.  Up to 1: tasks don't wait for a place.
    */
   double remote_run_factor;
+  bool await_timeouts; /* no start is overdue, no uncertain run gets a copy */
   bool ignore_weights; /* client accounts have keys and caps, but no shares */
 };
 
--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -36,8 +36,8 @@
 }
 
 /* Outcome unknown: the next hold shows whether the run started; a listed run needs no stop.  */
-static void
-mark_uncertain (struct dispatcher *d, struct dispatch_run *r)
+void
+dispatch_mark_uncertain (struct dispatcher *d, struct dispatch_run *r)
 {
   r->state = DISPATCH_UNCERTAIN;
   r->settled_mark = ++d->mark;
@@ -66,7 +66,13 @@
   if (!r)
     return;
   dispatch_note_answer (d, r->worker, result);
-  if (r->state != DISPATCH_SENT)
+  bool is_first = r->start_pending;
+  r->start_pending = false;
+  if (is_first && result == WORKER_CALL_OK)
+    overdue_add_answer (&d->start_overdue, now_ms - r->sent_ms);
+  /* An overdue start is as certain as any other until a stop for it was sent.  */
+  bool overdue = is_first && r->state == DISPATCH_UNCERTAIN && !r->stop_requested;
+  if (r->state != DISPATCH_SENT && !overdue)
     return;
   switch (result)
     {
@@ -74,10 +80,10 @@
       mark_running (d, r);
       break;
     case WORKER_CALL_UNKNOWN:
-      mark_uncertain (d, r);
+      dispatch_mark_uncertain (d, r);
       break;
     case WORKER_CALL_OLD_RUN:
-      mark_uncertain (d, r);
+      dispatch_mark_uncertain (d, r);
       r->stop_settled = true;
       break;
     case WORKER_CALL_OTHER_WORKER:
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -9,6 +9,7 @@
 #include "dispatcher.h"
 #include "slack_model.h"
 #include "log.h"
+#include "overdue.h"
 #include "pacing.h"
 #include "place_wait.h"
 #include "short_stages.h"
@@ -39,6 +40,7 @@
 #define MIN_CLOCK_RATE 0.98      /* a worker's clock may be 2% slow */
 #define STOP_RETRY_MS 300        /* between two stop orders for one run */
 #define NO_ROOM_PAUSE_MS 400     /* no tasks for a worker that refused for lack of capacity */
+#define COPY_SILENCE_MS 1000     /* of a worker whose tasks allow copies: three holds */
 #define START_RETRY_MS 100       /* wait of a task whose start was refused */
 /* The last list of ends of a worker that is gone may arrive after the proof, on another connection;
    a hold's answer crosses two regions in 60 ms.  */
@@ -82,6 +84,7 @@
   uint64_t token;                         /* of its open proposal; 0 is none */
   uint64_t settled_mark;  /* holds with a higher mark show for certain whether it runs */
   bool inherited;         /* an earlier leader sent the order */
+  bool start_pending;     /* the start order has no answer yet */
   bool stop_requested;    /* the job has ended, another copy is done, or to settle the order */
   bool stop_settled;      /* the worker acknowledged a stop: it can't start any more */
   bool stop_pending;      /* a stop order has no answer yet */
@@ -221,6 +224,14 @@
   uint64_t openings_tick;
 };
 
+/* Tasks that get a second run in this tick.  */
+struct copies
+{
+  struct workflow_task **tasks;
+  size_t count;
+  size_t capacity;
+};
+
 struct dispatcher
 {
   struct dispatcher_config config;
@@ -247,6 +258,8 @@
   double fill_slowdown;             /* run time / estimate of fill-in tasks, smoothed */
   uint64_t waiting_fill;            /* millicores of waiting fill-in tasks */
   uint32_t waiting;                 /* due tasks without a worker */
+  struct overdue start_overdue;
+  struct copies copies;
   struct cell_map places;
   struct place_run_times place_run_times;
   int64_t longest_wait_ms;  /* of a task that waits for a worker within its account's weight */
@@ -297,6 +310,7 @@
                           const struct dispatch_worker *w); /* Only for tasks without a choice. */
 
 /* dispatcher_answer.c */
+void dispatch_mark_uncertain (struct dispatcher *d, struct dispatch_run *r);
 void dispatch_note_recorded (struct dispatch_worker *w,
                              uint64_t number); /* That end is committed as listed. */
 
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -24,11 +24,15 @@
 static struct counter workers_scored = { .name = "sassafras_placement_workers_scored_total",
                                          .help = "Workers scored for waiting tasks." };
 
+static struct counter copied = { .name = "sassafras_copies_total",
+                                 .help = "Second runs of tasks whose first run is uncertain." };
+
 struct waiting_task
 {
   struct workflow_task *task;
   const workflow_queue *queue;
   struct waiting_key key;
+  bool is_copy; /* TASK has a run, and this is its second one */
 };
 
 struct candidates
@@ -105,14 +109,32 @@
   return a->job == b->job && a->step == b->step && a->occurrence == b->occurrence;
 }
 
+/* The copies of this tick have no worker of their own yet.  */
+static size_t
+list_copies (struct dispatcher *d, struct waiting_task **out)
+{
+  size_t n = 0;
+  *out = xcalloc (d->copies.count + 1, sizeof **out);
+  for (size_t i = 0; i < d->copies.count; i++)
+    {
+      struct workflow_task *t = d->copies.tasks[i];
+      const workflow_queue *q = workflow_queue_of (d->config.workflow, t->job);
+      if (!q || q->needs_advice || t->placing || d->now_ms < t->retry_ms
+          || d->now_ms < t->done_until_ms)
+        continue;
+      (*out)[n] = (struct waiting_task){ .task = t, .queue = q, .is_copy = true };
+      set_key (d, &(*out)[n++]);
+    }
+  return n;
+}
+
 static size_t
 list_waiting (struct dispatcher *d, int64_t wall_ms, struct waiting_task **out)
 {
   struct workflow *w = d->config.workflow;
   struct workflow_task *t;
-  size_t n = 0;
-  size_t capacity = 0;
-  *out = NULL;
+  size_t n = list_copies (d, out);
+  size_t capacity = n + 1;
   TAILQ_FOREACH (t, &w->ready, link)
   {
     if (t->job->seen_ms == 0)
@@ -138,7 +160,7 @@
         dispatch_add_demand (d, t);
       }
     bool is_lasting = workflow_step_of (t)->flags & WORKFLOW_STEP_LASTING;
-    if (n > 0 && !is_lasting && is_same_step ((*out)[n - 1].task, t))
+    if (n > 0 && !is_lasting && !(*out)[n - 1].is_copy && is_same_step ((*out)[n - 1].task, t))
       (*out)[n].key = (*out)[n - 1].key;
     else
       set_key (d, &(*out)[n]);
@@ -431,6 +453,26 @@
   return index;
 }
 
+/* A copy on the worker of the first run would share its fate.  */
+static size_t
+choose_for_copy (struct dispatcher *d, struct candidates *c, const struct waiting_task *t)
+{
+  update_eligibility (c, t->queue->pool, workflow_step_of (t->task),
+                      dispatch_place_of (d, t->task));
+  for (size_t i = 0; i < c->count; i++)
+    for (int k = 0; k < WORKFLOW_MAX_RUNS; k++)
+      {
+        const struct workflow_run *run = t->task->runs[k];
+        if (run && strcmp (run->worker, c->workers[i]->id) == 0)
+          c->candidates[i].usable = false;
+      }
+  c->scored = NULL;
+  size_t index = choose (d, c, t);
+  c->pool = NULL; /* sets USABLE again */
+  c->scored = NULL;
+  return index;
+}
+
 /* T has a worker away from its rack: whether it waits for the rack.  Tasks that last or ran before
    start where they can.  */
 static bool
@@ -453,7 +495,8 @@
   workflow_command c = { .kind = WORKFLOW_PLACE };
   struct dispatch_run *r = dispatch_add_run (d, w, t, t->last_run + 1);
   t->placing = r;
-  dispatch_add_stage (d, r, SHORT_STAGE_WAIT, t->since_ms);
+  if (t->state == WORKFLOW_TASK_WAITING)
+    dispatch_add_stage (d, r, SHORT_STAGE_WAIT, t->since_ms);
   dispatch_note_place (d, r, dispatch_place_of (d, t));
   isolate (d, w, t);
   dispatch_record_start (d, t->job);
@@ -465,7 +508,9 @@
              t->job->spec.id, t->step, t->index, r->number, w->id, d->now_ms - t->job->seen_ms,
              w->lasting_millicores, w->short_millicores, w->fill_millicores, w->pacing.worst_tail,
              d->now_ms - w->last_answer_ms,
-             !r->wants_place ? "any" : r->near_place ? "near" : "elsewhere");
+             !r->wants_place ? "any"
+             : r->near_place ? "near"
+                             : "elsewhere");
   r->token = dispatch_propose (d, &c);
 }
 
@@ -609,7 +654,8 @@
       {
         if (!dispatch_cap_allows (waiting[i].task))
           {
-            count_waiting (d, &waiting[i], true);
+            if (!waiting[i].is_copy)
+              count_waiting (d, &waiting[i], true);
             continue;
           }
         struct unplaceable *unplaceable
@@ -620,7 +666,10 @@
             count_waiting (d, &waiting[i], false);
             continue;
           }
-        size_t index = choose (d, &c, &waiting[i]);
+        size_t index = waiting[i].is_copy ? choose_for_copy (d, &c, &waiting[i])
+                                          : choose (d, &c, &waiting[i]);
+        if (index == WORKER_SELECT_NONE && waiting[i].is_copy)
+          continue;
         if (index == WORKER_SELECT_NONE)
           {
             count_waiting (d, &waiting[i], false);
@@ -637,6 +686,8 @@
             continue;
           }
         propose_place (d, c.workers[index], waiting[i].task);
+        if (waiting[i].is_copy)
+          counter_add (&copied, 1);
         update_candidate (d, c.workers[index], &c.candidates[index]);
         c.placed_at = index;
         placed++;
@@ -698,6 +749,7 @@
   isolate (d, w, t);
   if (w->short_millicores > 0 && w->hold_next_ms > d->now_ms + HOLD_GAP_MS)
     w->hold_next_ms = d->now_ms + HOLD_GAP_MS;
+  r->start_pending = true;
   d->config.link->ops->start (d->config.link, &order);
 }
 
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -199,6 +199,7 @@
     r->state = DISPATCH_UNCERTAIN;
   r->settled_mark = ++d->mark;
   r->end_number = 0;
+  r->start_pending = false;
   r->stop_settled = false;
   r->stop_pending = false;
   r->stop_next_ms = d->now_ms;
--- a/src/workflow/seeded_group.c
+++ b/src/workflow/seeded_group.c
@@ -293,12 +293,23 @@
   return info.stats.shortest_answer_ms;
 }
 
+static bool
+has_vote (const struct group_stats *stats, uint64_t node)
+{
+  for (size_t i = 0; i < stats->peers_len; i++)
+    if (stats->peers[i].node == node)
+      return stats->peers[i].has_vote;
+  return false;
+}
+
 /* Lists the members in the log and the VMs that have requested to join.  */
 static size_t
 list_members (struct seeded_group *s, int64_t now_ms, struct plan_member *out)
 {
   const raft_members *members = group_members (s->group);
+  struct group_stats stats;
   size_t n = 0;
+  group_stats (s->group, &stats);
   for (u_int i = 0; i < members->members.members_len; i++)
     {
       const raft_member *m = &members->members.members_val[i];
@@ -309,6 +320,7 @@
                                        .self = m->node == s->node,
                                        .voter = m->voter,
                                        .inactive_ms = now_ms - last_active_ms,
+                                       .has_vote = has_vote (&stats, m->node),
                                        .distance_ms = distance_of (s, m->node, now_ms) };
     }
   for (size_t i = 0; i < s->activity_count && n < PEER_MAX_MEMBERS; i++)
--- a/src/workflow/workflow_service.c
+++ b/src/workflow/workflow_service.c
@@ -125,7 +125,8 @@
                                                 .lease_ms = config->lease_ms,
                                                 .status_ms = config->status_ms,
                                                 .remote_run_factor = config->remote_run_factor,
-                                                .ignore_weights = config->ignore_weights };
+                                                .ignore_weights = config->ignore_weights,
+                                                .await_timeouts = config->await_timeouts };
   s->dispatcher = dispatcher_new (&dispatcher);
   return s;
 }
--- a/src/workflow/workflow_service.h
+++ b/src/workflow/workflow_service.h
@@ -28,7 +28,8 @@
   int64_t lease_ms; /* see dispatcher_config */
   int64_t status_ms;
   uint64_t max_job_bytes; /* memory for all jobs; 0: no limit */
-  bool ignore_weights;    /* see dispatcher_config, also for the next */
+  bool ignore_weights;    /* see dispatcher_config, also for the next two */
+  bool await_timeouts;
   double remote_run_factor;
   /* Distances of the other voters, see seeded_group_voter_distances; may be NULL.  */
   size_t (*voter_distances) (void *arg, struct voter_distance *out, size_t size);
--- a/tests/log_final_faults.c
+++ b/tests/log_final_faults.c
@@ -150,6 +150,15 @@
   return sc->regions && leader % 2 != node % 2 ? 2 * VOTER_DISTANT_MS : 0;
 }
 
+static bool
+has_vote (const struct group_stats *stats, uint64_t node)
+{
+  for (size_t i = 0; i < stats->peers_len; i++)
+    if (stats->peers[i].node == node)
+      return stats->peers[i].has_vote;
+  return false;
+}
+
 static size_t
 list_members (struct scenario *sc, struct control *control, const struct sim_node *leader,
               struct plan_member *out)
@@ -171,6 +180,7 @@
                                        .voter = m->voter,
                                        .inactive_ms
                                        = m->node == leader->id ? 0 : inactive_ms * TIME_SCALE,
+                                       .has_vote = has_vote (&stats, m->node),
                                        .distance_ms = distance_ms (sc, leader->id, m->node) };
     }
   for (int i = 0; i < s->nodes_len; i++)
--- a/tests/test_accounts.c
+++ b/tests/test_accounts.c
@@ -1,6 +1,7 @@
 /* Guards against calls that are served with a key that was taken away or never given, jobs that
    another account can read or cancel, and keys that show in an error text.  */
 #include "account_fixture.h"
+#include "accounts_report.h"
 #include "rng.h"
 
 static const struct fixture_account two[] = { { "alder", 1, 0, false }, { "birch", 1, 0, false } };
@@ -251,6 +252,29 @@
     }
 }
 
+/* Guards against a key in what operators see.  */
+static void
+test_the_report_names_fingerprints_only (void **state)
+{
+  struct fixture *f = *state;
+  char fingerprint[ACCOUNT_FINGERPRINT_BYTES];
+  assert_true (fixture_configure_accounts (f, 2, two, 2, false));
+  assert_true (fixture_submit_as (f, "birch", 1, 1, 1000, 0));
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_tick (f, 20);
+  json_t *report = accounts_report (&f->workflow);
+  char *text = json_dumps (report, JSON_COMPACT);
+  accounts_fingerprint ("key-birch", fingerprint);
+  assert_int_equal (strlen (fingerprint), 8);
+  assert_non_null (strstr (text, fingerprint));
+  assert_null (strstr (text, "key-"));
+  const json_t *birch = json_array_get (json_object_get (report, "accounts"), 1);
+  assert_string_equal (json_string_value (json_object_get (birch, "account")), "birch");
+  assert_int_equal (json_integer_value (json_object_get (birch, "runs")), 1);
+  free (text);
+  json_decref (report);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown (name, fixture_open, fixture_close)
 
 int
@@ -266,6 +290,7 @@
           TEST (test_accounts_survive_a_snapshot),
           TEST (test_without_accounts_a_snapshot_has_no_part_for_them),
           TEST (test_contradictory_accounts_are_refused_without_naming_a_key),
+          TEST (test_the_report_names_fingerprints_only),
           TEST (test_random_changes_leave_no_dangling_account) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_platform_options.c
+++ b/tests/test_platform_options.c
@@ -53,6 +53,8 @@
   assert_false (read_valid ("--account-shares=false").account_shares);
   assert_true (read_valid (NULL).near_voters);
   assert_false (read_valid ("--near-voters=false").near_voters);
+  assert_false (read_valid (NULL).overdue_starts);
+  assert_true (read_valid ("--overdue-starts=true").overdue_starts);
   assert_false (read_valid (NULL).first_start);
   assert_true (read_valid ("--first-start=true").first_start);
   assert_false (read_valid ("--first-start=false").first_start);
