sassafrasctl explain: where a task would start now, and why

Cause: operators can see where a task went, not why other workers were passed over, nor where a task would go.

Change: worker_select_obstacle names the reason that worker_select_fits follows; dispatch_probe scores the workers for a task that is in no list; dispatcher_explain answers POST /v1/explain on the leader's metrics port, sassafrasctl prints it. Nothing is stored or counted.

--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -99,5 +99,6 @@
 int command_state (struct ctl *c);
 int command_counters (struct ctl *c);
 int command_accounts (struct ctl *c);
+int command_explain (struct ctl *c);
 
 #endif
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -43,6 +43,9 @@
   { "counters", "                        counters of one VM", command_counters, false },
   { "accounts", "                        client accounts of a workflow group, from its leader",
     command_accounts, false },
+  { "explain",
+    "FILE                      where a task would start now, and why, without sending it",
+    command_explain, false },
 };
 
 struct flags
--- a/src/decide/account_share.h
+++ b/src/decide/account_share.h
@@ -11,7 +11,8 @@
    or accelerators.  Its integral over time, per weight, decays with a half-life of
    ACCOUNT_HALF_LIFE_MS, so an account that was idle goes first for a while, and not for longer.
    Levels are steps of that figure relative to the mean of all accounts: within a step the order is
-   the one without accounts.  */
+   the one without accounts.  Tasks that last are not counted: the cap bounds them, and an account
+   must not wait with its short tasks for as long as they run.  */
 
 #ifndef SASSAFRAS_ACCOUNT_SHARE_H
 #define SASSAFRAS_ACCOUNT_SHARE_H
@@ -22,8 +23,8 @@
 #define ACCOUNT_BURST_S 2.0          /* of the weight may come at once */
 #define ACCOUNT_MIN_BURST_JOBS 2.0   /* of a weight below one job a second */
 #define ACCOUNT_HALF_LIFE_MS 20000.0 /* two objectives of a typical fill-in job */
-#define ACCOUNT_LEVELS_PER_MEAN 2    /* steps up to the mean service per weight */
-#define ACCOUNT_MAX_LEVEL 8          /* four times the mean, and more */
+#define ACCOUNT_LEVELS_PER_MEAN 1    /* steps up to the mean service per weight */
+#define ACCOUNT_MAX_LEVEL 4          /* four times the mean, and more */
 
 struct account_share
 {
--- a/src/decide/slack_model.c
+++ b/src/decide/slack_model.c
@@ -95,6 +95,15 @@
   return find_or_add_image (&m->fill_images, image);
 }
 
+bool
+slack_model_knows_fill (const struct slack_model *m, const char *image)
+{
+  for (int i = 0; i < m->fill_images.count; i++)
+    if (strcmp (m->fill_images.name[i], image) == 0)
+      return true;
+  return false;
+}
+
 /* Solves (A + ridge) x = B + ridge x prior by Gauss-Jordan elimination with partial pivoting.  */
 static void
 solve (const struct fit *f, int terms[MAX_TERMS], int n, double x[MAX_TERMS])
--- a/src/decide/slack_model.h
+++ b/src/decide/slack_model.h
@@ -40,6 +40,7 @@
 void slack_model_free (struct slack_model *m);
 int slack_model_serving_id (struct slack_model *m, const char *image); /* Adds a new image.  */
 int slack_model_fill_id (struct slack_model *m, const char *image);    /* Adds a new image.  */
+bool slack_model_knows_fill (const struct slack_model *m, const char *image);
 void slack_model_add_sample (struct slack_model *m, int serving, const struct fill_share *mix,
                              size_t count, double slack);
 double slack_model_coefficient (const struct slack_model *m, int serving, int fill_image);
--- a/src/decide/worker_select.c
+++ b/src/decide/worker_select.c
@@ -33,27 +33,59 @@
   return (double)foreign_millicores / lasting_millicores;
 }
 
-bool
-worker_select_fits (const struct worker_candidate *r, const struct worker_request *q)
+enum worker_obstacle
+worker_select_obstacle (const struct worker_candidate *r, const struct worker_request *q)
 {
-  if (!r->usable || r->isolated || r->free_memory_mb < q->memory_mb
-      || r->free_accelerators < q->accelerators)
-    return false;
+  if (!r->usable)
+    return WORKER_NOT_USABLE;
+  if (r->isolated)
+    return WORKER_ISOLATED;
+  if (r->free_memory_mb < q->memory_mb)
+    return WORKER_MEMORY;
+  if (r->free_accelerators < q->accelerators)
+    return WORKER_ACCELERATORS;
   if (q->is_isolated && !r->answering)
-    return false;
+    return WORKER_UNANSWERED;
   if (r->avoided && !q->allow_avoided)
-    return false;
+    return WORKER_AVOIDED;
   if (r->may_lose_ends && !q->is_repeatable && (r->probed || !q->can_probe))
-    return false;
+    return WORKER_MAY_LOSE_ENDS;
   if (q->max_per_worker > 0 && r->same_step >= q->max_per_worker)
-    return false;
+    return WORKER_STEP_LIMIT;
   if (r->reserved && !q->is_fill && !q->is_restart)
-    return false;
+    return WORKER_RESERVED;
   if (!q->is_fill)
-    return undeclared_millicores (r) >= q->millicores;
+    return undeclared_millicores (r) >= q->millicores ? WORKER_FITS : WORKER_PROCESSORS;
   bool undisturbed = r->tail_ratio <= FILL_MAX_TAIL_RATIO && r->interference <= 1;
-  return (undisturbed || q->allow_interference)
-         && unused_millicores (r) >= FILL_MIN_UNUSED_RATIO * q->millicores;
+  if (!undisturbed && !q->allow_interference)
+    return WORKER_TAILS;
+  return unused_millicores (r) >= FILL_MIN_UNUSED_RATIO * q->millicores ? WORKER_FITS
+                                                                        : WORKER_PROCESSORS;
+}
+
+const char *
+worker_obstacle_text (enum worker_obstacle o)
+{
+  static const char *const texts[WORKER_OBSTACLES]
+      = { [WORKER_FITS] = "fits",
+          [WORKER_NOT_USABLE] = "other pool, no such label, or not in use",
+          [WORKER_ISOLATED] = "a task that may crash it was just started there",
+          [WORKER_MEMORY] = "not enough memory",
+          [WORKER_ACCELERATORS] = "not enough accelerators",
+          [WORKER_UNANSWERED] = "an order has no answer",
+          [WORKER_AVOIDED] = "what was started there failed",
+          [WORKER_MAY_LOSE_ENDS] = "it restarted and may lose ends",
+          [WORKER_STEP_LIMIT] = "as many tasks of the step as may run there",
+          [WORKER_RESERVED] = "reserved for a lasting task that restarts",
+          [WORKER_PROCESSORS] = "not enough processors",
+          [WORKER_TAILS] = "lasting tasks there are near their target" };
+  return o < WORKER_OBSTACLES ? texts[o] : "";
+}
+
+bool
+worker_select_fits (const struct worker_candidate *r, const struct worker_request *q)
+{
+  return worker_select_obstacle (r, q) == WORKER_FITS;
 }
 
 double
--- a/src/decide/worker_select.h
+++ b/src/decide/worker_select.h
@@ -62,8 +62,29 @@
   bool allow_interference;
 };
 
+/* Why a worker can't take a task now.  */
+enum worker_obstacle
+{
+  WORKER_FITS,
+  WORKER_NOT_USABLE, /* of another pool, without the label, silent, draining or out of service */
+  WORKER_ISOLATED,
+  WORKER_MEMORY,
+  WORKER_ACCELERATORS,
+  WORKER_UNANSWERED, /* an order without an answer is open, and the task may crash workers */
+  WORKER_AVOIDED,
+  WORKER_MAY_LOSE_ENDS,
+  WORKER_STEP_LIMIT, /* as many tasks of the step run there as may */
+  WORKER_RESERVED,
+  WORKER_PROCESSORS,
+  WORKER_TAILS, /* a fill-in task would slow lasting tasks that are near their target */
+  WORKER_OBSTACLES
+};
+
 /* Share of a worker's lasting tasks that are of other images, by declared size.  */
 double worker_select_foreign_share (uint32_t lasting_millicores, uint32_t foreign_millicores);
+enum worker_obstacle worker_select_obstacle (const struct worker_candidate *r,
+                                             const struct worker_request *q); /* The first. */
+const char *worker_obstacle_text (enum worker_obstacle o);                    /* For operators. */
 bool worker_select_fits (const struct worker_candidate *r, const struct worker_request *q);
 /* Lower is better; for a worker that the task fits on.  */
 double worker_select_score (const struct worker_candidate *r, const struct worker_request *q);
--- a/src/workflow/accounts.h
+++ b/src/workflow/accounts.h
@@ -42,6 +42,7 @@
 
   /* Of the leader.  */
   struct account_amounts running; /* all runs without a committed end, and proposed ones */
+  struct account_amounts shared;  /* of them those that don't last: they compete for the pool */
   uint32_t runs;                  /* counted in RUNNING */
   struct account_share share;
   int level;                  /* of SHARE, see account_share_level */
--- a/src/workflow/dispatcher_accounts.c
+++ b/src/workflow/dispatcher_accounts.c
@@ -13,10 +13,6 @@
 static struct counter jobs_beyond
     = { .name = "sassafras_jobs_beyond_weight_total",
         .help = "Accepted jobs beyond the weight of their client account." };
-static struct counter refused
-    = { .name = "sassafras_jobs_refused_beyond_weight_total",
-        .help
-        = "Jobs refused since their client account was beyond its weight and the pool full." };
 
 static struct account_amounts
 amounts_of (const workflow_step *s)
@@ -26,16 +22,25 @@
                                    .accelerators = s->accelerators };
 }
 
+static void
+adjust (struct account_amounts *a, const struct account_amounts *task, int sign)
+{
+  a->millicores += (uint64_t)sign * task->millicores;
+  a->memory_mb += (uint64_t)sign * task->memory_mb;
+  a->accelerators += (uint64_t)sign * task->accelerators;
+}
+
 void
 dispatch_adjust_account (const struct dispatch_run *r, int sign)
 {
   struct account *a = r->task->job->account;
-  const struct account_amounts task = amounts_of (workflow_step_of (r->task));
+  const workflow_step *s = workflow_step_of (r->task);
+  const struct account_amounts task = amounts_of (s);
   if (!a)
     return;
-  a->running.millicores += (uint64_t)sign * task.millicores;
-  a->running.memory_mb += (uint64_t)sign * task.memory_mb;
-  a->running.accelerators += (uint64_t)sign * task.accelerators;
+  adjust (&a->running, &task, sign);
+  if (!(s->flags & WORKFLOW_STEP_LASTING))
+    adjust (&a->shared, &task, sign);
   a->runs += (uint32_t)sign;
 }
 
@@ -109,7 +114,6 @@
   int64_t wait_ms = account_share_wait_ms (&a->share, now_ms, a->weight_milli);
   if (d->config.ignore_weights || wait_ms == 0 || d->longest_wait_ms < MIN_FULL_WAIT_MS)
     return 0;
-  counter_add (&refused, 1);
   return wait_ms < MAX_WAIT_MS ? wait_ms : MAX_WAIT_MS;
 }
 
@@ -154,7 +158,7 @@
   const struct account_amounts total = total_capacity (d);
   LIST_FOREACH (a, &all->list, link)
   {
-    account_share_add_service (&a->share, d->now_ms, largest_share (&a->running, &total));
+    account_share_add_service (&a->share, d->now_ms, largest_share (&a->shared, &total));
     if (!a->in_force)
       continue;
     served += a->share.served;
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -354,6 +354,9 @@
 /* T could start elsewhere now: whether it waits for PLACE.  */
 bool dispatch_waits_for_place (struct dispatcher *d, struct workflow_task *t, const char *place,
                                int64_t left_ms);
+/* What that decision is made from, without a trace.  */
+struct place_wait_facts dispatch_place_facts (struct dispatcher *d, const struct workflow_task *t,
+                                              const char *place, int64_t left_ms);
 void dispatch_begin_places (struct dispatcher *d); /* Of a tick. */
 void dispatch_note_place (struct dispatcher *d, struct dispatch_run *r,
                           const char *place); /* R was placed. */
@@ -361,7 +364,29 @@
 void dispatch_clear_places (struct dispatcher *d);
 void dispatch_log_places (const struct dispatcher *d);
 
+/* A worker, as a decision sees it.  */
+struct probed_worker
+{
+  const struct dispatch_worker *worker;
+  enum worker_obstacle obstacle;
+  double score; /* lower is better; INFINITY where the task doesn't fit */
+  bool near;    /* to the task's data or group */
+};
+
+/* What the decision for a task would be now.  */
+struct placement_probe
+{
+  struct probed_worker *workers; /* usable ones, COUNT */
+  size_t count;
+  size_t best; /* index, or WORKER_SELECT_NONE */
+  size_t obstacles[WORKER_OBSTACLES];
+  bool knows_image;
+};
+
 /* dispatcher_place.c */
+/* T is in no list, its step is the only one of its job.  Free OUT->workers.  */
+void dispatch_probe (struct dispatcher *d, const struct workflow_task *t, const workflow_queue *q,
+                     struct placement_probe *out);
 void dispatch_place_tasks (struct dispatcher *d, int64_t wall_ms);
 void dispatch_start (struct dispatcher *d,
                      struct dispatch_run *r); /* Its placement is committed. */
--- a/src/workflow/dispatcher_locality.c
+++ b/src/workflow/dispatcher_locality.c
@@ -70,19 +70,27 @@
 }
 
 static struct wanted_place *
-find_or_add_place (struct dispatcher *d, const char *rack)
+find_place (const struct dispatcher *d, const char *rack)
 {
   uint64_t hash = cell_hash_names (rack, "");
-  struct wanted_place *p;
   for (struct cell_map_node *n = cell_map_first (&d->places, hash); n; n = cell_map_next (n))
     {
-      p = CELL_CONTAINER (n, struct wanted_place, node);
+      struct wanted_place *p = CELL_CONTAINER (n, struct wanted_place, node);
       if (strcmp (p->rack, rack) == 0)
         return p;
     }
+  return NULL;
+}
+
+static struct wanted_place *
+find_or_add_place (struct dispatcher *d, const char *rack)
+{
+  struct wanted_place *p = find_place (d, rack);
+  if (p)
+    return p;
   p = xcalloc (1, sizeof *p);
   p->rack = xstrdup (rack);
-  cell_map_add (&d->places, &p->node, hash);
+  cell_map_add (&d->places, &p->node, cell_hash_names (rack, ""));
   return p;
 }
 
@@ -167,7 +175,7 @@
 update_openings (struct dispatcher *d, struct wanted_place *p, const workflow_step *s)
 {
   const struct dispatch_worker *w;
-  if (p->openings_tick == d->ticks && p->opening_millicores == s->millicores)
+  if (p->ends_ms && p->openings_tick == d->ticks && p->opening_millicores == s->millicores)
     return;
   p->openings_tick = d->ticks;
   p->opening_millicores = s->millicores;
@@ -179,21 +187,29 @@
     p->openings = add_openings (d, w, s, p->ends_ms, p->openings);
 }
 
+static struct place_wait_facts
+facts_for (struct dispatcher *d, struct wanted_place *p, const struct workflow_task *t,
+           int64_t left_ms)
+{
+  const workflow_step *s = workflow_step_of (t);
+  const int64_t near_ms = (int64_t)(d->place_run_times.near * s->estimate_ms);
+  update_openings (d, p, s);
+  return (struct place_wait_facts){
+    .waited_ms = t->place_since_ms > 0 ? d->now_ms - t->place_since_ms : 0,
+    .predicted_ms = place_wait_predict (p->ends_ms, p->openings, p->held),
+    .near_ms = near_ms,
+    .remote_ms = (int64_t)(d->place_run_times.remote * s->estimate_ms),
+    .left_ms = left_ms,
+    .load = place_demand_load (&p->demand, d->now_ms, near_ms, (double)p->openings)
+  };
+}
+
 bool
 dispatch_waits_for_place (struct dispatcher *d, struct workflow_task *t, const char *place,
                           int64_t left_ms)
 {
-  const workflow_step *s = workflow_step_of (t);
   struct wanted_place *p = find_or_add_place (d, place);
-  const int64_t near_ms = (int64_t)(d->place_run_times.near * s->estimate_ms);
-  update_openings (d, p, s);
-  const struct place_wait_facts facts
-      = { .waited_ms = t->place_since_ms > 0 ? d->now_ms - t->place_since_ms : 0,
-          .predicted_ms = place_wait_predict (p->ends_ms, p->openings, p->held),
-          .near_ms = near_ms,
-          .remote_ms = (int64_t)(d->place_run_times.remote * s->estimate_ms),
-          .left_ms = left_ms,
-          .load = place_demand_load (&p->demand, d->now_ms, near_ms, (double)p->openings) };
+  const struct place_wait_facts facts = facts_for (d, p, t, left_ms);
   if (!place_wait_pays (&facts))
     return false;
   p->held++;
@@ -205,6 +221,22 @@
   return true;
 }
 
+struct place_wait_facts
+dispatch_place_facts (struct dispatcher *d, const struct workflow_task *t, const char *place,
+                      int64_t left_ms)
+{
+  const struct wanted_place *known = find_place (d, place);
+  struct wanted_place copy = { .rack = (char *)(uintptr_t)place };
+  if (known)
+    {
+      copy.demand = known->demand;
+      copy.held = known->held;
+    }
+  const struct place_wait_facts facts = facts_for (d, &copy, t, left_ms);
+  free (copy.ends_ms);
+  return facts;
+}
+
 /* Racks are named by callers, so those that nobody wants any more are forgotten.  */
 void
 dispatch_begin_places (struct dispatcher *d)
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -334,6 +334,34 @@
   return w->pacing.worst_tail;
 }
 
+/* Sets the fields of a candidate that depend on the task.  */
+static void
+set_task_fields (const struct dispatcher *d, struct candidates *c, const struct workflow_task *t,
+                 const struct worker_request *q, size_t index)
+{
+  const workflow_step *s = workflow_step_of (t);
+  struct worker_candidate *candidate = &c->candidates[index];
+  struct dispatch_worker *w = c->workers[index];
+  if (q->is_lasting)
+    candidate->foreign_share = foreign_share (w, s->image);
+  if (q->is_fill && c->image >= 0)
+    {
+      candidate->tail_ratio = tail_ratio_for (d, w, c->image);
+      if (candidate->tail_ratio <= FILL_MAX_TAIL_RATIO || q->allow_interference)
+        candidate->interference = dispatch_predict_interference (d, w, c->image, s->millicores);
+    }
+  if (s->max_per_worker > 0)
+    candidate->same_step = count_same_step (w, t);
+}
+
+static void
+reset_task_fields (struct candidates *c, size_t index)
+{
+  c->candidates[index].foreign_share = 0;
+  c->candidates[index].tail_ratio = c->workers[index]->pacing.worst_tail;
+  c->candidates[index].interference = 0;
+}
+
 /* Load pattern: thousands of waiting tasks and hundreds of nearly full workers.  The costly fields
    are computed only for workers that have capacity for the task, the others are not even read: the
    fields of a candidate that depend on the task are reset after use.  */
@@ -341,27 +369,14 @@
 score_worker (const struct dispatcher *d, struct candidates *c, const struct waiting_task *t,
               const struct worker_request *q, size_t index)
 {
-  const workflow_step *s = workflow_step_of (t->task);
   struct worker_candidate *candidate = &c->candidates[index];
   bool counts_step = q->max_per_worker > 0 && (q->is_restart || c->restricted > 0);
   candidate->same_step = 0;
   if (!counts_step && !worker_select_fits (candidate, q))
     return INFINITY;
-  struct dispatch_worker *w = c->workers[index];
-  if (q->is_lasting)
-    candidate->foreign_share = foreign_share (w, s->image);
-  if (q->is_fill)
-    {
-      candidate->tail_ratio = tail_ratio_for (d, w, c->image);
-      if (candidate->tail_ratio <= FILL_MAX_TAIL_RATIO || q->allow_interference)
-        candidate->interference = dispatch_predict_interference (d, w, c->image, s->millicores);
-    }
-  if (s->max_per_worker > 0)
-    candidate->same_step = count_same_step (w, t->task);
+  set_task_fields (d, c, t->task, q, index);
   double score = worker_select_rate (candidate, q);
-  candidate->foreign_share = 0;
-  candidate->tail_ratio = w->pacing.worst_tail;
-  candidate->interference = 0;
+  reset_task_fields (c, index);
   return score;
 }
 
@@ -417,22 +432,29 @@
   return c->restricted > 0 && t->since_ms > 0 && d->now_ms - t->since_ms >= STARVED_MS;
 }
 
+static struct worker_request
+request_of (const struct dispatcher *d, const struct candidates *c, const struct workflow_task *t)
+{
+  const workflow_step *s = workflow_step_of (t);
+  return (struct worker_request){ .millicores = s->millicores,
+                                  .memory_mb = s->memory_mb,
+                                  .accelerators = s->accelerators,
+                                  .max_per_worker = s->max_per_worker,
+                                  .is_fill = s->flags & WORKFLOW_STEP_FILL,
+                                  .is_lasting = s->flags & WORKFLOW_STEP_LASTING,
+                                  .is_isolated = is_isolated (t),
+                                  .is_repeatable = dispatch_is_repeatable (t),
+                                  .can_probe = s->estimate_ms >= PROBE_MIN_ESTIMATE_MS
+                                               || may_use_restricted (d, c, t) };
+}
+
 static size_t
 choose (struct dispatcher *d, struct candidates *c, const struct waiting_task *t)
 {
   const workflow_step *s = workflow_step_of (t->task);
   const char *place = dispatch_place_of (d, t->task);
-  struct worker_request q = { .millicores = s->millicores,
-                              .memory_mb = s->memory_mb,
-                              .accelerators = s->accelerators,
-                              .max_per_worker = s->max_per_worker,
-                              .is_fill = s->flags & WORKFLOW_STEP_FILL,
-                              .is_lasting = s->flags & WORKFLOW_STEP_LASTING,
-                              .is_restart = t->key.rank == WAITING_RESTART,
-                              .is_isolated = is_isolated (t->task),
-                              .is_repeatable = dispatch_is_repeatable (t->task),
-                              .can_probe = s->estimate_ms >= PROBE_MIN_ESTIMATE_MS
-                                           || may_use_restricted (d, c, t->task) };
+  struct worker_request q = request_of (d, c, t->task);
+  q.is_restart = t->key.rank == WAITING_RESTART;
   bool starved = q.is_fill && c->mostly_free && t->task->job->runs == 0
                  && d->now_ms - t->task->job->seen_ms > STARVED_MS;
   update_eligibility (c, t->queue->pool, s, place);
@@ -632,6 +654,14 @@
     d->longest_wait_ms = wait_ms;
 }
 
+static void
+free_candidates (struct candidates *c)
+{
+  free (c->workers);
+  free (c->candidates);
+  free (c->scores);
+}
+
 void
 dispatch_place_tasks (struct dispatcher *d, int64_t wall_ms)
 {
@@ -693,12 +723,44 @@
         placed++;
         d->waiting--;
       }
-  free (c.workers);
-  free (c.candidates);
-  free (c.scores);
+  free_candidates (&c);
   free (waiting);
 }
 
+void
+dispatch_probe (struct dispatcher *d, const struct workflow_task *t, const workflow_queue *q,
+                struct placement_probe *out)
+{
+  struct candidates c = { .workers = NULL };
+  const workflow_step *s = workflow_step_of (t);
+  const struct dispatch_worker *w;
+  *out = (struct placement_probe){ .best = WORKER_SELECT_NONE };
+  TAILQ_FOREACH (w, &d->worker_list, link)
+  out->obstacles[WORKER_NOT_USABLE] += w->address && !w->gone && !dispatch_usable (d, w);
+  list_candidates (d, &c);
+  out->knows_image
+      = !(s->flags & WORKFLOW_STEP_FILL) || slack_model_knows_fill (d->slack_model, s->image);
+  c.image = out->knows_image && s->flags & WORKFLOW_STEP_FILL ? dispatch_image_id (d, s) : -1;
+  update_eligibility (&c, q->pool, s, dispatch_place_of (d, t));
+  const struct worker_request request = request_of (d, &c, t);
+  out->workers = xcalloc (c.count + 1, sizeof *out->workers);
+  out->count = c.count;
+  for (size_t i = 0; i < c.count; i++)
+    {
+      set_task_fields (d, &c, t, &request, i);
+      out->workers[i]
+          = (struct probed_worker){ .worker = c.workers[i],
+                                    .obstacle = worker_select_obstacle (&c.candidates[i], &request),
+                                    .score = worker_select_rate (&c.candidates[i], &request),
+                                    .near = c.candidates[i].near_data };
+      reset_task_fields (&c, i);
+      c.scores[i] = out->workers[i].score;
+      out->obstacles[out->workers[i].obstacle]++;
+    }
+  out->best = worker_select_least (c.scores, c.count);
+  free_candidates (&c);
+}
+
 /* The worker's capacity may have shrunk since R, which is counted there, was placed.  */
 static bool
 exceeds_capacity (const struct dispatch_run *r)
