explain, voter_plan, dispatcher_locality: satisfy the linters

Cause: clang-tidy found padding in struct plan_member, cppcheck an iteration macro it does not know and an array that it takes for uninitialized.

Change: order of fields; json_object_iter; the array is initialized.

Measured: test_dispatcher_explain, test_dispatcher_locality, test_voter_plan and path_accounts pass; cppcheck on the new files finds nothing.

--- a/ctl/explain.c
+++ b/ctl/explain.c
@@ -31,11 +31,9 @@
 print_explanation (const json_t *body)
 {
   const json_t *worker = json_object_get (body, "worker");
-  const json_t *passed_over = json_object_get (body, "passed_over");
+  json_t *passed_over = json_object_get (body, "passed_over");
   const json_t *others = json_object_get (body, "others");
   const json_t *admission = json_object_get (body, "admission");
-  const char *reason;
-  const json_t *count;
   printf ("queue %s, pool %s, account %s, configuration %" PRId64 "\n", ctl_text (body, "queue"),
           ctl_text (body, "pool"), ctl_text (body, "account"), ctl_int (body, "version"));
   printf ("admission: %s", ctl_text (admission, "outcome"));
@@ -57,8 +55,9 @@
     puts ("starts on no worker now: it waits");
   printf ("%" PRId64 " workers could take it, facts up to %" PRId64 " ms old\n",
           ctl_int (body, "fitting"), ctl_int (body, "oldest_fact_ms"));
-  json_object_foreach ((json_t *)(uintptr_t)passed_over, reason, count)
-      printf ("%" JSON_INTEGER_FORMAT " passed over: %s\n", json_integer_value (count), reason);
+  for (void *i = json_object_iter (passed_over); i; i = json_object_iter_next (passed_over, i))
+    printf ("%" JSON_INTEGER_FORMAT " passed over: %s\n",
+            json_integer_value (json_object_iter_value (i)), json_object_iter_key (i));
   for (size_t i = 0; i < json_array_size (others); i++)
     print_worker (json_array_get (others, i));
 }
--- a/src/decide/voter_plan.h
+++ b/src/decide/voter_plan.h
@@ -29,12 +29,12 @@
 struct plan_member
 {
   uint64_t node;
+  int64_t inactive_ms; /* since it was last active (answered within 1.9 s); 0 for this VM */
+  int64_t distance_ms; /* shortest answer to this VM; INT64_MAX: not known */
   bool self;           /* this VM, which leads and stays a voter */
   bool voter;          /* in: current role; out: planned role */
-  bool dropped;        /* out: to be removed */
-  int64_t inactive_ms; /* since it was last active (answered within 1.9 s); 0 for this VM */
   bool has_vote;       /* a voter that is known to have the store that its vote belongs to */
-  int64_t distance_ms; /* shortest answer to this VM; INT64_MAX: not known */
+  bool dropped;        /* out: to be removed */
 };
 
 void voter_plan (struct plan_member *members, size_t count); /* Sets voter and dropped. */
--- a/src/workflow/dispatcher_explain.c
+++ b/src/workflow/dispatcher_explain.c
@@ -18,16 +18,15 @@
 static int
 check_fields (json_t *request, struct status *st)
 {
-  const char *name;
-  json_t *value;
-  json_object_foreach (request, name, value)
-  {
-    bool known = false;
-    for (int i = 0; fields[i]; i++)
-      known = known || strcmp (fields[i], name) == 0;
-    if (!known)
-      return status_set (st, STATUS_BAD_REQUEST, "field '%.64s' is not known", name);
-  }
+  for (void *i = json_object_iter (request); i; i = json_object_iter_next (request, i))
+    {
+      const char *name = json_object_iter_key (i);
+      bool known = false;
+      for (int k = 0; fields[k]; k++)
+        known = known || strcmp (fields[k], name) == 0;
+      if (!known)
+        return status_set (st, STATUS_BAD_REQUEST, "field '%.64s' is not known", name);
+    }
   return 0;
 }
 
--- a/src/workflow/dispatcher_locality.c
+++ b/src/workflow/dispatcher_locality.c
@@ -148,7 +148,7 @@
 add_openings (const struct dispatcher *d, const struct dispatch_worker *w, const workflow_step *s,
               int64_t ends_ms[MAX_ENDS], size_t count)
 {
-  struct expected_end ends[MAX_WORKER_ENDS];
+  struct expected_end ends[MAX_WORKER_ENDS] = { { 0 } };
   const struct dispatch_run *r;
   size_t n = 0;
   uint64_t declared = (uint64_t)w->lasting_millicores + w->short_millicores;
