dispatcher_candidates: the workers of a tick and the choice of one, parted from dispatcher_place

Change: no behaviour; functions that both files use have the prefix of the module.

Measured: test_dispatcher, test_dispatcher_locality, _accounts, _explain, _overdue, test_worker_select, test_fill_placement and test_placement_cost pass.

--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -383,10 +383,12 @@
   bool knows_image;
 };
 
-/* dispatcher_place.c */
+/* dispatcher_candidates.c */
 /* T is in no list, its step is the only one of its job.  Free OUT->workers.  */
 void dispatch_probe (struct dispatcher *d, const struct workflow_task *t, const workflow_queue *q,
                      struct placement_probe *out);
+
+/* dispatcher_place.c */
 void dispatch_place_tasks (struct dispatcher *d, int64_t wall_ms);
 void dispatch_start (struct dispatcher *d,
                      struct dispatch_run *r); /* Its placement is committed. */
