soak: client accounts; a key that was taken away is tried through all fronts

Cause: the soak's configuration had no accounts, so no fault met their log entries.

Change: each version of the configuration takes one key away and brings another; calls with the former key, sent after the acknowledgement, must not be served. Jobs belong to an account.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -160,7 +160,7 @@
   size_t job_count;
   int64_t next_job_ms;
   /* Configuration.  */
-  bool config_pending, read_pending;
+  bool config_pending, read_pending, key_pending;
   int sent_version;
   int acknowledged_version;
   int64_t acknowledged_ms;
--- a/tests/soak/soak_jobs.c
+++ b/tests/soak/soak_jobs.c
@@ -109,8 +109,8 @@
 call_front (struct soak_job *j, const char *method, const char *body, http_answer_fn *done)
 {
   struct soak *s = j->soak;
-  static const char *const headers[]
-      = { "Host: h.example", "Content-Type: application/json", "Deadline-Ms: 3000", NULL };
+  static const char *const headers[] = { "Host: h.example", "Content-Type: application/json",
+                                         "Deadline-Ms: 3000", "X-Api-Key: lasting-key", NULL };
   char url[SOAK_PATH_BYTES];
   snprintf (url, sizeof url, "http://%s.%d:%d/q/%016" PRIx64, s->net,
             HOST_FRONT (1 + (int)rng_below (&s->rng, SOAK_FRONTS)), CUSTOMER_PORT, j->id);
@@ -136,7 +136,7 @@
   j->next_ms = s->now_ms + (a->retry_after_s > 0 ? a->retry_after_s * 1000 : 300);
   if (a->code == 200)
     j->state = JOB_ACCEPTED;
-  else if (a->code == 400 || a->code == 500)
+  else if (a->code == 400 || a->code == 401 || a->code == 500)
     report_violation (s, "job %016" PRIx64 " got answer %d", j->id, a->code);
   /* A request whose connection failed was never sent.  */
   j->outcome_unknown = j->outcome_unknown || (!refused && a->code != 200 && a->sent);
@@ -321,14 +321,45 @@
             "{\"version\":%d,\"routes\":[{\"name\":\"q\",\"host\":\"h.example\",\"path_prefix\":"
             "\"/q/\",\"timeout_ms\":3000,\"target_latency_ms\":1000,\"priority\":0,\"service\":"
             "\"pool\",\"max_attempts\":3,\"stretch\":2}],\"services\":[{\"name\":\"pool\","
-            "\"rejects_overload\":true}],\"limits\":{}}",
-            s->sent_version);
+            "\"rejects_overload\":true}],\"tenants\":[{\"name\":\"callers\",\"api_keys\":"
+            "[\"lasting-key\"],\"weight\":1000},{\"name\":\"changing\",\"api_keys\":[\"key-%d\"]}],"
+            "\"limits\":{}}",
+            s->sent_version, s->sent_version);
   s->config_pending = true;
   s->next_config_ms
       = s->now_ms + (s->acknowledged_version > 0 && !s->faults_over ? CONFIG_INTERVAL_MS : 300);
   call_control (s, "PUT", body, on_config_put);
 }
 
+static void
+on_key_answered (void *arg, const struct http_answer *a)
+{
+  struct soak *s = arg;
+  s->key_pending = false;
+  if (a->code == 200 || a->code == 410)
+    report_violation (s, "KEY: answer %d to a key that was taken away before the call", a->code);
+}
+
+/* Calls with the key that the acknowledged version took away.  */
+static void
+try_former_key (struct soak *s)
+{
+  char url[SOAK_PATH_BYTES];
+  char key[40];
+  const char *headers[] = { "Host: h.example", key, NULL };
+  snprintf (key, sizeof key, "X-Api-Key: key-%d", s->acknowledged_version - 1);
+  snprintf (url, sizeof url, "http://%s.%d:%d/q/%016x", s->net,
+            HOST_FRONT (1 + (int)rng_below (&s->rng, SOAK_FRONTS)), CUSTOMER_PORT, 1u);
+  const struct http_call call = { .method = "GET",
+                                  .url = url,
+                                  .headers = headers,
+                                  .timeout_ms = DEADLINE_MS,
+                                  .done = on_key_answered,
+                                  .done_arg = s };
+  s->key_pending = true;
+  http_client_send (s->client, &call);
+}
+
 void
 config_tick (struct soak *s)
 {
@@ -339,6 +370,8 @@
     return;
   if (s->now_ms - s->acknowledged_ms > CONFIG_APPLY_LIMIT_MS)
     s->min_read_version = s->acknowledged_version;
+  if (!s->key_pending && s->acknowledged_version > 1)
+    try_former_key (s);
   s->read_pending = true;
   s->next_read_ms = s->now_ms + READ_INTERVAL_MS;
   call_control (s, "GET", NULL, on_config_read);
