--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -346,6 +346,8 @@
                w->id, lists->running_len, lists->ended_len, lists->clock_ms - w->reported_clock_ms);
   w->listed_clock_ms = lists->clock_ms;
   w->last_answer_ms = d->now_ms;
+  if (lists->mark > w->answered_mark)
+    w->answered_mark = lists->mark;
   w->fenced = true;
   w->last_hold_answered = true;
   dispatch_note_hold (d, w, WORKER_CALL_OK);
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -34,6 +34,10 @@
 #define WORKER_SILENT_MS 2800
 /* Leases are renewed this long after an answer: an idle hold and a margin.  */
 #define RENEW_MAX_SILENCE_MS 1500
+/* A draining worker is about to leave, and its machine may leave with it: only the end of its lease
+   then proves that its runs are gone, and lasting tasks may be without a run for 6 s.  Longer than
+   two elections without a leader that renews it.  */
+#define DRAINING_LEASE_MS 4000
 #define LATE_DONE_WAIT_MS 5000   /* a late end commits, or is listed again, well within it */
 #define ORDER_MAX_DELAY_MS 15000 /* an order may be executed 12 s late; with a margin */
 #define LEASE_MARGIN_MS 300      /* rounding and delays of the worker's timer */
@@ -141,7 +145,8 @@
   uint64_t sequence;
   int64_t gone_ms;
   int64_t reported_clock_ms; /* worker's time of its last report */
-  int64_t left_ms; /* departure while it drains, until a call shows whose it is; 0: none */
+  int64_t left_ms;    /* departure while it drains, until a call shows whose it is; 0: none */
+  uint64_t left_mark; /* holds with a higher mark were sent after it */
   uint32_t millicores, memory_mb, accelerators;
   bool reported; /* this incarnation, to this leader */
   bool draining;
@@ -155,6 +160,7 @@
   int64_t deadline_ms;     /* latest lease of this incarnation, on its clock */
   int64_t lease_end_ms;    /* leader's clock; for leases that an earlier leader granted */
   int64_t last_answer_ms;  /* last answer to a hold */
+  uint64_t answered_mark;  /* highest mark of an answered hold */
   int64_t failed_ms;       /* first order without an answer since the last answer; 0: none */
   int64_t listed_clock_ms; /* worker's time of the newest lists */
   int64_t hold_next_ms;
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -100,7 +100,10 @@
 {
   if (!w->clock_known)
     return 0;
-  int64_t deadline_ms = w->clock_ms + (d->now_ms - w->clock_at_ms) + d->config.lease_ms;
+  int64_t lease_ms = d->config.lease_ms;
+  if (w->draining && lease_ms > DRAINING_LEASE_MS)
+    lease_ms = DRAINING_LEASE_MS;
+  int64_t deadline_ms = w->clock_ms + (d->now_ms - w->clock_at_ms) + lease_ms;
   if (deadline_ms > w->deadline_ms)
     w->deadline_ms = deadline_ms;
   return deadline_ms;
@@ -425,6 +428,7 @@
     {
       log_event (LOG_INFO, "departure-received", "worker=%s born=%" PRId64, worker, w->born_ms);
       w->left_ms = now_ms;
+      w->left_mark = d->mark;
       confirm_departure (d, w);
       return;
     }
@@ -482,11 +486,13 @@
 static void
 send_hold (struct dispatcher *d, struct dispatch_worker *w)
 {
-  /* A worker whose answers are lost may still get holds: renew its lease only while it answers.  It
-   may also have restarted, and numbers its ends from 1 again.  An acknowledgement is carried until
+  /* A worker whose answers are lost may still get holds: renew its lease only while it answers, and
+   after its departure only if it has answered a hold that was sent later.  It may also have
+   restarted, and numbers its ends from 1 again.  An acknowledgement is carried until
    a hold with it was answered, and by one hold at a time that doesn't wait, so that few of them are
    on their way when a worker restarts.  */
-  bool answers = d->now_ms - w->last_answer_ms < RENEW_MAX_SILENCE_MS;
+  bool has_left = w->left_ms > 0 && w->answered_mark <= w->left_mark;
+  bool answers = !has_left && d->now_ms - w->last_answer_ms < RENEW_MAX_SILENCE_MS;
   bool acknowledges
       = answers && w->last_hold_answered && w->ack_mark == 0 && w->acknowledged > w->confirmed;
   bool waits = !w->hold_now && w->fenced && !acknowledges;
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -928,6 +928,83 @@
   assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &next, &st), -1);
 }
 
+/* The process of DRAINING has left with its machine: calls to its address get no answer.  */
+static int64_t
+restart_after_departure (struct fixture *f)
+{
+  struct status st;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, WORKFLOW_STEP_LASTING);
+  fixture_tick (f, 20);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  const struct reported_run run = fixture_running (&f->starts[0]);
+  fixture_answer_hold (f, "w1", &run, 1, NULL, 0);
+  f->now_ms++;
+  struct worker_report r = fixture_worker (f, "w1", "10.0.0.1:1");
+  r.draining = true;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+  fixture_join (f, "w2", "10.0.0.2:1");
+  for (int i = 0; i < 400; i++)
+    {
+      fixture_tick (f, 20);
+      fixture_answer_hold (f, "w1", &run, 1, NULL, 0);
+      fixture_answer_hold (f, "w2", NULL, 0, NULL, 0);
+    }
+  assert_int_equal (f->start_count, 1);
+  int64_t left_ms = f->now_ms;
+  dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
+  while (f->start_count == 1 && f->now_ms < left_ms + 20000)
+    {
+      fixture_tick (f, 20);
+      fixture_answer_hold (f, "w2", NULL, 0, NULL, 0);
+      if ((f->now_ms - left_ms) % 900 < 20)
+        dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_UNKNOWN, NULL);
+    }
+  assert_string_equal (f->starts[1].worker, "w2");
+  return f->now_ms - left_ms;
+}
+
+/* Guards against lasting tasks that are without a run for a whole lease, 10 s and more, after their
+   worker drained and left with its machine: its address does not refuse connections, so only the
+   lease proves that they are gone.  They may be without a run for 6 s.  */
+static void
+test_lasting_tasks_restart_soon_after_a_machine_was_taken_away (void **state)
+{
+  struct fixture *f = *state;
+  assert_true (restart_after_departure (f) < 5500); /* the start takes its time too */
+}
+
+/* A shorter lease must not end what runs on a worker that drains for long.  */
+static void
+test_a_draining_worker_that_answers_keeps_its_runs (void **state)
+{
+  struct fixture *f = *state;
+  struct status st;
+  fixture_join (f, "w1", "10.0.0.1:1");
+  fixture_submit (f, 1, 1, 1, WORKFLOW_STEP_LASTING);
+  fixture_tick (f, 20);
+  fixture_answer_start (f, &f->starts[0], WORKER_CALL_OK);
+  const struct reported_run run = fixture_running (&f->starts[0]);
+  fixture_answer_hold (f, "w1", &run, 1, NULL, 0);
+  f->now_ms++;
+  struct worker_report r = fixture_worker (f, "w1", "10.0.0.1:1");
+  r.draining = true;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+  fixture_join (f, "w2", "10.0.0.2:1");
+  for (int i = 0; i < 1000; i++)
+    {
+      int64_t before_ms = f->now_ms;
+      fixture_tick (f, 20);
+      struct sent_hold h = fixture_last_hold (f, "w1");
+      assert_true (h.deadline_ms == 0 || h.deadline_ms > before_ms + 2000);
+      if (i % 50 == 0) /* a hold that waits long is answered each second */
+        fixture_answer_hold (f, "w1", &run, 1, NULL, 0);
+      fixture_answer_hold (f, "w2", NULL, 0, NULL, 0);
+    }
+  assert_int_equal (f->start_count, 1);
+  assert_int_equal (f->stop_count, 0);
+}
+
 static void
 test_a_draining_worker_gets_nothing (void **state)
 {
@@ -2003,6 +2080,8 @@
           TEST (test_reports_of_another_writer_are_refused),
           TEST (test_a_known_worker_keeps_a_pool_that_is_no_longer_configured),
           TEST (test_a_draining_worker_gets_nothing),
+          TEST (test_lasting_tasks_restart_soon_after_a_machine_was_taken_away),
+          TEST (test_a_draining_worker_that_answers_keeps_its_runs),
           TEST (test_a_late_departure_does_not_end_runs_of_the_next_incarnation),
           TEST (test_a_late_departure_does_not_end_runs_of_an_incarnation_that_drains),
           TEST (test_a_departure_counts_once_the_address_refuses_a_hold),
