path_accounts: send configurations to a core VM that runs

Cause: the test sends each configuration to core-2, also while it holds the leader paused.

Change: the configuration goes to a VM beside the leader, after a pause and after a kill. All checks and bounds are as before.

--- a/tests/path_accounts.sh
+++ b/tests/path_accounts.sh
@@ -43,8 +43,9 @@
 ready() { [ "$(curl_ "http://$net.11:8167/sassafrasstall/ready")" = 200 ]; }
 wait_for 20 ready || fail "the front is not ready"
 account() { echo "{\"name\":\"$1\",\"api_keys\":[$2],\"weight\":100,\"cap\":{\"cpu\":$3,\"mem_mb\":0,\"gpu\":0}}"; }
+operator=2 # number of the core VM that gets configurations
 put() { # VERSION ACCOUNTS
-  curl_ -X PUT -H 'Content-Type: application/json' --data-binary @- "http://$net.2:8166/sassafrasstall/config" <<END
+  curl_ -X PUT -H 'Content-Type: application/json' --data-binary @- "http://$net.$operator:8166/sassafrasstall/config" <<END
 {"version":$1,"routes":[{"name":"q","host":"h.example","path_prefix":"/q/","timeout_ms":3000,"target_latency_ms":1000,"service":"pool","max_attempts":3,"stretch":2}],
 "services":[{"name":"pool","rejects_overload":true}],"tenants":[$2],"limits":{}}
 END
@@ -85,6 +86,7 @@
 }
 has_leader() { leader >/dev/null; }
 lead=$(leader) || fail "no leader"
+operator=$((1 + lead % 3))
 kill -STOP "${core[$lead]}"
 wait_for 15 accepted 5 "$(account alder '' 1000),$birch" || fail "the key was not taken away while the leader was paused"
 for i in 1 2 3 4 5; do
@@ -96,6 +98,7 @@
 done
 wait_for 10 has_leader || fail "no leader after the pause"
 lead=$(leader)
+operator=$((1 + lead % 3))
 kill -9 "${core[$lead]}"
 for i in $(seq 1 20); do
   [ "$(call $((1 + i % 2)) GET kalder-secret 1)" != 200 ] || fail "a key works after the leader was killed"
