--- a/review/rig-3/lib.sh
+++ b/review/rig-3/lib.sh
@@ -6,6 +6,7 @@
 #   start_core N BOOTSTRAP | kill_core N | start_front | wait_ready
 #   put_config ADDRESS-NUMBER VERSION [MORE-ROUTES]
 #   start_worker NAME ADDRESS-NUMBER ZONE LABELS CHECKPOINT-BYTES | kill_worker NAME
+#   leader_core               number of the core machine that leads
 #   submit ID JSON | cancel ID | state_of ID
 #   say TEXT                  a line of the record, with the time since the start in ms
 #   cannot_run TEXT           exit 2
@@ -86,6 +87,14 @@
 
 http() { "$rig" http "$@"; } # METHOD ADDRESS PATH HOST [BODY [TIMEOUT-MS]]
 
+# The core machine that answers as the leader itself, or nothing.
+leader_core() {
+  local i
+  for i in 1 2 3; do
+    case $(RIG_HEADER='Sassafras-Relayed: 1' http GET "$net.$i:$((first_port + 1))" /v1/leader x "" 500) in 200*) echo "$i"; return 0 ;; esac
+  done
+}
+
 wait_ready() {
   local i
   for ((i = 0; i < 150; i++)); do
@@ -144,7 +153,7 @@
 }
 
 worker_log() { cat "$folder"/worker-*.log 2>/dev/null | sort -n; }
-# The runner that runs TASK and the run, or nothing.
+# The runner that started TASK last and the run, or nothing after its end.  A crash is no end.
 runs_on() { # TASK
   worker_log | awk -v t="$1" '$4 == t && $3 == "start" {on = $2 " " $5} $4 == t && $3 == "end" {on = ""} END {print on}'
 }
--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -2,11 +2,14 @@
 
    rig worker ID IP:PORT SERVICE ZONE LOG CPU MEM_MB LABEL,... CHECKPOINT_BYTES CONTROL...
      A runner as PROTOCOL.md describes it, called by the system.  The spec of a task is "work MS"
-     (it is done after that work) or "forever".  LOG gets one line per event, with the Unix time in
-     ms.  A checkpoint starts with 16 hexadecimal digits, the work done in ms, and is filled up to
-     CHECKPOINT_BYTES.  A new one is listed with each 2 s of work and at a stop.
+     (it is done after that work, at the share that was set by /pace) or "forever".  LOG gets one
+     line per event, with the Unix time in ms.  A checkpoint starts with 16 hexadecimal digits, the
+     work done in ms, and is filled up to CHECKPOINT_BYTES.  A new one is listed with each 2 s of
+     work and at a stop.  Tasks that last list a tail of 100 ms, and of 600 ms while LOG.load exists:
+     their own users press them then.
    rig http METHOD IP:PORT PATH HOST [BODY [TIMEOUT_MS]]
-     Sends one request; prints the status code, 000 without an answer, and the body.  */
+     Sends one request, with the header RIG_HEADER of the environment if set; prints the status code,
+     000 without an answer, and the body.  */
 #include <arpa/inet.h>
 #include <errno.h>
 #include <jansson.h>
@@ -39,8 +42,10 @@
   char task[NAME];
   long run;
   long work_ms; /* -1: forever */
-  long before_ms; /* work done in earlier runs */
+  double done_ms; /* work done, with that of earlier runs */
+  int share;      /* percent, set by /pace */
   int64_t began_ms;
+  int64_t counted_ms; /* work is counted up to then */
   int64_t stop_ms; /* when an ordered stop ends it; 0: none */
 };
 
@@ -73,6 +78,7 @@
 static const char *id, *address, *service, *zone, *labels;
 static int cpu, mem_mb;
 static FILE *log_file;
+static char load_file[512];
 
 static int64_t
 clock_of (clockid_t c)
@@ -229,8 +235,9 @@
   if (fd >= 0)
     {
       char *text;
-      int len = asprintf (&text, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nDeadline-Ms: %d\r\nContent-Length: %zu\r\nConnection: close\r\n\r\n%s",
-                          method, path, host, timeout_ms, strlen (body), body);
+      const char *more = getenv ("RIG_HEADER");
+      int len = asprintf (&text, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nDeadline-Ms: %d\r\n%s%sContent-Length: %zu\r\nConnection: close\r\n\r\n%s",
+                          method, path, host, timeout_ms, more ? more : "", more ? "\r\n" : "", strlen (body), body);
       if (write_all (fd, text, (size_t)len) && read_message (fd, m, until_ms))
         {
           sscanf (m->head, "HTTP/1.%*d %d", &code);
@@ -250,8 +257,17 @@
 static long
 work_done (const struct run *r)
 {
-  int64_t at_work = clock_ms () - r->began_ms - (r->before_ms > 0 ? RESTORE_MS : 0);
-  return r->before_ms + (long)(at_work > 0 ? at_work : 0);
+  return (long)r->done_ms;
+}
+
+static void
+count_work (struct run *r, int64_t now)
+{
+  if (now > r->counted_ms)
+    {
+      r->done_ms += (double)(now - r->counted_ms) * r->share / 100;
+      r->counted_ms = now;
+    }
 }
 
 static char *
@@ -304,6 +320,7 @@
       for (size_t i = 0; i < run_count;)
         {
           struct run *r = &runs[i];
+          count_work (r, now);
           if (now > deadline_ms)
             end_run (i, "lapsed");
           else if (r->stop_ms > 0 && now >= r->stop_ms)
@@ -389,12 +406,16 @@
       return 409;
     }
   struct run *r = &runs[run_count++];
-  *r = (struct run){ .run = number, .work_ms = -1, .began_ms = clock_ms () };
+  *r = (struct run){ .run = number, .work_ms = -1, .share = 100, .began_ms = clock_ms (), .counted_ms = clock_ms () };
   snprintf (r->task, sizeof r->task, "%s", task);
   if (strncmp (spec, "work ", 5) == 0)
     r->work_ms = atol (spec + 5);
-  if (saved && saved[0])
-    sscanf (saved, "%16lx", &r->before_ms);
+  long before = 0;
+  if (saved && saved[0] && sscanf (saved, "%16lx", &before) == 1)
+    {
+      r->done_ms = (double)before;
+      r->counted_ms += RESTORE_MS;
+    }
   note ("start %s run=%ld checkpoint_bytes=%zu", task, number, saved ? strlen (saved) : 0);
   *answer = answer_fields (NULL);
   return 200;
@@ -422,6 +443,32 @@
   return 200;
 }
 
+static int
+pace (const json_t *body, json_t **answer)
+{
+  const char *task = json_string_value (json_object_get (body, "task"));
+  long number = (long)json_integer_value (json_object_get (body, "run"));
+  int percent = (int)json_integer_value (json_object_get (body, "percent"));
+  *answer = answer_fields (NULL);
+  if (!task || percent < 0 || percent > 100)
+    return 400;
+  struct run *r = find_run (task, number);
+  if (r)
+    {
+      count_work (r, clock_ms ());
+      r->share = percent;
+      note ("pace %s run=%ld percent=%d work_done_ms=%ld", task, number, percent, work_done (r));
+    }
+  return 200;
+}
+
+/* Of a task that lasts, its tail in ms; of others, the processor in use.  */
+static int
+measure_of (const struct run *r)
+{
+  return r->work_ms < 0 ? (access (load_file, F_OK) == 0 ? 600 : 100) : 10 * r->share;
+}
+
 static json_t *
 lists (void)
 {
@@ -432,7 +479,7 @@
     {
       char *saved = listed_checkpoint (&runs[i]);
       int percent = runs[i].work_ms > 0 ? (int)(100 * work_done (&runs[i]) / runs[i].work_ms) : 100;
-      json_array_append_new (running, json_pack ("[s,I,s,i,i]", runs[i].task, (json_int_t)runs[i].run, saved, percent, 100));
+      json_array_append_new (running, json_pack ("[s,I,s,i,i]", runs[i].task, (json_int_t)runs[i].run, saved, percent, measure_of (&runs[i])));
       free (saved);
     }
   for (size_t i = 0; i < end_count && i < MAX_ENDS_LISTED; i++)
@@ -496,10 +543,7 @@
           else if (strcmp (path, "/sassafrasstall/hold") == 0)
             code = hold (body, answer);
           else if (strcmp (path, "/sassafrasstall/pace") == 0)
-            {
-              *answer = answer_fields (NULL);
-              code = 200;
-            }
+            code = pace (body, answer);
         }
     }
   if (!*answer)
@@ -605,6 +649,7 @@
   service = argv[4];
   zone = argv[5];
   log_file = fopen (argv[6], "a");
+  snprintf (load_file, sizeof load_file, "%s.load", argv[6]);
   cpu = atoi (argv[7]);
   mem_mb = atoi (argv[8]);
   labels = argv[9];
