--- a/review/rig-3/lib.sh
+++ b/review/rig-3/lib.sh
@@ -7,6 +7,8 @@
 #   put_config ADDRESS-NUMBER VERSION [MORE-ROUTES]
 #   start_worker NAME ADDRESS-NUMBER ZONE LABELS CHECKPOINT-BYTES | kill_worker NAME
 #   leader_core               number of the core machine that leads
+#   cut NAME | join NAME      cuts a runner off, and joins it again
+#   pending_count             of the queue
 #   submit ID JSON | cancel ID | state_of ID
 #   say TEXT                  a line of the record, with the time since the start in ms
 #   cannot_run TEXT           exit 2
@@ -152,6 +154,16 @@
   esac
 }
 
+cut() { touch "$folder/worker-$1.log.cut"; }
+join() { rm -f "$folder/worker-$1.log.cut"; }
+
+# The pending count of the queue, or nothing without an answer.
+pending_count() {
+  local answer
+  answer=$(http GET "$net.11:8161" "$PREFIX" $HOST "" 3000)
+  case $answer in 200*) sed 's/.*"pending_count": *\([0-9]*\).*/\1/' <<<"$answer" ;; esac
+}
+
 worker_log() { cat "$folder"/worker-*.log 2>/dev/null | sort -n; }
 # The runner that started TASK last and the run, or nothing after its end.  A crash is no end.
 runs_on() { # TASK
--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -6,7 +6,8 @@
      line per event, with the Unix time in ms.  A checkpoint starts with 16 hexadecimal digits, the
      work done in ms, and is filled up to CHECKPOINT_BYTES.  A new one is listed with each 2 s of
      work and at a stop.  Tasks that last list a tail of 100 ms, and of 600 ms while LOG.load exists:
-     their own users press them then.
+     their own users press them then.  While LOG.cut exists the runner is cut off: it runs on, but
+     nothing reaches it and it reaches nobody; calls that it gets or answers then are lost.
    rig http METHOD IP:PORT PATH HOST [BODY [TIMEOUT_MS]]
      Sends one request, with the header RIG_HEADER of the environment if set; prints the status code,
      000 without an answer, and the body.  */
@@ -79,6 +80,14 @@
 static int cpu, mem_mb;
 static FILE *log_file;
 static char load_file[512];
+static char cut_file[512];
+
+static bool
+is_cut (void)
+{
+  return cut_file[0] && access (cut_file, F_OK) == 0;
+}
+
 
 static int64_t
 clock_of (clockid_t c)
@@ -558,10 +567,20 @@
 {
   int fd = (int)(intptr_t)arg;
   struct message *m = calloc (1, sizeof *m);
-  while (read_message (fd, m, 0))
+  bool lost = false;
+  while (!lost && read_message (fd, m, 0))
     {
       json_t *answer = NULL;
-      int code = handle (m, &answer);
+      lost = is_cut ();
+      int code = lost ? 0 : handle (m, &answer);
+      lost = lost || is_cut ();
+      if (lost)
+        {
+          while (is_cut ())
+            usleep (20000);
+          json_decref (answer);
+          break;
+        }
       char *text = json_dumps (answer, JSON_COMPACT);
       char *out;
       int len = asprintf (&out, "HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s", code, strlen (text), text);
@@ -617,6 +636,8 @@
   snprintf (path, sizeof path, "/sassafrasstall/instances/%s", id);
   for (int attempt = 0; attempt < 3; attempt++)
     {
+      if (is_cut ())
+        break;
       if (!control[0])
         snprintf (control, size, "%s", all[next++ % count]);
       int code = request ("PUT", control, path, control, text, 1000, &answer);
@@ -650,6 +671,7 @@
   zone = argv[5];
   log_file = fopen (argv[6], "a");
   snprintf (load_file, sizeof load_file, "%s.load", argv[6]);
+  snprintf (cut_file, sizeof cut_file, "%s.cut", argv[6]);
   cpu = atoi (argv[7]);
   mem_mb = atoi (argv[8]);
   labels = argv[9];
