--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -320,12 +320,20 @@
 static void *
 keep_time (void *arg)
 {
+  bool lapsed = false;
   (void)arg;
   for (;;)
     {
       usleep (5000);
       pthread_mutex_lock (&lock);
       int64_t now = clock_ms ();
+      if (now <= deadline_ms)
+        lapsed = false;
+      else if (!lapsed && deadline_ms > 0)
+        {
+          lapsed = true;
+          note ("lease-over");
+        }
       for (size_t i = 0; i < run_count;)
         {
           struct run *r = &runs[i];
