--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -7,7 +7,8 @@
      work done in ms, and is filled up to CHECKPOINT_BYTES.  A new one is listed with each 2 s of
      work and at a stop.  Tasks that last list a tail of 100 ms, and of 600 ms while LOG.load exists:
      their own users press them then.  While LOG.cut exists the runner is cut off: it runs on, but
-     nothing reaches it and it reaches nobody; calls that it gets or answers then are lost.
+     nothing reaches it and it reaches nobody; calls that it gets or answers then are lost.  While
+     LOG.late exists, the first order to pace a task to 0 gets no answer and is carried out 8 s later.
    rig http METHOD IP:PORT PATH HOST [BODY [TIMEOUT_MS]]
      Sends one request, with the header RIG_HEADER of the environment if set; prints the status code,
      000 without an answer, and the body.  */
@@ -31,6 +32,7 @@
 #define SAVE_MS 2000
 #define RESTORE_MS 250
 #define STOP_MS 50
+#define LATE_MS 8000
 #define MAX_HOLD_MS 10000
 #define MAX_ENDS_LISTED 500
 #define MAX_RUNS 4096
@@ -81,6 +83,10 @@
 static FILE *log_file;
 static char load_file[512];
 static char cut_file[512];
+static char late_file[512];
+static char late_task[NAME]; /* of an order that is carried out late */
+static long late_run;
+static int64_t late_ms; /* when; 0: none yet, -1: done */
 
 static bool
 is_cut (void)
@@ -317,6 +323,8 @@
   pthread_cond_broadcast (&changed);
 }
 
+static void set_share (const char *task, long number, int percent);
+
 static void *
 keep_time (void *arg)
 {
@@ -334,6 +342,11 @@
           lapsed = true;
           note ("lease-over");
         }
+      if (late_ms > 0 && now >= late_ms)
+        {
+          late_ms = -1;
+          set_share (late_task, late_run, 0);
+        }
       for (size_t i = 0; i < run_count;)
         {
           struct run *r = &runs[i];
@@ -460,6 +473,17 @@
   return 200;
 }
 
+static void
+set_share (const char *task, long number, int percent)
+{
+  struct run *r = find_run (task, number);
+  if (!r)
+    return;
+  count_work (r, clock_ms ());
+  r->share = percent;
+  note ("pace %s run=%ld percent=%d work_done_ms=%ld", task, number, percent, work_done (r));
+}
+
 static int
 pace (const json_t *body, json_t **answer)
 {
@@ -469,13 +493,15 @@
   *answer = answer_fields (NULL);
   if (!task || percent < 0 || percent > 100)
     return 400;
-  struct run *r = find_run (task, number);
-  if (r)
+  if (percent == 0 && late_ms == 0 && strlen (task) < NAME && access (late_file, F_OK) == 0)
     {
-      count_work (r, clock_ms ());
-      r->share = percent;
-      note ("pace %s run=%ld percent=%d work_done_ms=%ld", task, number, percent, work_done (r));
+      snprintf (late_task, NAME, "%s", task);
+      late_run = number;
+      late_ms = clock_ms () + LATE_MS;
+      note ("unanswered-pace %s run=%ld percent=0", task, number);
+      return 0;
     }
+  set_share (task, number, percent);
   return 200;
 }
 
@@ -581,11 +607,14 @@
       json_t *answer = NULL;
       lost = is_cut ();
       int code = lost ? 0 : handle (m, &answer);
-      lost = lost || is_cut ();
+      lost = lost || is_cut () || code == 0;
       if (lost)
         {
+          char byte;
           while (is_cut ())
             usleep (20000);
+          while (code == 0 && recv (fd, &byte, 1, 0) > 0)
+            ;
           json_decref (answer);
           break;
         }
@@ -680,6 +709,7 @@
   log_file = fopen (argv[6], "a");
   snprintf (load_file, sizeof load_file, "%s.load", argv[6]);
   snprintf (cut_file, sizeof cut_file, "%s.cut", argv[6]);
+  snprintf (late_file, sizeof late_file, "%s.late", argv[6]);
   cpu = atoi (argv[7]);
   mem_mb = atoi (argv[8]);
   labels = argv[9];
