--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -5,13 +5,13 @@
      (it is done after that work, at the share that was set by /pace) or "forever".  LOG gets one
      line per event, with the Unix time in ms.  A checkpoint starts with 16 hexadecimal digits, the
      work done in ms, and is filled up to CHECKPOINT_BYTES.  A new one is listed with each 2 s of
-     work and at a stop.  Tasks that last list a tail of 100 ms, and of 600 ms while LOG.load exists:
-     their own users press them then.  While LOG.cut exists the runner is cut off: it runs on, but
-     nothing reaches it and it reaches nobody; calls that it gets or answers then are lost.  While
-     LOG.late exists, the first order to pace a task to 0 gets no answer and is carried out 8 s later.
-   rig http METHOD IP:PORT PATH HOST [BODY [TIMEOUT_MS]]
-     Sends one request, with the header RIG_HEADER of the environment if set; prints the status code,
-     000 without an answer, and the body.  */
+     work and at a stop.  Tasks that last list a tail of 100 ms, and of 600 ms while LOG.load
+   exists: their own users press them then.  While LOG.cut exists the runner is cut off: it runs on,
+   but nothing reaches it and it reaches nobody; calls that it gets or answers then are lost.  While
+     LOG.late exists, the first order to pace a task to 0 gets no answer and is carried out 8 s
+   later. rig http METHOD IP:PORT PATH HOST [BODY [TIMEOUT_MS]] Sends one request, with the header
+   RIG_HEADER of the environment if set; prints the status code, 000 without an answer, and the
+   body.  */
 #include <arpa/inet.h>
 #include <errno.h>
 #include <jansson.h>
@@ -44,12 +44,12 @@
 {
   char task[NAME];
   long run;
-  long work_ms; /* -1: forever */
+  long work_ms;   /* -1: forever */
   double done_ms; /* work done, with that of earlier runs */
   int share;      /* percent, set by /pace */
   int64_t began_ms;
   int64_t counted_ms; /* work is counted up to then */
-  int64_t stop_ms; /* when an ordered stop ends it; 0: none */
+  int64_t stop_ms;    /* when an ordered stop ends it; 0: none */
 };
 
 struct end
@@ -94,7 +94,6 @@
   return cut_file[0] && access (cut_file, F_OK) == 0;
 }
 
-
 static int64_t
 clock_of (clockid_t c)
 {
@@ -172,7 +171,8 @@
   m->body_len = 0;
   while (!end)
     {
-      if (used + 1 >= sizeof m->head || !read_some (fd, m->head + used, sizeof m->head - 1 - used, until_ms, &got))
+      if (used + 1 >= sizeof m->head
+          || !read_some (fd, m->head + used, sizeof m->head - 1 - used, until_ms, &got))
         return false;
       used += got;
       m->head[used] = '\0';
@@ -217,7 +217,8 @@
   int port;
   memset (out, 0, sizeof *out);
   out->sin_family = AF_INET;
-  if (sscanf (text, "%63[0-9.]:%d", host, &port) != 2 || inet_pton (AF_INET, host, &out->sin_addr) != 1)
+  if (sscanf (text, "%63[0-9.]:%d", host, &port) != 2
+      || inet_pton (AF_INET, host, &out->sin_addr) != 1)
     return false;
   out->sin_port = htons ((uint16_t)port);
   return true;
@@ -240,7 +241,8 @@
 
 /* Returns the status code, 0 without an answer; *BODY is the caller's.  */
 static int
-request (const char *method, const char *to, const char *path, const char *host, const char *body, int timeout_ms, char **answer)
+request (const char *method, const char *to, const char *path, const char *host, const char *body,
+         int timeout_ms, char **answer)
 {
   int64_t until_ms = clock_of (CLOCK_MONOTONIC) + timeout_ms;
   struct message *m = calloc (1, sizeof *m);
@@ -251,8 +253,12 @@
     {
       char *text;
       const char *more = getenv ("RIG_HEADER");
-      int len = asprintf (&text, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nDeadline-Ms: %d\r\n%s%sContent-Length: %zu\r\nConnection: close\r\n\r\n%s",
-                          method, path, host, timeout_ms, more ? more : "", more ? "\r\n" : "", strlen (body), body);
+      int len = asprintf (
+          &text,
+          "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nDeadline-Ms: "
+          "%d\r\n%s%sContent-Length: %zu\r\nConnection: close\r\n\r\n%s",
+          method, path, host, timeout_ms, more ? more : "", more ? "\r\n" : "", strlen (body),
+          body);
       if (write_all (fd, text, (size_t)len) && read_message (fd, m, until_ms))
         {
           sscanf (m->head, "HTTP/1.%*d %d", &code);
@@ -309,8 +315,16 @@
   struct run r = runs[i];
   runs[i] = runs[--run_count];
   if (end_count == end_capacity)
-    ends = realloc (ends, (end_capacity = end_capacity ? 2 * end_capacity : 64) * sizeof *ends);
-  char *saved = strcmp (how, "done") == 0 ? strdup ("") : strcmp (how, "stopped") == 0 ? checkpoint_of (work_done (&r)) : listed_checkpoint (&r);
+    {
+      end_capacity = end_capacity ? 2 * end_capacity : 64;
+      struct end *larger = realloc (ends, end_capacity * sizeof *ends);
+      if (!larger)
+        abort ();
+      ends = larger;
+    }
+  char *saved = strcmp (how, "done") == 0      ? strdup ("")
+                : strcmp (how, "stopped") == 0 ? checkpoint_of (work_done (&r))
+                                               : listed_checkpoint (&r);
   struct end e = { .number = ++last_end, .run = r.run, .how = how, .saved = saved };
   memcpy (e.task, r.task, sizeof e.task);
   ends[end_count++] = e;
@@ -319,7 +333,8 @@
       memcpy (seen[seen_count].task, r.task, NAME);
       seen[seen_count++].run = r.run;
     }
-  note ("end %s run=%ld how=%s number=%ld checkpoint_bytes=%zu", r.task, r.run, how, e.number, strlen (saved));
+  note ("end %s run=%ld how=%s number=%ld checkpoint_bytes=%zu", r.task, r.run, how, e.number,
+        strlen (saved));
   pthread_cond_broadcast (&changed);
 }
 
@@ -368,7 +383,8 @@
 static json_t *
 answer_fields (const char *reason)
 {
-  json_t *o = json_pack ("{s:I, s:I}", "clock_ms", (json_int_t)clock_ms (), "born", (json_int_t)born_ms);
+  json_t *o
+      = json_pack ("{s:I, s:I}", "clock_ms", (json_int_t)clock_ms (), "born", (json_int_t)born_ms);
   if (reason)
     json_object_set_new (o, "reason", json_string (reason));
   return o;
@@ -436,14 +452,17 @@
       return 409;
     }
   struct run *r = &runs[run_count++];
-  *r = (struct run){ .run = number, .work_ms = -1, .share = 100, .began_ms = clock_ms (), .counted_ms = clock_ms () };
+  *r = (struct run){
+    .run = number, .work_ms = -1, .share = 100, .began_ms = clock_ms (), .counted_ms = clock_ms ()
+  };
   snprintf (r->task, sizeof r->task, "%s", task);
   if (strncmp (spec, "work ", 5) == 0)
     r->work_ms = atol (spec + 5);
-  long before = 0;
-  if (saved && saved[0] && sscanf (saved, "%16lx", &before) == 1)
+  if (saved && saved[0])
     {
-      r->done_ms = (double)before;
+      char digits[17];
+      snprintf (digits, sizeof digits, "%s", saved);
+      r->done_ms = (double)strtoll (digits, NULL, 16);
       r->counted_ms += RESTORE_MS;
     }
   note ("start %s run=%ld checkpoint_bytes=%zu", task, number, saved ? strlen (saved) : 0);
@@ -522,11 +541,15 @@
     {
       char *saved = listed_checkpoint (&runs[i]);
       int percent = runs[i].work_ms > 0 ? (int)(100 * work_done (&runs[i]) / runs[i].work_ms) : 100;
-      json_array_append_new (running, json_pack ("[s,I,s,i,i]", runs[i].task, (json_int_t)runs[i].run, saved, percent, measure_of (&runs[i])));
+      json_array_append_new (running,
+                             json_pack ("[s,I,s,i,i]", runs[i].task, (json_int_t)runs[i].run, saved,
+                                        percent, measure_of (&runs[i])));
       free (saved);
     }
   for (size_t i = 0; i < end_count && i < MAX_ENDS_LISTED; i++)
-    json_array_append_new (finished, json_pack ("[I,s,I,s,s]", (json_int_t)ends[i].number, ends[i].task, (json_int_t)ends[i].run, ends[i].how, ends[i].saved));
+    json_array_append_new (finished,
+                           json_pack ("[I,s,I,s,s]", (json_int_t)ends[i].number, ends[i].task,
+                                      (json_int_t)ends[i].run, ends[i].how, ends[i].saved));
   json_object_set_new (o, "running", running);
   json_object_set_new (o, "finished", finished);
   return o;
@@ -620,7 +643,9 @@
         }
       char *text = json_dumps (answer, JSON_COMPACT);
       char *out;
-      int len = asprintf (&out, "HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s", code, strlen (text), text);
+      int len = asprintf (
+          &out, "HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
+          code, strlen (text), text);
       bool ok = write_all (fd, out, (size_t)len);
       json_decref (answer);
       free (text);
@@ -666,9 +691,12 @@
 {
   static int next;
   char path[256], *answer;
-  json_t *o = json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:{s:i, s:i, s:i}, s:o, s:I, s:I, s:I}", "service", service, "address", address, "zone", zone,
-                         "version", "v1", "slots", 8, "state", "ready", "cold_left_ms", 0, "capacity", "cpu", cpu, "mem_mb", mem_mb, "gpu", 0, "labels", label_list (),
-                         "clock_ms", (json_int_t)clock_ms (), "seq", (json_int_t)seq, "born", (json_int_t)born_ms);
+  json_t *o
+      = json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:{s:i, s:i, s:i}, s:o, s:I, s:I, s:I}",
+                   "service", service, "address", address, "zone", zone, "version", "v1", "slots",
+                   8, "state", "ready", "cold_left_ms", 0, "capacity", "cpu", cpu, "mem_mb", mem_mb,
+                   "gpu", 0, "labels", label_list (), "clock_ms", (json_int_t)clock_ms (), "seq",
+                   (json_int_t)seq, "born", (json_int_t)born_ms);
   char *text = json_dumps (o, JSON_COMPACT);
   snprintf (path, sizeof path, "/sassafrasstall/instances/%s", id);
   for (int attempt = 0; attempt < 3; attempt++)
@@ -718,7 +746,8 @@
   started_ms = clock_of (CLOCK_MONOTONIC);
   int listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   setsockopt (listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-  if (!log_file || !parse_address (address, &a) || bind (listener, (struct sockaddr *)&a, sizeof a) || listen (listener, 128))
+  if (!log_file || !parse_address (address, &a) || bind (listener, (struct sockaddr *)&a, sizeof a)
+      || listen (listener, 128))
     return 2;
   note ("born");
   pthread_create (&t, NULL, keep_time, NULL);
@@ -742,7 +771,8 @@
   if (argc < 6 || strcmp (argv[1], "http") != 0)
     return 2;
   char *answer;
-  int code = request (argv[2], argv[3], argv[4], argv[5], argc > 6 ? argv[6] : "", argc > 7 ? atoi (argv[7]) : 3000, &answer);
+  int code = request (argv[2], argv[3], argv[4], argv[5], argc > 6 ? argv[6] : "",
+                      argc > 7 ? atoi (argv[7]) : 3000, &answer);
   printf ("%03d %s\n", code, answer ? answer : "");
   free (answer);
   return 0;
