--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -84,6 +84,8 @@
 static char load_file[512];
 static char cut_file[512];
 static char late_file[512];
+static char drain_file[512];
+static char leave_file[512];
 static char late_task[NAME]; /* of an order that is carried out late */
 static long late_run;
 static int64_t late_ms; /* when; 0: none yet, -1: done */
@@ -690,13 +692,15 @@
 send_heartbeat (char *control, size_t size, long seq, char **all, int count)
 {
   static int next;
+  static bool told;
+  bool drains = access (drain_file, F_OK) == 0;
   char path[256], *answer;
   json_t *o
       = json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:{s:i, s:i, s:i}, s:o, s:I, s:I, s:I}",
                    "service", service, "address", address, "zone", zone, "version", "v1", "slots",
-                   8, "state", "ready", "cold_left_ms", 0, "capacity", "cpu", cpu, "mem_mb", mem_mb,
-                   "gpu", 0, "labels", label_list (), "clock_ms", (json_int_t)clock_ms (), "seq",
-                   (json_int_t)seq, "born", (json_int_t)born_ms);
+                   8, "state", drains ? "draining" : "ready", "cold_left_ms", 0, "capacity", "cpu",
+                   cpu, "mem_mb", mem_mb, "gpu", 0, "labels", label_list (), "clock_ms",
+                   (json_int_t)clock_ms (), "seq", (json_int_t)seq, "born", (json_int_t)born_ms);
   char *text = json_dumps (o, JSON_COMPACT);
   snprintf (path, sizeof path, "/sassafrasstall/instances/%s", id);
   for (int attempt = 0; attempt < 3; attempt++)
@@ -714,6 +718,11 @@
         control[0] = '\0';
       json_decref (a);
       free (answer);
+      if (code / 100 == 2 && drains && !told)
+        {
+          told = true;
+          note ("drain-acknowledged");
+        }
       if (code / 100 == 2)
         break;
     }
@@ -721,6 +730,26 @@
   json_decref (o);
 }
 
+/* Ends the process.  */
+static void
+leave (const char *control, char **all, int count)
+{
+  char path[256], *answer;
+  int64_t until_ms = clock_ms () + 2000;
+  int code = 0;
+  snprintf (path, sizeof path, "/sassafrasstall/instances/%s", id);
+  for (int i = -1; code / 100 != 2 && clock_ms () < until_ms; i++)
+    {
+      code = request ("DELETE", i < 0 && control[0] ? control : all[(i + 1) % count], path, "x", "",
+                      1000, &answer);
+      free (answer);
+      if (code / 100 != 2)
+        usleep (100000);
+    }
+  note ("ends departure=%03d", code);
+  _exit (0);
+}
+
 static int
 run_worker (int argc, char **argv)
 {
@@ -738,6 +767,8 @@
   snprintf (load_file, sizeof load_file, "%s.load", argv[6]);
   snprintf (cut_file, sizeof cut_file, "%s.cut", argv[6]);
   snprintf (late_file, sizeof late_file, "%s.late", argv[6]);
+  snprintf (drain_file, sizeof drain_file, "%s.drain", argv[6]);
+  snprintf (leave_file, sizeof leave_file, "%s.leave", argv[6]);
   cpu = atoi (argv[7]);
   mem_mb = atoi (argv[8]);
   labels = argv[9];
@@ -756,9 +787,12 @@
     {
       int64_t next_ms = clock_ms () + HEARTBEAT_MS;
       send_heartbeat (control, sizeof control, seq, argv + 11, argc - 11);
-      int64_t left_ms = next_ms - clock_ms ();
-      if (left_ms > 0)
-        usleep ((useconds_t)left_ms * 1000);
+      bool drained = access (drain_file, F_OK) == 0;
+      while (clock_ms () < next_ms && access (leave_file, F_OK) != 0
+             && drained == (access (drain_file, F_OK) == 0))
+        usleep (20000);
+      if (access (leave_file, F_OK) == 0)
+        leave (control, argv + 11, argc - 11);
     }
 }
 
