--- a/tests/test_platform_decode.c
+++ b/tests/test_platform_decode.c
@@ -368,6 +368,66 @@
     }
 }
 
+/* Guards against a worker whose ends are never acknowledged because one row of its lists is odd:
+   the row is acknowledged as the end of no run, or as one that was not done, and the others are
+   read.  */
+static void
+test_one_malformed_row_does_not_hold_back_the_others (void **state)
+{
+  static const struct
+  {
+    const char *row;
+    bool names_the_run;
+  } ends[] = { { "[2,\"5c0e7a21d94b36f8.0.1.9\",1,\"evicted\",\"\"]", true },
+               { "[2,\"5c0e7a21d94b36f8.0.1.9\",1,7,\"\"]", true },
+               { "[2,\"5c0e7a21d94b36f8.0.1.9\",1,\"done\"]", false },
+               { "[2,\"5c0e7a21d94b36f8.0.1\",1,\"done\",\"\"]", false },
+               { "[2,\"task\",1,\"done\",\"\"]", false },
+               { "[2,null,1,\"done\",\"\"]", false },
+               { "[2,\"5c0e7a21d94b36f8.0.1.9\",4294967296,\"done\",\"\"]", false },
+               { "[2,\"5c0e7a21d94b36f8.0.1.9\",\"1\",\"done\",\"\"]", false },
+               { "[2]", false } };
+  static const char *const runs[]
+      = { "[\"task\",1,\"\",50,1]", "[\"5c0e7a21d94b36f8.0.1.9\",1.5,\"\",50,1]",
+          "[\"5c0e7a21d94b36f8.0.1.9\"]", "null" };
+  struct platform_lists l;
+  struct status st;
+  char text[600];
+  (void)state;
+  for (size_t i = 0; i < sizeof ends / sizeof *ends; i++)
+    {
+      snprintf (text, sizeof text,
+                "{\"clock_ms\":1,\"running\":[],\"finished\":["
+                "[1,\"5c0e7a21d94b36f8.0.1.8\",3,\"done\",\"\"],%s,"
+                "[3,\"5c0e7a21d94b36f8.0.1.10\",2,\"failed\",\"saved\"]]}",
+                ends[i].row);
+      assert_int_equal (platform_read_lists (text, strlen (text), &l, &st), 0);
+      assert_int_equal (l.lists.ended_len, 3);
+      assert_true (l.lists.complete);
+      assert_int_equal (l.malformed, 1);
+      for (size_t k = 0; k < 3; k++)
+        assert_int_equal (l.lists.ended[k].number, k + 1);
+      assert_int_equal (l.lists.ended[0].outcome, WORKFLOW_DONE);
+      assert_int_equal (l.lists.ended[1].outcome, WORKFLOW_LAPSED);
+      assert_int_equal (l.lists.ended[1].run, ends[i].names_the_run);
+      assert_string_equal (l.lists.ended[2].checkpoint, "saved");
+      platform_lists_free (&l);
+    }
+  for (size_t i = 0; i < sizeof runs / sizeof *runs; i++)
+    {
+      snprintf (text, sizeof text,
+                "{\"clock_ms\":1,\"running\":[%s,[\"5c0e7a21d94b36f8.0.1.8\",3,\"\",50,1]],"
+                "\"finished\":[]}",
+                runs[i]);
+      assert_int_equal (platform_read_lists (text, strlen (text), &l, &st), 0);
+      assert_int_equal (l.lists.running_len, 1);
+      assert_int_equal (l.lists.running[0].run, 3);
+      assert_int_equal (l.malformed, 1);
+      assert_false (l.lists.complete); /* the odd row may be that of any run */
+      platform_lists_free (&l);
+    }
+}
+
 static void
 test_job_ids_are_parsed (void **state)
 {
@@ -458,6 +518,7 @@
           cmocka_unit_test (test_nested_and_huge_values_are_refused),
           cmocka_unit_test (test_sizes_and_times_that_overflow_are_refused),
           cmocka_unit_test (test_ends_are_numbered_from_one),
+          cmocka_unit_test (test_one_malformed_row_does_not_hold_back_the_others),
           cmocka_unit_test (test_job_ids_are_parsed),
           cmocka_unit_test (test_mutated_bodies_do_not_crash_the_decoder) };
   return cmocka_run_group_tests (tests, NULL, NULL);
