Refuse the evacuation of a zone beyond the limit of 64

Operators would see an evacuation acknowledged while work still starts in that zone: the state ignored the 65th zone and said nothing.

test_zones_out_beyond_the_limit_are_refused failed before.

--- a/src/workflow/workflow.h
+++ b/src/workflow/workflow.h
@@ -30,8 +30,9 @@
 
    Errors in results: STATUS_NOT_FOUND (no such job, queue or task; a withdrawn id),
    STATUS_STALE_EPOCH (not the expected run), STATUS_VERSION_CONFLICT (a configuration that is not
-   newer; it has no effect), STATUS_BAD_REQUEST (malformed), STATUS_UNAUTHORIZED (the account is no
-   longer in force), STATUS_IN_PROGRESS (the id is of another account's job).  */
+   newer; it has no effect), STATUS_TOO_LARGE (WORKFLOW_MAX_ZONES are out), STATUS_BAD_REQUEST
+   (malformed), STATUS_UNAUTHORIZED (the account is no longer in force), STATUS_IN_PROGRESS (the id
+   is of another account's job).  */
 
 #ifndef SASSAFRAS_WORKFLOW_H
 #define SASSAFRAS_WORKFLOW_H
--- a/src/workflow/workflow_apply.c
+++ b/src/workflow/workflow_apply.c
@@ -201,7 +201,7 @@
   fail_exhausted_tasks (w);
 }
 
-void
+bool
 workflow_set_zone (struct workflow *w, const char *zone, bool out)
 {
   for (size_t i = 0; i < w->zone_count; i++)
@@ -209,13 +209,17 @@
       if (strcmp (w->zones_out[i], zone) != 0)
         continue;
       if (out)
-        return;
+        return true;
       free (w->zones_out[i]);
       w->zones_out[i] = w->zones_out[--w->zone_count];
-      return;
+      return true;
     }
-  if (out && w->zone_count < WORKFLOW_MAX_ZONES)
-    w->zones_out[w->zone_count++] = xstrdup (zone);
+  if (!out)
+    return true;
+  if (w->zone_count == WORKFLOW_MAX_ZONES)
+    return false;
+  w->zones_out[w->zone_count++] = xstrdup (zone);
+  return true;
 }
 
 /* ACCOUNT: name, "" for none.  */
@@ -402,7 +406,8 @@
                        &c->workflow_command_u.accounts.accounts, r);
       break;
     case WORKFLOW_ZONE:
-      workflow_set_zone (w, c->workflow_command_u.zone.zone, c->workflow_command_u.zone.out);
+      if (!workflow_set_zone (w, c->workflow_command_u.zone.zone, c->workflow_command_u.zone.out))
+        r->status = STATUS_TOO_LARGE;
       break;
     case WORKFLOW_SUBMIT:
       apply_submit (w, &c->workflow_command_u.spec, "", r);
--- a/tests/test_workflow.c
+++ b/tests/test_workflow.c
@@ -98,6 +98,34 @@
   assert_false (fixture_submit (f, WORKFLOW_MAX_WITHDRAWN + 3, 1, 1, 0));
 }
 
+/* Guards against an operator who is told that a zone is out while work starts there: a zone beyond
+   the limit was acknowledged and forgotten.  */
+static void
+test_zones_out_beyond_the_limit_are_refused (void **state)
+{
+  struct fixture *f = *state;
+  char name[16];
+  workflow_command c = { .kind = WORKFLOW_ZONE };
+  c.workflow_command_u.zone = (workflow_zone_change){ .zone = name, .out = true };
+  for (int i = 0; i < WORKFLOW_MAX_ZONES; i++)
+    {
+      snprintf (name, sizeof name, "z%d", i);
+      assert_true (fixture_change (f, &c));
+    }
+  assert_true (fixture_change (f, &c)); /* it is out */
+  snprintf (name, sizeof name, "one more");
+  assert_false (fixture_change (f, &c));
+  assert_false (workflow_zone_is_out (&f->workflow, name));
+  c.workflow_command_u.zone.out = false;
+  assert_true (fixture_change (f, &c));
+  snprintf (name, sizeof name, "z%d", 5);
+  assert_true (fixture_change (f, &c));
+  snprintf (name, sizeof name, "one more");
+  c.workflow_command_u.zone.out = true;
+  assert_true (fixture_change (f, &c));
+  assert_true (workflow_zone_is_out (&f->workflow, name));
+}
+
 /* A run marked as lapsed turns out to be DONE: its task must not run again.  */
 static void
 test_late_end_completes_the_task (void **state)
@@ -546,6 +574,7 @@
                                       TEST (test_task_is_executed_once),
                                       TEST (test_submission_after_its_cancel_is_refused),
                                       TEST (test_withdrawn_ids_are_bounded),
+                                      TEST (test_zones_out_beyond_the_limit_are_refused),
                                       TEST (test_late_end_completes_the_task),
                                       TEST (test_cancelled_job_is_not_reopened),
                                       TEST (test_lasting_task_restarts_after_any_outcome),
