--- a/bench/log_commit.c
+++ b/bench/log_commit.c
@@ -46,11 +46,12 @@
   ((struct null_machine *)m)->applied++;
 }
 
-static void
+static bool
 save (struct machine *m, struct buffer *out)
 {
   struct null_machine *n = (struct null_machine *)m;
   buffer_append (out, &n->applied, sizeof n->applied);
+  return true;
 }
 
 static int
--- a/bench/log_restart.c
+++ b/bench/log_restart.c
@@ -33,10 +33,11 @@
   memcpy (t->values[index % KEYS], command, len < VALUE_BYTES ? len : VALUE_BYTES);
 }
 
-static void
+static bool
 save (struct machine *m, struct buffer *out)
 {
   buffer_append (out, ((struct table *)m)->values, sizeof table.values);
+  return true;
 }
 
 static int
--- a/src/cell/cell_internal.h
+++ b/src/cell/cell_internal.h
@@ -60,7 +60,7 @@
 struct cell_handoff *cell_find_handoff (const struct cell *c, uint64_t task);
 
 /* Snapshot.  */
-void cell_save (struct machine *m, struct buffer *out);
+bool cell_save (struct machine *m, struct buffer *out);
 int cell_load (struct machine *m, const void *data, size_t len, struct status *st);
 
 #endif
--- a/src/cell/cell_snapshot.c
+++ b/src/cell/cell_snapshot.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "cell_internal.h"
+#include "xdr_append.h"
 
 #define IMAGE_FORMAT 1
 
@@ -123,7 +124,7 @@
   free (image->handoffs.handoffs_val);
 }
 
-void
+bool
 cell_save (struct machine *m, struct buffer *out)
 {
   const struct cell *c = (const struct cell *)m;
@@ -137,15 +138,9 @@
   save_jobs (c, &image);
   save_intents (c, &image);
   save_handoffs (c, &image);
-  size_t size = xdr_sizeof ((xdrproc_t)xdr_cell_image, &image);
-  XDR xdr;
-  buffer_reserve (out, size);
-  xdrmem_create (&xdr, out->data + out->len, (u_int)size, XDR_ENCODE);
-  if (!xdr_cell_image (&xdr, &image))
-    abort ();
-  out->len += size;
-  out->data[out->len] = '\0';
+  bool ok = xdr_append (out, (xdrproc_t)xdr_cell_image, &image);
   free_saved (&image);
+  return ok;
 }
 
 static void
--- a/src/log/group_apply.c
+++ b/src/log/group_apply.c
@@ -16,6 +16,10 @@
 static struct counter commits
     = { .name = "sassafras_log_commits_total", .help = "Commands applied by groups." };
 
+static struct counter unencodable
+    = { .name = "sassafras_log_snapshots_unencodable_total",
+        .help = "Snapshots that were not taken because a part of the state is over its limit." };
+
 static void
 finish_proposal (struct group *g, uint64_t index)
 {
@@ -89,7 +93,11 @@
   struct raft_snapshot snapshot = { .index = g->applied };
   struct buffer data;
   buffer_init (&data);
-  g->config.machine->ops->save (g->config.machine, &data);
+  if (!g->config.machine->ops->save (g->config.machine, &data))
+    {
+      buffer_close (&data);
+      return status_set (st, STATUS_TOO_LARGE, "the state cannot be encoded");
+    }
   snapshot.term = raft_entry_term (g->raft, g->applied);
   snapshot.bytes = data.len;
   raft_members_at (g->raft, g->applied, &snapshot.members);
@@ -110,6 +118,16 @@
   return rc;
 }
 
+/* Without a snapshot the log has everything that the state has.  */
+static void
+keep_log (struct group *g, uint64_t size, const struct status *st)
+{
+  counter_add (&unencodable, 1);
+  log_line (LOG_ERROR, "group %s: no snapshot at index %llu, %llu bytes of log: %s", g->config.name,
+            (unsigned long long)g->applied, (unsigned long long)size, st->message);
+  g->retry_log_bytes = size + g->config.snapshot_log_bytes;
+}
+
 void
 group_maybe_snapshot (struct group *g)
 {
@@ -122,8 +140,13 @@
   if (size < g->store->log_bytes)
     size = g->store->log_bytes;
   struct status st;
-  if (size > limit && g->applied > g->snapshot_index && !raft_has_unwritten (g->raft)
-      && group_save_state (g, &st))
+  if (size <= limit || size <= g->retry_log_bytes || g->applied <= g->snapshot_index
+      || raft_has_unwritten (g->raft))
+    return;
+  int rc = group_save_state (g, &st);
+  if (rc < 0 && st.kind == STATUS_TOO_LARGE)
+    keep_log (g, size, &st);
+  else if (rc < 0)
     group_fail (g, &st);
 }
 
--- a/src/log/group_internal.h
+++ b/src/log/group_internal.h
@@ -27,6 +27,7 @@
   uint64_t applied;
   uint64_t snapshot_index;
   uint64_t snapshot_bytes;
+  uint64_t retry_log_bytes; /* no snapshot before the log is so long: the last try failed */
   uint64_t proposals;
   uint64_t pending;
   struct group_waiters proposed; /* by index */
--- a/src/log/machine.h
+++ b/src/log/machine.h
@@ -6,6 +6,7 @@
 #ifndef SASSAFRAS_MACHINE_H
 #define SASSAFRAS_MACHINE_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -19,8 +20,9 @@
   /* Applies the command at INDEX (encoded by XDR) and appends the encoded result to RESULT.  */
   void (*apply) (struct machine *m, uint64_t index, const void *command, size_t len,
                  struct buffer *result);
-  /* Appends the whole state to OUT, for a snapshot.  */
-  void (*save) (struct machine *m, struct buffer *out);
+  /* Appends the whole state to OUT, for a snapshot; false: a part of it is over the limits of its
+     encoding, and OUT is without use.  */
+  bool (*save) (struct machine *m, struct buffer *out);
   /* Replaces the whole state by a snapshot; -1 when it cannot be decoded.  */
   int (*load) (struct machine *m, const void *data, size_t len, struct status *st);
 };
--- a/src/registry/registry.c
+++ b/src/registry/registry.c
@@ -9,6 +9,7 @@
 #include "counters.h"
 #include "log.h"
 #include "registry_state.h"
+#include "xdr_append.h"
 
 #define ALL_CHANGES                                                                                \
   (REGISTRY_CHANGED_LISTS | REGISTRY_CHANGED_DATA_CENTRES | REGISTRY_CHANGED_MEMBERS)
@@ -226,30 +227,20 @@
 }
 
 /* Encodes the state; the snapshot holds the answers as an array, oldest first.  */
-static void
+static bool
 registry_save (struct machine *m, struct buffer *out)
 {
   struct registry *r = (struct registry *)m;
   registry_snapshot s = r->state;
-  XDR xdrs;
   s.plans = (char *)text_or_empty (s.plans);
   s.customers = (char *)text_or_empty (s.customers);
   s.answers.answers_len = (unsigned)r->answers.count;
   s.answers.answers_val = xcalloc (r->answers.count, sizeof *s.answers.answers_val);
   for (size_t i = 0; i < r->answers.count; i++)
     s.answers.answers_val[i] = r->answers.items[(r->answers.first + i) % REGISTRY_MAX_ANSWERS];
-  size_t size = xdr_sizeof ((xdrproc_t)xdr_registry_snapshot, &s);
-  buffer_reserve (out, size);
-  xdrmem_create (&xdrs, out->data + out->len, (unsigned)size, XDR_ENCODE);
-  if (xdr_registry_snapshot (&xdrs, &s))
-    {
-      out->len += xdr_getpos (&xdrs);
-      out->data[out->len] = '\0';
-    }
-  else
-    log_line (LOG_ERROR, "the registry snapshot cannot be encoded");
-  xdr_destroy (&xdrs);
+  bool ok = xdr_append (out, (xdrproc_t)xdr_registry_snapshot, &s);
   free (s.answers.answers_val);
+  return ok;
 }
 
 static int
--- a/src/workflow/workflow_service.c
+++ b/src/workflow/workflow_service.c
@@ -67,6 +67,7 @@
   struct group *group;
   LIST_HEAD (, pending_change) changes; /* whose outcome is pending */
   uint64_t submitted_bytes;             /* of their jobs */
+  uint64_t submissions;                 /* among them */
   struct proposals outcomes;            /* queued: the dispatcher is not reentrant */
   bool leading;
   bool stopping;
@@ -341,6 +342,7 @@
   histogram_add (&change_times, (double)(clock_now_ms (c->service->config.clock) - c->began_ms));
   LIST_REMOVE (c, link);
   c->service->submitted_bytes -= c->job_bytes;
+  c->service->submissions -= c->job_bytes > 0;
   c->done (c->arg, &outcome, r.known);
   free (c);
 }
@@ -372,6 +374,7 @@
       c->submitted_job = spec->id;
       c->job_bytes = workflow_job_bytes (spec);
       s->submitted_bytes += c->job_bytes;
+      s->submissions++;
     }
   LIST_INSERT_HEAD (&s->changes, c, link);
   buffer_init (&entry);
@@ -396,6 +399,8 @@
 workflow_service_has_room (const struct workflow_service *s, const workflow_spec *spec)
 {
   uint64_t limit = s->config.max_job_bytes;
+  if (s->workflow.jobs.count + s->submissions >= WORKFLOW_MAX_JOBS)
+    return false;
   return limit == 0
          || s->workflow.job_bytes + s->workflow.checkpoint_bytes + s->submitted_bytes
                     + workflow_job_bytes (spec)
--- a/src/workflow/workflow_snapshot.c
+++ b/src/workflow/workflow_snapshot.c
@@ -7,19 +7,6 @@
 
 static char empty_string[] = "";
 
-/* Appends IMAGE, which PROC encodes.  */
-static void
-append_section (struct buffer *out, xdrproc_t proc, void *image)
-{
-  XDR xdr;
-  u_int size = (u_int)xdr_sizeof (proc, image);
-  buffer_reserve (out, size);
-  xdrmem_create (&xdr, out->data + out->len, size, XDR_ENCODE);
-  proc (&xdr, image);
-  xdr_destroy (&xdr);
-  out->len += size;
-}
-
 static uint32_t
 task_count (const struct workflow_job *j)
 {
@@ -98,18 +85,19 @@
 }
 
 /* Blame is rare, so it follows the image as a list of its own.  */
-static void
+static bool
 save_blames (const struct workflow *w, struct buffer *out)
 {
   workflow_blame_image image = { .blames.blames_len = 0 };
   const struct workflow_job *j;
   TAILQ_FOREACH (j, &w->open, link)
   add_blames (j, &image);
-  append_section (out, (xdrproc_t)xdr_workflow_blame_image, &image);
+  bool ok = xdr_append (out, (xdrproc_t)xdr_workflow_blame_image, &image);
   free (image.blames.blames_val);
+  return ok;
 }
 
-static void
+static bool
 save_withdrawn (const struct workflow *w, struct buffer *out)
 {
   workflow_withdrawn_image image = { .ids.ids_len = 0 };
@@ -117,11 +105,12 @@
   image.ids.ids_val = xcalloc (w->withdrawn.map.count + 1, sizeof *image.ids.ids_val);
   STAILQ_FOREACH (id, &w->withdrawn.list, link)
   image.ids.ids_val[image.ids.ids_len++] = id->id;
-  append_section (out, (xdrproc_t)xdr_workflow_withdrawn_image, &image);
+  bool ok = xdr_append (out, (xdrproc_t)xdr_workflow_withdrawn_image, &image);
   free (image.ids.ids_val);
+  return ok;
 }
 
-static void
+static bool
 save_origins (const struct workflow *w, struct buffer *out)
 {
   workflow_origin_image image = { .origins.origins_len = 0 };
@@ -133,8 +122,9 @@
   TAILQ_FOREACH (j, &w->finished, link)
   image.origins.origins_val[image.origins.origins_len++]
       = (workflow_origin){ .host = j->origin->host, .path_prefix = j->origin->path_prefix };
-  append_section (out, (xdrproc_t)xdr_workflow_origin_image, &image);
+  bool ok = xdr_append (out, (xdrproc_t)xdr_workflow_origin_image, &image);
   free (image.origins.origins_val);
+  return ok;
 }
 
 static bool
@@ -148,23 +138,24 @@
 }
 
 /* Without accounts the snapshot ends as that of an earlier build.  */
-static void
+static bool
 save_accounts (const struct workflow *w, struct buffer *out)
 {
   workflow_account_image image = { .accounts = w->accounts.definition };
   const struct workflow_job *j;
   if (!w->accounts.definition && !has_owners (w))
-    return;
+    return true;
   image.owners.owners_val = xcalloc (w->jobs.count + 1, sizeof (workflow_name));
   TAILQ_FOREACH (j, &w->open, link)
   image.owners.owners_val[image.owners.owners_len++] = j->account ? j->account->name : empty_string;
   TAILQ_FOREACH (j, &w->finished, link)
   image.owners.owners_val[image.owners.owners_len++] = j->account ? j->account->name : empty_string;
-  append_section (out, (xdrproc_t)xdr_workflow_account_image, &image);
+  bool ok = xdr_append (out, (xdrproc_t)xdr_workflow_account_image, &image);
   free (image.owners.owners_val);
+  return ok;
 }
 
-void
+bool
 workflow_save (struct machine *m, struct buffer *out)
 {
   struct workflow *w = (struct workflow *)m;
@@ -177,14 +168,12 @@
   save_job (j, &image.jobs.jobs_val[image.jobs.jobs_len++]);
   TAILQ_FOREACH (j, &w->finished, link)
   save_job (j, &image.jobs.jobs_val[image.jobs.jobs_len++]);
-  append_section (out, (xdrproc_t)xdr_workflow_image, &image);
+  bool ok = xdr_append (out, (xdrproc_t)xdr_workflow_image, &image);
   for (u_int i = 0; i < image.jobs.jobs_len; i++)
     free_job_image (&image.jobs.jobs_val[i]);
   free (image.jobs.jobs_val);
-  save_blames (w, out);
-  save_withdrawn (w, out);
-  save_origins (w, out);
-  save_accounts (w, out);
+  return ok && save_blames (w, out) && save_withdrawn (w, out) && save_origins (w, out)
+         && save_accounts (w, out);
 }
 
 static void
--- a/tests/log_sim.h
+++ b/tests/log_sim.h
@@ -73,7 +73,8 @@
   uint64_t snapshot_log_bytes;
   uint32_t append_bytes;
   uint32_t chunk_bytes;
-  uint32_t state_bytes; /* padding of a snapshot */
+  uint32_t state_bytes;   /* padding of a snapshot */
+  bool unencodable_state; /* no snapshot can be taken */
   int64_t step_ms;
   int64_t authority_ms; /* of a leader, from the start of a confirmed read; 0: not checked */
 };
--- a/tests/log_sim_client.c
+++ b/tests/log_sim_client.c
@@ -58,7 +58,7 @@
   buffer_append (result, &m->state_hash, sizeof m->state_hash);
 }
 
-static void
+static bool
 machine_save (struct machine *machine, struct buffer *out)
 {
   struct sim_machine *m = (struct sim_machine *)machine;
@@ -66,6 +66,7 @@
   buffer_append (out, state, sizeof state);
   for (uint32_t i = 0; i < m->sim->config.state_bytes; i += 8)
     buffer_append (out, &m->state_hash, 8);
+  return !m->sim->config.unencodable_state;
 }
 
 static int
--- a/tests/test_checkpoints.c
+++ b/tests/test_checkpoints.c
@@ -293,25 +293,19 @@
   free (text);
 }
 
+#define TEST(name) cmocka_unit_test_setup_teardown (name, fixture_open, fixture_close)
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = {
-    cmocka_unit_test_setup_teardown (test_a_long_checkpoint_does_not_hold_back_ends, fixture_open,
-                                     fixture_close),
-    cmocka_unit_test_setup_teardown (test_a_long_checkpoint_of_a_run_does_not_hold_back_its_end,
-                                     fixture_open, fixture_close),
-    cmocka_unit_test_setup_teardown (test_a_checkpoint_is_kept_whole_or_not_at_all, fixture_open,
-                                     fixture_close),
-    cmocka_unit_test_setup_teardown (test_checkpoints_are_kept_within_their_memory, fixture_open,
-                                     fixture_close),
-    cmocka_unit_test_setup_teardown (test_a_refused_end_is_proposed_without_its_checkpoint,
-                                     fixture_open, fixture_close),
-    cmocka_unit_test_setup_teardown (test_a_lost_end_is_proposed_with_its_checkpoint, fixture_open,
-                                     fixture_close),
-    cmocka_unit_test_setup_teardown (test_long_checkpoints_survive_a_snapshot, fixture_open,
-                                     fixture_close),
-    cmocka_unit_test (test_a_command_over_its_limits_is_not_encoded),
-  };
+  const struct CMUnitTest tests[]
+      = { TEST (test_a_long_checkpoint_does_not_hold_back_ends),
+          TEST (test_a_long_checkpoint_of_a_run_does_not_hold_back_its_end),
+          TEST (test_a_checkpoint_is_kept_whole_or_not_at_all),
+          TEST (test_checkpoints_are_kept_within_their_memory),
+          TEST (test_a_refused_end_is_proposed_without_its_checkpoint),
+          TEST (test_a_lost_end_is_proposed_with_its_checkpoint),
+          TEST (test_long_checkpoints_survive_a_snapshot),
+          cmocka_unit_test (test_a_command_over_its_limits_is_not_encoded) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -1076,6 +1076,36 @@
   assert_no_violation (s);
 }
 
+/* Guards against a group that loses its state with a restart, or stops, because a snapshot can't be
+   encoded: the log is kept instead, and a later snapshot is taken.  */
+static void
+test_a_state_that_cannot_be_encoded_stays_in_the_log (void **state)
+{
+  struct sim s;
+  struct sim_config c = make_config (3, 0);
+  (void)state;
+  c.snapshot_log_bytes = 20000;
+  c.unencodable_state = true;
+  sim_init (&s, &c);
+  start_all (&s);
+  assert_non_null (wait_leader (&s, 5000));
+  propose_for_snapshot (&s, sim_leader (&s));
+  for (int i = 0; i < s.nodes_len; i++)
+    {
+      assert_false (group_has_failed (s.nodes[i].group));
+      assert_int_equal (s.nodes[i].group->snapshot_index, 0);
+      sim_crash (&s, &s.nodes[i], 500);
+    }
+  sim_run_ms (&s, 5000);
+  struct sim_node *leader = wait_leader (&s, 5000);
+  assert_non_null (leader);
+  s.config.unencodable_state = false;
+  propose_for_snapshot (&s, leader);
+  assert_true (leader->group->snapshot_index > 0);
+  assert_no_violation (&s);
+  sim_close (&s);
+}
+
 /* Guards against a leader that goes on in the middle of a snapshot whose first part is gone.  */
 static void
 test_a_member_restarts_half_way_through_a_snapshot (void **state)
@@ -1260,6 +1290,7 @@
           cmocka_unit_test (test_transfer_and_confirm),
           cmocka_unit_test (test_idle_traffic),
           cmocka_unit_test (test_snapshot_does_not_delay_heartbeats),
+          cmocka_unit_test (test_a_state_that_cannot_be_encoded_stays_in_the_log),
           cmocka_unit_test (test_a_member_restarts_half_way_through_a_snapshot),
           cmocka_unit_test (test_the_leader_changes_half_way_through_a_snapshot),
           cmocka_unit_test (test_a_newer_snapshot_half_way_through_a_snapshot),
--- a/tests/test_workflow_service.c
+++ b/tests/test_workflow_service.c
@@ -227,6 +227,50 @@
   close_vm (&v);
 }
 
+/* Guards against a state that no snapshot can hold, where all jobs would be lost with a restart. */
+static void
+test_jobs_beyond_the_limit_of_a_snapshot_have_no_room (void **state)
+{
+  static struct worker_link link;
+  const struct workflow_service_config config = { .clock = clock_real (), .link = &link };
+  workflow_command c = submission ();
+  struct buffer entry;
+  struct buffer out;
+  (void)state;
+  buffer_init (&entry);
+  buffer_init (&out);
+  struct workflow_service *s = workflow_service_open (&config);
+  struct workflow *w = workflow_service_state (s);
+  struct machine *m = workflow_service_machine (s);
+  w->configuration.queues.queues_val = xcalloc (1, sizeof (workflow_queue));
+  w->configuration.queues.queues_len = 1;
+  w->configuration.queues.queues_val[0] = (workflow_queue){ .name = xstrdup ("queue"),
+                                                            .host = xstrdup ("host"),
+                                                            .path_prefix = xstrdup ("/q/"),
+                                                            .pool = xstrdup ("pool") };
+  for (uint64_t id = 1; id <= WORKFLOW_MAX_JOBS; id++)
+    {
+      if (id == WORKFLOW_MAX_JOBS)
+        assert_true (workflow_service_has_room (s, &c.workflow_command_u.spec));
+      c.workflow_command_u.spec.id = id;
+      entry.len = out.len = 0;
+      assert_true (workflow_encode (&c, &entry));
+      m->ops->apply (m, id, entry.data, entry.len, &out);
+    }
+  assert_int_equal (w->jobs.count, WORKFLOW_MAX_JOBS);
+  assert_false (workflow_service_has_room (s, &c.workflow_command_u.spec));
+  out.len = 0;
+  assert_true (m->ops->save (m, &out));
+  c.workflow_command_u.spec.id = WORKFLOW_MAX_JOBS + 1;
+  entry.len = 0;
+  assert_true (workflow_encode (&c, &entry));
+  m->ops->apply (m, 1, entry.data, entry.len, &out);
+  assert_false (m->ops->save (m, &out));
+  workflow_service_close (s);
+  buffer_close (&entry);
+  buffer_close (&out);
+}
+
 /* The service of the leader of a simulated group whose voters are in other regions.  */
 struct distant_leader
 {
@@ -332,6 +376,7 @@
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_uncommitted_submission_is_reported),
           cmocka_unit_test (test_submissions_beyond_the_memory_for_jobs_have_no_room),
+          cmocka_unit_test (test_jobs_beyond_the_limit_of_a_snapshot_have_no_room),
           cmocka_unit_test (test_service_leads_after_a_transfer_that_nobody_takes_up) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
