Commit a worker's drain and departure before they are acknowledged

Cause: only the leader that heard the drain knew of it, and of the worker's address. The next one took the departure for that of an earlier incarnation and waited for the longest lease from its own election on.

Change: WORKFLOW_DRAIN records the drain of a worker with runs, and its departure, in the log; both are acknowledged after the commit, or with 503 after 400 ms without one. A new leader takes address, incarnation and state from the records, calls these workers at once, and knows when the last long lease was granted. A placement on the worker deletes the record, since only the next incarnation gets one.

--- a/src/gen/workflow_proto.h
+++ b/src/gen/workflow_proto.h
@@ -27,6 +27,7 @@
 #define WORKFLOW_MAX_PRUNE 4096
 #define WORKFLOW_MAX_BLAMES 200000
 #define WORKFLOW_MAX_WITHDRAWN 8192
+#define WORKFLOW_MAX_DRAINING 16384
 #define WORKFLOW_MAX_ACCOUNTS 16384
 #define WORKFLOW_MAX_KEYS 256
 #define WORKFLOW_SNAPSHOT_FORMAT 1
@@ -216,6 +217,17 @@
   };
   typedef struct workflow_end workflow_end;
 
+  struct workflow_drain
+  {
+    workflow_name worker;
+    quad_t born_ms;
+    workflow_name address;
+    workflow_name zone;
+    workflow_name pool;
+    bool_t left;
+  };
+  typedef struct workflow_drain workflow_drain;
+
   enum workflow_command_kind
   {
     WORKFLOW_CONFIGURE = 1,
@@ -227,6 +239,7 @@
     WORKFLOW_PRUNE = 7,
     WORKFLOW_CONFIGURE_ACCOUNTS = 8,
     WORKFLOW_SUBMIT_AS = 9,
+    WORKFLOW_DRAIN = 10,
   };
   typedef enum workflow_command_kind workflow_command_kind;
 
@@ -248,6 +261,7 @@
       } prune;
       workflow_account_configuration accounts;
       workflow_account_submission submission;
+      workflow_drain drain;
     } workflow_command_u;
   };
   typedef struct workflow_command workflow_command;
@@ -366,6 +380,16 @@
   };
   typedef struct workflow_account_image workflow_account_image;
 
+  struct workflow_drain_image
+  {
+    struct
+    {
+      u_int drains_len;
+      workflow_drain *drains_val;
+    } drains;
+  };
+  typedef struct workflow_drain_image workflow_drain_image;
+
   /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -385,6 +409,7 @@
   extern bool_t xdr_workflow_place (XDR *, workflow_place *);
   extern bool_t xdr_workflow_outcome (XDR *, workflow_outcome *);
   extern bool_t xdr_workflow_end (XDR *, workflow_end *);
+  extern bool_t xdr_workflow_drain (XDR *, workflow_drain *);
   extern bool_t xdr_workflow_command_kind (XDR *, workflow_command_kind *);
   extern bool_t xdr_workflow_command (XDR *, workflow_command *);
   extern bool_t xdr_workflow_result (XDR *, workflow_result *);
@@ -398,6 +423,7 @@
   extern bool_t xdr_workflow_origin (XDR *, workflow_origin *);
   extern bool_t xdr_workflow_origin_image (XDR *, workflow_origin_image *);
   extern bool_t xdr_workflow_account_image (XDR *, workflow_account_image *);
+  extern bool_t xdr_workflow_drain_image (XDR *, workflow_drain_image *);
 
 #else /* K&R C */
 extern bool_t xdr_workflow_name ();
@@ -416,6 +442,7 @@
 extern bool_t xdr_workflow_place ();
 extern bool_t xdr_workflow_outcome ();
 extern bool_t xdr_workflow_end ();
+extern bool_t xdr_workflow_drain ();
 extern bool_t xdr_workflow_command_kind ();
 extern bool_t xdr_workflow_command ();
 extern bool_t xdr_workflow_result ();
@@ -429,6 +456,7 @@
 extern bool_t xdr_workflow_origin ();
 extern bool_t xdr_workflow_origin_image ();
 extern bool_t xdr_workflow_account_image ();
+extern bool_t xdr_workflow_drain_image ();
 
 #endif /* K&R C */
 
--- a/src/gen/workflow_proto.x
+++ b/src/gen/workflow_proto.x
@@ -15,6 +15,7 @@
 const WORKFLOW_MAX_PRUNE = 4096;
 const WORKFLOW_MAX_BLAMES = 200000;     /* in a snapshot */
 const WORKFLOW_MAX_WITHDRAWN = 8192;    /* in a snapshot */
+const WORKFLOW_MAX_DRAINING = 16384;
 const WORKFLOW_MAX_ACCOUNTS = 16384;
 const WORKFLOW_MAX_KEYS = 256;          /* of one account */
 const WORKFLOW_SNAPSHOT_FORMAT = 1;
@@ -159,6 +160,17 @@
   workflow_checkpoint checkpoint;       /* "": keeps the previous one */
 };
 
+/* A worker with runs that drains; replaces what was known of it.  */
+struct workflow_drain
+{
+  workflow_name worker;
+  hyper born_ms;                        /* of its incarnation */
+  workflow_name address;
+  workflow_name zone;
+  workflow_name pool;
+  bool left;                            /* it has said that it ends */
+};
+
 enum workflow_command_kind
 {
   WORKFLOW_CONFIGURE = 1,
@@ -169,7 +181,8 @@
   WORKFLOW_END = 6,
   WORKFLOW_PRUNE = 7,
   WORKFLOW_CONFIGURE_ACCOUNTS = 8,      /* as CONFIGURE, with client accounts */
-  WORKFLOW_SUBMIT_AS = 9                /* as SUBMIT, for a client account */
+  WORKFLOW_SUBMIT_AS = 9,               /* as SUBMIT, for a client account */
+  WORKFLOW_DRAIN = 10
 };
 
 union workflow_command switch (workflow_command_kind kind)
@@ -192,6 +205,8 @@
   workflow_account_configuration accounts;
 case WORKFLOW_SUBMIT_AS:
   workflow_account_submission submission;
+case WORKFLOW_DRAIN:
+  workflow_drain drain;
 };
 
 /* Result of a command: a status kind and, for SUBMIT, whether the job already existed.  */
@@ -265,10 +280,17 @@
   workflow_origin origins<WORKFLOW_MAX_JOBS>;
 };
 
-/* Follows the origins once client accounts have been in force; other snapshots, and those of earlier
-   builds, end without it.  One owner for each job, in the order of the jobs in the image.  */
+/* Follows the origins once client accounts have been in force or where workers drain; other snapshots,
+   and those of earlier builds, end without it.  One owner for each job, in the order of the jobs in the image.  */
 struct workflow_account_image
 {
   workflow_accounts *accounts;          /* NULL: none in force */
   workflow_name owners<WORKFLOW_MAX_JOBS>; /* names of accounts; "": none */
 };
+
+/* Follows the accounts where workers drain; other snapshots, and those of earlier builds, end without
+   it, and earlier builds ignore it.  */
+struct workflow_drain_image
+{
+  workflow_drain drains<WORKFLOW_MAX_DRAINING>; /* oldest first */
+};
--- a/src/gen/workflow_proto_xdr.c
+++ b/src/gen/workflow_proto_xdr.c
@@ -457,6 +457,26 @@
   return TRUE;
 }
 
+bool_t
+xdr_workflow_drain (XDR *xdrs, workflow_drain *objp)
+{
+  register int32_t *buf;
+
+  if (!xdr_workflow_name (xdrs, &objp->worker))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->born_ms))
+    return FALSE;
+  if (!xdr_workflow_name (xdrs, &objp->address))
+    return FALSE;
+  if (!xdr_workflow_name (xdrs, &objp->zone))
+    return FALSE;
+  if (!xdr_workflow_name (xdrs, &objp->pool))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->left))
+    return FALSE;
+  return TRUE;
+}
+
 bool_t
 xdr_workflow_command_kind (XDR *xdrs, workflow_command_kind *objp)
 {
@@ -514,6 +534,10 @@
       if (!xdr_workflow_account_submission (xdrs, &objp->workflow_command_u.submission))
         return FALSE;
       break;
+    case WORKFLOW_DRAIN:
+      if (!xdr_workflow_drain (xdrs, &objp->workflow_command_u.drain))
+        return FALSE;
+      break;
     default:
       return FALSE;
     }
@@ -727,3 +751,14 @@
     return FALSE;
   return TRUE;
 }
+
+bool_t
+xdr_workflow_drain_image (XDR *xdrs, workflow_drain_image *objp)
+{
+  register int32_t *buf;
+
+  if (!xdr_array (xdrs, (char **)&objp->drains.drains_val, (u_int *)&objp->drains.drains_len,
+                  WORKFLOW_MAX_DRAINING, sizeof (workflow_drain), (xdrproc_t)xdr_workflow_drain))
+    return FALSE;
+  return TRUE;
+}
--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -302,6 +302,17 @@
       request_stops (&j->stages[i].tasks[k]);
 }
 
+static void
+on_drained (void *arg, struct draining_worker *r)
+{
+  struct dispatcher *d = arg;
+  struct dispatch_worker *w = dispatch_find_worker (d, r->drain.worker);
+  if (r->seen_ms == 0)
+    r->seen_ms = clock_now_ms (d->config.clock);
+  if (w)
+    w->drain_token = 0;
+}
+
 struct dispatcher *
 dispatcher_new (const struct dispatcher_config *config)
 {
@@ -317,6 +328,7 @@
                                                            .ended = on_ended,
                                                            .done_late = on_done_late,
                                                            .job_ended = on_job_ended,
+                                                           .drained = on_drained,
                                                            .arg = d };
   return d;
 }
@@ -350,7 +362,10 @@
 {
   struct dispatch_worker *w = dispatch_find_worker (d, run->worker);
   if (!w)
-    w = dispatch_add_worker (d, run->worker);
+    {
+      w = dispatch_add_worker (d, run->worker);
+      dispatch_adopt_drain (d, w);
+    }
   struct dispatch_run *r = dispatch_add_run (d, w, run->task, run->run);
   r->run = run;
   r->state = DISPATCH_UNCERTAIN;
@@ -416,6 +431,9 @@
   if (outcome == PROPOSAL_APPLIED || !d->leading)
     return;
   TAILQ_FOREACH (w, &d->worker_list, link)
+  if (w->drain_token == token)
+    w->drain_token = 0;
+  TAILQ_FOREACH (w, &d->worker_list, link)
   TAILQ_FOREACH (r, &w->runs, link)
   {
     if (r->token != token)
--- a/src/workflow/dispatcher.h
+++ b/src/workflow/dispatcher.h
@@ -103,6 +103,9 @@
                        struct status *st); /* -1: stale, or STATUS_BAD_REQUEST: not of a worker. */
 void dispatcher_worker_left (struct dispatcher *d, int64_t now_ms,
                              const char *worker); /* Ended if its address refuses the next hold. */
+/* True while WORKER, which has runs, drains or has left, and the log does not say so yet: an
+   acknowledgement must wait, as a next leader would not know.  IS_PROPOSED: the commit is open.  */
+bool dispatcher_awaits_drain (const struct dispatcher *d, const char *worker, bool *is_proposed);
 void dispatcher_start_answer (struct dispatcher *d, int64_t now_ms, const char *worker,
                               const workflow_task_ref *task, uint32_t run,
                               enum worker_call_result result);
--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -345,6 +345,7 @@
   if (lists->mark > w->answered_mark)
     w->answered_mark = lists->mark;
   w->fenced = true;
+  w->named_incarnation = lists->born_ms > 0 && lists->born_ms == w->born_ms;
   w->last_hold_answered = true;
   dispatch_note_hold (d, w, WORKER_CALL_OK);
   process_running (d, w, lists);
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -148,10 +148,12 @@
   uint64_t sequence;
   int64_t gone_ms;
   int64_t reported_clock_ms; /* worker's time of its last report */
+  uint64_t drain_token;      /* of the open proposal that it drains; 0: none */
   int64_t left_ms;    /* departure while it drains, until a call shows whose it is; 0: none */
   uint64_t left_mark; /* holds with a higher mark were sent after it */
   uint32_t millicores, memory_mb, accelerators;
-  bool reported; /* this incarnation, to this leader */
+  bool reported;  /* this incarnation, to this leader */
+  bool described; /* capacity and labels are those of a report */
   bool draining;
   bool left_undrained; /* until its next report: the departure may be of an earlier incarnation */
   bool refuses;        /* its address refused a connection, and no hold was answered since */
@@ -174,6 +176,7 @@
   bool unreached;          /* a start found no connection since the last answer */
   bool was_unreached;      /* at any time: a helper may reach it where this VM doesn't */
   bool fenced;             /* has answered a hold of this leader */
+  bool named_incarnation;  /* and named the incarnation that it is */
   bool hold_now;           /* don't wait for hold_next_ms */
   bool last_hold_answered; /* the last hold was answered: ACKNOWLEDGED counts ends of this
                               incarnation */
@@ -314,6 +317,8 @@
 bool dispatch_update_incarnation (struct dispatcher *d, struct dispatch_worker *w,
                                   int64_t born_ms); /* True if W has restarted. */
 struct worker_address dispatch_address (const struct dispatch_worker *w); /* For an order. */
+void dispatch_adopt_drain (struct dispatcher *d,
+                           struct dispatch_worker *w); /* W was added with an inherited run. */
 void dispatch_tick_worker (struct dispatcher *d, struct dispatch_worker *w);
 bool dispatch_usable (const struct dispatcher *d, const struct dispatch_worker *w);
 bool dispatch_is_avoided (const struct dispatcher *d,
--- a/src/workflow/dispatcher_place.c
+++ b/src/workflow/dispatcher_place.c
@@ -429,7 +429,7 @@
       bool fits = false;
       TAILQ_FOREACH (w, &d->worker_list, link)
       {
-        bool counts = w->address && !w->gone && strcmp (w->pool, pool) == 0;
+        bool counts = w->described && !w->gone && strcmp (w->pool, pool) == 0;
         known += counts;
         fits = fits || (counts && could_run (w, &spec->steps.steps_val[i]));
       }
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -23,6 +23,47 @@
   return NULL;
 }
 
+/* The longest lease that was granted before FROM_MS and may still be valid ends then.  */
+static int64_t
+lease_end_after (int64_t from_ms, int64_t lease_ms)
+{
+  return from_ms + (int64_t)((double)lease_ms / MIN_CLOCK_RATE) + LEASE_MARGIN_MS;
+}
+
+static int64_t
+draining_lease_ms (const struct dispatcher *d)
+{
+  return d->config.lease_ms < DRAINING_LEASE_MS ? d->config.lease_ms : DRAINING_LEASE_MS;
+}
+
+/* The record in the log that this incarnation of W drains; NULL: none.  */
+static const struct draining_worker *
+recorded_drain (const struct dispatcher *d, const struct dispatch_worker *w)
+{
+  const struct draining_worker *r = draining_workers_find (&d->config.workflow->draining, w->id);
+  return r && w->born_ms > 0 && r->drain.born_ms == w->born_ms ? r : NULL;
+}
+
+/* Its earlier leaders granted short leases once the drain was in the log.  */
+void
+dispatch_adopt_drain (struct dispatcher *d, struct dispatch_worker *w)
+{
+  const struct draining_worker *r = draining_workers_find (&d->config.workflow->draining, w->id);
+  if (!r)
+    return;
+  w->address = xstrdup (r->drain.address);
+  w->zone = xstrdup (r->drain.zone);
+  w->pool = xstrdup (r->drain.pool);
+  w->born_ms = r->drain.born_ms;
+  w->draining = true;
+  w->left_ms = r->drain.left ? d->lead_ms : 0;
+  int64_t long_end_ms = lease_end_after (r->seen_ms, d->config.lease_ms);
+  int64_t short_end_ms = lease_end_after (d->lead_ms, draining_lease_ms (d));
+  w->lease_end_ms = long_end_ms > short_end_ms ? long_end_ms : short_end_ms;
+  log_event (LOG_INFO, "drain-adopted", "worker=%s address=%s born=%" PRId64 " lease_ms=%" PRId64,
+             w->id, w->address, w->born_ms, w->lease_end_ms - d->lead_ms);
+}
+
 struct dispatch_worker *
 dispatch_add_worker (struct dispatcher *d, const char *id)
 {
@@ -32,8 +73,7 @@
   w->fence = d->last_fence; /* the worker may have been known before, with any lower one */
   /* The previous leader could grant leases until its authority ended, which was before this
      leader's began.  */
-  w->lease_end_ms
-      = d->lead_ms + (int64_t)((double)d->config.lease_ms / MIN_CLOCK_RATE) + LEASE_MARGIN_MS;
+  w->lease_end_ms = lease_end_after (d->lead_ms, d->config.lease_ms);
   w->last_answer_ms = INT64_MIN / 2;
   TAILQ_INIT (&w->runs);
   STAILQ_INIT (&w->ends);
@@ -100,9 +140,7 @@
 {
   if (!w->clock_known)
     return 0;
-  int64_t lease_ms = d->config.lease_ms;
-  if (w->draining && lease_ms > DRAINING_LEASE_MS)
-    lease_ms = DRAINING_LEASE_MS;
+  int64_t lease_ms = w->draining ? draining_lease_ms (d) : d->config.lease_ms;
   int64_t deadline_ms = w->clock_ms + (d->now_ms - w->clock_at_ms) + lease_ms;
   if (deadline_ms > w->deadline_ms)
     w->deadline_ms = deadline_ms;
@@ -250,8 +288,9 @@
   w->deadline_ms = 0;
   w->listed_clock_ms = 0;
   w->fenced = false;
-  w->lease_end_ms
-      = d->now_ms + (int64_t)((double)d->config.lease_ms / MIN_CLOCK_RATE) + LEASE_MARGIN_MS;
+  w->named_incarnation = false;
+  w->drain_token = 0;
+  w->lease_end_ms = lease_end_after (d->now_ms, d->config.lease_ms);
   reset_acknowledgements (w);
   if (d->last_fence < d->first_fence + DISPATCHER_FENCES - 1)
     w->fence = ++d->last_fence;
@@ -367,6 +406,45 @@
   return 0;
 }
 
+/* W drains or has left, and the log does not say so.  */
+static bool
+needs_drain_record (const struct dispatcher *d, const struct dispatch_worker *w)
+{
+  if (!w->draining || w->gone || w->born_ms == 0 || TAILQ_EMPTY (&w->runs))
+    return false;
+  const struct draining_worker *r = recorded_drain (d, w);
+  return !r || (bool)r->drain.left != (w->left_ms > 0);
+}
+
+/* A late report of another incarnation may say that it drains: only one that answers under this
+   leader's fence is recorded.  */
+static void
+record_drain (struct dispatcher *d, struct dispatch_worker *w)
+{
+  if (w->drain_token > 0 || !needs_drain_record (d, w)
+      || (!w->named_incarnation && !recorded_drain (d, w)))
+    return;
+  workflow_command c = { .kind = WORKFLOW_DRAIN };
+  c.workflow_command_u.drain = (workflow_drain){ .worker = w->id,
+                                                 .born_ms = w->born_ms,
+                                                 .address = w->address,
+                                                 .zone = w->zone,
+                                                 .pool = w->pool,
+                                                 .left = w->left_ms > 0 };
+  w->drain_token = dispatch_propose (d, &c);
+}
+
+bool
+dispatcher_awaits_drain (const struct dispatcher *d, const char *worker, bool *is_proposed)
+{
+  const struct dispatch_worker *w = dispatch_find_worker (d, worker);
+  /* Once it is gone, the ends of its runs are proposed.  */
+  bool ends = w && w->draining && w->gone && !TAILQ_EMPTY (&w->runs);
+  bool awaits = ends || (w && needs_drain_record (d, w));
+  *is_proposed = ends || (awaits && w->drain_token > 0);
+  return awaits;
+}
+
 int
 dispatcher_report (struct dispatcher *d, int64_t now_ms, const struct worker_report *r,
                    struct status *st)
@@ -399,13 +477,16 @@
   w->gone = false;
   w->left_undrained = false;
   w->reported = true;
+  w->described = true;
   w->reported_clock_ms = r->clock_ms;
-  w->draining = r->draining;
+  /* An earlier report may come late, to a leader that knows only from the log that W drains.  */
+  w->draining = r->draining || recorded_drain (d, w);
   w->sequence = r->sequence;
   w->millicores = r->millicores;
   w->memory_mb = r->memory_mb;
   w->accelerators = r->accelerators;
   dispatch_update_clock (d, w, r->clock_ms);
+  record_drain (d, w);
   return 0;
 }
 
@@ -434,6 +515,7 @@
       w->left_ms = now_ms;
       w->left_mark = d->mark;
       confirm_departure (d, w);
+      record_drain (d, w);
       return;
     }
   /* An incarnation drains before it leaves.  */
@@ -579,6 +661,7 @@
     }
   if (w->gone)
     return;
+  record_drain (d, w);
   if (!w->address)
     {
       if (idle)
--- a/src/workflow/workflow.h
+++ b/src/workflow/workflow.h
@@ -45,6 +45,7 @@
 #include "accounts.h"
 #include "cell_map.h"
 #include "crash_blame.h"
+#include "draining_workers.h"
 #include "job_origin.h"
 #include "machine.h"
 #include "withdrawn_ids.h"
@@ -148,6 +149,7 @@
   void (*done_late) (void *arg, struct workflow_task *t);
   /* The job is no longer open, or is pruned and about to be freed.  */
   void (*job_ended) (void *arg, struct workflow_job *job);
+  void (*drained) (void *arg, struct draining_worker *w); /* Was added. */
   void *arg;
 };
 
@@ -162,6 +164,7 @@
   uint64_t checkpoint_bytes; /* of all tasks */
   struct job_origins origins;
   struct withdrawn_ids withdrawn;
+  struct draining_workers draining;
   struct accounts accounts;
   struct workflow_jobs open;     /* in submission order */
   struct workflow_jobs finished; /* in the order in which they ended */
--- a/src/workflow/workflow_apply.c
+++ b/src/workflow/workflow_apply.c
@@ -297,6 +297,7 @@
       r->status = STATUS_STALE_EPOCH;
       return;
     }
+  draining_workers_remove (&w->draining, p->worker);
   t->last_run = p->run;
   t->state = WORKFLOW_TASK_PLACED;
   t->job->started++;
@@ -393,6 +394,14 @@
     }
 }
 
+void
+workflow_add_drain (struct workflow *w, workflow_drain *drain)
+{
+  struct draining_worker *added = draining_workers_add (&w->draining, drain);
+  if (added && w->observer.drained)
+    w->observer.drained (w->observer.arg, added);
+}
+
 static void
 apply_command (struct workflow *w, workflow_command *c, workflow_result *r)
 {
@@ -425,6 +434,9 @@
     case WORKFLOW_END:
       apply_end (w, &c->workflow_command_u.end, r);
       break;
+    case WORKFLOW_DRAIN:
+      workflow_add_drain (w, &c->workflow_command_u.drain);
+      break;
     case WORKFLOW_PRUNE:
       apply_prune (w, c->workflow_command_u.prune.prune_val, c->workflow_command_u.prune.prune_len);
       break;
@@ -471,6 +483,7 @@
   w->machine.ops = &ops;
   cell_map_init (&w->jobs);
   withdrawn_ids_init (&w->withdrawn);
+  draining_workers_init (&w->draining);
   accounts_init (&w->accounts, draw_seed ());
   LIST_INIT (&w->origins);
   TAILQ_INIT (&w->open);
@@ -608,6 +621,7 @@
   while (w->zone_count > 0)
     free (w->zones_out[--w->zone_count]);
   withdrawn_ids_clear (&w->withdrawn);
+  draining_workers_clear (&w->draining);
   accounts_configure (&w->accounts, NULL);
   xdr_free ((xdrproc_t)xdr_workflow_configuration, (char *)&w->configuration);
   memset (&w->configuration, 0, sizeof w->configuration);
@@ -618,6 +632,7 @@
 {
   workflow_free_all (w);
   withdrawn_ids_close (&w->withdrawn);
+  draining_workers_close (&w->draining);
   accounts_close (&w->accounts);
   cell_map_close (&w->jobs);
 }
--- a/src/workflow/workflow_service.c
+++ b/src/workflow/workflow_service.c
@@ -11,6 +11,7 @@
 #define ROUND_INTERVAL_MS 300 /* quorum rounds of a leader; three per AUTHORITY_MS */
 /* Voters elect no other leader for 1.3 s (election_min_ms) after a round began; less 200 ms.  */
 #define AUTHORITY_MS 1100
+#define DRAIN_WAIT_MS 400       /* for its commit; below the timeout of a relay attempt */
 #define AUTHORITY_MARGIN_MS 100 /* subtracted in addition: timer delays of voters and this VM */
 
 #define CHECKPOINT_DIVISOR 4   /* checkpoints may use this part of the memory for jobs */
@@ -59,6 +60,16 @@
   int64_t began_ms;
 };
 
+/* Waits until the drain or departure of a worker is committed.  */
+struct pending_drain
+{
+  TAILQ_ENTRY (pending_drain) link;
+  char *worker;
+  workflow_read_done *done;
+  void *arg;
+  int64_t until_ms;
+};
+
 struct workflow_service
 {
   struct workflow_service_config config;
@@ -68,6 +79,7 @@
   LIST_HEAD (, pending_change) changes; /* whose outcome is pending */
   uint64_t submitted_bytes;             /* of their jobs */
   uint64_t submissions;                 /* among them */
+  TAILQ_HEAD (, pending_drain) drains;  /* not yet committed */
   struct proposals outcomes;            /* queued: the dispatcher is not reentrant */
   bool leading;
   bool stopping;
@@ -137,6 +149,7 @@
   s->config = *config;
   STAILQ_INIT (&s->outcomes);
   LIST_INIT (&s->changes);
+  TAILQ_INIT (&s->drains);
   leader_placement_init (&s->leader_placement);
   workflow_init (&s->workflow);
   const struct dispatcher_config dispatcher
@@ -155,10 +168,20 @@
   return s;
 }
 
+static void
+free_drain (struct workflow_service *s, struct pending_drain *p)
+{
+  TAILQ_REMOVE (&s->drains, p, link);
+  free (p->worker);
+  free (p);
+}
+
 void
 workflow_service_close (struct workflow_service *s)
 {
   struct proposal *p;
+  while (!TAILQ_EMPTY (&s->drains))
+    free_drain (s, TAILQ_FIRST (&s->drains));
   while ((p = STAILQ_FIRST (&s->outcomes)) != NULL)
     {
       STAILQ_REMOVE_HEAD (&s->outcomes, link);
@@ -308,6 +331,52 @@
   group_confirm_leadership (s->group, on_round, s);
 }
 
+/* True if P has been answered: with success where waiting longer is of no use.  */
+static bool
+answer_drain (struct workflow_service *s, struct pending_drain *p, int64_t now_ms)
+{
+  struct status st;
+  bool is_proposed;
+  bool leads = dispatcher_has_authority (s->dispatcher, now_ms);
+  bool awaits = leads && dispatcher_awaits_drain (s->dispatcher, p->worker, &is_proposed);
+  if (awaits && now_ms < p->until_ms)
+    return false;
+  status_clear (&st);
+  if (!leads)
+    status_set (&st, STATUS_NO_QUORUM, "no quorum has confirmed this leader lately");
+  else if (awaits && is_proposed)
+    status_set (&st, STATUS_NO_QUORUM, "the drain or departure is not committed yet");
+  p->done (p->arg, &st);
+  return true;
+}
+
+static void
+answer_drains (struct workflow_service *s, int64_t now_ms)
+{
+  struct pending_drain *p;
+  struct pending_drain *next;
+  for (p = TAILQ_FIRST (&s->drains); p; p = next)
+    {
+      next = TAILQ_NEXT (p, link);
+      if (answer_drain (s, p, now_ms))
+        free_drain (s, p);
+    }
+}
+
+void
+workflow_service_await_drain (struct workflow_service *s, const char *worker,
+                              workflow_read_done *done, void *arg)
+{
+  struct pending_drain *p = xcalloc (1, sizeof *p);
+  int64_t now_ms = clock_now_ms (s->config.clock);
+  *p = (struct pending_drain){
+    .worker = xstrdup (worker), .done = done, .arg = arg, .until_ms = now_ms + DRAIN_WAIT_MS
+  };
+  TAILQ_INSERT_TAIL (&s->drains, p, link);
+  if (answer_drain (s, p, now_ms))
+    free_drain (s, p);
+}
+
 void
 workflow_service_tick (struct workflow_service *s)
 {
@@ -320,6 +389,7 @@
     transfer_leadership (s, 0);
   if (s->leading)
     dispatcher_tick (s->dispatcher, now_ms, clock_wall_ms ());
+  answer_drains (s, now_ms);
 }
 
 void
--- a/src/workflow/workflow_service.h
+++ b/src/workflow/workflow_service.h
@@ -61,6 +61,11 @@
 bool workflow_service_has_room (
     const struct workflow_service *s,
     const workflow_spec *spec); /* Beside all jobs and the submissions that may be committed. */
+/* After a report that WORKER drains, or its departure: calls DONE once the log says so, or when
+   there is no need to wait: it has no runs, or does not answer.  ST is not OK if the commit is
+   late.  */
+void workflow_service_await_drain (struct workflow_service *s, const char *worker,
+                                   workflow_read_done *done, void *arg);
 void workflow_service_read (struct workflow_service *s, workflow_read_done *done,
                             void *arg); /* Confirms leadership, then calls DONE. */
 
--- a/src/workflow/workflow_snapshot.c
+++ b/src/workflow/workflow_snapshot.c
@@ -137,13 +137,13 @@
   return false;
 }
 
-/* Without accounts the snapshot ends as that of an earlier build.  */
+/* Without accounts and drains the snapshot ends as that of an earlier build.  */
 static bool
 save_accounts (const struct workflow *w, struct buffer *out)
 {
   workflow_account_image image = { .accounts = w->accounts.definition };
   const struct workflow_job *j;
-  if (!w->accounts.definition && !has_owners (w))
+  if (!w->accounts.definition && !has_owners (w) && w->draining.map.count == 0)
     return true;
   image.owners.owners_val = xcalloc (w->jobs.count + 1, sizeof (workflow_name));
   TAILQ_FOREACH (j, &w->open, link)
@@ -155,6 +155,21 @@
   return ok;
 }
 
+static bool
+save_drains (const struct workflow *w, struct buffer *out)
+{
+  workflow_drain_image image = { .drains.drains_len = 0 };
+  const struct draining_worker *d;
+  if (w->draining.map.count == 0)
+    return true;
+  image.drains.drains_val = xcalloc (w->draining.map.count, sizeof (workflow_drain));
+  TAILQ_FOREACH (d, &w->draining.list, link)
+  image.drains.drains_val[image.drains.drains_len++] = d->drain;
+  bool ok = xdr_append (out, (xdrproc_t)xdr_workflow_drain_image, &image);
+  free (image.drains.drains_val);
+  return ok;
+}
+
 bool
 workflow_save (struct machine *m, struct buffer *out)
 {
@@ -173,7 +188,7 @@
     free_job_image (&image.jobs.jobs_val[i]);
   free (image.jobs.jobs_val);
   return ok && save_blames (w, out) && save_withdrawn (w, out) && save_origins (w, out)
-         && save_accounts (w, out);
+         && save_accounts (w, out) && save_drains (w, out);
 }
 
 static void
@@ -306,6 +321,19 @@
   return ok;
 }
 
+static bool
+load_drains (struct workflow *w, XDR *xdr, size_t len)
+{
+  workflow_drain_image image = { .drains.drains_len = 0 };
+  if (xdr_getpos (xdr) == len)
+    return true;
+  bool ok = xdr_workflow_drain_image (xdr, &image);
+  for (u_int i = 0; ok && i < image.drains.drains_len; i++)
+    workflow_add_drain (w, &image.drains.drains_val[i]);
+  xdr_free ((xdrproc_t)xdr_workflow_drain_image, (char *)&image);
+  return ok;
+}
+
 int
 workflow_load (struct machine *m, const void *data, size_t len, struct status *st)
 {
@@ -317,7 +345,8 @@
             && load_blames ((struct workflow *)m, &xdr, len)
             && load_withdrawn ((struct workflow *)m, &xdr, len)
             && load_origins ((struct workflow *)m, &xdr, len)
-            && load_accounts ((struct workflow *)m, &xdr, len);
+            && load_accounts ((struct workflow *)m, &xdr, len)
+            && load_drains ((struct workflow *)m, &xdr, len);
   xdr_destroy (&xdr);
   xdr_free ((xdrproc_t)xdr_workflow_image, (char *)&image);
   return ok ? 0 : status_set (st, STATUS_JOURNAL_DAMAGED, "the snapshot of the jobs is malformed");
--- a/tests/called_worker.c
+++ b/tests/called_worker.c
@@ -2,7 +2,8 @@
 
    Usage: called_worker ID IP:PORT POOL ZONE CONTROL...
    CONTROL are ip:port of core VMs.  The payload of a task is its run time in milliseconds.  Each
-   start and end prints one line: "start TASK RUN" or "end TASK RUN".  */
+   start and end prints one line: "start TASK RUN" or "end TASK RUN".  With SIGUSR1 it reports that
+   it drains, until "drain-acknowledged MS"; with SIGUSR2 it leaves, and ends with "left MS".  */
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -58,6 +59,7 @@
   struct http_server *server;
   int64_t born_ms, lease_until_ms, next_report_ms;
   json_int_t fence, last_end_number, sequence;
+  bool draining, drain_acknowledged, leaving, departing;
   LIST_HEAD (run_list, run) runs;
   STAILQ_HEAD (ended_list, ended) ended;
   LIST_HEAD (pending_hold_list, pending_hold) pending_holds;
@@ -206,6 +208,13 @@
   json_decref (body);
 }
 
+static void
+note (const char *event)
+{
+  printf ("%s %lld\n", event, (long long)now_ms ());
+  fflush (stdout);
+}
+
 /* After a failed report the next one goes to the next core VM.  */
 static void
 on_reported (void *arg, const struct http_answer *a)
@@ -215,15 +224,71 @@
     w->next_control++;
 }
 
+static void
+on_drain_reported (void *arg, const struct http_answer *a)
+{
+  struct worker *w = arg;
+  on_reported (arg, a);
+  if (a->code == 200 && !w->drain_acknowledged)
+    note ("drain-acknowledged");
+  w->drain_acknowledged = w->drain_acknowledged || a->code == 200;
+}
+
+static void
+on_departed (void *arg, const struct http_answer *a)
+{
+  struct worker *w = arg;
+  on_reported (arg, a);
+  w->departing = false;
+  if (a->code != 200)
+    return;
+  note ("left");
+  exit (0);
+}
+
+static void
+depart (struct worker *w)
+{
+  char url[256];
+  snprintf (url, sizeof url, "http://%s/sassafrasstall/instances/%s",
+            w->control[w->next_control % w->control_count], w->id);
+  const struct http_call call = { .method = "DELETE",
+                                  .url = url,
+                                  .timeout_ms = REPORT_TIMEOUT_MS,
+                                  .done = on_departed,
+                                  .done_arg = w };
+  w->departing = true;
+  http_client_send (w->client, &call);
+}
+
+static void
+on_drain (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  struct worker *w = watcher->data;
+  (void)loop;
+  (void)events;
+  w->draining = true;
+  w->next_report_ms = 0;
+}
+
+static void
+on_leave (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  struct worker *w = watcher->data;
+  (void)loop;
+  (void)events;
+  w->leaving = true;
+}
+
 static void
 report (struct worker *w)
 {
   char url[256];
   json_t *body = json_pack (
       "{s:s, s:s, s:s, s:s, s:{s:i, s:i}, s:[s, s], s:I, s:I, s:I}", "service", w->pool, "address",
-      w->address, "zone", w->zone, "state", "ready", "capacity", "cpu", CAPACITY_MILLICORES,
-      "mem_mb", CAPACITY_MEMORY_MB, "labels", "a", "r1-1", "clock_ms", (json_int_t)now_ms (), "seq",
-      ++w->sequence, "born", (json_int_t)w->born_ms);
+      w->address, "zone", w->zone, "state", w->draining ? "draining" : "ready", "capacity", "cpu",
+      CAPACITY_MILLICORES, "mem_mb", CAPACITY_MEMORY_MB, "labels", "a", "r1-1", "clock_ms",
+      (json_int_t)now_ms (), "seq", ++w->sequence, "born", (json_int_t)w->born_ms);
   char *text = json_dumps (body, JSON_COMPACT);
   snprintf (url, sizeof url, "http://%s/sassafrasstall/instances/%s",
             w->control[w->next_control % w->control_count], w->id);
@@ -232,7 +297,7 @@
                                   .body = text,
                                   .body_len = strlen (text),
                                   .timeout_ms = REPORT_TIMEOUT_MS,
-                                  .done = on_reported,
+                                  .done = w->draining ? on_drain_reported : on_reported,
                                   .done_arg = w };
   http_client_send (w->client, &call);
   free (text);
@@ -278,7 +343,9 @@
   (void)events;
   end_due_runs (w);
   answer_holds (w);
-  if (now_ms () < w->next_report_ms)
+  if (w->leaving && !w->departing)
+    depart (w);
+  if (w->leaving || now_ms () < w->next_report_ms)
     return;
   w->next_report_ms = now_ms () + REPORT_PERIOD_MS;
   report (w);
@@ -290,6 +357,8 @@
   static struct worker w;
   struct status st;
   ev_timer tick;
+  ev_signal drain;
+  ev_signal leave;
   if (argc < 6)
     {
       fprintf (stderr, "usage: called_worker ID IP:PORT POOL ZONE CONTROL...\n");
@@ -315,6 +384,12 @@
       fprintf (stderr, "%s\n", st.message);
       return 1;
     }
+  ev_signal_init (&drain, on_drain, SIGUSR1);
+  ev_signal_init (&leave, on_leave, SIGUSR2);
+  drain.data = &w;
+  leave.data = &w;
+  ev_signal_start (w.loop, &drain);
+  ev_signal_start (w.loop, &leave);
   ev_timer_init (&tick, on_tick, 0.0, TICK_S);
   tick.data = &w;
   ev_timer_start (w.loop, &tick);
--- a/tests/workflow_fixture.h
+++ b/tests/workflow_fixture.h
@@ -16,7 +16,9 @@
 
 #include "dispatcher.h"
 
+#ifndef FIXTURE_LEASE_MS
 #define FIXTURE_LEASE_MS 6000
+#endif
 #define FIXTURE_MAX 4096
 #define FIXTURE_CHECKPOINT_BYTES 40000
 
