Take a refused connection only for an incarnation that the leader knows

Two runs of a task (TWICE) were possible: a worker restarts at another address, and a new leader hears a late draining report and a late departure of the earlier incarnation first. The address in the report refused the leader's calls, and the runs of the present incarnation counted as ended.

The refusal now counts only if the incarnation answered this leader under its own name, or if the log says that it drains: nothing was placed on a later one then.

test_the_drain_of_an_earlier_incarnation_ends_no_run failed before, and fails without the check alone.

--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -490,11 +490,15 @@
   return 0;
 }
 
+/* A late report may name an earlier incarnation and its address.  What refuses calls there proves
+   something about the runs only if it answered this leader as that incarnation, or if the log says
+   that it drains: nothing was placed on a later one then.  */
 static void
 confirm_departure (struct dispatcher *d, struct dispatch_worker *w)
 {
+  bool is_known = w->named_incarnation || recorded_drain (d, w);
   /* An open hold may still bring its last list.  */
-  if (w->left_ms > 0 && w->refuses && w->holds == 0)
+  if (w->left_ms > 0 && is_known && w->refuses && w->holds == 0)
     dispatch_mark_gone (d, w, "the worker left");
 }
 
--- a/tests/test_draining_workers.c
+++ b/tests/test_draining_workers.c
@@ -243,6 +243,51 @@
     }
 }
 
+/* Guards against two runs: the worker restarted, does not drain any more and has a run.  A
+   departure of its earlier incarnation comes late, to a new leader, and the address of that one
+   refuses.  */
+static void
+test_the_drain_of_an_earlier_incarnation_ends_no_run (void **state)
+{
+  for (int late_report = 0; late_report < 2; late_report++)
+    {
+      if (late_report)
+        {
+          fixture_close (state);
+          fixture_open (state);
+        }
+      struct fixture *f = *state;
+      struct status st;
+      const struct reported_run run = drain (f);
+      struct worker_report late = fixture_worker (f, "w1", W1);
+      late.draining = true;
+      for (int i = 0; i < 30; i++) /* w2 is silent, so that the task stays on w1 */
+        {
+          fixture_tick (f, 100);
+          fixture_answer_hold (f, "w1", &run, 1, NULL, 0);
+        }
+      report (f, "w1", "10.0.0.3:1", 2000, false);
+      for (int i = 0; i < 50 && f->start_count == 1; i++)
+        {
+          fixture_tick (f, 20);
+          fixture_answer_as (f, "w1", 2000, NULL, 0, NULL, 0);
+        }
+      assert_int_equal (f->start_count, 2);
+      assert_string_equal (f->starts[1].worker, "w1");
+      fixture_answer_start (f, &f->starts[1], WORKER_CALL_OK);
+      change_leader (f, CHANGE_KILLED);
+      if (late_report)
+        assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &late, &st), 0);
+      fixture_tick (f, 20);
+      dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
+      fixture_refuse_holds (f, "w1");
+      fixture_commit (f);
+      fixture_join (f, "w2", W2);
+      run_for (f, 5000);
+      assert_int_equal (f->start_count, 2);
+    }
+}
+
 /* A report from before the drain comes late, to a leader that knows only from the log: the worker
    must get no task.  */
 static void
@@ -385,6 +430,7 @@
           TEST (test_the_next_leader_knows_who_has_left),
           TEST (test_what_was_not_acknowledged_is_sent_to_the_next_leader),
           TEST (test_the_lease_of_a_worker_that_drains_is_short_for_the_next_leader),
+          TEST (test_the_drain_of_an_earlier_incarnation_ends_no_run),
           TEST (test_a_late_report_does_not_end_a_drain),
           TEST (test_a_refuted_departure_is_taken_back),
           TEST (test_a_drain_is_proposed_until_it_is_committed_and_no_longer),
