Order the shares of fill-in runs anew after a change of leader

Cause: a leader assumed the full share for the runs that it takes over, and orders a share only if it differs from the one it assumes.

Change: that share is unknown until an order was answered, so it is ordered anew, eight runs a tick. Pacing goes on from the share that the processors in use show, not from 100.

--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -370,6 +370,7 @@
   r->run = run;
   r->state = DISPATCH_UNCERTAIN;
   r->inherited = true;
+  r->pace_unknown = r->is_fill;
   r->stop_requested
       = run->task->job->state != WORKFLOW_JOB_OPEN || run->task->state == WORKFLOW_TASK_DONE;
   run->dispatch = r;
@@ -480,6 +481,17 @@
   d->config.link->ops->pace (d->config.link, &order);
 }
 
+static bool
+needs_pace (struct dispatcher *d, const struct dispatch_run *r)
+{
+  if (r->paced_percent != target_pace (d, r))
+    return true;
+  if (!r->pace_unknown || d->adopted_paces == 0)
+    return false;
+  d->adopted_paces--;
+  return true;
+}
+
 static struct counter overdue_starts = { .name = "sassafras_starts_overdue_total",
                                          .help = "Starts that were asked for before their "
                                                  "answer came or their call timed out." };
@@ -535,7 +547,7 @@
   if (may_stop && r->stop_requested && !r->stop_settled && !r->stop_pending
       && d->now_ms >= r->stop_next_ms)
     send_stop (d, r);
-  if (r->state == DISPATCH_RUNNING && !r->pace_pending && r->paced_percent != target_pace (d, r))
+  if (r->state == DISPATCH_RUNNING && !r->pace_pending && needs_pace (d, r))
     send_pace (d, r);
 }
 
@@ -625,6 +637,7 @@
   if (!dispatch_has_authority (d))
     return;
   d->first_holds = first_holds_due (since_ms);
+  d->adopted_paces = ADOPTED_PACES_PER_TICK;
   d->copies.count = 0;
   dispatch_update_accounts (d);
   for (w = TAILQ_FIRST (&d->worker_list); w; w = next)
--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -129,8 +129,10 @@
   if (!r)
     return;
   r->pace_pending = false;
-  if (result == WORKER_CALL_OK)
-    r->paced_percent = percent;
+  if (result != WORKER_CALL_OK)
+    return;
+  r->paced_percent = percent;
+  r->pace_unknown = false;
 }
 
 static void
@@ -165,6 +167,30 @@
     r->settled_mark = lists->mark;
 }
 
+/* Share of their work that the fill-in runs of an earlier leader do on W, by the processors that
+   they use: this leader goes on from there.  Other work may leave them less than their share, which
+   then grows again.  */
+static void
+adopt_pace (struct dispatcher *d, struct dispatch_worker *w, const struct worker_lists *lists)
+{
+  uint64_t used = 0;
+  uint64_t wanted = 0;
+  for (size_t i = 0; i < lists->running_len; i++)
+    {
+      const struct reported_run *h = &lists->running[i];
+      const struct dispatch_run *r = dispatch_find_run (d, w->id, &h->task, h->run);
+      if (!r || !r->is_fill || !r->pace_unknown)
+        continue;
+      used += h->measure;
+      wanted += workflow_step_of (r->task)->millicores;
+    }
+  if (w->lasting_millicores == 0 || used >= wanted)
+    return;
+  w->pacing.percent = (uint32_t)(used * PACING_FULL_PERCENT / wanted);
+  w->pacing.changed_ms = d->now_ms;
+  log_event (LOG_INFO, "pace-adopted", "worker=%s percent=%u", w->id, w->pacing.percent);
+}
+
 static void
 process_running (struct dispatcher *d, struct dispatch_worker *w, const struct worker_lists *lists)
 {
@@ -337,6 +363,8 @@
   /* No earlier report or list of this worker could show that the report was late.  */
   if (!w->fenced && lists->clock_ms - w->reported_clock_ms >= REPORT_MAX_AGE_MS)
     w->reported = false;
+  if (!w->fenced)
+    adopt_pace (d, w, lists);
   if (!w->fenced)
     log_event (LOG_INFO, "worker-heard", "worker=%s running=%zu ended=%zu report_age_ms=%" PRId64,
                w->id, lists->running_len, lists->ended_len, lists->clock_ms - w->reported_clock_ms);
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -61,6 +61,9 @@
 #define FAILURE_PROBATION_MS 10000 /* a run that was at work for longer doesn't count */
 /* Tails are averages over half a second, so the fill-in mix is smoothed in the same way.  */
 #define MIX_TIME_CONSTANT_MS 300.0
+/* Shares that a new leader sets anew, where they need no change as far as it knows: 400 a second.
+ */
+#define ADOPTED_PACES_PER_TICK 8
 #define MAX_MIX 16             /* fill-in images tracked per worker */
 #define REPORT_MAX_AGE_MS 4000 /* a report this far behind the worker's expected clock is stale */
 
@@ -99,6 +102,7 @@
   int64_t ended_ms;       /* when its end was proposed; 0 before */
   uint64_t end_number;    /* of the listed end that was proposed; 0: none */
   uint32_t paced_percent; /* acknowledged by the worker */
+  bool pace_unknown;      /* an order whose outcome is unknown may have set another share */
   bool pace_pending;
   uint32_t measure; /* last listed; lasting: tail in ms, else millicores in use */
   bool is_fill;
@@ -258,6 +262,7 @@
   uint64_t ticks;             /* since the start of the process */
   int64_t tick_ms;            /* of the last tick; 0 before the first */
   double tick_lag_ms;         /* delay of ticks, smoothed */
+  unsigned adopted_paces;     /* allowed in this tick */
   unsigned first_holds; /* allowed in this tick, to workers that haven't answered this leader */
   uint64_t token;       /* of the last proposal */
   uint64_t checkpoint_bytes; /* of all runs */
