Keep every label of a worker

Callers would see tasks that never start although a worker has the label that they require: a report may have eight labels, the leader kept four.

test_every_label_of_a_worker_counts failed before.

--- a/src/orders/worker_link.h
+++ b/src/orders/worker_link.h
@@ -138,6 +138,8 @@
 
 typedef void worker_outcome_fn (void *arg, int64_t now_ms, const struct worker_outcome *o);
 
+#define WORKER_MAX_LABELS 8
+
 /* A worker's report of its own state.  */
 struct worker_report
 {
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -148,7 +148,7 @@
   char *address; /* NULL before its first report */
   char *zone;
   char *pool;
-  char *labels[4];
+  char *labels[WORKER_MAX_LABELS];
   size_t label_count;
   int64_t born_ms;
   uint64_t sequence;
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -333,7 +333,7 @@
 set_labels (struct dispatch_worker *w, const struct worker_report *r)
 {
   free_labels (w);
-  for (size_t i = 0; i < r->labels_len && i < sizeof w->labels / sizeof *w->labels; i++)
+  for (size_t i = 0; i < r->labels_len; i++)
     w->labels[w->label_count++] = xstrdup (r->labels[i]);
 }
 
@@ -458,6 +458,9 @@
   d->now_ms = now_ms;
   if (!d->leading)
     return status_set (st, STATUS_NOT_LEADER, "this VM does not lead");
+  if (r->labels_len > WORKER_MAX_LABELS)
+    return status_set (st, STATUS_BAD_REQUEST, "%zu labels, limit %d", r->labels_len,
+                       WORKER_MAX_LABELS);
   /* The name is part of log entries.  */
   if (strlen (r->id) > WORKFLOW_NAME_BYTES || strlen (r->address) > WORKFLOW_NAME_BYTES)
     return status_set (st, STATUS_BAD_REQUEST, "the id or address of a worker is over %d bytes",
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -300,6 +300,43 @@
   assert_int_equal (f->start_count, 2);
 }
 
+/* Guards against tasks that never start although a worker has the label that they require: only the
+   first four labels of a worker were kept.  */
+static void
+test_every_label_of_a_worker_counts (void **state)
+{
+  struct fixture *f = *state;
+  const char *const labels[WORKER_MAX_LABELS + 1]
+      = { "a", "r1-1", "c", "d", "e", "f", "g", "last" };
+  struct status st;
+  struct worker_report r = fixture_worker (f, "w1", "10.0.0.1:1");
+  r.labels = labels;
+  r.labels_len = WORKER_MAX_LABELS + 1;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), -1);
+  assert_int_equal (st.kind, STATUS_BAD_REQUEST);
+  r.labels_len = WORKER_MAX_LABELS;
+  assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
+  fixture_tick (f, 1);
+  fixture_answer_hold (f, "w1", NULL, 0, NULL, 0);
+  workflow_step step = { .count = 1,
+                         .millicores = 1000,
+                         .memory_mb = 100,
+                         .estimate_ms = 500,
+                         .required_label = "last",
+                         .data_rack = "",
+                         .image = "" };
+  workflow_command c = { .kind = WORKFLOW_SUBMIT };
+  workflow_spec *spec = &c.workflow_command_u.spec;
+  spec->id = 1;
+  spec->queue = "queue";
+  spec->payload = "payload";
+  spec->steps.steps_val = &step;
+  spec->steps.steps_len = 1;
+  assert_true (fixture_change (f, &c));
+  fixture_tick (f, 20);
+  assert_int_equal (f->start_count, 1);
+}
+
 /* Failure in review/13 (MIXED): jobs whose start orders went to a worker that was cut off counted
    as started for seconds, and the queue said that none was pending.  */
 static void
@@ -2123,6 +2160,7 @@
           TEST (test_a_new_leader_learns_before_it_starts),
           TEST (test_a_new_leader_waits_for_leases_it_did_not_give),
           TEST (test_an_answer_to_a_hold_of_an_earlier_term_proves_nothing),
+          TEST (test_every_label_of_a_worker_counts),
           TEST (test_a_job_has_not_started_before_a_worker_shows_it),
           TEST (test_a_list_shows_that_a_job_has_started),
           TEST (test_a_late_done_end_is_taken),
