Stop fill-in work that slows a lasting task at every share in time

Cause: each cut waits for its effect, and work that harms at every share needs up to five cuts. Once tails have been over their target for 2.4 s the share becomes 0.

test_work_that_harms_at_every_share_stops_in_time failed before.

--- a/src/decide/pacing.c
+++ b/src/decide/pacing.c
@@ -28,7 +28,13 @@
   uint32_t next = p->percent;
   int64_t age_ms = now_ms - p->changed_ms;
   p->worst_tail = worst_tail;
-  if (worst_tail > PACING_CUT_TAIL_RATIO && age_ms >= PACING_CUT_INTERVAL_MS)
+  if (worst_tail <= PACING_CUT_TAIL_RATIO)
+    p->over_since_ms = 0;
+  else if (p->over_since_ms == 0)
+    p->over_since_ms = now_ms;
+  if (p->over_since_ms > 0 && now_ms - p->over_since_ms >= PACING_MAX_OVER_MS)
+    next = 0;
+  else if (worst_tail > PACING_CUT_TAIL_RATIO && age_ms >= PACING_CUT_INTERVAL_MS)
     next = cut (p->percent, worst_tail);
   else if (worst_tail < PACING_GROW_TAIL_RATIO && age_ms >= PACING_GROW_INTERVAL_MS)
     next = grow (p->percent);
--- a/src/decide/pacing.h
+++ b/src/decide/pacing.h
@@ -6,7 +6,8 @@
 
    The share is halved when a sample's tail is over PACING_CUT_TAIL_RATIO of its target, quartered
    over 1.5 times the target, at most once per PACING_CUT_INTERVAL_MS so that the effect is seen
-   before the next cut.  It grows by PACING_STEP_PERCENT per PACING_GROW_INTERVAL_MS while all tails
+   before the next cut.  It becomes 0 when tails have been over their target for PACING_MAX_OVER_MS.
+   It grows by PACING_STEP_PERCENT per PACING_GROW_INTERVAL_MS while all tails
    are under PACING_GROW_TAIL_RATIO.  */
 
 #ifndef SASSAFRAS_PACING_H
@@ -21,6 +22,8 @@
 /* A cut shows in samples after 100 ms of delay and 500 ms of averaging.  */
 #define PACING_CUT_INTERVAL_MS 700
 #define PACING_GROW_INTERVAL_MS 500
+/* Four seconds, less the delay and averaging of a cut, and a sample at each end.  */
+#define PACING_MAX_OVER_MS 2400
 #define PACING_STEP_PERCENT 15
 #define PACING_MIN_PERCENT 6 /* a cut to less sets the share to 0: the work stops */
 
@@ -28,7 +31,8 @@
 {
   uint32_t percent; /* current share */
   int64_t changed_ms;
-  double worst_tail; /* largest tail / target of the last sample; 0 without one */
+  int64_t over_since_ms; /* first sample over the target since the last one that was not; 0: none */
+  double worst_tail;     /* largest tail / target of the last sample; 0 without one */
 };
 
 void pacing_init (struct pacing *p); /* Full share. */
--- a/tests/test_pacing.c
+++ b/tests/test_pacing.c
@@ -81,12 +81,32 @@
   assert_int_equal (p.percent, PACING_FULL_PERCENT);
 }
 
+/* Failure in tests/days/harm-after-long-jobs.toml, seed 26 (HARM): fill-in work slowed a lasting task
+   at every share, and its pace took 4.0 s to reach 0.  An order takes 100 ms, the tail is an average
+   over 500 ms, and the next sample comes up to 500 ms later.  */
+static void
+test_work_that_harms_at_every_share_stops_in_time (void **state)
+{
+  (void)state;
+  for (int tail_percent = 101; tail_percent <= 400; tail_percent += 7)
+    for (int64_t step_ms = 300; step_ms <= 500; step_ms += 20)
+      {
+        struct pacing p;
+        int64_t ms = 1000;
+        pacing_init (&p);
+        for (; p.percent > 0 && ms < 10000; ms += step_ms)
+          pacing_add_sample (&p, ms, tail_percent / 100.0);
+        assert_true (ms - step_ms - 1000 <= MAX_OVER_MS - 100 - 500 - 500);
+      }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_slowdown_ends_in_time),
           cmocka_unit_test (test_work_that_does_not_interfere_is_not_paced),
-          cmocka_unit_test (test_share_recovers_after_interference) };
+          cmocka_unit_test (test_share_recovers_after_interference),
+          cmocka_unit_test (test_work_that_harms_at_every_share_stops_in_time) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
