soak: workers list checkpoints of up to 5,000 bytes

Each task has a checkpoint of its own length, some of them too long to be kept, and a start must carry one of its own, whole.

--- a/tests/soak/soak_worker.c
+++ b/tests/soak/soak_worker.c
@@ -2,6 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "buffer.h"
+#include "cell_map.h"
 #include "clock.h"
 #include "soak.h"
 
@@ -121,6 +123,47 @@
   free (r);
 }
 
+static json_int_t
+integer_field (const json_t *body, const char *name)
+{
+  return json_integer_value (json_object_get (body, name));
+}
+
+/* Checkpoint of RUN of TASK, free it.  Its length depends on the task; some are too long to be
+ * kept. */
+static char *
+checkpoint_of (const char *task, int run)
+{
+  static const size_t lengths[] = { 0, 0, 16, 200, 300, 4000, 5000 };
+  size_t kind = cell_hash_names (task, "") % (sizeof lengths / sizeof *lengths);
+  if (lengths[kind] == 0)
+    return xstrdup ("");
+  struct buffer text;
+  buffer_init (&text);
+  buffer_printf (&text, "%s/%d/", task, run);
+  while (text.len < lengths[kind])
+    buffer_append (&text, "c", 1);
+  return text.data;
+}
+
+/* A task resumes from a checkpoint of its own, of an earlier run, which is whole.  */
+static void
+check_checkpoint (struct soak_worker *w, const json_t *body, const char *task)
+{
+  const char *given = json_string_value (json_object_get (body, "checkpoint"));
+  int run = 0;
+  if (!given)
+    return;
+  const char *number = strchr (given, '/');
+  if (number)
+    run = atoi (number + 1);
+  char *expected = checkpoint_of (task, run);
+  if (run <= 0 || run >= integer_field (body, "run") || strcmp (given, expected) != 0)
+    report_violation (w->soak, "CHECKPOINT: %s starts with one of %zu bytes that is not its own",
+                      task, strlen (given));
+  free (expected);
+}
+
 static json_t *
 task_lists (const struct soak_worker *w)
 {
@@ -128,21 +171,25 @@
   const struct ended *e;
   json_t *running = json_array ();
   json_t *finished = json_array ();
+  char *checkpoint;
   LIST_FOREACH (r, &w->runs, link)
-  json_array_append_new (running, json_pack ("[s, i, s, i, i]", r->task, r->run, "", 50, 1000));
+  {
+    checkpoint = checkpoint_of (r->task, r->run);
+    json_array_append_new (running,
+                           json_pack ("[s, i, s, i, i]", r->task, r->run, checkpoint, 50, 1000));
+    free (checkpoint);
+  }
   STAILQ_FOREACH (e, &w->ended, link)
-  json_array_append_new (finished,
-                         json_pack ("[I, s, i, s, s]", e->number, e->task, e->run, e->outcome, ""));
+  {
+    checkpoint = checkpoint_of (e->task, e->run);
+    json_array_append_new (finished, json_pack ("[I, s, i, s, s]", e->number, e->task, e->run,
+                                                e->outcome, checkpoint));
+    free (checkpoint);
+  }
   return json_pack ("{s:I, s:I, s:o, s:o}", "clock_ms", (json_int_t)worker_clock_ms (w), "born",
                     (json_int_t)w->born_ms, "running", running, "finished", finished);
 }
 
-static json_int_t
-integer_field (const json_t *body, const char *name)
-{
-  return json_integer_value (json_object_get (body, name));
-}
-
 static void
 reply_clock (struct soak_worker *w, struct http_request *req, int code, const char *reason)
 {
@@ -179,6 +226,7 @@
   const char *payload = json_string_value (json_object_get (body, "spec"));
   struct run *r = find_run (w, task);
   const char *why = refusal_reason (w, body, task, r);
+  check_checkpoint (w, body, task);
   extend_lease (w, integer_field (body, "deadline_ms"));
   if (why)
     {
