--- a/tests/soak/soak_worker.c
+++ b/tests/soak/soak_worker.c
@@ -13,6 +13,11 @@
 #define CAPACITY_MILLICORES 16000
 #define CAPACITY_MB 64000
 #define SERVICE "pool"
+#define FIRST_LEAVING 5 /* number of a worker; it and later ones leave again and again */
+#define LIFE_MS 3000
+#define LIFE_STEP_MS 300      /* times the number: they leave at different times */
+#define SERVE_DRAINED_MS 1000 /* after the acknowledgement of a drain */
+#define DOWN_AFTER_LEAVING_MS 500
 
 struct run
 {
@@ -58,6 +63,9 @@
   struct proxy_link *link;
   int64_t up_at_ms, heal_at_ms, order_delay_ms, delay_until_ms;
   int64_t born_ms, next_report_ms;
+  int64_t drain_at_ms;   /* when it begins to drain; 0: this incarnation doesn't leave */
+  int64_t drained_ms;    /* acknowledgement of its drain */
+  int64_t next_leave_ms; /* next departure */
   int64_t clock_zero_ms; /* its clock starts at 0 in each incarnation but the first */
   int64_t lease_ms;      /* on its clock */
   json_int_t fence, ends, sequence;
@@ -325,6 +333,44 @@
     w->next_control++;
 }
 
+static bool
+is_draining (const struct soak_worker *w)
+{
+  return w->drain_at_ms > 0 && w->soak->now_ms >= w->drain_at_ms;
+}
+
+static void
+on_drain_reported (void *arg, const struct http_answer *a)
+{
+  struct soak_worker *w = arg;
+  on_reported (arg, a);
+  if (a->code == 200 && is_draining (w) && w->drained_ms == 0)
+    w->drained_ms = w->soak->now_ms;
+}
+
+static void
+on_left (void *arg, const struct http_answer *a)
+{
+  struct soak_worker *w = arg;
+  on_reported (arg, a);
+  if (a->code == 200 && w->server && w->drained_ms > 0)
+    worker_crash (w, DOWN_AFTER_LEAVING_MS);
+}
+
+static void
+leave (struct soak_worker *w)
+{
+  char url[SOAK_PATH_BYTES];
+  snprintf (url, sizeof url, "http://%s.%d:%d/sassafrasstall/instances/%s", w->soak->net,
+            HOST_CORE (w->next_control % SOAK_CORES + 1), CONTROL_PORT, w->id);
+  const struct http_call call = {
+    .method = "DELETE", .url = url, .timeout_ms = REPORT_TIMEOUT_MS, .done = on_left, .done_arg = w
+  };
+  w->next_leave_ms = w->soak->now_ms + REPORT_TIMEOUT_MS;
+  w->reports_pending++;
+  http_client_send (w->soak->client, &call);
+}
+
 static void
 report (struct soak_worker *w)
 {
@@ -333,11 +379,11 @@
   char zone[NAME_BYTES];
   soak_address (w->soak, HOST_WORKER (w->number), 8080, address);
   snprintf (zone, sizeof zone, "z%d", w->number % SOAK_CORES + 1);
-  json_t *body = json_pack ("{s:s, s:s, s:s, s:s, s:{s:i, s:i}, s:[s, s], s:I, s:I, s:I}",
-                            "service", SERVICE, "address", address, "zone", zone, "state", "ready",
-                            "capacity", "cpu", CAPACITY_MILLICORES, "mem_mb", CAPACITY_MB, "labels",
-                            "a", "r1-1", "clock_ms", (json_int_t)worker_clock_ms (w), "seq",
-                            ++w->sequence, "born", (json_int_t)w->born_ms);
+  json_t *body = json_pack (
+      "{s:s, s:s, s:s, s:s, s:{s:i, s:i}, s:[s, s], s:I, s:I, s:I}", "service", SERVICE, "address",
+      address, "zone", zone, "state", is_draining (w) ? "draining" : "ready", "capacity", "cpu",
+      CAPACITY_MILLICORES, "mem_mb", CAPACITY_MB, "labels", "a", "r1-1", "clock_ms",
+      (json_int_t)worker_clock_ms (w), "seq", ++w->sequence, "born", (json_int_t)w->born_ms);
   char *text = json_dumps (body, JSON_COMPACT);
   snprintf (url, sizeof url, "http://%s.%d:%d/sassafrasstall/instances/%s", w->soak->net,
             HOST_CORE (w->next_control % SOAK_CORES + 1), CONTROL_PORT, w->id);
@@ -346,7 +392,7 @@
                                   .body = text,
                                   .body_len = strlen (text),
                                   .timeout_ms = REPORT_TIMEOUT_MS,
-                                  .done = on_reported,
+                                  .done = is_draining (w) ? on_drain_reported : on_reported,
                                   .done_arg = w };
   w->reports_pending++;
   http_client_send (w->soak->client, &call);
@@ -361,6 +407,13 @@
   return w->number % 2 == 0;
 }
 
+/* Some leave again and again, with a new id or with the one that they had.  */
+static bool
+leaves (const struct soak_worker *w)
+{
+  return w->number >= FIRST_LEAVING && !w->soak->faults_over;
+}
+
 static void
 start_incarnation (struct soak_worker *w)
 {
@@ -374,6 +427,8 @@
   w->up_at_ms = 0;
   w->born_ms = clock_wall_ms ();
   w->lease_ms = w->fence = w->ends = w->sequence = 0;
+  w->drained_ms = 0;
+  w->drain_at_ms = leaves (w) ? w->soak->now_ms + LIFE_MS + w->number * LIFE_STEP_MS : 0;
   const struct http_server_config config
       = { .address = address, .max_body = 1 << 20, .handler = handle, .handler_arg = w };
   w->server = http_server_open (w->soak->loop, &config, &st);
@@ -552,6 +607,9 @@
   invalidate_ends (w);
   end_due_runs (w);
   answer_due_requests (w);
+  if (w->drained_ms > 0 && w->soak->now_ms >= w->drained_ms + SERVE_DRAINED_MS
+      && w->soak->now_ms >= w->next_leave_ms)
+    leave (w);
   if (w->soak->now_ms < w->next_report_ms)
     return;
   w->next_report_ms = w->soak->now_ms + REPORT_INTERVAL_MS;
