End the record of a drain with the worker's last run

The log refuses a record beyond the limit, or of a worker without runs; the leader does not propose it again and acknowledges the drain without it.

--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -313,12 +313,12 @@
 }
 
 static void
-on_drained (void *arg, struct draining_worker *r)
+on_drained (void *arg, struct run_worker *on)
 {
   struct dispatcher *d = arg;
-  struct dispatch_worker *w = dispatch_find_worker (d, r->drain.worker);
-  if (r->seen_ms == 0)
-    r->seen_ms = clock_now_ms (d->config.clock);
+  struct dispatch_worker *w = dispatch_find_worker (d, on->id);
+  if (on->seen_ms == 0)
+    on->seen_ms = clock_now_ms (d->config.clock);
   if (w)
     w->drain_token = 0;
 }
@@ -445,7 +445,11 @@
     return;
   TAILQ_FOREACH (w, &d->worker_list, link)
   if (w->drain_token == token)
-    w->drain_token = 0;
+    {
+      w->drain_token = 0;
+      w->drain_refused = outcome == PROPOSAL_REFUSED;
+      return;
+    }
   TAILQ_FOREACH (w, &d->worker_list, link)
   TAILQ_FOREACH (r, &w->runs, link)
   {
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -155,6 +155,7 @@
   int64_t gone_ms;
   int64_t reported_clock_ms; /* worker's time of its last report */
   uint64_t drain_token;      /* of the open proposal that it drains; 0: none */
+  bool drain_refused;        /* such a proposal would be refused again */
   int64_t left_ms;    /* departure while it drains, until a call shows whose it is; 0: none */
   uint64_t left_mark; /* holds with a higher mark were sent after it */
   uint32_t millicores, memory_mb, accelerators;
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -37,27 +37,29 @@
 }
 
 /* The record in the log that this incarnation of W drains; NULL: none.  */
-static const struct draining_worker *
+static const workflow_drain *
 recorded_drain (const struct dispatcher *d, const struct dispatch_worker *w)
 {
-  const struct draining_worker *r = draining_workers_find (&d->config.workflow->draining, w->id);
-  return r && w->born_ms > 0 && r->drain.born_ms == w->born_ms ? r : NULL;
+  const struct run_worker *on = run_workers_find (&d->config.workflow->run_workers, w->id);
+  const workflow_drain *r = on ? on->drain : NULL;
+  return r && w->born_ms > 0 && r->born_ms == w->born_ms ? r : NULL;
 }
 
 /* Its earlier leaders granted short leases once the drain was in the log.  */
 void
 dispatch_adopt_drain (struct dispatcher *d, struct dispatch_worker *w)
 {
-  const struct draining_worker *r = draining_workers_find (&d->config.workflow->draining, w->id);
+  const struct run_worker *on = run_workers_find (&d->config.workflow->run_workers, w->id);
+  const workflow_drain *r = on ? on->drain : NULL;
   if (!r)
     return;
-  w->address = xstrdup (r->drain.address);
-  w->zone = xstrdup (r->drain.zone);
-  w->pool = xstrdup (r->drain.pool);
-  w->born_ms = r->drain.born_ms;
+  w->address = xstrdup (r->address);
+  w->zone = xstrdup (r->zone);
+  w->pool = xstrdup (r->pool);
+  w->born_ms = r->born_ms;
   w->draining = true;
-  w->left_ms = r->drain.left ? d->lead_ms : 0;
-  int64_t long_end_ms = lease_end_after (r->seen_ms, d->config.lease_ms);
+  w->left_ms = r->left ? d->lead_ms : 0;
+  int64_t long_end_ms = lease_end_after (on->seen_ms, d->config.lease_ms);
   int64_t short_end_ms = lease_end_after (d->lead_ms, draining_lease_ms (d));
   w->lease_end_ms = long_end_ms > short_end_ms ? long_end_ms : short_end_ms;
   log_event (LOG_INFO, "drain-adopted", "worker=%s address=%s born=%" PRId64 " lease_ms=%" PRId64,
@@ -297,6 +299,7 @@
   w->fenced = false;
   w->named_incarnation = false;
   w->drain_token = 0;
+  w->drain_refused = false;
   w->lease_end_ms = lease_end_after (d->now_ms, d->config.lease_ms);
   reset_acknowledgements (w);
   dispatch_raise_fence (d, w);
@@ -416,10 +419,10 @@
 static bool
 needs_drain_record (const struct dispatcher *d, const struct dispatch_worker *w)
 {
-  if (!w->draining || w->gone || w->born_ms == 0 || TAILQ_EMPTY (&w->runs))
+  if (!w->draining || w->gone || w->drain_refused || w->born_ms == 0 || TAILQ_EMPTY (&w->runs))
     return false;
-  const struct draining_worker *r = recorded_drain (d, w);
-  return !r || (bool)r->drain.left != (w->left_ms > 0);
+  const workflow_drain *r = recorded_drain (d, w);
+  return !r || (bool)r->left != (w->left_ms > 0);
 }
 
 /* A late report of another incarnation may say that it drains: only one that answers under this
--- a/src/workflow/workflow.h
+++ b/src/workflow/workflow.h
@@ -45,9 +45,9 @@
 #include "accounts.h"
 #include "cell_map.h"
 #include "crash_blame.h"
-#include "draining_workers.h"
 #include "job_origin.h"
 #include "machine.h"
+#include "run_workers.h"
 #include "withdrawn_ids.h"
 #include "workflow_proto.h"
 
@@ -77,7 +77,8 @@
 {
   struct workflow_task *task;
   uint32_t run;
-  char *worker;                    /* id */
+  const char *worker; /* id, of ON */
+  struct run_worker *on;
   void *dispatch;                  /* dispatcher state of this run, or NULL */
   TAILQ_ENTRY (workflow_run) link; /* in workflow.runs */
 };
@@ -150,7 +151,7 @@
   void (*done_late) (void *arg, struct workflow_task *t);
   /* The job is no longer open, or is pruned and about to be freed.  */
   void (*job_ended) (void *arg, struct workflow_job *job);
-  void (*drained) (void *arg, struct draining_worker *w); /* Was added. */
+  void (*drained) (void *arg, struct run_worker *w); /* Its drain was recorded. */
   void *arg;
 };
 
@@ -165,7 +166,7 @@
   uint64_t checkpoint_bytes; /* of all tasks */
   struct job_origins origins;
   struct withdrawn_ids withdrawn;
-  struct draining_workers draining;
+  struct run_workers run_workers;
   struct accounts accounts;
   struct workflow_jobs open;     /* in submission order */
   struct workflow_jobs finished; /* in the order in which they ended */
--- a/src/workflow/workflow_apply.c
+++ b/src/workflow/workflow_apply.c
@@ -115,7 +115,8 @@
       struct workflow_run *r = xcalloc (1, sizeof *r);
       r->task = t;
       r->run = run;
-      r->worker = xstrdup (worker);
+      r->on = run_workers_add_run (&w->run_workers, worker);
+      r->worker = r->on->id;
       t->runs[i] = r;
       t->job->runs++;
       TAILQ_INSERT_TAIL (&w->runs, r, link);
@@ -133,7 +134,7 @@
       t->runs[i] = NULL;
   t->job->runs--;
   TAILQ_REMOVE (&w->runs, r, link);
-  free (r->worker);
+  run_workers_remove_run (&w->run_workers, r->on);
   free (r);
 }
 
@@ -297,7 +298,7 @@
       r->status = STATUS_STALE_EPOCH;
       return;
     }
-  draining_workers_remove (&w->draining, p->worker);
+  run_workers_clear_drain (&w->run_workers, run->on);
   t->last_run = p->run;
   t->state = WORKFLOW_TASK_PLACED;
   t->job->started++;
@@ -394,12 +395,14 @@
     }
 }
 
-void
+enum status_kind
 workflow_add_drain (struct workflow *w, workflow_drain *drain)
 {
-  struct draining_worker *added = draining_workers_add (&w->draining, drain);
-  if (added && w->observer.drained)
-    w->observer.drained (w->observer.arg, added);
+  enum status_kind why;
+  struct run_worker *on = run_workers_set_drain (&w->run_workers, drain, &why);
+  if (on && w->observer.drained)
+    w->observer.drained (w->observer.arg, on);
+  return why;
 }
 
 static void
@@ -435,7 +438,7 @@
       apply_end (w, &c->workflow_command_u.end, r);
       break;
     case WORKFLOW_DRAIN:
-      workflow_add_drain (w, &c->workflow_command_u.drain);
+      r->status = workflow_add_drain (w, &c->workflow_command_u.drain);
       break;
     case WORKFLOW_PRUNE:
       apply_prune (w, c->workflow_command_u.prune.prune_val, c->workflow_command_u.prune.prune_len);
@@ -483,7 +486,7 @@
   w->machine.ops = &ops;
   cell_map_init (&w->jobs);
   withdrawn_ids_init (&w->withdrawn);
-  draining_workers_init (&w->draining);
+  run_workers_init (&w->run_workers);
   accounts_init (&w->accounts, draw_seed ());
   LIST_INIT (&w->origins);
   TAILQ_INIT (&w->open);
@@ -621,7 +624,6 @@
   while (w->zone_count > 0)
     free (w->zones_out[--w->zone_count]);
   withdrawn_ids_clear (&w->withdrawn);
-  draining_workers_clear (&w->draining);
   accounts_configure (&w->accounts, NULL);
   xdr_free ((xdrproc_t)xdr_workflow_configuration, (char *)&w->configuration);
   memset (&w->configuration, 0, sizeof w->configuration);
@@ -632,7 +634,7 @@
 {
   workflow_free_all (w);
   withdrawn_ids_close (&w->withdrawn);
-  draining_workers_close (&w->draining);
+  run_workers_close (&w->run_workers);
   accounts_close (&w->accounts);
   cell_map_close (&w->jobs);
 }
--- a/src/workflow/workflow_internal.h
+++ b/src/workflow/workflow_internal.h
@@ -23,7 +23,8 @@
                               const char *checkpoint); /* "": none */
 bool workflow_set_zone (struct workflow *w, const char *zone,
                         bool out); /* False: WORKFLOW_MAX_ZONES are out. */
-void workflow_add_drain (struct workflow *w, workflow_drain *drain); /* Moves its content. */
+/* Moves its content; else as run_workers_set_drain.  */
+enum status_kind workflow_add_drain (struct workflow *w, workflow_drain *drain);
 bool workflow_save (struct machine *m, struct buffer *out);
 int workflow_load (struct machine *m, const void *data, size_t len, struct status *st);
 
--- a/src/workflow/workflow_snapshot.c
+++ b/src/workflow/workflow_snapshot.c
@@ -41,7 +41,7 @@
   for (int i = 0; i < WORKFLOW_MAX_RUNS; i++)
     if (t->runs[i])
       out->runs.runs_val[out->runs.runs_len++]
-          = (workflow_run_image){ .run = t->runs[i]->run, .worker = t->runs[i]->worker };
+          = (workflow_run_image){ .run = t->runs[i]->run, .worker = t->runs[i]->on->id };
 }
 
 static void
@@ -143,7 +143,7 @@
 {
   workflow_account_image image = { .accounts = w->accounts.definition };
   const struct workflow_job *j;
-  if (!w->accounts.definition && !has_owners (w) && w->draining.map.count == 0)
+  if (!w->accounts.definition && !has_owners (w) && w->run_workers.draining_count == 0)
     return true;
   image.owners.owners_val = xcalloc (w->jobs.count + 1, sizeof (workflow_name));
   TAILQ_FOREACH (j, &w->open, link)
@@ -159,12 +159,12 @@
 save_drains (const struct workflow *w, struct buffer *out)
 {
   workflow_drain_image image = { .drains.drains_len = 0 };
-  const struct draining_worker *d;
-  if (w->draining.map.count == 0)
+  const struct run_worker *r;
+  if (w->run_workers.draining_count == 0)
     return true;
-  image.drains.drains_val = xcalloc (w->draining.map.count, sizeof (workflow_drain));
-  TAILQ_FOREACH (d, &w->draining.list, link)
-  image.drains.drains_val[image.drains.drains_len++] = d->drain;
+  image.drains.drains_val = xcalloc (w->run_workers.draining_count, sizeof (workflow_drain));
+  TAILQ_FOREACH (r, &w->run_workers.draining, link)
+  image.drains.drains_val[image.drains.drains_len++] = *r->drain;
   bool ok = xdr_append (out, (xdrproc_t)xdr_workflow_drain_image, &image);
   free (image.drains.drains_val);
   return ok;
