--- a/tests/test_checkpoints.c
+++ b/tests/test_checkpoints.c
@@ -203,11 +203,11 @@
   assert_true (f->workflow.checkpoint_bytes == 0);
 }
 
-/* Guards against a proposal that is repeated for ever because the state refuses it each time.  */
+/* A run on w1 is stopped with a checkpoint; the proposal of its end has OUTCOME, and it is listed
+   once more.  */
 static void
-test_a_refused_end_is_proposed_without_its_checkpoint (void **state)
+propose_end_twice (struct fixture *f, enum dispatcher_proposal outcome)
 {
-  struct fixture *f = *state;
   fixture_join (f, "w1", "10.0.0.1:1");
   const struct sent_start *s = start_job (f, 1, 0);
   struct reported_end end = fixture_ended (s, 1, WORKFLOW_STOPPED);
@@ -222,9 +222,17 @@
   assert_int_equal (f->log_count, 1);
   buffer_close (&f->log[0].entry);
   f->log_count = 0;
-  dispatcher_proposed (f->dispatcher, f->now_ms, f->log[0].token, PROPOSAL_REFUSED);
+  dispatcher_proposed (f->dispatcher, f->now_ms, f->log[0].token, outcome);
   fixture_answer_hold (f, "w1", NULL, 0, &end, 1);
   assert_true (TAILQ_EMPTY (&f->workflow.runs));
+}
+
+/* Guards against a proposal that is repeated for ever because the state refuses it each time.  */
+static void
+test_a_refused_end_is_proposed_without_its_checkpoint (void **state)
+{
+  struct fixture *f = *state;
+  propose_end_twice (f, PROPOSAL_REFUSED);
   assert_null (only_task (f, 1)->checkpoint);
 }
 
@@ -233,21 +241,7 @@
 test_a_lost_end_is_proposed_with_its_checkpoint (void **state)
 {
   struct fixture *f = *state;
-  fixture_join (f, "w1", "10.0.0.1:1");
-  const struct sent_start *s = start_job (f, 1, 0);
-  struct reported_end end = fixture_ended (s, 1, WORKFLOW_STOPPED);
-  end.checkpoint = "saved";
-  const struct worker_lists lists = { .mark = fixture_last_hold (f, "w1").mark,
-                                      .clock_ms = f->now_ms,
-                                      .born_ms = 1000,
-                                      .ended = &end,
-                                      .ended_len = 1,
-                                      .complete = true };
-  dispatcher_hold_answer (f->dispatcher, f->now_ms, "w1", WORKER_CALL_OK, &lists);
-  buffer_close (&f->log[0].entry);
-  f->log_count = 0;
-  dispatcher_proposed (f->dispatcher, f->now_ms, f->log[0].token, PROPOSAL_LOST);
-  fixture_answer_hold (f, "w1", NULL, 0, &end, 1);
+  propose_end_twice (f, PROPOSAL_LOST);
   assert_string_equal (only_task (f, 1)->checkpoint, "saved");
 }
 
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -373,12 +373,7 @@
 {
   for (int ended = 0; ended < 2; ended++)
     {
-      if (ended)
-        {
-          fixture_close (state);
-          fixture_open (state);
-        }
-      struct fixture *f = *state;
+      struct fixture *f = fixture_of_round (state, ended);
       struct status st;
       fixture_join (f, "w1", "10.0.0.1:1");
       fixture_submit (f, 1, 2, 1, 0);
--- a/tests/test_dispatcher_pace.c
+++ b/tests/test_dispatcher_pace.c
@@ -242,12 +242,7 @@
 {
   for (unsigned lost = 1; lost <= 3; lost++)
     {
-      if (lost > 1)
-        {
-          fixture_close (state);
-          fixture_open (state);
-        }
-      struct fixture *f = *state;
+      struct fixture *f = fixture_of_round (state, (int)lost - 1);
       struct model m;
       begin (f, &m);
       m.lose = lost;
--- a/tests/test_run_workers.c
+++ b/tests/test_run_workers.c
@@ -145,12 +145,7 @@
 {
   for (enum change c = 0; c < CHANGES; c++)
     {
-      if (c > 0)
-        {
-          fixture_close (state);
-          fixture_open (state);
-        }
-      struct fixture *f = *state;
+      struct fixture *f = fixture_of_round (state, c);
       drain (f);
       change_leader (f, c);
       dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
@@ -165,12 +160,7 @@
 {
   for (enum change c = 0; c < CHANGES; c++)
     {
-      if (c > 0)
-        {
-          fixture_close (state);
-          fixture_open (state);
-        }
-      struct fixture *f = *state;
+      struct fixture *f = fixture_of_round (state, c);
       drain (f);
       dispatcher_worker_left (f->dispatcher, f->now_ms, "w1");
       assert_true (awaits (f));
@@ -188,12 +178,7 @@
 {
   for (enum change c = 0; c < CHANGES; c++)
     {
-      if (c > 0)
-        {
-          fixture_close (state);
-          fixture_open (state);
-        }
-      struct fixture *f = *state;
+      struct fixture *f = fixture_of_round (state, c);
       const struct reported_run run = start_lasting (f);
       report (f, "w1", W1, 1000, true);
       assert_true (awaits (f));
@@ -220,12 +205,7 @@
 {
   for (int left = 0; left < 2; left++)
     {
-      if (left)
-        {
-          fixture_close (state);
-          fixture_open (state);
-        }
-      struct fixture *f = *state;
+      struct fixture *f = fixture_of_round (state, left);
       int64_t deadline_ms = 0;
       drain (f);
       if (left)
@@ -251,12 +231,7 @@
 {
   for (int late_report = 0; late_report < 2; late_report++)
     {
-      if (late_report)
-        {
-          fixture_close (state);
-          fixture_open (state);
-        }
-      struct fixture *f = *state;
+      struct fixture *f = fixture_of_round (state, late_report);
       struct status st;
       const struct reported_run run = drain (f);
       struct worker_report late = fixture_worker (f, "w1", W1);
--- a/tests/workflow_fixture.h
+++ b/tests/workflow_fixture.h
@@ -399,4 +399,16 @@
   return 0;
 }
 
+/* The fixture of the ROUND-th round of a test, opened anew but for the first, 0.  */
+static inline struct fixture *
+fixture_of_round (void **state, int round)
+{
+  if (round > 0)
+    {
+      fixture_close (state);
+      fixture_open (state);
+    }
+  return *state;
+}
+
 #endif
