Order a share again while an unanswered order may still be carried out

A worker looks at the fence when an order comes, and may carry it out seconds later; the worker of the test looked at it again, which hid the fault.

Change: the share is unknown for 15 s after an unanswered order, and after a change of leader. A reduced share is ordered again every 1.5 s in that time, any share once more at its end. The fence no longer rises for it.

--- a/src/workflow/dispatcher.c
+++ b/src/workflow/dispatcher.c
@@ -381,6 +381,7 @@
   r->state = DISPATCH_UNCERTAIN;
   r->inherited = true;
   r->pace_unknown = r->is_fill;
+  r->pace_late_ms = d->now_ms + ORDER_MAX_DELAY_MS;
   r->stop_requested
       = run->task->job->state != WORKFLOW_JOB_OPEN || run->task->state == WORKFLOW_TASK_DONE;
   run->dispatch = r;
@@ -502,7 +503,7 @@
 {
   if (r->paced_percent != target_pace (d, r))
     return true;
-  if (!r->pace_unknown || d->adopted_paces == 0)
+  if (!r->pace_unknown || d->now_ms < r->pace_repeat_ms || d->adopted_paces == 0)
     return false;
   d->adopted_paces--;
   return true;
--- a/src/workflow/dispatcher.h
+++ b/src/workflow/dispatcher.h
@@ -47,8 +47,7 @@
 
 #define DISPATCHER_TICK_MS 20
 #define DISPATCHER_FENCES                                                                          \
-  ((uint64_t)1 << 20) /* of one leadership; one for each restart of a worker and each order of a   \
-                         share that got no answer */
+  ((uint64_t)1 << 20) /* of one leadership; one for each restart of a worker */
 
 struct dispatcher;
 
--- a/src/workflow/dispatcher_answer.c
+++ b/src/workflow/dispatcher_answer.c
@@ -133,13 +133,13 @@
   if (result == WORKER_CALL_OK)
     {
       r->paced_percent = percent;
-      r->pace_unknown = false;
+      r->pace_unknown = now_ms < r->pace_late_ms;
+      r->pace_repeat_ms = percent < PACING_FULL_PERCENT ? now_ms + PACE_REPEAT_MS : r->pace_late_ms;
     }
   else if (result == WORKER_CALL_UNKNOWN)
     {
-      /* It may be carried out after newer ones, unless those have a higher fence.  */
       r->pace_unknown = true;
-      dispatch_raise_fence (d, r->worker);
+      r->pace_late_ms = now_ms + ORDER_MAX_DELAY_MS;
     }
   else
     r->pace_next_ms = now_ms + PACE_RETRY_MS;
--- a/src/workflow/dispatcher_internal.h
+++ b/src/workflow/dispatcher_internal.h
@@ -44,9 +44,12 @@
 #define MIN_CLOCK_RATE 0.98      /* a worker's clock may be 2% slow */
 #define STOP_RETRY_MS 300        /* between two stop orders for one run */
 #define PACE_RETRY_MS 300        /* after a refused share */
-#define NO_ROOM_PAUSE_MS 400     /* no tasks for a worker that refused for lack of capacity */
-#define COPY_SILENCE_MS 1000     /* of a worker whose tasks allow copies: three holds */
-#define START_RETRY_MS 100       /* wait of a task whose start was refused */
+/* Between two orders of a reduced share that a late order may undo: one that harms a lasting task
+   may be in force for less than four seconds.  A full share is ordered once more at the end.  */
+#define PACE_REPEAT_MS 1500
+#define NO_ROOM_PAUSE_MS 400 /* no tasks for a worker that refused for lack of capacity */
+#define COPY_SILENCE_MS 1000 /* of a worker whose tasks allow copies: three holds */
+#define START_RETRY_MS 100   /* wait of a task whose start was refused */
 /* The last list of ends of a worker that is gone may arrive after the proof, on another connection;
    a hold's answer crosses two regions in 60 ms.  */
 #define LAST_LIST_WAIT_MS 200
@@ -103,7 +106,9 @@
   int64_t ended_ms;       /* when its end was proposed; 0 before */
   uint64_t end_number;    /* of the listed end that was proposed; 0: none */
   uint32_t paced_percent; /* acknowledged by the worker */
-  bool pace_unknown;      /* an order whose outcome is unknown may have set another share */
+  bool pace_unknown;      /* the worker may work at another share */
+  int64_t pace_late_ms;   /* until then an order without an answer may be carried out */
+  int64_t pace_repeat_ms; /* next order while the share is unknown */
   bool pace_pending;
   int64_t pace_next_ms; /* next order after a refused one */
   uint32_t measure;     /* last listed; lasting: tail in ms, else millicores in use */
@@ -324,8 +329,6 @@
                                  struct dispatch_worker *w); /* For the next order; stored in W. */
 bool dispatch_update_incarnation (struct dispatcher *d, struct dispatch_worker *w,
                                   int64_t born_ms); /* True if W has restarted. */
-/* W refuses the orders that were sent before, once it has seen one with the new fence.  */
-void dispatch_raise_fence (struct dispatcher *d, struct dispatch_worker *w);
 struct worker_address dispatch_address (const struct dispatch_worker *w); /* For an order. */
 void dispatch_adopt_drain (struct dispatcher *d,
                            struct dispatch_worker *w); /* W was added with an inherited run. */
--- a/src/workflow/dispatcher_worker.c
+++ b/src/workflow/dispatcher_worker.c
@@ -267,13 +267,6 @@
   w->ack_mark = 0;
 }
 
-void
-dispatch_raise_fence (struct dispatcher *d, struct dispatch_worker *w)
-{
-  if (d->last_fence < d->first_fence + DISPATCHER_FENCES - 1)
-    w->fence = ++d->last_fence;
-}
-
 /* The worker restarted under its id: its earlier runs are gone, it has a new clock and has seen no
    fence.  An order to the earlier incarnation may still reach the new one, which refuses it once it
    has seen the higher fence of its own orders.  */
@@ -302,7 +295,8 @@
   w->drain_refused = false;
   w->lease_end_ms = lease_end_after (d->now_ms, d->config.lease_ms);
   reset_acknowledgements (w);
-  dispatch_raise_fence (d, w);
+  if (d->last_fence < d->first_fence + DISPATCHER_FENCES - 1)
+    w->fence = ++d->last_fence;
   w->hold_now = true;
   w->order_epoch = ++d->last_order_epoch;
   w->holds = 0;
--- a/tests/test_dispatcher_pace.c
+++ b/tests/test_dispatcher_pace.c
@@ -1,6 +1,6 @@
 /* Guards against fill-in tasks that stay at a share which their leader does not know of.  One
    worker runs a lasting task, whose users press it at times, and a fill-in task; it carries out
-   some orders late, and refuses those with a lower fence than it has seen.  */
+   some orders late.  */
 #include "pacing.h"
 #include "workflow_fixture.h"
 
@@ -9,17 +9,17 @@
 #define TAIL_PRESSED_MS 400 /* beside the fill-in task at its full share */
 #define MILLICORES 2000
 #define SAMPLE_MS 500
-#define SETTLED_MS 20000 /* longer than an order may be late, and than a share takes to grow */
+#define SETTLED_MS 25000 /* longer than an order may be late, and than a share takes to grow */
 #define HARM_MS 4000
 #define SERVING_JOB 1
 #define FILL_JOB 2
 #define MOST_LATE 8
 
+/* Its fence was high enough when it came, and is not looked at again.  */
 struct late_order
 {
   int64_t due_ms; /* 0: carried out */
   uint32_t percent;
-  uint64_t fence;
 };
 
 /* The worker.  */
@@ -85,9 +85,8 @@
     {
       m->lose--;
       assert_true (m->late_count < MOST_LATE);
-      m->late[m->late_count++] = (struct late_order){ .due_ms = f->now_ms + m->late_ms,
-                                                      .percent = o->percent,
-                                                      .fence = o->to.fence };
+      m->late[m->late_count++]
+          = (struct late_order){ .due_ms = f->now_ms + m->late_ms, .percent = o->percent };
       result = WORKER_CALL_UNKNOWN;
     }
   else if (o->to.fence < m->fence)
@@ -125,7 +124,7 @@
       for (size_t i = 0; i < m->late_count; i++)
         if (m->late[i].due_ms > 0 && f->now_ms >= m->late[i].due_ms)
           {
-            carry_out (m, m->late[i].fence, m->late[i].percent);
+            m->share = m->late[i].percent;
             m->late[i].due_ms = 0;
           }
       for (; m->paces < f->pace_count; m->paces++)
