--- a/tests/path_drain.sh
+++ b/tests/path_drain.sh
@@ -2,7 +2,7 @@
 # End-to-end test of the platform adapter with real processes on loopback: a worker with a task that lasts drains and
 # leaves while the leader is killed, stopped for some seconds, or stops as planned, at each point of the drain. The task
 # must run elsewhere within 6 s after its last run, with leases of 10 s. Guards against a leader that does not know who
-# drains (review/12).
+# drains.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=$1
--- a/tests/test_checkpoints.c
+++ b/tests/test_checkpoints.c
@@ -54,8 +54,9 @@
   fixture_answer_hold (f, "w1", NULL, 0, NULL, 0);
 }
 
-/* Failure in review/11 (LOST): the end of a cancelled run had a checkpoint of 300 bytes, which its
-   log entry could not hold, and no end of that worker was acknowledged any more.  */
+/* Guards against ends that are never acknowledged: the end of a cancelled run had a checkpoint of
+   300 bytes, which its log entry could not hold, and no end of that worker was acknowledged any
+   more.  */
 static void
 test_a_long_checkpoint_does_not_hold_back_ends (void **state)
 {
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -337,8 +337,8 @@
   assert_int_equal (f->start_count, 1);
 }
 
-/* Failure in review/13 (MIXED): jobs whose start orders went to a worker that was cut off counted
-   as started for seconds, and the queue said that none was pending.  */
+/* Guards against queues that hide what waits: jobs whose start orders went to a worker that was cut
+   off counted as started for seconds, and the queue said that none was pending.  */
 static void
 test_a_job_has_not_started_before_a_worker_shows_it (void **state)
 {
--- a/tests/test_dispatcher_pace.c
+++ b/tests/test_dispatcher_pace.c
@@ -179,7 +179,7 @@
   assert_int_equal (dispatcher_report (f->dispatcher, f->now_ms, &r, &st), 0);
 }
 
-/* Failure in review/notes-3/pace-after-change-of-leader: the next leader took it that each run
+/* Guards against work that never goes on: the next leader took it that each run
    works at its full share, and a task that had been paced to 0 stayed there.  */
 static void
 test_the_next_leader_raises_a_share_that_it_did_not_set (void **state)
@@ -234,8 +234,8 @@
   assert_int_equal (m.share, 100);
 }
 
-/* Failure in review/notes-3/late-pace: an order that got no answer was carried out 8 s later, after
-   newer ones, and the share that it had set was never changed.  */
+/* Guards against work that never goes on: an order that got no answer was carried out 8 s later,
+   after newer ones, and the share that it had set was never changed.  */
 static void
 test_a_pace_order_that_is_carried_out_late_does_not_last (void **state)
 {
--- a/tests/test_order_relay.c
+++ b/tests/test_order_relay.c
@@ -349,7 +349,7 @@
 }
 
 /* Guards against ends that never arrive through a helper, because the lists are over the size of a
-   message or one checkpoint is over its limit (review/11): each answer brings some, in their order.
+   message or one checkpoint is over its limit: each answer brings some, in their order.
    The leader then acknowledges them, and the next answer begins with the rest.  */
 static void
 test_long_checkpoints_do_not_hold_back_relayed_ends (void **state)
--- a/tests/test_pacing.c
+++ b/tests/test_pacing.c
@@ -81,7 +81,7 @@
   assert_int_equal (p.percent, PACING_FULL_PERCENT);
 }
 
-/* Failure in tests/days/harm-after-long-jobs.toml, seed 26 (HARM): fill-in work slowed a lasting
+/* Guards against a lasting task that is over its target for too long: fill-in work slowed a lasting
    task at every share, and its pace took 4.0 s to reach 0.  An order takes 100 ms, the tail is an
    average over 500 ms, and the next sample comes up to 500 ms later.  */
 static void
--- a/tests/test_run_workers.c
+++ b/tests/test_run_workers.c
@@ -138,8 +138,9 @@
   return f->now_ms - from_ms;
 }
 
-/* Failure in review/12 (LOST): the leader was killed while a worker drained.  The next one took its
-   departure for one of an earlier incarnation and waited for the longest lease.  */
+/* Guards against lasting tasks without a run: the leader was killed while a worker drained.  The
+   next one took its departure for one of an earlier incarnation and waited for the longest lease.
+ */
 static void
 test_the_next_leader_knows_who_drains (void **state)
 {
